--- /dev/null
+++ b/attempt/attempt_test.go
@@ -0,0 +1,16 @@
+package attempt
+
+import "testing"
+
+// Guards against two callers' or services' requests sharing a fingerprint
+// because the fields are joined without a separator.
+func TestFingerprintSeparatesFields(t *testing.T) {
+	a := Fingerprint("ab", "c", []byte("d"))
+	b := Fingerprint("a", "bc", []byte("d"))
+	if a == b {
+		t.Fatal("fingerprints of different requests are equal")
+	}
+	if a != Fingerprint("ab", "c", []byte("d")) {
+		t.Fatal("fingerprint of a resend differs")
+	}
+}
--- /dev/null
+++ b/cmd/magnoliausher/main.go
@@ -0,0 +1,12 @@
+// Command magnoliausher runs the roles and the operator commands.
+package main
+
+import (
+	"os"
+
+	"github.com/magnoliausher/magnoliausher/cli"
+)
+
+func main() {
+	os.Exit(cli.Main(os.Args))
+}
--- /dev/null
+++ b/contract/contract.go
@@ -0,0 +1,176 @@
+// Package contract holds the configuration that operators accept: which
+// services exist, what each caller may ask of them, and how upstreams behave.
+package contract
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+)
+
+// Kind tells model engines from plain HTTP services.
+type Kind string
+
+// Kinds of services.
+const (
+	KindEngine Kind = "engine"
+	KindPlain  Kind = "plain"
+)
+
+// Class is the urgency of work.
+type Class string
+
+// Classes of work.
+const (
+	ClassOnline Class = "online"
+	ClassBatch  Class = "batch"
+)
+
+// Document is one accepted configuration. Values are immutable after acceptance.
+type Document struct {
+	Version   uint64          `json:"version"`    // rises by one per accepted change
+	ChangeID  string          `json:"change_id"`  // unique per change; settles lost answers
+	SheetDate string          `json:"sheet_date"` // YYYY-MM-DD
+	Revision  int             `json:"revision"`   // of the sheet within its date
+	Services  []Service       `json:"services"`
+	Groups    []UpstreamGroup `json:"groups"`
+	Callers   []Caller        `json:"callers"`
+}
+
+// Service is what callers name in a request: a model or a plain service.
+type Service struct {
+	Name          string  `json:"name"`
+	Kind          Kind    `json:"kind"`
+	Model         string  `json:"model,omitempty"`   // engines: the model that callers name
+	Adapter       string  `json:"adapter,omitempty"` // engines: adapter of the model
+	ModelVersion  string  `json:"model_version,omitempty"`
+	NonRepeatable []Route `json:"non_repeatable,omitempty"`
+	MaxInProgress int     `json:"max_in_progress"` // online requests per entry; 0 means no limit
+	DeadlineMS    int     `json:"deadline_ms"`     // default of online requests; 0 means DefaultDeadline
+}
+
+// DefaultDeadline applies to online requests of services without a deadline.
+const DefaultDeadline = 60 * time.Second
+
+// Route is a method and a path prefix of a plain service.
+type Route struct {
+	Method string `json:"method"`
+	Path   string `json:"path"`
+}
+
+// UpstreamGroup is a set of upstreams of one service in one data centre.
+type UpstreamGroup struct {
+	Name          string `json:"name"`
+	Service       string `json:"service"`
+	DataCentre    string `json:"data_centre"`
+	Role          string `json:"role"`           // engine role, e.g. "serve"
+	ChecksFencing bool   `json:"checks_fencing"` // the upstreams refuse orders with an old fencing number
+	Count         int    `json:"count"`          // upstreams that the planners expect
+}
+
+// Caller is a customer with its key and limits.
+type Caller struct {
+	ID            string  `json:"id"`
+	Organisation  string  `json:"organisation"`
+	KeySHA256     string  `json:"key_sha256"` // hex
+	RatePerSecond float64 `json:"rate_per_second"`
+	Burst         int     `json:"burst"`
+	MaxInProgress int     `json:"max_in_progress"`
+	Classes       []Class `json:"classes"`
+	Operator      bool    `json:"operator"`
+}
+
+// HashKey returns the form in which a caller's key is stored.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// Allows reports whether the caller may submit work of the class.
+func (c *Caller) Allows(class Class) bool {
+	for _, have := range c.Classes {
+		if have == class {
+			return true
+		}
+	}
+	return false
+}
+
+// Index gives fast lookups in one document.
+type Index struct {
+	Document       *Document
+	serviceByName  map[string]*Service
+	serviceByModel map[string]*Service
+	callerByKey    map[string]*Caller
+	callerByID     map[string]*Caller
+}
+
+// NewIndex builds the lookups; the document must not change afterwards.
+func NewIndex(doc *Document) *Index {
+	ix := &Index{
+		Document:       doc,
+		serviceByName:  make(map[string]*Service, len(doc.Services)),
+		serviceByModel: make(map[string]*Service, len(doc.Services)),
+		callerByKey:    make(map[string]*Caller, len(doc.Callers)),
+		callerByID:     make(map[string]*Caller, len(doc.Callers)),
+	}
+	for i := range doc.Services {
+		s := &doc.Services[i]
+		ix.serviceByName[s.Name] = s
+		if s.Model != "" {
+			ix.serviceByModel[s.Model] = s
+		}
+	}
+	for i := range doc.Callers {
+		c := &doc.Callers[i]
+		ix.callerByKey[c.KeySHA256] = c
+		ix.callerByID[c.ID] = c
+	}
+	return ix
+}
+
+// Service finds a service by name, or nil.
+func (ix *Index) Service(name string) *Service { return ix.serviceByName[name] }
+
+// ServiceForModel finds the engine service that callers name by model or by
+// service name, or nil.
+func (ix *Index) ServiceForModel(model string) *Service {
+	if s := ix.serviceByModel[model]; s != nil {
+		return s
+	}
+	if s := ix.serviceByName[model]; s != nil && s.Kind == KindEngine {
+		return s
+	}
+	return nil
+}
+
+// CallerByKey finds the caller that holds the key, or nil.
+func (ix *Index) CallerByKey(key string) *Caller { return ix.callerByKey[HashKey(key)] }
+
+// Caller finds a caller by id, or nil.
+func (ix *Index) Caller(id string) *Caller { return ix.callerByID[id] }
+
+// Repeatable reports whether a call of the service may be run more than once.
+// Engine calls have no effects and always may.
+func (s *Service) Repeatable(method, path string) bool {
+	for _, r := range s.NonRepeatable {
+		if r.Method != method {
+			continue
+		}
+		if pathHasPrefix(path, r.Path) {
+			return false
+		}
+	}
+	return true
+}
+
+// pathHasPrefix matches whole path elements, so that /invoice does not cover /invoices.
+func pathHasPrefix(path, prefix string) bool {
+	if len(path) < len(prefix) || path[:len(prefix)] != prefix {
+		return false
+	}
+	if len(path) == len(prefix) || prefix == "" {
+		return true
+	}
+	return path[len(prefix)] == '/' || prefix[len(prefix)-1] == '/'
+}
--- /dev/null
+++ b/metric/metric.go
@@ -0,0 +1,45 @@
+// Package metric names the counters and histograms of all roles.
+package metric
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Refused counts a refused request with its reason. Role is entry or agent.
+func Refused(role, service, class, reason string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(
+		`magnoliausher_refused_total{role=%q,service=%q,class=%q,reason=%q}`, role, service, class, reason)).Inc()
+}
+
+// Retried counts a further attempt of a request with the reason of the earlier one's end.
+func Retried(service, class, reason string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(
+		`magnoliausher_retried_total{service=%q,class=%q,reason=%q}`, service, class, reason)).Inc()
+}
+
+// Preempted counts batch attempts that gave way to online work.
+func Preempted(service string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`magnoliausher_preempted_total{service=%q}`, service)).Inc()
+}
+
+// FirstToken records the time from a request's arrival to its first token, in seconds.
+func FirstToken(service, class string, seconds float64) {
+	metrics.GetOrCreateHistogram(fmt.Sprintf(
+		`magnoliausher_first_token_seconds{service=%q,class=%q}`, service, class)).Update(seconds)
+}
+
+// TokenInterval records the time between two tokens of one request, in seconds.
+func TokenInterval(service, class string, seconds float64) {
+	metrics.GetOrCreateHistogram(fmt.Sprintf(
+		`magnoliausher_token_interval_seconds{service=%q,class=%q}`, service, class)).Update(seconds)
+}
+
+// Handler serves all metrics in the Prometheus text format.
+func Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		metrics.WritePrometheus(w, true)
+	})
+}
