--- a/cli/cli.go
+++ b/cli/cli.go
@@ -3,37 +3,101 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/urfave/cli/v3"
 
-	_ "github.com/magnoliausher/magnoliausher/metric"
+	"github.com/magnoliausher/magnoliausher/finding"
 )
 
 // Exit codes of the binary.
 const (
 	ExitOK       = 0
 	ExitFailure  = 1 // the command ran and failed, or a promise was broken
-	ExitFindings = 2 // the input has findings
+	ExitFindings = 2 // the input or the command line has errors
 )
 
 // Version of the binary, set by the linker.
 var Version = "dev"
 
+const description = `Exit codes: 0 success; 1 the command failed or a guarantee was broken;
+2 the input or the command line has errors, all of which are printed.
+
+Examples:
+  magnoliausher demo
+  magnoliausher dev --listen 127.0.0.1:8080
+  magnoliausher check-settings entry.ini
+  magnoliausher entry entry.ini`
+
 // Main runs the command line and returns the exit code.
 func Main(args []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return run(ctx, args, os.Stdout, os.Stderr)
+}
+
+func run(ctx context.Context, args []string, out, errOut io.Writer) int {
 	root := &cli.Command{
 		Name:                  "magnoliausher",
 		Usage:                 "serve online and batch inference on one fleet",
+		Description:           description,
 		Version:               Version,
+		Writer:                out,
+		ErrWriter:             errOut,
 		EnableShellCompletion: true,
-		Commands:              []*cli.Command{},
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
+		Commands:              commands(),
+	}
+	err := root.Run(ctx, args)
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintln(errOut, err)
+	return exitCode(err)
+}
+
+// usageError marks a wrong command line.
+type usageError struct{ reason string }
+
+func (e usageError) Error() string { return e.reason }
+
+func exitCode(err error) int {
+	var list finding.List
+	var usage usageError
+	if errors.As(err, &list) || errors.As(err, &usage) {
+		return ExitFindings
 	}
-	if err := root.Run(context.Background(), args); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return ExitFailure
+	return ExitFailure
+}
+
+// oneArgument returns the command's only argument.
+func oneArgument(c *cli.Command, what string) (string, error) {
+	if c.Args().Len() != 1 {
+		return "", usageError{fmt.Sprintf("%s takes one argument: %s", c.FullName(), what)}
+	}
+	return c.Args().First(), nil
+}
+
+func commands() []*cli.Command {
+	return []*cli.Command{
+		checkSettingsCommand(),
+		keysCommand(),
+		versionCommand(),
+	}
+}
+
+func versionCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "version",
+		Usage: "print the version",
+		Action: func(_ context.Context, c *cli.Command) error {
+			_, err := fmt.Fprintln(c.Root().Writer, "magnoliausher", Version)
+			return err
+		},
 	}
-	return ExitOK
 }
--- /dev/null
+++ b/cli/settings.go
@@ -0,0 +1,30 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/magnoliausher/magnoliausher/settings"
+)
+
+func checkSettingsCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "check-settings",
+		Usage:       "check an entry's or agent's settings file",
+		ArgsUsage:   "FILE",
+		Description: "Prints all findings with file, line, section and key, and exits 2 if there are any.\nThe key role in the section [instance] tells which kind of file it is.",
+		Action: func(_ context.Context, c *cli.Command) error {
+			file, err := oneArgument(c, "FILE")
+			if err != nil {
+				return err
+			}
+			if err := settings.Check(file); err != nil {
+				return err
+			}
+			_, err = fmt.Fprintln(c.Root().Writer, file+": no findings")
+			return err
+		},
+	}
+}
