--- /dev/null
+++ b/standin/platform/handler.go
@@ -0,0 +1,125 @@
+package platform
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/magnoliausher/magnoliausher/platform"
+)
+
+// maxTransactionBytes bounds the body of a commit.
+const maxTransactionBytes = 16 << 20
+
+// Handler serves the stand-in over HTTP to platform.Client. A lost response
+// breaks the connection.
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platform.PathRow, p.serveRow)
+	mux.HandleFunc("GET "+platform.PathScan, p.serveScan)
+	mux.HandleFunc("POST "+platform.PathCommit, p.serveCommit)
+	mux.HandleFunc("GET "+platform.PathObject, p.serveObject)
+	mux.HandleFunc("PUT "+platform.PathObject, p.servePut)
+	mux.HandleFunc("DELETE "+platform.PathObject, p.serveDelete)
+	mux.HandleFunc("GET "+platform.PathObjects, p.serveObjects)
+	mux.HandleFunc("GET "+platform.PathInstances, p.serveInstances)
+	return mux
+}
+
+func (p *Platform) serveRow(w http.ResponseWriter, r *http.Request) {
+	row, err := p.Get(r.Context(), r.URL.Query().Get(platform.ParamKey))
+	respond(w, row, err)
+}
+
+func (p *Platform) serveScan(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	limit, err := strconv.Atoi(q.Get(platform.ParamLimit))
+	if err != nil {
+		respond(w, nil, ErrInvalid)
+		return
+	}
+	rows, err := p.Scan(r.Context(), q.Get(platform.ParamPrefix), q.Get(platform.ParamAfter), limit)
+	respond(w, platform.ScanBody{Rows: rows}, err)
+}
+
+func (p *Platform) serveCommit(w http.ResponseWriter, r *http.Request) {
+	var tx platform.Transaction
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxTransactionBytes)).Decode(&tx); err != nil {
+		respond(w, nil, errors.Join(ErrInvalid, err))
+		return
+	}
+	versions, err := p.Commit(r.Context(), tx)
+	respond(w, platform.CommitBody{Versions: versions}, err)
+}
+
+func (p *Platform) serveObject(w http.ResponseWriter, r *http.Request) {
+	body, err := p.Objects().Get(r.Context(), r.URL.Query().Get(platform.ParamKey))
+	if err != nil {
+		respond(w, nil, err)
+		return
+	}
+	defer body.Close()
+	w.Header().Set("Content-Type", "application/octet-stream")
+	_, _ = io.Copy(w, body) // the reader may have left
+}
+
+func (p *Platform) servePut(w http.ResponseWriter, r *http.Request) {
+	err := p.Objects().Put(r.Context(), r.URL.Query().Get(platform.ParamKey), r.Body)
+	respond(w, struct{}{}, err)
+}
+
+func (p *Platform) serveDelete(w http.ResponseWriter, r *http.Request) {
+	err := p.Objects().Delete(r.Context(), r.URL.Query().Get(platform.ParamKey))
+	respond(w, struct{}{}, err)
+}
+
+func (p *Platform) serveObjects(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	limit, err := strconv.Atoi(q.Get(platform.ParamLimit))
+	if err != nil {
+		respond(w, nil, ErrInvalid)
+		return
+	}
+	infos, err := p.Objects().List(r.Context(), q.Get(platform.ParamPrefix), q.Get(platform.ParamAfter), limit)
+	respond(w, platform.ObjectsBody{Objects: infos}, err)
+}
+
+func (p *Platform) serveInstances(w http.ResponseWriter, r *http.Request) {
+	since, err := strconv.ParseUint(r.URL.Query().Get(platform.ParamSince), 10, 64)
+	if err != nil {
+		respond(w, nil, ErrInvalid)
+		return
+	}
+	list, revision, err := p.Instances(r.Context(), since)
+	respond(w, platform.InstancesBody{Revision: revision, Unchanged: list == nil, Instances: list}, err)
+}
+
+// respond writes a result or an error.
+func respond(w http.ResponseWriter, result any, err error) {
+	if errors.Is(err, errResponseLost) {
+		panic(http.ErrAbortHandler) // net/http closes the connection
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err != nil {
+		status, code := statusOf(err)
+		w.WriteHeader(status)
+		result = platform.ErrorBody{Code: code, Message: err.Error()}
+	}
+	_ = json.NewEncoder(w).Encode(result) // the caller may have left
+}
+
+func statusOf(err error) (int, string) {
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		return http.StatusNotFound, platform.CodeNotFound
+	case errors.Is(err, platform.ErrConflict):
+		return http.StatusConflict, platform.CodeConflict
+	case errors.Is(err, platform.ErrThrottled):
+		return http.StatusTooManyRequests, platform.CodeThrottled
+	case errors.Is(err, ErrInvalid):
+		return http.StatusBadRequest, platform.CodeInvalid
+	}
+	return http.StatusServiceUnavailable, platform.CodeUnavailable
+}
--- /dev/null
+++ b/standin/platform/objects.go
@@ -0,0 +1,76 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/magnoliausher/magnoliausher/platform"
+)
+
+type object struct {
+	body    []byte // not changed after it is stored
+	written time.Time
+}
+
+// Objects returns the object store.
+func (p *Platform) Objects() platform.Objects { return objects{p} }
+
+type objects struct{ platform *Platform }
+
+func (o objects) Put(ctx context.Context, key string, body io.Reader) error {
+	if key == "" {
+		return fmt.Errorf("%w: object without a key", ErrInvalid)
+	}
+	content, err := io.ReadAll(body)
+	if err != nil {
+		return fmt.Errorf("read object body: %w", err)
+	}
+	p := o.platform
+	return p.write(ctx, countObjectWrite, func() error {
+		p.objects[key] = object{body: content, written: p.clock.Now()}
+		p.stats.BytesWritten += int64(len(content))
+		return nil
+	})
+}
+
+func (o objects) Get(ctx context.Context, key string) (io.ReadCloser, error) {
+	p := o.platform
+	var content []byte
+	err := p.read(ctx, countObjectRead, func() error {
+		found, ok := p.objects[key]
+		if !ok {
+			return platform.ErrNotFound
+		}
+		content = found.body
+		p.stats.BytesRead += int64(len(content))
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return io.NopCloser(bytes.NewReader(content)), nil
+}
+
+func (o objects) Delete(ctx context.Context, key string) error {
+	p := o.platform
+	return p.write(ctx, countObjectWrite, func() error {
+		delete(p.objects, key)
+		return nil
+	})
+}
+
+func (o objects) List(ctx context.Context, prefix, after string, limit int) ([]platform.ObjectInfo, error) {
+	p := o.platform
+	var infos []platform.ObjectInfo
+	err := p.read(ctx, countObjectRead, func() error {
+		for _, key := range selectKeys(p.objects, prefix, after, limit) {
+			found := p.objects[key]
+			infos = append(infos, platform.ObjectInfo{Key: key, Bytes: int64(len(found.body)), Written: found.written})
+		}
+		return nil
+	})
+	return infos, err
+}
--- /dev/null
+++ b/standin/platform/table.go
@@ -0,0 +1,142 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/magnoliausher/magnoliausher/platform"
+)
+
+// ErrInvalid is the error of a malformed call; it had no effect.
+var ErrInvalid = errors.New("invalid request")
+
+// Get returns a row, or ErrNotFound.
+func (p *Platform) Get(ctx context.Context, key string) (platform.Row, error) {
+	var row platform.Row
+	err := p.read(ctx, countTableRead, func() error {
+		found, ok := p.rows[key]
+		if !ok {
+			return platform.ErrNotFound
+		}
+		row = p.readRow(found)
+		return nil
+	})
+	return row, err
+}
+
+// Scan returns rows in key order.
+func (p *Platform) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	var rows []platform.Row
+	err := p.read(ctx, countTableRead, func() error {
+		for _, key := range selectKeys(p.rows, prefix, after, limit) {
+			rows = append(rows, p.readRow(p.rows[key]))
+		}
+		return nil
+	})
+	return rows, err
+}
+
+// Commit applies a transaction.
+func (p *Platform) Commit(ctx context.Context, tx platform.Transaction) ([]uint64, error) {
+	if err := checkTransaction(tx); err != nil {
+		return nil, err
+	}
+	tx = cloneTransaction(tx) // the caller may reuse its buffers while a late write is pending
+	var versions []uint64
+	err := p.write(ctx, countTableWrite, func() error {
+		if !p.conditionsHold(tx) {
+			return platform.ErrConflict
+		}
+		versions = p.applyWrites(tx.Writes)
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return versions, nil
+}
+
+func checkTransaction(tx platform.Transaction) error {
+	seen := make(map[string]bool, len(tx.Writes))
+	for _, w := range tx.Writes {
+		if w.Key == "" {
+			return fmt.Errorf("%w: write without a key", ErrInvalid)
+		}
+		if seen[w.Key] {
+			return fmt.Errorf("%w: two writes of row %q in one transaction", ErrInvalid, w.Key)
+		}
+		seen[w.Key] = true
+	}
+	return nil
+}
+
+func cloneTransaction(tx platform.Transaction) platform.Transaction {
+	tx.Conditions = slices.Clone(tx.Conditions)
+	tx.Writes = slices.Clone(tx.Writes)
+	for i := range tx.Writes {
+		tx.Writes[i].Value = bytes.Clone(tx.Writes[i].Value)
+	}
+	return tx
+}
+
+func (p *Platform) conditionsHold(tx platform.Transaction) bool {
+	for _, c := range tx.Conditions {
+		if p.rows[c.Key].Version != c.Version {
+			return false
+		}
+	}
+	for _, w := range tx.Writes {
+		if !w.Always && p.rows[w.Key].Version != w.IfVersion {
+			return false
+		}
+	}
+	return true
+}
+
+// applyWrites writes the rows. Versions come from one sequence for the whole
+// table, so a row that is deleted and created again never repeats a version
+// and can't satisfy the condition of a writer that read it before.
+func (p *Platform) applyWrites(writes []platform.Write) []uint64 {
+	versions := make([]uint64, 0, len(writes))
+	for _, w := range writes {
+		p.sequence++
+		versions = append(versions, p.sequence)
+		p.stats.RowsWritten++
+		if w.Delete {
+			delete(p.rows, w.Key)
+			continue
+		}
+		p.stats.BytesWritten += int64(len(w.Value))
+		p.rows[w.Key] = platform.Row{Key: w.Key, Version: p.sequence, Value: w.Value}
+	}
+	return versions
+}
+
+// readRow copies a row for its reader and counts its bytes.
+func (p *Platform) readRow(row platform.Row) platform.Row {
+	p.stats.BytesRead += int64(len(row.Value))
+	row.Value = bytes.Clone(row.Value)
+	return row
+}
+
+// selectKeys returns at most limit keys with the prefix after a key, in order.
+func selectKeys[V any](entries map[string]V, prefix, after string, limit int) []string {
+	var keys []string
+	for key := range entries {
+		if strings.HasPrefix(key, prefix) && key > after {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys[:min(len(keys), max(limit, 0))]
+}
+
+func countTableRead(s *Stats) *int   { return &s.TableReads }
+func countTableWrite(s *Stats) *int  { return &s.TableWrites }
+func countObjectRead(s *Stats) *int  { return &s.ObjectReads }
+func countObjectWrite(s *Stats) *int { return &s.ObjectWrites }
+func countListRead(s *Stats) *int    { return &s.ListReads }
