Add stand-ins for engines and services, and the upstream clients

Change: standin/engine (Model in virtual time, HTTP server with faults, orders and weight store), standin/service, upstream clients for engines and plain services, SSE reader, FencedSender, prompt parsing shared by clients and stand-in.

--- /dev/null
+++ b/standin/service/service.go
@@ -0,0 +1,172 @@
+// Package service is a stand-in for a plain HTTP service. It counts what it
+// executes, so that a test can tell how often a request ran.
+package service
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// AttemptHeader carries the attempt id of a request.
+const AttemptHeader = "X-Attempt-Id"
+
+const maxBodyBytes = 8 << 20
+
+// Fault is how the service misbehaves.
+type Fault string
+
+// Faults.
+const (
+	FaultNone      Fault = ""
+	FaultSlow      Fault = "slow"      // waits before executing
+	FaultSilent    Fault = "silent"    // executes, then keeps the connection open without an answer
+	FaultCrash     Fault = "crash"     // executes, then breaks the connection without an answer
+	FaultTruncated Fault = "truncated" // executes, then breaks the connection within the answer
+)
+
+// Answer is the body of an answer.
+type Answer struct {
+	AttemptID string `json:"attempt_id"`
+	Method    string `json:"method"`
+	Path      string `json:"path"`
+	BodyHash  uint64 `json:"body_hash"`
+	Execution int    `json:"execution"` // how often this body has been executed, with this time
+}
+
+// Server is a stand-in service. Safe for concurrent use.
+type Server struct {
+	mu        sync.Mutex
+	fault     Fault
+	delay     time.Duration // of FaultSlow
+	remaining int           // requests that the fault still concerns; negative for all
+	byAttempt map[string]int
+	byBody    map[string]int
+	total     int
+}
+
+// New returns a service without faults.
+func New() *Server {
+	return &Server{byAttempt: make(map[string]int), byBody: make(map[string]int)}
+}
+
+// SetFault makes the next requests misbehave, or all with a negative number.
+// delay is the wait of FaultSlow.
+func (s *Server) SetFault(fault Fault, requests int, delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = fault
+	s.remaining = requests
+	s.delay = delay
+}
+
+// ByAttempt returns how often the attempt was executed.
+func (s *Server) ByAttempt(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.byAttempt[id]
+}
+
+// ByBody returns how often a request with the body was executed.
+func (s *Server) ByBody(body []byte) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.byBody[string(body)]
+}
+
+// Total returns the number of executions.
+func (s *Server) Total() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.total
+}
+
+// Handler serves GET /healthz and executes any other request.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("ok\n")) // the client may be gone
+	})
+	mux.HandleFunc("/", s.serve)
+	return mux
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	fault, delay := s.takeFault()
+	if fault == FaultSlow && !pause(r.Context(), delay) {
+		panic(http.ErrAbortHandler)
+	}
+	execution := s.execute(r.Header.Get(AttemptHeader), body)
+	switch fault {
+	case FaultSilent:
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	case FaultCrash:
+		panic(http.ErrAbortHandler)
+	}
+	answer, err := json.Marshal(Answer{
+		AttemptID: r.Header.Get(AttemptHeader),
+		Method:    r.Method,
+		Path:      r.URL.RequestURI(),
+		BodyHash:  xxhash.Sum64(body),
+		Execution: execution,
+	})
+	if err != nil { // only strings and ints inside
+		panic(err)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	if fault == FaultTruncated {
+		_, _ = w.Write(answer[:len(answer)/2])
+		_ = http.NewResponseController(w).Flush() // the first half is to reach the client
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(answer) // the client may be gone
+}
+
+// takeFault returns the fault that concerns one request.
+func (s *Server) takeFault() (Fault, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.remaining == 0 {
+		return FaultNone, 0
+	}
+	if s.remaining > 0 {
+		s.remaining--
+	}
+	return s.fault, s.delay
+}
+
+func (s *Server) execute(attemptID string, body []byte) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.total++
+	s.byBody[string(body)]++
+	if attemptID != "" {
+		s.byAttempt[attemptID]++
+	}
+	return s.byBody[string(body)]
+}
+
+// pause waits and reports whether the context is still in force.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/upstream/prompt.go
@@ -0,0 +1,182 @@
+package upstream
+
+import (
+	"encoding/json"
+	"errors"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// DefaultMaxTokens is the number of output tokens when a request gives none.
+const DefaultMaxTokens = 16
+
+// leadingWords is the part of a prompt without a system message that counts as
+// its cacheable prefix.
+const leadingWords = 128
+
+// ErrBadBody: the body is not a completion request.
+var ErrBadBody = errors.New("body is not a completion request")
+
+// Prompt is what a completion request asks, as far as routing and the stand-in
+// engine need it. Tokens are estimated as words.
+type Prompt struct {
+	Model        string
+	Text         string // messages joined as "role: content" lines, or the prompt itself
+	Tokens       int
+	MaxTokens    int    // upper bound of the output
+	Prefix       uint64 // hash of the cacheable prefix; 0 for none
+	PrefixTokens int
+	Stream       bool
+	IncludeUsage bool // stream_options.include_usage
+	Resume       Resume
+}
+
+// Resume is the output of earlier attempts, after which generation goes on.
+type Resume struct {
+	Text   string `json:"text"`
+	Tokens int    `json:"tokens"`
+}
+
+type requestBody struct {
+	Model               string          `json:"model"`
+	Prompt              json.RawMessage `json:"prompt"`
+	Messages            []message       `json:"messages"`
+	MaxTokens           *int            `json:"max_tokens"`
+	MaxCompletionTokens *int            `json:"max_completion_tokens"`
+	PromptCacheKey      string          `json:"prompt_cache_key"`
+	Stream              bool            `json:"stream"`
+	StreamOptions       *streamOptions  `json:"stream_options"`
+	Resume              *Resume         `json:"resume"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+type message struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+type contentPart struct {
+	Text string `json:"text"`
+}
+
+// ParsePrompt reads the body of a request to /v1/completions or
+// /v1/chat/completions. The cacheable prefix is, in this order: what
+// prompt_cache_key names, the leading system messages, or the first 128 words.
+func ParsePrompt(body []byte) (Prompt, error) {
+	var in requestBody
+	if err := json.Unmarshal(body, &in); err != nil {
+		return Prompt{}, errors.Join(ErrBadBody, err)
+	}
+	p := Prompt{Model: in.Model, Stream: in.Stream, MaxTokens: DefaultMaxTokens}
+	if in.StreamOptions != nil {
+		p.IncludeUsage = in.StreamOptions.IncludeUsage
+	}
+	if in.Resume != nil {
+		p.Resume = *in.Resume
+	}
+	for _, limit := range []*int{in.MaxTokens, in.MaxCompletionTokens} {
+		if limit != nil {
+			p.MaxTokens = *limit
+		}
+	}
+	if p.MaxTokens < 1 || p.Resume.Tokens < 0 {
+		return Prompt{}, ErrBadBody
+	}
+	system, err := p.setText(in)
+	if err != nil {
+		return Prompt{}, err
+	}
+	p.Tokens = countWords(p.Text)
+	p.setPrefix(in.PromptCacheKey, system)
+	return p, nil
+}
+
+// setText joins the messages or takes the prompt, and returns the leading
+// system messages.
+func (p *Prompt) setText(in requestBody) (system string, err error) {
+	if len(in.Messages) == 0 {
+		p.Text, err = textOf(in.Prompt)
+		return "", err
+	}
+	var all strings.Builder
+	leading := true
+	for _, m := range in.Messages {
+		text, err := textOf(m.Content)
+		if err != nil {
+			return "", err
+		}
+		all.WriteString(m.Role + ": " + text + "\n")
+		leading = leading && m.Role == "system"
+		if leading {
+			system = all.String()
+		}
+	}
+	p.Text = all.String()
+	return system, nil
+}
+
+func (p *Prompt) setPrefix(cacheKey, system string) {
+	head := firstWords(p.Text, leadingWords)
+	switch {
+	case cacheKey != "":
+		p.Prefix = xxhash.Sum64String("key\x00" + cacheKey)
+		p.PrefixTokens = countWords(head)
+		if system != "" {
+			p.PrefixTokens = countWords(system)
+		}
+	case system != "":
+		p.Prefix = xxhash.Sum64String(system)
+		p.PrefixTokens = countWords(system)
+	case countWords(head) == leadingWords:
+		p.Prefix = xxhash.Sum64String(head)
+		p.PrefixTokens = leadingWords
+	}
+}
+
+// textOf reads a string, a list of strings or a list of parts with text.
+func textOf(raw json.RawMessage) (string, error) {
+	var text string
+	if json.Unmarshal(raw, &text) == nil {
+		return text, nil
+	}
+	var texts []string
+	if json.Unmarshal(raw, &texts) == nil {
+		return strings.Join(texts, "\n"), nil
+	}
+	var parts []contentPart
+	if err := json.Unmarshal(raw, &parts); err != nil {
+		return "", errors.Join(ErrBadBody, err)
+	}
+	for _, part := range parts {
+		text += part.Text
+	}
+	return text, nil
+}
+
+func countWords(s string) int {
+	n := 0
+	for range strings.FieldsSeq(s) {
+		n++
+	}
+	return n
+}
+
+// firstWords returns s up to the end of its word n, or all of it.
+func firstWords(s string, n int) string {
+	end := 0
+	rest := s
+	for ; n > 0; n-- {
+		trimmed := strings.TrimLeft(rest, " \t\r\n")
+		word := strings.IndexAny(trimmed, " \t\r\n")
+		if word < 0 {
+			return s
+		}
+		end = len(s) - len(trimmed) + word
+		rest = trimmed[word:]
+	}
+	return s[:end]
+}
