Add admission decisions, seen set and a first agent

Cause: nothing yet decides what runs at an upstream. Conclusion: thin version, to be covered by property and fault tests.

--- /dev/null
+++ b/admission/budget.go
@@ -0,0 +1,65 @@
+package admission
+
+import "time"
+
+// PromptShare is the share of steps that batch prompts may lengthen while
+// online sequences run. It is the part of the steps beyond the 95th percentile.
+const PromptShare = 0.05
+
+// maxBudgetSteps bounds the saved budget, so that a quiet period does not allow
+// a long burst of lengthened steps.
+const maxBudgetSteps = 8
+
+// PromptBudget counts the steps that batch prompts may still lengthen. It is
+// a value; every method returns an updated copy.
+type PromptBudget struct {
+	Steps  float64       // may be negative: the debt of prompts in progress
+	At     time.Duration // of the last Advance
+	Online bool          // online sequences ran since At
+}
+
+// Advance accounts for the time up to now, with online work running or not
+// from now on, at a step time. pendingBatchPrompt is charged when online work
+// begins, because its remaining pieces lengthen the coming steps.
+func (b PromptBudget) Advance(now, step time.Duration, online bool, pendingBatchPrompt int) PromptBudget {
+	switch {
+	case b.Online && step > 0 && now > b.At:
+		passed := float64(now-b.At) / float64(step)
+		b.Steps = min(b.Steps+PromptShare*passed, maxBudgetSteps)
+	case !b.Online && online:
+		b.Steps = -float64(piecesOrNone(pendingBatchPrompt))
+	}
+	b.At = now
+	b.Online = online
+	return b
+}
+
+// Spend charges a batch prompt that starts while online sequences run.
+func (b PromptBudget) Spend(promptTokens int) PromptBudget {
+	if b.Online {
+		b.Steps -= float64(pieces(promptTokens))
+	}
+	return b
+}
+
+// Allows reports whether a batch prompt may start beside online sequences. A
+// prompt with more pieces than the budget can hold starts at a full budget and
+// leaves a debt.
+func (b PromptBudget) Allows(promptTokens int) bool {
+	return b.Steps >= min(float64(pieces(promptTokens)), maxBudgetSteps)
+}
+
+// items is the number of prompts of that size that the budget allows.
+func (b PromptBudget) items(promptTokens int) int {
+	if !b.Allows(promptTokens) {
+		return 0
+	}
+	return max(1, int(b.Steps)/pieces(promptTokens))
+}
+
+func piecesOrNone(promptTokens int) int {
+	if promptTokens <= 0 {
+		return 0
+	}
+	return pieces(promptTokens)
+}
--- /dev/null
+++ b/admission/snapshot.go
@@ -0,0 +1,141 @@
+// Package admission holds the agent's decisions: which attempt starts, waits or
+// is refused, which batch work gives way to online work, and how much batch
+// work fits. Every function takes a snapshot and a time and does no I/O.
+package admission
+
+import (
+	"time"
+
+	"github.com/magnoliausher/magnoliausher/attempt"
+	"github.com/magnoliausher/magnoliausher/contract"
+)
+
+// Targets of online work, at the 95th percentile.
+const (
+	StepTarget       = 55 * time.Millisecond  // time between tokens
+	FirstTokenTarget = 310 * time.Millisecond // time to first token
+)
+
+// PieceTokens is the most prompt tokens that an engine computes in one step.
+const PieceTokens = 512
+
+// DefaultQueueLimit bounds the online attempts that wait for a slot. Entries
+// try another agent when it is reached.
+const DefaultQueueLimit = 16
+
+// Reason says why an attempt was refused. Nothing of a refused attempt reached
+// the upstream.
+type Reason string
+
+// Reasons of refusals.
+const (
+	ReasonNone             Reason = ""
+	ReasonQueueFull        Reason = "queue_full"
+	ReasonDeadline         Reason = "deadline_cannot_be_met"
+	ReasonLeaving          Reason = "leaving"
+	ReasonSuspectRunning   Reason = "suspect_already_running"
+	ReasonBlocked          Reason = "blocked"
+	ReasonTicketExpired    Reason = "ticket_expired"
+	ReasonWrongIncarnation Reason = "wrong_incarnation"
+	ReasonAlreadySeen      Reason = "already_seen"
+	ReasonSeenSetFull      Reason = "seen_set_full"
+	ReasonUpstreamDown     Reason = "upstream_down"
+	ReasonOnlineWaiting    Reason = "online_waiting"
+	ReasonNoBatchRoom      Reason = "no_batch_room"
+	ReasonInvalid          Reason = "invalid_request"
+	ReasonWrongService     Reason = "wrong_service"
+	ReasonJobCancelled     Reason = "job_cancelled"
+)
+
+// Sequence is one attempt that occupies a slot of the upstream.
+type Sequence struct {
+	ID           attempt.ID
+	Caller       string
+	Class        contract.Class
+	Start        time.Duration // agent's monotonic time
+	PromptTokens int           // to compute before the first token
+	Produced     int           // tokens so far; 0 while the prompt is computed
+	Suspect      bool
+	Ending       bool // cancelled; holds its slot until the upstream has let go
+}
+
+// Queued is one attempt that asks for a slot.
+type Queued struct {
+	ID           attempt.ID
+	Caller       string
+	Class        contract.Class
+	Arrival      time.Duration // agent's monotonic time
+	Deadline     time.Duration // agent's monotonic time; 0 means none
+	PromptTokens int
+	Suspect      bool
+}
+
+// Snapshot is the state of one upstream as its agent counts it.
+type Snapshot struct {
+	Kind       contract.Kind
+	Slots      int
+	Running    []*Sequence // oldest first
+	Tally      Tally       // of Running
+	Queued     []*Queued   // online attempts in order of arrival
+	QueueLimit int
+	Callers    *Callers
+	Ready      bool // the upstream accepts work
+	Leaving    bool
+
+	Model         StepModel
+	TokenInterval time.Duration // smoothed time between tokens; 0 before the first
+	FirstToken    time.Duration // smoothed time to first token of online work; 0 before the first
+	Budget        PromptBudget
+	BatchPrompt   int // smoothed prompt tokens of a batch item; 0 before the first
+	Granted       int // batch items granted and neither started nor lapsed
+}
+
+// Tally counts running sequences. The agent updates it per change, so that a
+// decision doesn't scan all sequences.
+type Tally struct {
+	Online       int // sequences that are not ending
+	Batch        int // sequences that are not ending
+	Ending       int
+	Suspects     int // including ending ones
+	OnlinePrompt int // prompt tokens of online sequences without a first token
+	BatchPrompt  int // prompt tokens of batch sequences without a first token
+}
+
+// Add counts a sequence.
+func (t *Tally) Add(s *Sequence) { t.count(s, 1) }
+
+// Remove takes back Add. The sequence must be as it was counted.
+func (t *Tally) Remove(s *Sequence) { t.count(s, -1) }
+
+// Used is the number of occupied slots.
+func (t Tally) Used() int { return t.Online + t.Batch + t.Ending }
+
+// TallyOf counts a list of sequences.
+func TallyOf(running []*Sequence) Tally {
+	var t Tally
+	for _, s := range running {
+		t.Add(s)
+	}
+	return t
+}
+
+func (t *Tally) count(s *Sequence, by int) {
+	if s.Suspect {
+		t.Suspects += by
+	}
+	if s.Ending {
+		t.Ending += by
+		return
+	}
+	prompt := 0
+	if s.Produced == 0 {
+		prompt = by * s.PromptTokens
+	}
+	if s.Class == contract.ClassBatch {
+		t.Batch += by
+		t.BatchPrompt += prompt
+		return
+	}
+	t.Online += by
+	t.OnlinePrompt += prompt
+}
--- /dev/null
+++ b/agent/control.go
@@ -0,0 +1,57 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
+)
+
+// ControlDeps is what the control streams need from the agent.
+type ControlDeps struct {
+	Incarnation uint64
+	Load        func() *rpc.LoadReport // must not be called from within LoadChanged's caller lock; it never blocks
+}
+
+// Control is the agent's end of the control streams.
+type Control interface {
+	Control(context.Context, *connect.BidiStream[rpc.ControlMessage, rpc.ControlMessage]) error
+	FetchConfig(context.Context, *connect.Request[rpc.FetchConfigRequest]) (*connect.Response[rpc.FetchConfigResponse], error)
+	LoadChanged()
+	SetLeaving()
+	DemandChanged() <-chan struct{}
+	Demands() []EntryDemand
+	// Grant reports whether the entry is still connected.
+	Grant(entryID string, items int, valid time.Duration) bool
+	CancelledJobs() <-chan string
+}
+
+// EntryDemand is the batch work that one entry holds for the service.
+type EntryDemand struct {
+	EntryID     string
+	Items       int
+	EarliestDue time.Time
+}
+
+// SuspectStatus is what the fleet knows of a request's fingerprint.
+type SuspectStatus int
+
+// Statuses of a fingerprint.
+const (
+	Clear   SuspectStatus = iota
+	Suspect               // in progress at one crash: runs alone among suspects
+	Blocked               // in progress at two crashes: refused
+)
+
+// SuspectTable is the merged knowledge of crashes.
+type SuspectTable interface {
+	Crash(crashID uint64, fingerprints []uint64, now time.Time)
+	Status(fingerprint uint64, now time.Time) SuspectStatus
+}
+
+type noSuspects struct{}
+
+func (noSuspects) Crash(uint64, []uint64, time.Time)      {}
+func (noSuspects) Status(uint64, time.Time) SuspectStatus { return Clear }
--- /dev/null
+++ b/agent/fake_test.go
@@ -0,0 +1,225 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/magnoliausher/magnoliausher/attempt"
+	"github.com/magnoliausher/magnoliausher/contract"
+	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
+	"github.com/magnoliausher/magnoliausher/upstream"
+)
+
+// fakeEngine produces one token per step until a stream's length or a fault.
+type fakeEngine struct {
+	mu      sync.Mutex
+	step    time.Duration
+	length  int // tokens per answer; 0: endless
+	boot    string
+	healthy error
+	genErr  error
+	silent  bool
+	streams map[*fakeStream]struct{}
+	handed  map[string]int // attempt id to number of hand-overs
+	peak    int
+	events  []upstream.CacheEvent
+	resyncs int
+}
+
+func newFakeEngine() *fakeEngine {
+	return &fakeEngine{
+		step: 20 * time.Millisecond, length: 10, boot: "1",
+		streams: make(map[*fakeStream]struct{}), handed: make(map[string]int),
+	}
+}
+
+type fakeStream struct {
+	e       *fakeEngine
+	ctx     context.Context
+	crash   chan struct{}
+	left    int
+	endless bool
+}
+
+func (e *fakeEngine) Generate(ctx context.Context, req upstream.GenerateRequest) (upstream.TokenStream, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.genErr != nil {
+		return nil, e.genErr
+	}
+	e.handed[req.AttemptID]++
+	s := &fakeStream{e: e, ctx: ctx, crash: make(chan struct{}), left: e.length, endless: e.length == 0}
+	e.streams[s] = struct{}{}
+	e.peak = max(e.peak, len(e.streams))
+	return s, nil
+}
+
+func (s *fakeStream) Next() (upstream.Delta, error) {
+	s.e.mu.Lock()
+	step, silent := s.e.step, s.e.silent
+	s.e.mu.Unlock()
+	if s.left == 0 && !s.endless {
+		return upstream.Delta{}, io.EOF
+	}
+	s.left--
+	var timer <-chan time.Time
+	if !silent {
+		timer = time.After(step)
+	}
+	select {
+	case <-timer:
+		return upstream.Delta{Text: fmt.Sprintf("%d ", s.left), Tokens: 1}, nil
+	case <-s.crash:
+		return upstream.Delta{}, fmt.Errorf("read: %w", upstream.ErrCrashed)
+	case <-s.ctx.Done():
+		return upstream.Delta{}, s.ctx.Err()
+	}
+}
+
+func (s *fakeStream) Usage() upstream.Usage { return upstream.Usage{FinishReason: "stop"} }
+
+func (s *fakeStream) Close() error {
+	s.e.mu.Lock()
+	defer s.e.mu.Unlock()
+	delete(s.e.streams, s)
+	return nil
+}
+
+// crash breaks every stream and restarts the engine under a new boot id.
+func (e *fakeEngine) crash(boot string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for s := range e.streams {
+		close(s.crash)
+		delete(e.streams, s)
+	}
+	e.boot = boot
+}
+
+func (e *fakeEngine) set(change func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	change()
+}
+
+func (e *fakeEngine) count(id string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.handed[id]
+}
+
+func (e *fakeEngine) Load(context.Context) (upstream.Load, error) { return upstream.Load{}, nil }
+
+func (e *fakeEngine) CacheEvents(_ context.Context, after uint64) ([]upstream.CacheEvent, bool, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if after == 0 {
+		e.resyncs++
+	}
+	return e.events, after == 0, nil
+}
+
+func (e *fakeEngine) Order(context.Context, upstream.Order) error { return nil }
+
+func (e *fakeEngine) Healthy(context.Context) (string, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.boot, e.healthy
+}
+
+// fakeSuspects records crashes.
+type fakeSuspects struct {
+	mu      sync.Mutex
+	crashes [][]uint64
+	status  map[uint64]SuspectStatus
+}
+
+func (f *fakeSuspects) Crash(_ uint64, fingerprints []uint64, _ time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.crashes = append(f.crashes, fingerprints)
+}
+
+func (f *fakeSuspects) Status(fp uint64, _ time.Time) SuspectStatus {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.status[fp]
+}
+
+// rig is a running agent in a synctest bubble.
+type rig struct {
+	*Agent
+	engine   *fakeEngine
+	suspects *fakeSuspects
+	stopRun  context.CancelFunc
+}
+
+// inBubble runs test with an agent of that many slots and waits for its end.
+func inBubble(t *testing.T, slots int, test func(t *testing.T, r *rig)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		r := &rig{engine: newFakeEngine(), suspects: &fakeSuspects{status: map[uint64]SuspectStatus{}}}
+		a, err := New(Config{
+			ID: "a1", Service: "chat", Kind: contract.KindEngine, Slots: slots,
+			Engine: r.engine, Suspects: r.suspects, Logger: zerolog.Nop(),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Agent = a
+		ctx, cancel := context.WithCancel(t.Context())
+		r.stopRun = cancel
+		done := make(chan error, 1)
+		go func() { done <- a.Run(ctx) }()
+		synctest.Wait()
+		test(t, r)
+		cancel()
+		if err := <-done; err != nil {
+			t.Errorf("Run: %v", err)
+		}
+	})
+}
+
+// outcome collects the events of one attempt.
+type outcome struct {
+	events []*rpc.RunEvent
+	done   chan struct{}
+	cancel context.CancelFunc
+}
+
+func (o *outcome) last() *rpc.RunEvent {
+	<-o.done
+	if len(o.events) == 0 {
+		return &rpc.RunEvent{}
+	}
+	return o.events[len(o.events)-1]
+}
+
+func (r *rig) request(class rpc.Class) *rpc.RunRequest {
+	return &rpc.RunRequest{
+		AttemptId: string(attempt.NewID()), Service: "chat", Class: class, Caller: "c", PromptTokens: 10,
+		Ticket: &rpc.Ticket{AgentIncarnation: r.Incarnation(), NotAfterMs: uint64(r.now()/time.Millisecond) + 60000},
+	}
+}
+
+// submit runs an attempt. Its events are read at once.
+func (r *rig) submit(t *testing.T, req *rpc.RunRequest) *outcome {
+	ctx, cancel := context.WithCancel(t.Context())
+	o := &outcome{done: make(chan struct{}), cancel: cancel}
+	go func() {
+		defer close(o.done)
+		_ = r.serve(ctx, req, func(e *rpc.RunEvent) error {
+			o.events = append(o.events, e)
+			return nil
+		})
+	}()
+	synctest.Wait()
+	return o
+}
--- /dev/null
+++ b/agent/health.go
@@ -0,0 +1,221 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/magnoliausher/magnoliausher/admission"
+	"github.com/magnoliausher/magnoliausher/contract"
+	"github.com/magnoliausher/magnoliausher/upstream"
+)
+
+const (
+	// downProbeInterval applies while the upstream is down.
+	downProbeInterval = 100 * time.Millisecond
+	// probeFailures is the number of failed probes in a row that mean down, so
+	// that one lost packet does not stop an upstream.
+	probeFailures = 2
+	watchInterval = 100 * time.Millisecond
+	// letGoTimeout frees the slot of a cancelled attempt whose upstream call
+	// does not return.
+	letGoTimeout = time.Second
+)
+
+// probeLoop keeps the upstream's state.
+func (a *Agent) probeLoop(ctx context.Context) error {
+	failures := 0
+	for {
+		failedAt := a.now()
+		boot, err := a.probe(ctx)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err == nil {
+			failures = 0
+			a.alive(boot)
+		} else {
+			failures++
+			a.probeFailed(err, failures, failedAt)
+		}
+		wait := a.cfg.ProbeInterval
+		if failures > 0 {
+			wait = downProbeInterval
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-a.probeNow:
+		}
+		timer.Stop()
+	}
+}
+
+func (a *Agent) probe(ctx context.Context) (bootID string, err error) {
+	ctx, cancel := context.WithTimeout(ctx, a.cfg.ProbeTimeout)
+	defer cancel()
+	if a.cfg.Kind == contract.KindPlain {
+		return "", a.cfg.Plain.Healthy(ctx)
+	}
+	return a.cfg.Engine.Healthy(ctx)
+}
+
+// alive notes a successful probe.
+func (a *Agent) alive(boot string) {
+	a.mu.Lock()
+	changed := a.probed && boot != a.bootID
+	unnoticed := changed && a.snap.Ready
+	epoch := a.epoch
+	a.mu.Unlock()
+	if unnoticed {
+		a.crashed(epoch, "boot id changed")
+	}
+	if changed {
+		a.cache.reset()
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.bootID = boot
+	a.probed = true
+	if !a.snap.Ready {
+		a.snap.Ready = true
+		a.cfg.Logger.Info().Str("agent", a.cfg.ID).Str("boot_id", boot).Msg("upstream is ready")
+		a.notify()
+	}
+}
+
+func (a *Agent) probeFailed(err error, failures int, since time.Duration) {
+	if failures < probeFailures {
+		return
+	}
+	a.mu.Lock()
+	epoch := a.epoch
+	progress := a.progressSince(since - downProbeInterval)
+	a.mu.Unlock()
+	if refusesConnections(err) && !progress {
+		a.crashed(epoch, "upstream refuses connections")
+		return
+	}
+	a.down()
+}
+
+// refusesConnections tells a process that is gone from one that is silent.
+func refusesConnections(err error) bool {
+	var timeout net.Error
+	if errors.Is(err, context.DeadlineExceeded) || errors.As(err, &timeout) && timeout.Timeout() {
+		return false
+	}
+	return errors.Is(err, upstream.ErrCrashed) || errors.Is(err, upstream.ErrNotSent)
+}
+
+// progressSince reports whether any attempt produced output since then. Needs mu.
+func (a *Agent) progressSince(since time.Duration) bool {
+	for _, t := range a.running {
+		if t.handed && time.Duration(t.progress.Load()) > max(since, t.handedAt) {
+			return true
+		}
+	}
+	return false
+}
+
+// down stops new work; attempts in progress go on until they fail themselves.
+func (a *Agent) down() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.snap.Ready {
+		return
+	}
+	a.snap.Ready = false
+	a.refuseQueued(admission.ReasonUpstreamDown)
+	a.cfg.Logger.Warn().Str("agent", a.cfg.ID).Msg("upstream does not answer probes")
+	a.notify()
+}
+
+// noteUpstreamError reacts to the end of one attempt's call.
+func (a *Agent) noteUpstreamError(t *task, err error) {
+	// A call that this side cancelled says nothing about the upstream.
+	if t.ctx.Err() != nil {
+		return
+	}
+	if errors.Is(err, upstream.ErrCrashed) {
+		a.mu.Lock()
+		epoch := t.epoch
+		a.mu.Unlock()
+		a.crashed(epoch, "an attempt's connection ended")
+	}
+	if errors.Is(err, upstream.ErrCrashed) || errors.Is(err, upstream.ErrNotSent) || errors.Is(err, upstream.ErrTruncated) {
+		signal(a.probeNow)
+	}
+}
+
+// crashed ends every attempt that the upstream may have had and records their
+// fingerprints as suspects. epoch is the number of crashes noticed when the
+// evidence arose, so that one crash with many broken streams is one crash.
+func (a *Agent) crashed(epoch uint64, why string) {
+	a.mu.Lock()
+	if epoch != a.epoch {
+		a.mu.Unlock()
+		return
+	}
+	a.epoch++
+	a.snap.Ready = false
+	var fingerprints []uint64
+	for _, q := range a.snap.Running {
+		t := a.running[q]
+		if t.handed {
+			fingerprints = append(fingerprints, t.req.Fingerprint)
+		}
+		a.end(q, errCrashed)
+	}
+	a.refuseQueued(admission.ReasonUpstreamDown)
+	a.mu.Unlock()
+	if len(fingerprints) > 0 {
+		a.cfg.Suspects.Crash(rand.Uint64(), fingerprints, time.Now())
+	}
+	a.cfg.Logger.Error().Str("agent", a.cfg.ID).Str("evidence", why).
+		Int("in_progress", len(fingerprints)).Msg("upstream crashed")
+	a.notify()
+}
+
+// watchLoop ends silent attempts, drops late ones from the queue and frees
+// slots whose upstream call hangs.
+func (a *Agent) watchLoop(ctx context.Context) error {
+	tick := time.NewTicker(watchInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+			a.watch()
+		}
+	}
+}
+
+func (a *Agent) watch() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.now()
+	var stuck []*task
+	for _, t := range a.running {
+		quiet := now - time.Duration(t.progress.Load())
+		switch {
+		case t.seq.Ending && now-t.endedAt > letGoTimeout:
+			stuck = append(stuck, t)
+		case t.handed && !t.seq.Ending && quiet > a.cfg.ProgressTimeout:
+			a.end(t.seq, errSilent)
+		}
+	}
+	for _, t := range stuck {
+		a.releaseLocked(t)
+	}
+	a.dispatch(now)
+	if a.meter.samples >= relieveSamples {
+		if q := admission.Relieve(&a.snap); q != nil {
+			a.end(q, errPreempted)
+		}
+	}
+}
--- /dev/null
+++ b/agent/report.go
@@ -0,0 +1,45 @@
+package agent
+
+import (
+	"time"
+
+	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
+)
+
+// Load is the report for the control streams, with the engine's cached prefixes.
+func (a *Agent) Load() *rpc.LoadReport {
+	r := a.loadSummary()
+	a.cache.fill(r, a.now())
+	return r
+}
+
+// loadSummary is the report that rides along with events, without prefixes.
+func (a *Agent) loadSummary() *rpc.LoadReport {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s := &a.snap
+	return &rpc.LoadReport{
+		Service:            a.cfg.Service,
+		State:              a.state(),
+		AgentTimeMs:        uint64(a.now() / time.Millisecond),
+		Slots:              uint32(s.Slots),
+		OnlineActive:       uint32(s.Tally.Online),
+		BatchActive:        uint32(s.Tally.Batch),
+		OnlineQueued:       uint32(len(s.Queued)),
+		TokenIntervalUs:    uint32(s.TokenInterval / time.Microsecond),
+		PromptTokensQueued: uint64(s.Tally.OnlinePrompt + s.Tally.BatchPrompt),
+	}
+}
+
+// state needs mu.
+func (a *Agent) state() rpc.UpstreamState {
+	switch {
+	case a.snap.Leaving:
+		return rpc.UpstreamState_UPSTREAM_STATE_LEAVING
+	case a.snap.Ready:
+		return rpc.UpstreamState_UPSTREAM_STATE_READY
+	case !a.probed:
+		return rpc.UpstreamState_UPSTREAM_STATE_STARTING
+	}
+	return rpc.UpstreamState_UPSTREAM_STATE_DOWN
+}
