--- /dev/null
+++ b/admission/decide_test.go
@@ -0,0 +1,290 @@
+package admission
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/magnoliausher/magnoliausher/attempt"
+	"github.com/magnoliausher/magnoliausher/contract"
+)
+
+// simulation applies decisions as an agent does, with random work.
+type simulation struct {
+	s    *Snapshot
+	now  time.Duration
+	rand *rand.Rand
+	err  error
+}
+
+func newSimulation(seed uint64, kind contract.Kind, slots int) *simulation {
+	return &simulation{
+		rand: rand.New(rand.NewPCG(seed, 1)),
+		s: &Snapshot{
+			Kind: kind, Slots: slots, QueueLimit: 4, Ready: true,
+			Callers: NewCallers(), Model: NewStepModel(),
+		},
+	}
+}
+
+func (m *simulation) check(ok bool, format string, args ...any) {
+	if !ok && m.err == nil {
+		m.err = fmt.Errorf(format, args...)
+	}
+}
+
+func (m *simulation) step() {
+	m.now += time.Duration(m.rand.IntN(40)) * time.Millisecond
+	s := m.s
+	s.Budget = s.Budget.Advance(m.now, s.Model.Step(s.Tally.Used()), s.Tally.Online > 0, s.Tally.BatchPrompt)
+	switch m.rand.IntN(5) {
+	case 0:
+		m.arrive(contract.ClassOnline)
+	case 1, 2:
+		m.arrive(contract.ClassBatch)
+	case 3:
+		m.progress()
+	case 4:
+		m.finish()
+	}
+	for q := Next(s, m.now); q != nil; q = Next(s, m.now) {
+		i := slices.Index(s.Queued, q)
+		s.Queued = slices.Delete(s.Queued, i, i+1)
+		m.start(q)
+	}
+	m.check(s.Tally == TallyOf(s.Running), "tally %+v, want %+v", s.Tally, TallyOf(s.Running))
+	m.check(s.Tally.Used() <= s.Slots, "%d sequences on %d slots", s.Tally.Used(), s.Slots)
+	m.check(s.Tally.Suspects <= 1, "%d suspects at once", s.Tally.Suspects)
+}
+
+func (m *simulation) arrive(class contract.Class) {
+	s := m.s
+	a := &Queued{
+		ID: attempt.NewID(), Caller: fmt.Sprint(m.rand.IntN(3)), Class: class, Arrival: m.now,
+		PromptTokens: m.rand.IntN(3000), Suspect: m.rand.IntN(8) == 0,
+	}
+	d := Arrive(s, a, m.now)
+	m.check(d.Action != Refuse || d.Reason != ReasonNone, "refusal without a reason")
+	m.check(d.Action != Refuse || len(d.Cancel) == 0, "a refused attempt cancels others")
+	if class == contract.ClassBatch {
+		m.check(d.Action != Queue, "batch attempt queued")
+		m.check(d.Action != Admit || len(s.Queued) == 0, "batch admitted while online waits")
+		m.check(len(d.Cancel) == 0, "batch cancels others")
+	}
+	if d.Action != Refuse && class == contract.ClassOnline {
+		m.checkCancel(a, d.Cancel)
+	}
+	for _, q := range d.Cancel {
+		s.Tally.Remove(q)
+		q.Ending = true
+		s.Tally.Add(q)
+	}
+	switch d.Action {
+	case Admit:
+		m.start(a)
+	case Queue:
+		s.Queued = append(s.Queued, a)
+	}
+}
+
+// checkCancel compares the cancel set with the newest sequences in turn.
+func (m *simulation) checkCancel(a *Queued, cancel []*Sequence) {
+	s := m.s
+	var newest []*Sequence
+	for _, q := range slices.Backward(s.Running) {
+		if q.Class == contract.ClassBatch && !q.Ending {
+			newest = append(newest, q)
+		}
+	}
+	m.check(slices.Equal(cancel, newest[:min(len(cancel), len(newest))]), "cancel set is not the newest batch sequences")
+	w := startable(s, a)
+	if s.Kind != contract.KindEngine || w.count == 0 {
+		m.check(len(cancel) == 0, "cancelled %d for nothing", len(cancel))
+		return
+	}
+	b := boundsFor(s, w)
+	t := s.Tally
+	for _, q := range cancel {
+		m.check(!fits(s.Model, t, w, b), "cancel set is not minimal")
+		t.Remove(q)
+	}
+	m.check(t.Batch == 0 || fits(s.Model, t, w, b), "cancel set is too small")
+	n := t.Online + w.count + t.Batch
+	m.check(n <= s.Slots, "no slot for the online attempts")
+	m.check(t.Batch == 0 || s.Model.Step(n) <= StepTarget, "step of %v beside batch work", s.Model.Step(n))
+}
+
+func (m *simulation) start(a *Queued) {
+	q := &Sequence{ID: a.ID, Caller: a.Caller, Class: a.Class, Start: m.now, PromptTokens: a.PromptTokens, Suspect: a.Suspect}
+	m.s.Running = append(m.s.Running, q)
+	m.s.Tally.Add(q)
+	if a.Class == contract.ClassOnline {
+		m.s.Callers.Started(a.Caller)
+	} else {
+		m.s.Budget = m.s.Budget.Spend(a.PromptTokens)
+	}
+}
+
+func (m *simulation) progress() {
+	for _, q := range m.s.Running {
+		m.s.Tally.Remove(q)
+		q.Produced++
+		m.s.Tally.Add(q)
+	}
+}
+
+func (m *simulation) finish() {
+	s := m.s
+	if len(s.Running) == 0 {
+		return
+	}
+	i := m.rand.IntN(len(s.Running))
+	if e := slices.IndexFunc(s.Running, func(q *Sequence) bool { return q.Ending }); e >= 0 {
+		i = e
+	}
+	s.Tally.Remove(s.Running[i])
+	if s.Running[i].Class == contract.ClassOnline {
+		s.Callers.Ended(s.Running[i].Caller)
+	}
+	s.Running = slices.Delete(s.Running, i, i+1)
+}
+
+// Guards the decisions' invariants over random histories: slots, suspects,
+// batch behind online, and minimal cancel sets of the newest batch work.
+func TestInvariantsOfDecisions(t *testing.T) {
+	properties := gopter.NewProperties(nil)
+	properties.Property("hold at every step", prop.ForAll(
+		func(seed uint64, slots int, plain bool) (bool, error) {
+			kind := contract.KindEngine
+			if plain {
+				kind = contract.KindPlain
+			}
+			m := newSimulation(seed, kind, slots)
+			for range 400 {
+				m.step()
+			}
+			return m.err == nil, m.err
+		},
+		gen.UInt64(), gen.IntRange(1, 200), gen.Bool(),
+	))
+	properties.TestingRun(t)
+}
+
+// Guards against granted batch work that lengthens the steps of online work
+// beyond the target or exceeds the slots.
+func TestRoomKeepsStepTarget(t *testing.T) {
+	properties := gopter.NewProperties(nil)
+	properties.Property("room keeps the target", prop.ForAll(
+		func(online, batch, slots int, perSequenceUS int) bool {
+			s := newSimulation(1, contract.KindEngine, slots).s
+			s.Model.PerSequence = float64(perSequenceUS) * 1e-6
+			s.Tally = Tally{Online: online, Batch: batch}
+			s.Budget = PromptBudget{Steps: maxBudgetSteps, Online: true}
+			room := Room(s)
+			if room == 0 {
+				return true
+			}
+			n := online + batch + room
+			return n <= slots && (online == 0 || s.Model.StepWithPrompt(n, PieceTokens) <= StepTarget)
+		},
+		gen.IntRange(0, 40), gen.IntRange(0, 100), gen.IntRange(1, 200), gen.IntRange(1, 2000),
+	))
+	properties.TestingRun(t)
+}
+
+// Guards against batch prompts that lengthen more than 5% of the steps beside
+// online work, or that never start.
+func TestPromptBudgetKeepsShare(t *testing.T) {
+	for _, prompt := range []int{100, 512, 1500, 9000} {
+		const step = 20 * time.Millisecond
+		const steps = 20000
+		b := PromptBudget{}.Advance(0, step, true, 0)
+		lengthened := 0
+		for i := 1; i <= steps; i++ {
+			b = b.Advance(time.Duration(i)*step, step, true, 0)
+			if b.Allows(prompt) {
+				b = b.Spend(prompt)
+				lengthened += pieces(prompt)
+			}
+		}
+		if share := float64(lengthened) / steps; share > PromptShare || share < PromptShare*0.9 {
+			t.Errorf("prompts of %d tokens lengthened a share of %.4f", prompt, share)
+		}
+	}
+}
+
+// Guards against a caller with many queued attempts that makes others wait for
+// all of them, and against a late deadline going first within a caller.
+func TestNextIsFairAmongCallers(t *testing.T) {
+	m := newSimulation(1, contract.KindEngine, 1)
+	s := m.s
+	for i := range 10 {
+		s.Queued = append(s.Queued, &Queued{Caller: "busy", Arrival: time.Duration(i), Deadline: time.Hour - time.Duration(i)})
+	}
+	s.Queued = append(s.Queued, &Queued{Caller: "rare", Arrival: 10})
+	var order []string
+	for range 3 {
+		q := Next(s, 0)
+		if q.Caller == "busy" && len(order) == 0 && q.Arrival != 9 {
+			t.Errorf("attempt %d goes before the one with the earliest deadline", q.Arrival)
+		}
+		order = append(order, q.Caller)
+		s.Queued = slices.Delete(s.Queued, slices.Index(s.Queued, q), slices.Index(s.Queued, q)+1)
+		s.Callers.Started(q.Caller)
+		s.Callers.Ended(q.Caller)
+	}
+	if !slices.Equal(order, []string{"busy", "rare", "busy"}) {
+		t.Errorf("order %v", order)
+	}
+}
+
+// Guards against a wrong reason, on which an entry's next step depends.
+func TestReasonsOfRefusals(t *testing.T) {
+	const hour = time.Hour
+	cases := []struct {
+		name   string
+		change func(s *Snapshot, a *Queued)
+		want   Reason
+	}{
+		{"leaving", func(s *Snapshot, _ *Queued) { s.Leaving = true }, ReasonLeaving},
+		{"down", func(s *Snapshot, _ *Queued) { s.Ready = false }, ReasonUpstreamDown},
+		{"second suspect", func(s *Snapshot, a *Queued) { s.Tally.Suspects, a.Suspect = 1, true }, ReasonSuspectRunning},
+		{"deadline passed", func(_ *Snapshot, a *Queued) { a.Deadline = hour - 1 }, ReasonDeadline},
+		{"prompt longer than deadline", func(_ *Snapshot, a *Queued) {
+			a.Deadline, a.PromptTokens = hour+time.Second, 100000
+		}, ReasonDeadline},
+		{"queue full", func(s *Snapshot, _ *Queued) {
+			s.Tally.Online = s.Slots
+			s.Queued = make([]*Queued, s.QueueLimit)
+			for i := range s.Queued {
+				s.Queued[i] = &Queued{Class: contract.ClassOnline}
+			}
+		}, ReasonQueueFull},
+		{"batch beside waiting online", func(s *Snapshot, a *Queued) {
+			a.Class = contract.ClassBatch
+			s.Queued = []*Queued{{}}
+		}, ReasonOnlineWaiting},
+		{"batch without a slot", func(s *Snapshot, a *Queued) {
+			a.Class = contract.ClassBatch
+			s.Tally.Batch = s.Slots
+		}, ReasonNoBatchRoom},
+		{"batch beside slow online", func(s *Snapshot, a *Queued) {
+			a.Class = contract.ClassBatch
+			s.Tally.Online, s.TokenInterval, s.Budget.Steps = 1, StepTarget+1, maxBudgetSteps
+		}, ReasonNoBatchRoom},
+	}
+	for _, c := range cases {
+		s := newSimulation(1, contract.KindEngine, 4).s
+		a := &Queued{Class: contract.ClassOnline}
+		c.change(s, a)
+		if d := Arrive(s, a, hour); d.Action != Refuse || d.Reason != c.want {
+			t.Errorf("%s: %+v, want refusal %s", c.name, d, c.want)
+		}
+	}
+}
