Add poison table, membership and links between entries and agents

Cause: the daemons need shared suspects, a view of the fleet and control streams along which configuration, load and cancellations spread. Change: packages poison and instance; link gets HTTP/2 transports per class, the agent's and the entry's end of the control stream, attempts and FetchHighest. EntrySide's lifecycle is Serve, because Runner has a Run.

--- /dev/null
+++ b/instance/poll.go
@@ -0,0 +1,52 @@
+package instance
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/magnoliausher/magnoliausher/platform"
+)
+
+// PollInterval is the mean time between reads of the platform's list. 330
+// entries make 66 reads per second, of about 2,000 that the platform sustains.
+const PollInterval = 5 * time.Second
+
+// pollTimeout bounds one read, so that a slow platform delays at most one poll.
+const pollTimeout = 4 * time.Second
+
+// Poll reads the platform's list until ctx ends. A failed read keeps the last list.
+func (t *Table) Poll(ctx context.Context, list platform.InstanceList, logger zerolog.Logger) error {
+	for {
+		if err := t.Refresh(ctx, list); err != nil && ctx.Err() == nil {
+			logger.Warn().Err(err).Msg("reading the instance list failed")
+		}
+		timer := time.NewTimer(jitter(PollInterval))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-timer.C:
+		}
+	}
+}
+
+// Refresh reads the platform's list once.
+func (t *Table) Refresh(ctx context.Context, list platform.InstanceList) error {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	instances, revision, err := list.Instances(ctx, t.Revision())
+	if err != nil {
+		return err
+	}
+	t.ApplyList(instances, revision, time.Now())
+	return nil
+}
+
+// jitter spreads d evenly over 0.8 d to 1.2 d.
+func jitter(d time.Duration) time.Duration {
+	spread := int64(d) * 2 / 5
+	return d - time.Duration(spread/2) + time.Duration(rand.Int64N(spread+1))
+}
--- /dev/null
+++ b/instance/subset.go
@@ -0,0 +1,104 @@
+package instance
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/magnoliausher/magnoliausher/platform"
+)
+
+// Bounds within which every entry links to every agent. They are the links per
+// entry and per agent at the target size, so full linking costs no more.
+const (
+	MaxLinksPerEntry = 96
+	MaxLinksPerAgent = 12
+)
+
+// remoteShare is the fraction 1/remoteShare of an entry's links of a service
+// that go to other data centres, at least one, so that the loss of its data
+// centre leaves it with working links.
+const remoteShare = 3
+
+// Subset returns the agents that entry self links to, sorted by id: perService
+// agents of each service. Every process with the same lists computes the same
+// subsets. In each service the numbers of entries per agent differ by at most
+// one. It returns all agents when that is within the bounds, and nil when self
+// is not in entries.
+func Subset(entries, agents []platform.Instance, self string, perService int) []platform.Instance {
+	i := slices.IndexFunc(entries, func(in platform.Instance) bool { return in.ID == self })
+	if i < 0 {
+		return nil
+	}
+	if len(agents) <= MaxLinksPerEntry && len(entries) <= MaxLinksPerAgent {
+		return sortedByID(agents)
+	}
+	var chosen []platform.Instance
+	for _, group := range byService(agents) {
+		m := newMatching(entries, group, perService)
+		m.run()
+		for _, a := range m.agentsOf(i) {
+			chosen = append(chosen, group[a])
+		}
+	}
+	return sortedByID(chosen)
+}
+
+// Expand returns up to n further agents for self that are not in linked, in
+// its own order of preference. An entry doubles a service's subset with it
+// while all links of the subset refuse or are lost.
+func Expand(self platform.Instance, agents, linked []platform.Instance, n int) []platform.Instance {
+	have := make(map[string]struct{}, len(linked))
+	for _, in := range linked {
+		have[in.ID] = struct{}{}
+	}
+	var further []platform.Instance
+	for _, in := range agents {
+		if _, ok := have[in.ID]; !ok {
+			further = append(further, in)
+		}
+	}
+	slices.SortFunc(further, func(a, b platform.Instance) int {
+		return cmp.Or(
+			cmp.Compare(pairScore(self.ID, b.ID), pairScore(self.ID, a.ID)),
+			cmp.Compare(a.ID, b.ID),
+		)
+	})
+	return further[:min(n, len(further))]
+}
+
+func sortedByID(list []platform.Instance) []platform.Instance {
+	sorted := slices.Clone(list)
+	slices.SortFunc(sorted, func(a, b platform.Instance) int { return cmp.Compare(a.ID, b.ID) })
+	return sorted
+}
+
+// byService splits agents by service, in a fixed order.
+func byService(agents []platform.Instance) [][]platform.Instance {
+	groups := make(map[string][]platform.Instance)
+	var names []string
+	for _, in := range agents {
+		if groups[in.Service] == nil {
+			names = append(names, in.Service)
+		}
+		groups[in.Service] = append(groups[in.Service], in)
+	}
+	slices.Sort(names)
+	lists := make([][]platform.Instance, 0, len(names))
+	for _, name := range names {
+		lists = append(lists, groups[name])
+	}
+	return lists
+}
+
+// pairScore is the mutual preference of an entry and an agent. It depends on
+// these two only, so that the replacement of another instance changes little.
+func pairScore(entry, agent string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(entry)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(agent)
+	return d.Sum64()
+}
--- /dev/null
+++ b/link/agentside.go
@@ -0,0 +1,289 @@
+package link
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rs/zerolog"
+
+	"github.com/magnoliausher/magnoliausher/contract"
+	"github.com/magnoliausher/magnoliausher/poison"
+	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
+)
+
+// EntryHeader names the entry in the header of Agent.Run, so that the agent
+// knows which link a piggybacked load report serves.
+const EntryHeader = "Magnoliausher-Entry"
+
+// errReplaced ends a stream whose entry opened a newer one.
+var errReplaced = errors.New("control stream replaced by a newer one of the same entry")
+
+// AgentSideConfig describes the agent to its entries.
+type AgentSideConfig struct {
+	ID          string
+	DataCentre  string
+	Service     string
+	Incarnation uint64
+	// Load returns the present state. A complete list of cached prefixes
+	// (CacheComplete) is sent as changes. The report must not change afterwards.
+	Load     func() *rpc.LoadReport
+	Holder   *contract.Holder
+	Suspects *poison.Table
+	Logger   zerolog.Logger
+}
+
+// AgentSide serves the control streams of an agent's entries.
+type AgentSide struct {
+	*PeerHandler
+	cfg           AgentSideConfig
+	spread        *spread
+	demandChanged chan struct{}
+
+	mu       sync.Mutex
+	sessions map[string]*agentSession // by entry id
+}
+
+// EntryDemand is the batch work that one entry announced.
+type EntryDemand struct {
+	EntryID     string
+	Items       int
+	EarliestDue time.Time // zero when the entry gave none
+}
+
+// agentSession is one control stream of one entry.
+type agentSession struct {
+	peer   *peer
+	cancel context.CancelCauseFunc
+
+	mu       sync.Mutex
+	reporter reporter
+	demand   EntryDemand
+	grant    *rpc.BatchGrant // to be sent
+}
+
+// NewAgentSide returns the agent's end of its links.
+func NewAgentSide(cfg AgentSideConfig) *AgentSide {
+	s := newSpread(cfg.ID, cfg.DataCentre, cfg.Incarnation, cfg.Holder, cfg.Suspects, cfg.Logger)
+	return &AgentSide{
+		PeerHandler:   &PeerHandler{bodies: s.bodies},
+		cfg:           cfg,
+		spread:        s,
+		demandChanged: make(chan struct{}, 1),
+		sessions:      make(map[string]*agentSession),
+	}
+}
+
+// Control serves one control stream until it fails or a newer one of the same
+// entry replaces it.
+func (a *AgentSide) Control(ctx context.Context, stream *connect.BidiStream[rpc.ControlMessage, rpc.ControlMessage]) error {
+	hello, err := stream.Receive()
+	if err != nil {
+		return err
+	}
+	if hello.GetSenderId() == "" || hello.GetSequence() == 0 {
+		return connect.NewError(connect.CodeInvalidArgument, errors.New("first control message without sender and sequence"))
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	session := &agentSession{peer: a.spread.newPeer(), cancel: cancel}
+	defer a.spread.removePeer(session.peer)
+	a.register(hello.GetSenderId(), session)
+	defer a.unregister(hello.GetSenderId(), session)
+	a.receive(session, hello)
+
+	// The receiver ends when the handler returns, which closes the request body.
+	go func() { cancel(a.receiveLoop(session, stream)) }()
+	err = session.peer.sendLoop(ctx, a.parts(session), stream.Send)
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	return err
+}
+
+func (a *AgentSide) receiveLoop(session *agentSession, stream *connect.BidiStream[rpc.ControlMessage, rpc.ControlMessage]) error {
+	for {
+		msg, err := stream.Receive()
+		if err != nil {
+			return err
+		}
+		a.receive(session, msg)
+	}
+}
+
+// receive takes one message of an entry.
+func (a *AgentSide) receive(session *agentSession, msg *rpc.ControlMessage) {
+	now := time.Now()
+	if !session.peer.receive(msg, now) {
+		return
+	}
+	if msg.GetLeaving() {
+		session.setDemand(EntryDemand{})
+		a.notifyDemand()
+		return
+	}
+	if d := msg.GetBatchDemand(); d != nil {
+		id, _ := session.peer.identity()
+		demand := EntryDemand{EntryID: id, Items: int(d.GetItems())}
+		if d.GetEarliestDueMs() != 0 {
+			demand.EarliestDue = now.Add(time.Duration(d.GetEarliestDueMs()) * time.Millisecond)
+		}
+		session.setDemand(demand)
+		a.notifyDemand()
+	}
+}
+
+func (s *agentSession) setDemand(d EntryDemand) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.demand = d
+}
+
+// register replaces an older stream of the same entry.
+func (a *AgentSide) register(id string, session *agentSession) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if old := a.sessions[id]; old != nil {
+		old.cancel(errReplaced)
+	}
+	a.sessions[id] = session
+}
+
+func (a *AgentSide) unregister(id string, session *agentSession) {
+	a.mu.Lock()
+	if a.sessions[id] == session {
+		delete(a.sessions, id)
+	}
+	a.mu.Unlock()
+	a.notifyDemand()
+}
+
+// parts adds reports and grants to the messages of one session.
+func (a *AgentSide) parts(session *agentSession) parts {
+	return func(msg *rpc.ControlMessage, now time.Time, heartbeat bool) (bool, time.Duration) {
+		load := a.load()
+		session.mu.Lock()
+		defer session.mu.Unlock()
+		due, recheck := session.reporter.add(msg, load, now, heartbeat)
+		msg.BatchGrant = session.grant
+		session.grant = nil
+		return due || msg.BatchGrant != nil, recheck
+	}
+}
+
+// load returns the present report with the agent's service.
+func (a *AgentSide) load() *rpc.LoadReport {
+	report := a.cfg.Load()
+	if report == nil || report.Service != "" {
+		return report
+	}
+	named := withoutPrefixes(report)
+	named.Service = a.cfg.Service
+	named.CachedPrefixes = report.CachedPrefixes
+	named.EvictedPrefixes = report.EvictedPrefixes
+	named.CacheComplete = report.CacheComplete
+	return named
+}
+
+// LoadChanged makes the streams compare the present load with the last report.
+// It may be called for every change; reports are at least 500 ms apart, except
+// for a change of the upstream's state.
+func (a *AgentSide) LoadChanged() { a.spread.wakeAll() }
+
+// RidingLoad returns a report to put into the next RunEvent for an entry, or
+// nil when the entry had one within 500 ms. The id comes from EntryHeader.
+func (a *AgentSide) RidingLoad(entryID string) *rpc.LoadReport {
+	session := a.session(entryID)
+	if session == nil {
+		return nil
+	}
+	load := a.load()
+	session.mu.Lock()
+	defer session.mu.Unlock()
+	return session.reporter.riding(load, time.Now())
+}
+
+func (a *AgentSide) session(entryID string) *agentSession {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.sessions[entryID]
+}
+
+// SetLeaving tells all entries that the agent accepts no new work.
+func (a *AgentSide) SetLeaving() { a.spread.setLeaving() }
+
+// DemandChanged receives a value after the demands changed, or an entry came or went.
+func (a *AgentSide) DemandChanged() <-chan struct{} { return a.demandChanged }
+
+func (a *AgentSide) notifyDemand() {
+	select {
+	case a.demandChanged <- struct{}{}:
+	default: // a notice is pending
+	}
+}
+
+// Demands returns the announced batch work of the entries that were heard
+// lately, the most urgent first. A grant does not reduce it: the entry
+// announces what is left.
+func (a *AgentSide) Demands() []EntryDemand {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var demands []EntryDemand
+	for _, session := range a.sessions {
+		if session.peer.isLeaving() || now.Sub(session.peer.lastHeard()) > silentAfter {
+			continue
+		}
+		session.mu.Lock()
+		d := session.demand
+		session.mu.Unlock()
+		if d.Items > 0 {
+			demands = append(demands, d)
+		}
+	}
+	slices.SortFunc(demands, compareDemands)
+	return demands
+}
+
+// compareDemands puts demands without a due time last.
+func compareDemands(x, y EntryDemand) int {
+	if x.EarliestDue.IsZero() != y.EarliestDue.IsZero() {
+		if x.EarliestDue.IsZero() {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Or(x.EarliestDue.Compare(y.EarliestDue), cmp.Compare(x.EntryID, y.EntryID))
+}
+
+// Grant sends an entry the permission to start that many batch attempts. It
+// reports false when the entry has no live stream. The entry counts the
+// validity from the arrival, so the agent should honour it a little longer.
+func (a *AgentSide) Grant(entryID string, items int, valid time.Duration) bool {
+	session := a.session(entryID)
+	if session == nil || items <= 0 || time.Since(session.peer.lastHeard()) > silentAfter {
+		return false
+	}
+	session.mu.Lock()
+	total := uint32(items)
+	if session.grant != nil {
+		total += session.grant.Items
+	}
+	session.grant = &rpc.BatchGrant{Items: total, ValidMs: milliseconds32(valid)}
+	session.mu.Unlock()
+	session.peer.wakeUp()
+	return true
+}
+
+// CancelledJobs delivers the ids of cancelled jobs that entries announced.
+func (a *AgentSide) CancelledJobs() <-chan string { return a.spread.cancelOut }
+
+// Version returns the last known configuration version of an instance.
+func (a *AgentSide) Version(instanceID string) InstanceVersion {
+	return a.spread.versionOf(instanceID, time.Now())
+}
--- /dev/null
+++ b/link/entryside.go
@@ -0,0 +1,235 @@
+package link
+
+import (
+	"cmp"
+	"context"
+	"crypto/tls"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/magnoliausher/magnoliausher/contract"
+	"github.com/magnoliausher/magnoliausher/instance"
+	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/poison"
+)
+
+// DefaultLinksPerService is the number of agents of each service that an entry
+// links to at the target size.
+const DefaultLinksPerService = 3
+
+// DefaultProgressTimeout ends an attempt without events. It covers the wait in
+// an agent's queue and a long prefill; silent connections are found by pings.
+const DefaultProgressTimeout = 30 * time.Second
+
+// grantBuffer bounds the grants waiting for the batch runner. Further ones
+// are dropped and lapse at the agent.
+const grantBuffer = 1024
+
+// EntrySideConfig describes the entry and what it shares with its links.
+type EntrySideConfig struct {
+	ID          string
+	DataCentre  string
+	Incarnation uint64
+	Holder      *contract.Holder
+	Suspects    *poison.Table
+	Members     *instance.Table
+	TLS         *tls.Config // nil for HTTP/2 without TLS
+	Logger      zerolog.Logger
+
+	LinksPerService int           // 0: DefaultLinksPerService
+	ProgressTimeout time.Duration // 0: DefaultProgressTimeout
+
+	dial dialer // replaced by tests
+}
+
+// EntrySide keeps an entry's links to the agents of its subset. It implements
+// Runner, BatchPort and Fleet.
+//
+// Lock order: EntrySide.mu before entryLink.mu. Neither is held while the
+// membership, the holder or the suspects are called.
+type EntrySide struct {
+	*PeerHandler
+	cfg    EntrySideConfig
+	spread *spread
+	grants chan Grant
+
+	mu        sync.Mutex
+	links     map[string]*entryLink // by agent id
+	byService map[string][]*entryLink
+	demands   map[string]Demand
+	expanded  map[string]time.Time // services with a doubled subset, since when
+}
+
+var (
+	_ Runner    = (*EntrySide)(nil)
+	_ BatchPort = (*EntrySide)(nil)
+	_ Fleet     = (*EntrySide)(nil)
+)
+
+// NewEntrySide returns the entry's end of its links. Serve opens them.
+func NewEntrySide(cfg EntrySideConfig) *EntrySide {
+	if cfg.LinksPerService <= 0 {
+		cfg.LinksPerService = DefaultLinksPerService
+	}
+	if cfg.ProgressTimeout <= 0 {
+		cfg.ProgressTimeout = DefaultProgressTimeout
+	}
+	if cfg.dial == nil {
+		cfg.dial = defaultDialer()
+	}
+	s := newSpread(cfg.ID, cfg.DataCentre, cfg.Incarnation, cfg.Holder, cfg.Suspects, cfg.Logger)
+	return &EntrySide{
+		PeerHandler: &PeerHandler{bodies: s.bodies},
+		cfg:         cfg,
+		spread:      s,
+		grants:      make(chan Grant, grantBuffer),
+		links:       make(map[string]*entryLink),
+		byService:   make(map[string][]*entryLink),
+		demands:     make(map[string]Demand),
+		expanded:    make(map[string]time.Time),
+	}
+}
+
+// SetLeaving tells all agents that the entry brings no new work.
+func (e *EntrySide) SetLeaving() { e.spread.setLeaving() }
+
+// Upstreams returns what is known of the linked agents of a service, sorted by
+// agent id. Links that left the subset are not included.
+func (e *EntrySide) Upstreams(service string) []Upstream {
+	now := time.Now()
+	links := e.linksOf(service)
+	upstreams := make([]Upstream, 0, len(links))
+	for _, l := range links {
+		if u, ok := l.snapshot(now); ok {
+			upstreams = append(upstreams, u)
+		}
+	}
+	return upstreams
+}
+
+// linksOf returns a list that is replaced, never changed.
+func (e *EntrySide) linksOf(service string) []*entryLink {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.byService[service]
+}
+
+// snapshot joins the link's view with the membership.
+func (l *entryLink) snapshot(now time.Time) (Upstream, bool) {
+	member, present := l.side.cfg.Members.Member(l.agent.ID, now)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.retired {
+		return Upstream{}, false
+	}
+	u := l.view
+	u.Connected = u.Connected && now.Sub(u.LastHeard) <= silentAfter
+	u.Leaving = u.Leaving || member.Leaving
+	u.Weight = member.Weight
+	if !present {
+		u.Connected = false
+	}
+	return u, true
+}
+
+// SetDemand announces the batch work held for a service to its agents.
+func (e *EntrySide) SetDemand(service string, d Demand) {
+	e.mu.Lock()
+	e.demands[service] = d
+	links := e.byService[service]
+	e.mu.Unlock()
+	for _, l := range links {
+		l.wakeUp()
+	}
+}
+
+func (e *EntrySide) demand(service string) Demand {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.demands[service]
+}
+
+func (l *entryLink) wakeUp() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.peer != nil {
+		l.peer.wakeUp()
+	}
+}
+
+// Grants delivers the agents' permissions.
+func (e *EntrySide) Grants() <-chan Grant { return e.grants }
+
+// AnnounceCancelled spreads the id of a cancelled job to all processes.
+func (e *EntrySide) AnnounceCancelled(jobID string) {
+	e.spread.announceCancelled(jobID, "", time.Now())
+}
+
+// Cancelled delivers ids of cancelled jobs that other processes announced.
+func (e *EntrySide) Cancelled() <-chan string { return e.spread.cancelOut }
+
+// Config returns the process's configuration.
+func (e *EntrySide) Config() *contract.Holder { return e.cfg.Holder }
+
+// Versions returns the last known configuration version of every instance of
+// the membership, sorted by id. HeardAt is zero for those never heard of. For
+// instances without a link it is the time at which the version was first known.
+func (e *EntrySide) Versions() []InstanceVersion {
+	now := time.Now()
+	members := e.cfg.Members.Members(platform.RoleEntry, now)
+	members = append(members, e.cfg.Members.Members(platform.RoleAgent, now)...)
+	versions := make([]InstanceVersion, 0, len(members))
+	for i := range members {
+		versions = append(versions, e.spread.versionOf(members[i].ID, now))
+	}
+	slices.SortFunc(versions, func(a, b InstanceVersion) int { return cmp.Compare(a.InstanceID, b.InstanceID) })
+	return versions
+}
+
+// link returns the link to an agent, or nil.
+func (e *EntrySide) link(agentID string) *entryLink {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.links[agentID]
+}
+
+// Serve keeps the links in accordance with the membership until ctx ends, then
+// closes them. (Run is the method of Runner that starts an attempt.)
+func (e *EntrySide) Serve(ctx context.Context) error {
+	defer e.stopAll()
+	for {
+		changed := e.cfg.Members.Changed()
+		e.reconcile(ctx, time.Now())
+		// Bursts of changes, such as a list after an outage, are handled together.
+		sleep(ctx, reconcileMin)
+		timer := time.NewTimer(reconcileMax)
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-timer.C:
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+}
+
+// stopAll ends all links and waits for their goroutines.
+func (e *EntrySide) stopAll() {
+	e.mu.Lock()
+	links := make([]*entryLink, 0, len(e.links))
+	for _, l := range e.links {
+		links = append(links, l)
+	}
+	e.mu.Unlock()
+	for _, l := range links {
+		l.stop()
+	}
+	for _, l := range links {
+		<-l.done
+	}
+}
--- /dev/null
+++ b/link/fleet_test.go
@@ -0,0 +1,149 @@
+package link
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rs/zerolog"
+
+	"github.com/magnoliausher/magnoliausher/contract"
+	"github.com/magnoliausher/magnoliausher/instance"
+	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/poison"
+	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
+	"github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1/magnoliausherv1connect"
+)
+
+// testAgent is an agent on a loopback server. Its Run is set by tests.
+type testAgent struct {
+	*AgentSide
+	instance platform.Instance
+	holder   *contract.Holder
+	suspects *poison.Table
+	listener net.Listener
+	run      func(context.Context, *connect.Request[rpc.RunRequest], *connect.ServerStream[rpc.RunEvent]) error
+
+	mu   sync.Mutex
+	load *rpc.LoadReport
+}
+
+func (a *testAgent) Run(ctx context.Context, req *connect.Request[rpc.RunRequest], stream *connect.ServerStream[rpc.RunEvent]) error {
+	return a.run(ctx, req, stream)
+}
+
+func (a *testAgent) setLoad(change func(*rpc.LoadReport)) {
+	a.mu.Lock()
+	next := withoutPrefixes(a.load)
+	next.CacheComplete = true
+	next.CachedPrefixes = a.load.CachedPrefixes
+	change(next)
+	a.load = next
+	a.mu.Unlock()
+	a.LoadChanged()
+}
+
+func (a *testAgent) currentLoad() *rpc.LoadReport {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.load
+}
+
+func startAgent(t testing.TB, id, service string, wrap func(net.Listener) net.Listener) *testAgent {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if wrap != nil {
+		listener = wrap(listener)
+	}
+	a := &testAgent{
+		instance: platform.Instance{
+			ID: id, Role: platform.RoleAgent, DataCentre: "mvd-a", Service: service,
+			Address: listener.Addr().String(), State: platform.InstanceLive,
+		},
+		holder:   new(contract.Holder),
+		suspects: poison.NewTable(poison.Config{}),
+		listener: listener,
+		load: &rpc.LoadReport{
+			State: rpc.UpstreamState_UPSTREAM_STATE_READY, Slots: 64,
+			AgentTimeMs: 1, TokenIntervalUs: 30_000, CacheComplete: true,
+		},
+	}
+	a.AgentSide = NewAgentSide(AgentSideConfig{
+		ID: id, DataCentre: "mvd-a", Service: service, Incarnation: 7,
+		Load: a.currentLoad, Holder: a.holder, Suspects: a.suspects, Logger: zerolog.Nop(),
+	})
+	mux := http.NewServeMux()
+	mux.Handle(magnoliausherv1connect.NewAgentHandler(a, HandlerOptions()...))
+	mux.Handle(magnoliausherv1connect.NewPeerHandler(a, HandlerOptions()...))
+	server, err := NewServer(mux, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return a
+}
+
+// testEntry is an entry whose links run until the test ends.
+type testEntry struct {
+	*EntrySide
+	holder   *contract.Holder
+	suspects *poison.Table
+	members  *instance.Table
+}
+
+func startEntry(t testing.TB, id string, agents ...*testAgent) *testEntry {
+	t.Helper()
+	e := &testEntry{
+		holder:   new(contract.Holder),
+		suspects: poison.NewTable(poison.Config{}),
+		members:  instance.NewTable(instance.Config{}),
+	}
+	list := []platform.Instance{{ID: id, Role: platform.RoleEntry, DataCentre: "mvd-a", State: platform.InstanceLive}}
+	for _, a := range agents {
+		list = append(list, a.instance)
+	}
+	e.members.ApplyList(list, 1, time.Now())
+	e.EntrySide = NewEntrySide(EntrySideConfig{
+		ID: id, DataCentre: "mvd-a", Incarnation: 9, Holder: e.holder,
+		Suspects: e.suspects, Members: e.members, Logger: zerolog.Nop(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = e.Serve(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return e
+}
+
+// eventually waits for a condition; the test's own timeout ends a failure.
+func eventually(t testing.TB, what string, condition func() bool) {
+	t.Helper()
+	for start := time.Now(); !condition(); time.Sleep(2 * time.Millisecond) {
+		if time.Since(start) > time.Minute {
+			t.Fatalf("not reached: %s", what)
+		}
+	}
+}
+
+func connectedCount(e *testEntry, service string) int {
+	n := 0
+	for _, u := range e.Upstreams(service) {
+		if u.Connected && u.Load != nil {
+			n++
+		}
+	}
+	return n
+}
--- a/link/link.go
+++ b/link/link.go
@@ -30,6 +30,7 @@
 	InProgress  int       // own online attempts in progress
 	SentSince   int       // own online attempts sent since Load arrived
 	Prefixes    map[uint64]struct{}
+	Weight      float64 // 0 to 1; newcomers start low and get work slowly
 }
 
 // AgentTime estimates the agent's monotonic clock at now. The estimate is late
--- /dev/null
+++ b/link/reconcile.go
@@ -0,0 +1,200 @@
+package link
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/magnoliausher/magnoliausher/instance"
+	"github.com/magnoliausher/magnoliausher/platform"
+)
+
+const (
+	// Reconciliation of the links with the membership.
+	reconcileMin = 50 * time.Millisecond
+	reconcileMax = time.Second
+	// expandedKept is how long a service's subset stays doubled after the
+	// original links recovered, so that it does not alternate.
+	expandedKept = 30 * time.Second
+	// drainLimit ends the attempts of a link that left the subset.
+	drainLimit = 10 * time.Minute
+)
+
+// reconcile opens and closes links.
+func (e *EntrySide) reconcile(ctx context.Context, now time.Time) {
+	agents := e.cfg.Members.Members(platform.RoleAgent, now)
+	wanted := e.wanted(agents, now)
+	present := make(map[string]instance.Member, len(agents))
+	for _, m := range agents {
+		present[m.ID] = m
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for id, in := range wanted {
+		if l := e.links[id]; l == nil || l.agent.Address != in.Address {
+			e.open(ctx, in)
+		} else {
+			l.setRetired(false, now)
+		}
+	}
+	for id, l := range e.links {
+		if _, ok := wanted[id]; ok {
+			continue
+		}
+		m, ok := present[id]
+		if ok && !m.Listed && !m.Leaving {
+			continue // unlisted, while its link works
+		}
+		l.setRetired(true, now)
+		if l.drained(now) {
+			l.stop()
+			delete(e.links, id)
+		}
+	}
+	e.index()
+}
+
+// open starts a link and replaces one to an earlier address.
+func (e *EntrySide) open(ctx context.Context, in platform.Instance) {
+	if old := e.links[in.ID]; old != nil {
+		old.stop()
+	}
+	l := newEntryLink(e, in)
+	ctx, l.stop = context.WithCancel(ctx)
+	e.links[in.ID] = l
+	go l.run(ctx)
+}
+
+// index rebuilds the lists by service.
+func (e *EntrySide) index() {
+	byService := make(map[string][]*entryLink, len(e.byService))
+	for _, l := range e.links {
+		byService[l.agent.Service] = append(byService[l.agent.Service], l)
+	}
+	for _, links := range byService {
+		slices.SortFunc(links, func(a, b *entryLink) int { return cmp.Compare(a.agent.ID, b.agent.ID) })
+	}
+	e.byService = byService
+}
+
+// wanted returns the agents to link to, by id.
+func (e *EntrySide) wanted(agents []instance.Member, now time.Time) map[string]platform.Instance {
+	listed := make([]platform.Instance, 0, len(agents))
+	for _, m := range agents {
+		if m.Listed && m.State != platform.InstanceLeaving {
+			listed = append(listed, m.Instance)
+		}
+	}
+	subset := instance.Subset(e.entries(now), listed, e.cfg.ID, e.cfg.LinksPerService)
+	wanted := make(map[string]platform.Instance, len(subset))
+	for _, in := range subset {
+		wanted[in.ID] = in
+	}
+	for service, linked := range groupByService(subset) {
+		if !e.isExpanded(service, linked, now) {
+			continue
+		}
+		var others []platform.Instance
+		for _, in := range listed {
+			if in.Service == service {
+				others = append(others, in)
+			}
+		}
+		for _, in := range instance.Expand(e.self(), others, linked, len(linked)) {
+			wanted[in.ID] = in
+		}
+	}
+	return wanted
+}
+
+func groupByService(list []platform.Instance) map[string][]platform.Instance {
+	groups := make(map[string][]platform.Instance)
+	for _, in := range list {
+		groups[in.Service] = append(groups[in.Service], in)
+	}
+	return groups
+}
+
+// self describes the entry, which the lagging list may not show yet.
+func (e *EntrySide) self() platform.Instance {
+	return platform.Instance{ID: e.cfg.ID, Role: platform.RoleEntry, DataCentre: e.cfg.DataCentre}
+}
+
+// entries returns the listed entries and the entry itself.
+func (e *EntrySide) entries(now time.Time) []platform.Instance {
+	members := e.cfg.Members.Members(platform.RoleEntry, now)
+	entries := make([]platform.Instance, 0, len(members)+1)
+	for _, m := range members {
+		if m.ID != e.cfg.ID && m.Listed && m.State != platform.InstanceLeaving {
+			entries = append(entries, m.Instance)
+		}
+	}
+	return append(entries, e.self())
+}
+
+// isExpanded reports whether a service's subset is doubled: while none of its
+// links is usable, and for expandedKept after one is again.
+func (e *EntrySide) isExpanded(service string, linked []platform.Instance, now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	lost := true
+	for _, in := range linked {
+		if l := e.links[in.ID]; l == nil || l.isUsable(now) {
+			lost = false
+			break
+		}
+	}
+	if lost {
+		e.expanded[service] = now
+		return true
+	}
+	since, ok := e.expanded[service]
+	if ok && now.Sub(since) >= expandedKept {
+		delete(e.expanded, service)
+		return false
+	}
+	return ok
+}
+
+// SubsetRefused tells that all linked agents of a service refused work, which
+// doubles its subset for a while.
+func (e *EntrySide) SubsetRefused(service string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.expanded[service] = time.Now()
+}
+
+// isUsable reports whether the link can take work, or may become able to
+// because it was opened a moment ago.
+func (l *entryLink) isUsable(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.view.Leaving {
+		return false
+	}
+	if l.view.LastHeard.IsZero() {
+		return now.Sub(l.openedAt) < silentAfter
+	}
+	return l.view.Connected && now.Sub(l.view.LastHeard) <= silentAfter
+}
+
+func (l *entryLink) setRetired(retired bool, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.retired == retired {
+		return
+	}
+	l.retired = retired
+	l.retiredAt = now
+	if l.peer != nil {
+		l.peer.wakeUp() // withdraws or announces the batch demand
+	}
+}
+
+// drained reports whether a retired link can be closed.
+func (l *entryLink) drained(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.running == 0 || now.Sub(l.retiredAt) >= drainLimit
+}
--- /dev/null
+++ b/link/transport.go
@@ -0,0 +1,181 @@
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+)
+
+// Timeouts and windows of connections between instances.
+const (
+	dialTimeout = time.Second
+	// A connection in use that receives no frame for sendPing is pinged, and
+	// closed when the answer takes longer than pingTimeout. Control streams
+	// carry a message every 2 s, so they are never pinged.
+	sendPingControl = 5 * time.Second
+	sendPingOnline  = 2 * time.Second
+	sendPingBatch   = 5 * time.Second
+	pingTimeout     = 1500 * time.Millisecond
+	// idleTimeout closes unused online and batch connections, which ends their pings.
+	idleTimeout = 60 * time.Second
+	// The windows cover the product of bandwidth and delay between regions
+	// (1 Gbit/s times 30 ms); net/http rejects 4 MiB and more.
+	windowPerConnection = 4<<20 - 1
+	windowPerStream     = 1 << 20
+	// The control connection has one stream of small messages.
+	windowControl = 1 << 20
+	// maxStreams exceeds the attempts that all entries run on one agent.
+	maxStreams = 4096
+	// serverSendPing finds silent entries, which agents cannot reconnect to.
+	serverSendPing = 5 * time.Second
+	readHeaderTime = 10 * time.Second
+)
+
+// class separates the TCP connections of one entry-agent pair, so that a full
+// flow-control window or a lost packet of one delays no other.
+type class int
+
+const (
+	classControl class = iota
+	classOnline
+	classBatch
+	classCount
+)
+
+// traffic counts the bytes of connections and notes when the last one arrived.
+type traffic struct {
+	read, written atomic.Int64
+	lastRead      atomic.Int64 // Unix nanoseconds, 0 before the first byte
+}
+
+// heardWithin reports whether a byte arrived in the last d.
+func (t *traffic) heardWithin(d time.Duration, now time.Time) bool {
+	last := t.lastRead.Load()
+	return last != 0 && now.UnixNano()-last <= int64(d)
+}
+
+// countedConn adds to a traffic.
+type countedConn struct {
+	net.Conn
+	traffic *traffic
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.traffic.read.Add(int64(n))
+		c.traffic.lastRead.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.traffic.written.Add(int64(n))
+	return n, err
+}
+
+// dialer opens the TCP connections of links; tests replace it.
+type dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
+func defaultDialer() dialer {
+	d := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1} // HTTP/2 pings take its place
+	return d.DialContext
+}
+
+// newHTTPClient returns a client with connections of its own. HTTP/2 is used
+// without TLS when config is nil.
+func newHTTPClient(c class, config *tls.Config, dial dialer, count *traffic) *http.Client {
+	transport := &http.Transport{
+		Protocols:           protocols(config),
+		TLSClientConfig:     config.Clone(),
+		TLSHandshakeTimeout: 2 * dialTimeout,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+		HTTP2:               clientHTTP2(c),
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &countedConn{Conn: conn, traffic: count}, nil
+		},
+	}
+	return &http.Client{Transport: transport}
+}
+
+func protocols(config *tls.Config) *http.Protocols {
+	p := new(http.Protocols)
+	if config == nil {
+		p.SetUnencryptedHTTP2(true)
+		return p
+	}
+	p.SetHTTP2(true)
+	return p
+}
+
+func clientHTTP2(c class) *http.HTTP2Config {
+	h := &http.HTTP2Config{
+		StrictMaxConcurrentRequests:   true,
+		MaxReceiveBufferPerConnection: windowPerConnection,
+		MaxReceiveBufferPerStream:     windowPerStream,
+		PingTimeout:                   pingTimeout,
+	}
+	switch c {
+	case classControl:
+		h.SendPingTimeout = sendPingControl
+		h.MaxReceiveBufferPerConnection = windowControl
+		h.MaxReceiveBufferPerStream = windowControl
+	case classOnline:
+		h.SendPingTimeout = sendPingOnline
+	default:
+		h.SendPingTimeout = sendPingBatch
+	}
+	return h
+}
+
+// clientOptions turn compression off: control messages are shorter than a
+// compressed frame, and bodies of requests are handed on as they are.
+func clientOptions() []connect.ClientOption {
+	return []connect.ClientOption{connect.WithAcceptCompression("gzip", nil, nil)}
+}
+
+// HandlerOptions are for the handlers of Agent and Peer.
+func HandlerOptions() []connect.HandlerOption {
+	return []connect.HandlerOption{connect.WithCompression("gzip", nil, nil)}
+}
+
+// NewServer returns the server for Agent and Peer handlers. With a nil config
+// it speaks HTTP/2 without TLS; else config must require client certificates.
+func NewServer(handler http.Handler, config *tls.Config) (*http.Server, error) {
+	if config != nil && config.ClientAuth != tls.RequireAndVerifyClientCert {
+		return nil, errors.New("TLS between instances must verify client certificates")
+	}
+	return &http.Server{
+		Handler:           handler,
+		Protocols:         protocols(config),
+		TLSConfig:         config.Clone(),
+		ReadHeaderTimeout: readHeaderTime,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams:          maxStreams,
+			MaxReceiveBufferPerConnection: windowPerConnection,
+			MaxReceiveBufferPerStream:     windowPerStream,
+			SendPingTimeout:               serverSendPing,
+			PingTimeout:                   pingTimeout,
+		},
+	}, nil
+}
+
+// baseURL is the root of an instance's services.
+func baseURL(address string, config *tls.Config) string {
+	if config == nil {
+		return "http://" + address
+	}
+	return "https://" + address
+}
