--- /dev/null
+++ b/routing/routing.go
@@ -0,0 +1,297 @@
+// Package routing chooses the upstream of an online attempt from a snapshot.
+// It does no I/O and reads no clock.
+package routing
+
+import (
+	"math"
+	"time"
+
+	"github.com/magnoliausher/magnoliausher/link"
+	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
+)
+
+// Weights are the constants of the selection. Loads are sequences per slot.
+type Weights struct {
+	LoadBound     float64       // an upstream at or above it is used only when all are
+	PackBound     float64       // an upstream with online work is preferred below it
+	AffinityBound float64       // multiple of the mean load up to which a cached prefix is preferred
+	BatchWeight   float64       // load of a batch sequence relative to an online one
+	PackInterval  time.Duration // an upstream with a longer time between tokens is not packed further
+	SilentAfter   time.Duration // an upstream not heard of for this long is not used
+}
+
+// DefaultWeights returns the weights of production.
+//
+// Batch sequences count little because the agent preempts them for online work.
+// PackInterval leaves a margin below the target of 55 ms between tokens.
+// SilentAfter covers two reports missed in a row (sent at least every 2 s).
+func DefaultWeights() Weights {
+	return Weights{
+		LoadBound:     0.9,
+		PackBound:     0.5,
+		AffinityBound: 1.25,
+		BatchWeight:   0.1,
+		PackInterval:  45 * time.Millisecond,
+		SilentAfter:   5 * time.Second,
+	}
+}
+
+// Random is the part of math/rand/v2.Rand that the selection needs.
+type Random interface {
+	// IntN returns a number in [0, n).
+	IntN(n int) int
+}
+
+// Request says what the attempt needs. Slices are read, never kept.
+type Request struct {
+	DataCentre string   // of the entry
+	Prefix     uint64   // hash of the cacheable prompt prefix; 0 for none
+	Excluded   []string // agents that earlier attempts of the request used
+	Suspect    bool     // the attempt must not share an upstream with another suspect
+	SuspectsAt []string // agents known to run a suspect
+	Now        time.Time
+}
+
+// Rule names the preference by which an upstream was chosen, best first.
+type Rule uint8
+
+// Rules in order of preference.
+const (
+	LocalPrefix  Rule = iota // local, holds the prefix, below the affinity bound
+	LocalPacked              // local, carries online work, below the pack bound
+	LocalFree                // local, below the load bound
+	RemotePrefix             // as LocalPrefix in another data centre
+	RemotePacked             // as LocalPacked in another data centre
+	RemoteFree               // as LocalFree in another data centre
+	Overloaded               // every candidate is at or above the load bound
+	rules
+)
+
+var ruleNames = [rules]string{
+	"local_prefix", "local_packed", "local_free",
+	"remote_prefix", "remote_packed", "remote_free", "overloaded",
+}
+
+// String gives the rule's name in logs.
+func (r Rule) String() string { return ruleNames[r] }
+
+// Tally counts upstreams by why they were no candidates.
+type Tally struct {
+	Candidates   int
+	Excluded     int
+	Disconnected int
+	Leaving      int
+	Down         int
+	Silent       int
+	SuspectBusy  int
+}
+
+// Decision is the chosen upstream.
+type Decision struct {
+	Index int // in the snapshot; -1 when there is no candidate
+	Rule  Rule
+	Load  float64 // of the chosen upstream before the attempt
+	Tally Tally
+}
+
+// Found reports whether an upstream was chosen.
+func (d *Decision) Found() bool { return d.Index >= 0 }
+
+// Choose selects an upstream: power of two choices within the best rule that
+// has a candidate.
+func Choose(snapshot []link.Upstream, r *Request, w *Weights, rnd Random) Decision {
+	local, remote, tally := survey(snapshot, r, w)
+	d := Decision{Index: -1, Tally: tally}
+	if tally.Candidates == 0 {
+		return d
+	}
+	var counts [rules]int
+	for i := range snapshot {
+		u := &snapshot[i]
+		if obstacle(u, r, w) == none {
+			counts[ruleOf(u, r, w, &local, &remote)]++
+		}
+	}
+	for counts[d.Rule] == 0 {
+		d.Rule++
+	}
+	first, second := twoRanks(counts[d.Rule], rnd)
+	rank := 0
+	for i := range snapshot {
+		u := &snapshot[i]
+		if obstacle(u, r, w) != none || ruleOf(u, r, w, &local, &remote) != d.Rule {
+			continue
+		}
+		if rank == first || rank == second {
+			d.prefer(i, Load(u, w))
+		}
+		rank++
+		if rank > first && rank > second {
+			break
+		}
+	}
+	return d
+}
+
+// prefer takes the upstream if it is the first or carries less.
+func (d *Decision) prefer(index int, load float64) {
+	if d.Index >= 0 && load >= d.Load {
+		return
+	}
+	d.Index = index
+	d.Load = load
+}
+
+// twoRanks draws two different numbers below n, or the same one when n is 1.
+func twoRanks(n int, rnd Random) (first, second int) {
+	if n == 1 {
+		return 0, 0
+	}
+	first = rnd.IntN(n)
+	second = rnd.IntN(n - 1)
+	if second >= first {
+		second++
+	}
+	return first, second
+}
+
+// Load is the last report plus own attempts sent since, per slot.
+func Load(u *link.Upstream, w *Weights) float64 {
+	return work(u, w) / slots(u)
+}
+
+func work(u *link.Upstream, w *Weights) float64 {
+	l := u.Load
+	online := float64(l.GetOnlineActive()) + float64(l.GetOnlineQueued()) + float64(u.SentSince)
+	// The own attempts in progress are a lower bound when the report lags.
+	online = max(online, float64(u.InProgress))
+	return online + w.BatchWeight*float64(l.GetBatchActive())
+}
+
+func slots(u *link.Upstream) float64 {
+	return float64(max(u.Load.GetSlots(), 1))
+}
+
+func hasOnline(u *link.Upstream) bool {
+	return u.Load.GetOnlineActive() > 0 || u.SentSince > 0 || u.InProgress > 0
+}
+
+type reason uint8
+
+const (
+	none reason = iota
+	excluded
+	disconnected
+	leaving
+	down
+	silent
+	suspectBusy
+)
+
+// obstacle says why the upstream is no candidate.
+func obstacle(u *link.Upstream, r *Request, w *Weights) reason {
+	switch {
+	case !u.Connected:
+		return disconnected
+	case u.Leaving || u.Load.GetState() == rpc.UpstreamState_UPSTREAM_STATE_LEAVING:
+		return leaving
+	case u.Load.GetState() != rpc.UpstreamState_UPSTREAM_STATE_READY:
+		return down
+	case r.Now.Sub(u.LastHeard) > w.SilentAfter:
+		return silent
+	case contains(r.Excluded, u.AgentID):
+		return excluded
+	case r.Suspect && contains(r.SuspectsAt, u.AgentID):
+		return suspectBusy
+	}
+	return none
+}
+
+func contains(ids []string, id string) bool {
+	for _, have := range ids {
+		if have == id {
+			return true
+		}
+	}
+	return false
+}
+
+// zone sums up the candidates of the local or of all other data centres.
+type zone struct {
+	work  float64
+	slots float64
+}
+
+// share is the work that an upstream with n slots may carry at multiple times
+// the mean, the new request included, rounded up so that a request always fits.
+func (z *zone) share(multiple, n float64) float64 {
+	return math.Ceil(multiple * (z.work + 1) / z.slots * n)
+}
+
+func survey(snapshot []link.Upstream, r *Request, w *Weights) (local, remote zone, t Tally) {
+	for i := range snapshot {
+		u := &snapshot[i]
+		switch obstacle(u, r, w) {
+		case none:
+			t.Candidates++
+		case excluded:
+			t.Excluded++
+			continue
+		case disconnected:
+			t.Disconnected++
+			continue
+		case leaving:
+			t.Leaving++
+			continue
+		case down:
+			t.Down++
+			continue
+		case silent:
+			t.Silent++
+			continue
+		case suspectBusy:
+			t.SuspectBusy++
+			continue
+		}
+		z := &remote
+		if u.DataCentre == r.DataCentre {
+			z = &local
+		}
+		z.work += work(u, w)
+		z.slots += slots(u)
+	}
+	return local, remote, t
+}
+
+// ruleOf gives the best rule that the candidate satisfies.
+func ruleOf(u *link.Upstream, r *Request, w *Weights, local, remote *zone) Rule {
+	have := work(u, w)
+	n := slots(u)
+	if have/n >= w.LoadBound {
+		return Overloaded
+	}
+	z, offset := local, LocalPrefix
+	if u.DataCentre != r.DataCentre {
+		z, offset = remote, RemotePrefix
+	}
+	if holds(u, r.Prefix) && have+1 <= max(z.share(w.AffinityBound, n), w.PackBound*n) {
+		return offset + LocalPrefix
+	}
+	if packable(u, w) && have+1 <= w.PackBound*n {
+		return offset + LocalPacked
+	}
+	return offset + LocalFree
+}
+
+func packable(u *link.Upstream, w *Weights) bool {
+	interval := time.Duration(u.Load.GetTokenIntervalUs()) * time.Microsecond
+	return hasOnline(u) && interval <= w.PackInterval
+}
+
+func holds(u *link.Upstream, prefix uint64) bool {
+	if prefix == 0 {
+		return false
+	}
+	_, ok := u.Prefixes[prefix]
+	return ok
+}
