Add the store of batch jobs

Cause: batch work has no durable model yet. Change: package job gets files, jobs, chunks, results, the index of running jobs, chunk leases with fencing, and the scheduling functions, over platform.Platform. Conclusion: the tests of life cycle, resend, findings, fencing and lost answers pass against an in-memory fake.

--- /dev/null
+++ b/job/schedule.go
@@ -0,0 +1,118 @@
+package job
+
+import (
+	"hash/fnv"
+	"time"
+)
+
+// JobView is what an entry knows of a running job when it schedules.
+type JobView struct {
+	ID           string
+	Organisation string
+	Service      string
+	Created      time.Time
+	Deadline     time.Time
+	Held         int  // chunks of the job that this entry holds
+	Exhausted    bool // no free chunk was found lately
+}
+
+// ServiceView is the batch work of one service in this entry's memory.
+type ServiceView struct {
+	Ready   int // items that can start
+	Running int
+}
+
+// Snapshot is the input of Next.
+type Snapshot struct {
+	Jobs     []JobView
+	Services map[string]ServiceView
+}
+
+// readyReserve is the number of ready items that a service keeps beyond as many
+// as are running, so that a grant finds its next item in memory.
+const readyReserve = 50
+
+// Bounds of the time before a deadline in which a job is urgent.
+const (
+	urgentShare = 10 // one tenth of the window
+	urgentLeast = 15 * time.Minute
+)
+
+// Urgent is the rule for jobs near their deadline: in the last tenth of its
+// window, and at least in the last 15 minutes, a job precedes the fair shares of
+// organisations. It changes only the order among batch jobs; agents admit online
+// requests first whatever the batch work's urgency is.
+func Urgent(j JobView, now time.Time) bool {
+	lead := max(urgentLeast, j.Deadline.Sub(j.Created)/urgentShare)
+	return !now.Before(j.Deadline.Add(-lead))
+}
+
+// WantsItems reports whether a service should get another chunk.
+func WantsItems(v ServiceView) bool { return v.Ready < readyReserve+v.Running }
+
+// Next chooses the job whose chunk the entry claims next, or -1. Urgent jobs come first by
+// deadline; then the organisation with the fewest chunks held here, and within
+// it the earliest deadline. Any job with work is chosen when no other is, so the
+// order is work-conserving.
+func Next(s Snapshot, now time.Time) int {
+	held := make(map[string]int)
+	for i := range s.Jobs {
+		held[s.Jobs[i].Organisation] += s.Jobs[i].Held
+	}
+	best := -1
+	for i := range s.Jobs {
+		j := &s.Jobs[i]
+		if j.Exhausted || !now.Before(j.Deadline) || !WantsItems(s.Services[j.Service]) {
+			continue
+		}
+		if best < 0 || before(j, &s.Jobs[best], held, now) {
+			best = i
+		}
+	}
+	return best
+}
+
+func before(a, b *JobView, held map[string]int, now time.Time) bool {
+	ua, ub := Urgent(*a, now), Urgent(*b, now)
+	if ua != ub {
+		return ua
+	}
+	ha, hb := held[a.Organisation], held[b.Organisation]
+	if !ua && ha != hb {
+		return ha < hb
+	}
+	if !a.Deadline.Equal(b.Deadline) {
+		return a.Deadline.Before(b.Deadline)
+	}
+	return a.ID < b.ID
+}
+
+// Start is the chunk at which an entry begins to look for a free one. Entries
+// are spread evenly over the chunks, so that two rarely meet.
+func Start(job string, chunks, rank, entries int) int {
+	if chunks <= 0 || entries <= 0 {
+		return 0
+	}
+	offset := int(hashOf(job) % uint32(chunks))
+	return (offset + rank%entries*chunks/entries) % chunks
+}
+
+// watchersPerJob is the number of entries that look after a job whose chunks
+// are all claimed or done: they take expired claims over, complete the job and
+// expire it.
+const watchersPerJob = 4
+
+// Watches reports whether the entry is one of the job's watchers.
+func Watches(job string, rank, entries int) bool {
+	if entries <= watchersPerJob {
+		return true
+	}
+	first := int(hashOf(job) % uint32(entries))
+	return (rank-first+entries)%entries < watchersPerJob
+}
+
+func hashOf(s string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(s))
+	return h.Sum32()
+}
--- /dev/null
+++ b/job/store.go
@@ -0,0 +1,291 @@
+package job
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/magnoliausher/magnoliausher/platform"
+)
+
+// Store reads and writes files, jobs and chunks. It holds no state of its own,
+// so any number of processes may use the same platform.
+type Store struct {
+	table   platform.Table
+	objects platform.Objects
+}
+
+// NewStore returns a store over the platform.
+func NewStore(p platform.Platform) *Store {
+	return &Store{table: p, objects: p.Objects()}
+}
+
+// Submission is what a caller asks for in a new job.
+type Submission struct {
+	Organisation   string
+	Caller         string
+	FileID         string
+	Endpoint       string
+	Service        string
+	Window         time.Duration
+	Metadata       map[string]string
+	IdempotencyKey string // may be empty
+}
+
+// File returns a file's row, or platform.ErrNotFound.
+func (s *Store) File(ctx context.Context, id string) (*File, error) {
+	f, _, err := s.fileRow(ctx, id)
+	return f, err
+}
+
+func (s *Store) fileRow(ctx context.Context, id string) (*File, platform.Row, error) {
+	row, err := s.getRow(ctx, fileKey(id))
+	if err != nil {
+		return nil, row, trace.Wrap(err)
+	}
+	if row.Version == 0 {
+		return nil, row, trace.Wrap(platform.ErrNotFound)
+	}
+	f := new(File)
+	return f, row, trace.Wrap(json.Unmarshal(row.Value, f))
+}
+
+// Job returns a job's row, or platform.ErrNotFound.
+func (s *Store) Job(ctx context.Context, id string) (*Job, error) {
+	row, err := s.getRow(ctx, jobKey(id))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if row.Version == 0 {
+		return nil, trace.Wrap(platform.ErrNotFound)
+	}
+	return decodeJob(row)
+}
+
+func decodeJob(row platform.Row) (*Job, error) {
+	j := &Job{Version: row.Version}
+	if err := json.Unmarshal(row.Value, j); err != nil {
+		return nil, trace.Wrap(err, "row %s", row.Key)
+	}
+	return j, nil
+}
+
+// Submit creates a job, or returns the one that an earlier send of the same
+// request created. Every round reads the state back first, so a lost answer and
+// a conflict are settled alike. ErrMismatch: the key stands for other input.
+func (s *Store) Submit(ctx context.Context, sub Submission) (*Job, error) {
+	var b backoff
+	for {
+		j, err := s.trySubmit(ctx, sub)
+		if err == nil || !(transient(err) || errors.Is(err, platform.ErrConflict)) {
+			return j, err
+		}
+		if b.wait(ctx) != nil {
+			return nil, trace.Wrap(err)
+		}
+	}
+}
+
+func (s *Store) trySubmit(ctx context.Context, sub Submission) (*Job, error) {
+	file, fileRow, err := s.fileRow(ctx, sub.FileID)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	now := time.Now().UTC()
+	j := newJob(sub, file, now)
+	conditions, found, err := s.earlier(ctx, sub, j, now)
+	if err != nil || found != nil {
+		return found, err
+	}
+	index, err := s.indexWrites(ctx, j)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if keep := j.Deadline.Add(Retention); keep.After(file.KeepUntil) {
+		file.KeepUntil = keep
+	}
+	writes := append([]platform.Write{
+		{Key: jobKey(j.ID), Value: mustJSON(j)},
+		{Key: orgJobKey(j.Organisation, j.Created, j.ID), Value: []byte(j.ID), Always: true},
+		{Key: fileKey(file.ID), Value: mustJSON(file), IfVersion: fileRow.Version},
+	}, index...)
+	versions, err := s.table.Commit(ctx, platform.Transaction{Conditions: conditions, Writes: writes})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	j.Version = versions[0]
+	return j, nil
+}
+
+func newJob(sub Submission, file *File, now time.Time) *Job {
+	j := &Job{
+		Organisation: sub.Organisation, Caller: sub.Caller, FileID: file.ID, InputDigest: file.Digest,
+		Endpoint: sub.Endpoint, Service: sub.Service, Window: sub.Window.String(), Metadata: sub.Metadata,
+		Items: file.Items, Status: StatusRunning, Created: now, Deadline: now.Add(sub.Window),
+	}
+	if sub.IdempotencyKey != "" {
+		j.ID = keyedID(sub.Caller, sub.IdempotencyKey)
+	} else {
+		j.ID = inputID(sub.Caller, file.Digest, sub.Endpoint, period(now))
+	}
+	return j
+}
+
+// earlier looks for the job of an earlier send. Without a key it compares the
+// neighbouring periods too, and returns conditions that keep their rows as
+// read: entries whose clocks differ by less than a period create one job.
+func (s *Store) earlier(ctx context.Context, sub Submission, j *Job, now time.Time) ([]platform.Condition, *Job, error) {
+	found, err := s.Job(ctx, j.ID)
+	if err == nil {
+		if found.InputDigest != j.InputDigest || found.Endpoint != j.Endpoint {
+			return nil, nil, trace.Wrap(ErrMismatch)
+		}
+		return nil, found, nil
+	}
+	if !errors.Is(err, platform.ErrNotFound) || sub.IdempotencyKey != "" {
+		return nil, nil, ignoreNotFound(err)
+	}
+	var conditions []platform.Condition
+	for _, p := range []int64{period(now) - 1, period(now) + 1} {
+		id := inputID(sub.Caller, j.InputDigest, sub.Endpoint, p)
+		row, err := s.getRow(ctx, jobKey(id))
+		if err != nil {
+			return nil, nil, trace.Wrap(err)
+		}
+		conditions = append(conditions, platform.Condition{Key: jobKey(id), Version: row.Version})
+		if row.Version == 0 {
+			continue
+		}
+		found, err := decodeJob(row)
+		if err != nil || now.Sub(found.Created) < ResendWindow {
+			return nil, found, err
+		}
+	}
+	return conditions, nil, nil
+}
+
+func ignoreNotFound(err error) error {
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil
+	}
+	return trace.Wrap(err)
+}
+
+// Cancel ends a running job and returns the job in its final state, which is
+// another one when completion or expiry came first.
+func (s *Store) Cancel(ctx context.Context, id string) (*Job, error) {
+	return s.finish(ctx, id, StatusCancelled, nil)
+}
+
+// Expire ends a running job after its deadline.
+func (s *Store) Expire(ctx context.Context, id string) (*Job, error) {
+	return s.finish(ctx, id, StatusExpired, nil)
+}
+
+// Complete ends a running job if all its chunks are done, and reports whether
+// the job has ended in any way.
+func (s *Store) Complete(ctx context.Context, id string) (bool, error) {
+	j, err := s.Job(ctx, id)
+	if err != nil {
+		return false, trace.Wrap(err)
+	}
+	if j.Status.Final() {
+		return true, nil
+	}
+	chunks, err := s.DoneChunks(ctx, id)
+	if err != nil || len(chunks) < j.Chunks() {
+		return false, trace.Wrap(err)
+	}
+	_, err = s.finish(ctx, id, StatusCompleted, countsOf(j, chunks))
+	return err == nil, trace.Wrap(err)
+}
+
+func countsOf(j *Job, done []Chunk) *Counts {
+	c := &Counts{Total: j.Items}
+	for i := range done {
+		c.Completed += done[i].Completed
+		c.Failed += done[i].Failed
+	}
+	return c
+}
+
+// finish moves a running job to a final state by a conditional write of its
+// row, together with its removal from the index.
+func (s *Store) finish(ctx context.Context, id string, status Status, counts *Counts) (*Job, error) {
+	var b backoff
+	for {
+		j, err := s.tryFinish(ctx, id, status, counts)
+		if err == nil || !(transient(err) || errors.Is(err, platform.ErrConflict)) {
+			return j, err
+		}
+		if b.wait(ctx) != nil {
+			return nil, trace.Wrap(err)
+		}
+	}
+}
+
+func (s *Store) tryFinish(ctx context.Context, id string, status Status, counts *Counts) (*Job, error) {
+	j, err := s.Job(ctx, id)
+	if err != nil || j.Status.Final() {
+		return j, trace.Wrap(err)
+	}
+	j.Status = status
+	j.Counts = counts
+	j.Ended = time.Now().UTC()
+	index, err := s.indexWrites(ctx, j)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	writes := append([]platform.Write{{Key: jobKey(id), Value: mustJSON(j), IfVersion: j.Version}}, index...)
+	versions, err := s.table.Commit(ctx, platform.Transaction{Writes: writes})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	j.Version = versions[0]
+	return j, nil
+}
+
+// List returns at most limit jobs of an organisation, the newest first, after
+// the job with the id after, and whether there are more.
+func (s *Store) List(ctx context.Context, org, after string, limit int) ([]*Job, bool, error) {
+	cursor := ""
+	if after != "" {
+		j, err := s.Job(ctx, after)
+		if err != nil {
+			return nil, false, trace.Wrap(err)
+		}
+		cursor = orgJobKey(org, j.Created, j.ID)
+	}
+	rows, err := retry(ctx, func() ([]platform.Row, error) {
+		return s.table.Scan(ctx, orgJobsKey(org), cursor, limit+1)
+	})
+	if err != nil {
+		return nil, false, trace.Wrap(err)
+	}
+	more := len(rows) > limit
+	jobs := make([]*Job, 0, limit)
+	for _, row := range rows[:min(limit, len(rows))] {
+		j, err := s.Job(ctx, row.Key[strings.LastIndexByte(row.Key, '/')+1:])
+		if errors.Is(err, platform.ErrNotFound) { // removed meanwhile
+			continue
+		}
+		if err != nil {
+			return nil, false, trace.Wrap(err)
+		}
+		jobs = append(jobs, j)
+	}
+	return jobs, more, nil
+}
+
+// mustJSON encodes a value that has only strings, numbers, times and lists.
+func mustJSON(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
--- /dev/null
+++ b/job/store_test.go
@@ -0,0 +1,243 @@
+package job
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/magnoliausher/magnoliausher/finding"
+	"github.com/magnoliausher/magnoliausher/platform"
+)
+
+const testModel = "m1"
+
+// inputLines gives n valid lines of chat items.
+func inputLines(n int) string {
+	var b strings.Builder
+	for i := range n {
+		fmt.Fprintf(&b, `{"custom_id":"i%d","method":"POST","url":%q,"body":{"model":%q,"messages":[]}}`+"\n",
+			i, EndpointChat, testModel)
+	}
+	return b.String()
+}
+
+func submit(t testing.TB, s *Store, n int, key string) *Job {
+	t.Helper()
+	ctx := context.Background()
+	f, err := s.Upload(ctx, "org", "caller", "in.jsonl", strings.NewReader(inputLines(n)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	j, err := s.Submit(ctx, submission(f, key))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return j
+}
+
+func submission(f *File, key string) Submission {
+	return Submission{
+		Organisation: f.Organisation, Caller: f.Caller, FileID: f.ID, Endpoint: f.Endpoint,
+		Service: testModel, Window: 24 * time.Hour, IdempotencyKey: key,
+	}
+}
+
+// testResults gives results of a chunk that name the claim.
+func testResults(c *Claim) Results {
+	n := c.Job.chunkLen(c.Chunk.Index)
+	return Results{Output: bytes.Repeat([]byte(c.Chunk.ClaimID+"\n"), n), Completed: n}
+}
+
+// TestLifecycle guards against losing items between upload and output.
+func TestLifecycle(t *testing.T) {
+	ctx := context.Background()
+	s := NewStore(newFake())
+	j := submit(t, s, 250, "")
+	for i := range j.Chunks() {
+		c, err := s.Claim(ctx, j, Chunk{Index: i}, "a")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := s.Commit(ctx, c, testResults(c)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if ended, err := s.Complete(ctx, j.ID); !ended || err != nil {
+		t.Fatal(ended, err)
+	}
+	got, err := s.Job(ctx, j.ID)
+	if err != nil || got.Status != StatusCompleted || *got.Counts != (Counts{Total: 250, Completed: 250}) {
+		t.Fatalf("%+v %v", got, err)
+	}
+	var out bytes.Buffer
+	if err := s.WriteResults(ctx, got, false, &out); err != nil || bytes.Count(out.Bytes(), []byte("\n")) != 250 {
+		t.Fatal(out.Len(), err)
+	}
+}
+
+// TestResend guards against a resend that creates a second job, with and
+// without a key, also across the edge of a period and after lost answers.
+func TestResend(t *testing.T) {
+	for _, kind := range []fault{faultNone, faultDown, faultLost, faultLate, faultThrottled} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFake()
+			s := NewStore(f)
+			time.Sleep(59 * time.Minute) // near the edge of a period
+			failures := 2
+			f.setFault(func(op, key string) fault {
+				if op != "commit" || !strings.HasPrefix(key, jobPrefix) || failures == 0 {
+					return faultNone
+				}
+				failures--
+				return kind
+			})
+			first := submit(t, s, 1, "")
+			time.Sleep(30 * time.Minute)
+			if again := submit(t, s, 1, ""); again.ID != first.ID {
+				t.Errorf("fault %d: resend after 30 min got another job", kind)
+			}
+			keyed := submit(t, s, 1, "k")
+			time.Sleep(31 * time.Minute)
+			if again := submit(t, s, 1, ""); again.ID == first.ID {
+				t.Errorf("fault %d: a new submission after 61 min got the old job", kind)
+			}
+			if again := submit(t, s, 1, "k"); again.ID != keyed.ID {
+				t.Errorf("fault %d: resend with key got another job", kind)
+			}
+			if jobs, _, err := s.List(t.Context(), "org", "", 10); err != nil || len(jobs) != 3 {
+				t.Errorf("fault %d: %d jobs, %v", kind, len(jobs), err)
+			}
+			file, _ := s.Upload(t.Context(), "org", "caller", "x", strings.NewReader(inputLines(2)))
+			if _, err := s.Submit(t.Context(), submission(file, "k")); !errors.Is(err, ErrMismatch) {
+				t.Errorf("key with other input: %v", err)
+			}
+		})
+	}
+}
+
+// TestUploadFindings guards against accepting bad lines and against reporting
+// only the first one.
+func TestUploadFindings(t *testing.T) {
+	good := `{"custom_id":"a","method":"POST","url":"/v1/completions","body":{"model":"m"}}`
+	cases := []struct{ line, want string }{
+		{`{`, "in:2: not a JSON object"},
+		{strings.Replace(good, `"a"`, `""`, 1), "in:2: custom_id: missing"},
+		{good, `in:2: custom_id: "a": used by an earlier line`},
+		{strings.Replace(good, "POST", "GET", 1), `method: "GET": must be POST`},
+		{strings.Replace(good, "/v1/completions", "/v1/chat/completions", 1), "differs from the first line's /v1/completions"},
+		{strings.Replace(good, "/v1/completions", "/v1/x", 1), "not an endpoint"},
+		{strings.Replace(good, `"model":"m"`, `"model":"n"`, 1), `body.model: "n": differs`},
+		{strings.Replace(good, `"model":"m"`, `"model":"m","stream":true`, 1), "body.stream"},
+		{strings.Repeat("x", MaxLineBytes+2), "in:2: longer than 1 MiB"},
+	}
+	var all []string
+	for _, c := range cases {
+		all = append(all, c.line)
+		f := newFake()
+		_, err := NewStore(f).Upload(t.Context(), "org", "caller", "in", strings.NewReader(good+"\n"+c.line))
+		if err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%.80s: got %v, want %q", c.line, err, c.want)
+		}
+		if len(f.rows) != 0 || len(f.objects) != 0 {
+			t.Errorf("%.80s: left rows or objects", c.line)
+		}
+	}
+	_, err := NewStore(newFake()).Upload(t.Context(), "org", "caller", "in",
+		strings.NewReader(good+"\n"+strings.Join(all, "\n")))
+	var list finding.List
+	if !errors.As(err, &list) || len(list) < len(cases) {
+		t.Errorf("findings of all lines: %d, want at least %d", len(list), len(cases))
+	}
+}
+
+// TestFencing guards against results of a holder that was paused past its
+// claim's expiry, and against commits after a cancel.
+func TestFencing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := t.Context()
+		s := NewStore(newFake())
+		j := submit(t, s, 150, "")
+		paused, _ := s.Claim(ctx, j, Chunk{}, "a")
+		o := NewObserver()
+		seen := paused.Chunk
+		if o.Expired(j.ID, seen, time.Now()) {
+			t.Fatal("expired at first sight")
+		}
+		time.Sleep(ClaimExpiry)
+		if !o.Expired(j.ID, seen, time.Now()) {
+			t.Fatal("not expired after 60 s")
+		}
+		taken, err := s.Claim(ctx, j, seen, "b")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := s.Commit(ctx, paused, testResults(paused)); !errors.Is(err, ErrLost) {
+			t.Errorf("commit of a paused holder: %v", err)
+		}
+		if err := s.Renew(ctx, paused); !errors.Is(err, ErrLost) {
+			t.Errorf("renewal of a paused holder: %v", err)
+		}
+		if err := s.Commit(ctx, taken, testResults(taken)); err != nil {
+			t.Errorf("commit of the new holder: %v", err)
+		}
+		late, _ := s.Claim(ctx, j, Chunk{Index: 1}, "b")
+		if c, err := s.Cancel(ctx, j.ID); err != nil || c.Status != StatusCancelled {
+			t.Fatal(c, err)
+		}
+		if err := s.Commit(ctx, late, testResults(late)); !errors.Is(err, ErrLost) {
+			t.Errorf("commit after cancel: %v", err)
+		}
+		if done, _ := s.DoneChunks(ctx, j.ID); len(done) != 1 || done[0].ClaimID != taken.Chunk.ClaimID {
+			t.Errorf("done chunks: %+v", done)
+		}
+	})
+}
+
+// TestLostAnswers guards against a holder that takes its own write, whose
+// answer was lost or which arrived late, for the write of another one.
+func TestLostAnswers(t *testing.T) {
+	for _, kind := range []fault{faultDown, faultLost, faultThrottled, faultLate} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx := t.Context()
+			f := newFake()
+			s := NewStore(f)
+			j := submit(t, s, 100, "")
+			c, err := s.Claim(ctx, j, Chunk{}, "a")
+			if err != nil {
+				t.Fatal(err)
+			}
+			steps := []func() error{
+				func() error { return s.Renew(ctx, c) },
+				func() error { return s.Intend(ctx, c, []int{1, 2}) },
+				func() error { return s.Commit(ctx, c, testResults(c)) },
+			}
+			for i, step := range steps {
+				failures := 1
+				f.setFault(func(op, _ string) fault {
+					if op != "commit" || failures == 0 {
+						return faultNone
+					}
+					failures--
+					return kind
+				})
+				for step() != nil {
+					if err := step(); err != nil && !transient(err) {
+						t.Fatalf("fault %d, step %d: %v", kind, i, err)
+					}
+					time.Sleep(700 * time.Millisecond)
+				}
+				time.Sleep(2 * time.Second) // a late write arrives
+			}
+			if done, _ := s.DoneChunks(ctx, j.ID); len(done) != 1 || done[0].ClaimID != c.Chunk.ClaimID {
+				t.Errorf("fault %d: %+v", kind, done)
+			}
+		})
+	}
+}
+
+var _ platform.Platform = (*fake)(nil)
