Assemble daemons and the demo fleet

Cause: the roles exist as libraries; nothing starts them together yet. Change: package daemon builds entry and agent from their settings, with graceful shutdown; package demo starts a whole fleet on loopback with stand-ins, sends online, non-repeatable and batch work and checks every answer.

--- /dev/null
+++ b/daemon/agent.go
@@ -0,0 +1,141 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/magnoliausher/magnoliausher/agent"
+	"github.com/magnoliausher/magnoliausher/contract"
+	"github.com/magnoliausher/magnoliausher/link"
+	"github.com/magnoliausher/magnoliausher/poison"
+	"github.com/magnoliausher/magnoliausher/settings"
+	"github.com/magnoliausher/magnoliausher/upstream"
+)
+
+// Agent is the process beside one upstream.
+type Agent struct {
+	settings *settings.Agent
+	logger   zerolog.Logger
+	agent    *agent.Agent
+	server   *http.Server
+	listener net.Listener
+}
+
+// NewAgent opens the agent's listener; Run serves it.
+func NewAgent(s *settings.Agent, logger zerolog.Logger) (*Agent, error) {
+	config, err := s.TLS.Config()
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	holder := &contract.Holder{}
+	suspects := poison.NewTable(poison.Config{})
+	a, err := agent.New(agent.Config{
+		ID:              s.Instance.ID,
+		DataCentre:      s.Instance.DataCentre,
+		Service:         s.Service,
+		Kind:            contract.Kind(s.Kind),
+		Slots:           s.Slots,
+		Engine:          upstream.NewEngine(upstream.EngineConfig{BaseURL: "http://" + s.Upstream, ProgressTimeout: s.ProgressTimeout}),
+		Plain:           upstream.NewPlain(upstream.PlainConfig{BaseURL: "http://" + s.Upstream, ProgressTimeout: s.ProgressTimeout}),
+		Holder:          holder,
+		Logger:          logger,
+		NewControl:      newControl(s, holder, suspects, logger),
+		Suspects:        agentSuspects{suspects},
+		QueueLimit:      s.QueueLength,
+		ProgressTimeout: s.ProgressTimeout,
+		ProbeInterval:   s.HealthInterval,
+	})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	server, err := link.NewServer(a.Handler(), config)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	l, err := listen(s.Instance.Listen)
+	if err != nil {
+		return nil, err
+	}
+	return &Agent{settings: s, logger: logger, agent: a, server: server, listener: l}, nil
+}
+
+func newControl(s *settings.Agent, holder *contract.Holder, suspects *poison.Table, logger zerolog.Logger) func(agent.ControlDeps) agent.Control {
+	return func(d agent.ControlDeps) agent.Control {
+		return control{link.NewAgentSide(link.AgentSideConfig{
+			ID:          s.Instance.ID,
+			DataCentre:  s.Instance.DataCentre,
+			Service:     s.Service,
+			Incarnation: d.Incarnation,
+			Load:        d.Load,
+			Holder:      holder,
+			Suspects:    suspects,
+			Logger:      logger,
+		})}
+	}
+}
+
+// Address returns the agent's IP address and port.
+func (d *Agent) Address() string { return d.listener.Addr().String() }
+
+// Run serves until ctx ends, then finishes the work in progress.
+func (d *Agent) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, background := errgroup.WithContext(background)
+	group.Go(func() error { return d.agent.Run(background) })
+	group.Go(func() error { return serve(d.server, d.listener) })
+	group.Go(func() error {
+		select {
+		case <-background.Done(): // another part failed
+		case <-ctx.Done():
+			d.drain()
+		}
+		shutdown(d.server)
+		stop()
+		return nil
+	})
+	d.logger.Info().Str("address", d.Address()).Str("service", d.settings.Service).Msg("agent started")
+	return trace.Wrap(group.Wait())
+}
+
+func (d *Agent) drain() {
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.DrainTimeout)
+	defer cancel()
+	start := time.Now()
+	err := d.agent.Drain(ctx)
+	d.logger.Info().Err(err).Dur("took", time.Since(start)).Msg("agent drained")
+}
+
+// control adapts the links to the agent's view of them.
+type control struct{ *link.AgentSide }
+
+// Demands converts the demands of the links.
+func (c control) Demands() []agent.EntryDemand {
+	demands := c.AgentSide.Demands()
+	out := make([]agent.EntryDemand, 0, len(demands))
+	for _, d := range demands {
+		out = append(out, agent.EntryDemand(d))
+	}
+	return out
+}
+
+// agentSuspects adapts the table of suspects to the agent.
+type agentSuspects struct{ *poison.Table }
+
+// Status converts the status of the table.
+func (s agentSuspects) Status(fingerprint uint64, now time.Time) agent.SuspectStatus {
+	switch s.Table.Status(fingerprint, now) {
+	case poison.Blocked:
+		return agent.Blocked
+	case poison.Suspect:
+		return agent.Suspect
+	default:
+		return agent.Clear
+	}
+}
--- /dev/null
+++ b/daemon/entry.go
@@ -0,0 +1,260 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/magnoliausher/magnoliausher/contract"
+	"github.com/magnoliausher/magnoliausher/entry"
+	"github.com/magnoliausher/magnoliausher/idempotency"
+	"github.com/magnoliausher/magnoliausher/instance"
+	"github.com/magnoliausher/magnoliausher/link"
+	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/poison"
+	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
+	"github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1/magnoliausherv1connect"
+	"github.com/magnoliausher/magnoliausher/settings"
+)
+
+// Peers asked for the configuration at start, and the pause between rounds.
+const (
+	configPeers      = 3
+	configRetryPause = 500 * time.Millisecond
+)
+
+// Entry is the process that callers and operators talk to.
+type Entry struct {
+	settings *settings.Entry
+	logger   zerolog.Logger
+
+	holder   *contract.Holder
+	platform *platform.Limited
+	members  *instance.Table
+	links    *link.EntrySide
+	entry    *entry.Entry
+	intents  *idempotency.Store
+	poller   *contract.Poller
+	fetcher  link.Fetcher
+
+	server       *http.Server
+	listener     net.Listener
+	peerServer   *http.Server // nil without a peer address
+	peerListener net.Listener
+}
+
+// NewEntry opens the entry's listeners; Run serves them.
+func NewEntry(s *settings.Entry, logger zerolog.Logger) (*Entry, error) {
+	config, err := s.TLS.Config()
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	client, err := platform.NewClient(platform.ClientConfig{BaseURL: "http://" + s.Platform.Address, Timeout: s.Platform.Timeout})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	limited := platform.NewLimited(client, platform.LimitConfig{
+		ReadsPerSecond:  float64(s.Platform.ReadsPerSecond),
+		WritesPerSecond: float64(s.Platform.WritesPerSecond),
+	})
+	d := &Entry{
+		settings: s,
+		logger:   logger,
+		holder:   &contract.Holder{},
+		platform: limited,
+		members:  instance.NewTable(instance.Config{}),
+		intents:  idempotency.New(idempotency.Config{Table: limited, Objects: limited.Objects()}),
+		fetcher:  link.Fetcher{TLS: config},
+	}
+	suspects := poison.NewTable(poison.Config{})
+	d.links = link.NewEntrySide(link.EntrySideConfig{
+		ID:              s.Instance.ID,
+		DataCentre:      s.Instance.DataCentre,
+		Incarnation:     newIncarnation(),
+		Holder:          d.holder,
+		Suspects:        suspects,
+		Members:         d.members,
+		TLS:             config,
+		Logger:          logger,
+		LinksPerService: s.LinksPerService,
+	})
+	store := contract.NewStore(limited)
+	d.poller = contract.NewPoller(store, d.holder, contract.PollerConfig{Log: logger})
+	d.entry = entry.New(entry.Config{
+		ID:             s.Instance.ID,
+		DataCentre:     s.Instance.DataCentre,
+		Runner:         d.links,
+		Fleet:          d.links,
+		Holder:         d.holder,
+		Idempotency:    d.intents,
+		Suspects:       entrySuspects{suspects},
+		Logger:         logger,
+		MaxBodyBytes:   s.MaxBodyBytes,
+		AcceptTimeout:  s.AcceptTimeout,
+		EngineProgress: s.ProgressTimeout,
+	})
+	d.server = &http.Server{Handler: d.entry.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	return d, d.open()
+}
+
+func (d *Entry) open() error {
+	var err error
+	if d.listener, err = listen(d.settings.Instance.Listen); err != nil {
+		return err
+	}
+	if d.settings.Instance.PeerListen == "" {
+		return nil
+	}
+	if d.peerServer, err = link.NewServer(peerHandler(d.links), d.fetcher.TLS); err != nil {
+		return trace.Wrap(err)
+	}
+	d.peerListener, err = listen(d.settings.Instance.PeerListen)
+	return err
+}
+
+// peerHandler serves the configuration to other instances.
+func peerHandler(links *link.EntrySide) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(magnoliausherv1connect.NewPeerHandler(links, link.HandlerOptions()...))
+	return mux
+}
+
+// PeerAddress returns the IP address and port for peers, or "" without one.
+func (d *Entry) PeerAddress() string {
+	if d.peerListener == nil {
+		return ""
+	}
+	return d.peerListener.Addr().String()
+}
+
+// Ready reports whether the entry has a configuration and a ready upstream of
+// each of its services.
+func (d *Entry) Ready() bool {
+	ix := d.holder.Current()
+	if ix == nil {
+		return false
+	}
+	for i := range ix.Document.Services {
+		if !d.hasReadyUpstream(ix.Document.Services[i].Name) {
+			return false
+		}
+	}
+	return true
+}
+
+func (d *Entry) hasReadyUpstream(service string) bool {
+	for _, u := range d.links.Upstreams(service) {
+		if u.Connected && u.Load.GetState() == rpc.UpstreamState_UPSTREAM_STATE_READY {
+			return true
+		}
+	}
+	return false
+}
+
+// Address returns the IP address and port for callers.
+func (d *Entry) Address() string { return d.listener.Addr().String() }
+
+// Run serves until ctx ends, then finishes the requests in progress.
+func (d *Entry) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, background := errgroup.WithContext(background)
+	group.Go(func() error { return untilDone(background, d.members.Poll(background, d.platform, d.logger)) })
+	group.Go(func() error { return untilDone(background, d.links.Serve(background)) })
+	group.Go(func() error { d.poller.Run(background); return nil })
+	group.Go(func() error { d.entry.Run(background); return nil })
+	group.Go(func() error { d.fetchConfig(background); return nil })
+	group.Go(func() error { return serve(d.server, d.listener) })
+	if d.peerServer != nil {
+		group.Go(func() error { return serve(d.peerServer, d.peerListener) })
+	}
+	group.Go(func() error {
+		select {
+		case <-background.Done(): // another part failed
+		case <-ctx.Done():
+			d.drain()
+		}
+		d.shutdown()
+		stop()
+		return nil
+	})
+	d.logger.Info().Str("address", d.Address()).Msg("entry started")
+	return trace.Wrap(group.Wait())
+}
+
+// fetchConfig asks peers for the configuration until the process has one, so
+// that it becomes ready while the platform is down.
+func (d *Entry) fetchConfig(ctx context.Context) {
+	for ctx.Err() == nil {
+		addresses := append([]string(nil), d.settings.Peers...)
+		for _, m := range d.members.Members(platform.RoleAgent, time.Now()) {
+			addresses = append(addresses, m.Address)
+		}
+		if doc, err := d.fetcher.Highest(ctx, addresses, configPeers); err == nil {
+			d.holder.Offer(doc)
+		}
+		if d.holder.Version() > 0 {
+			return
+		}
+		pause(ctx, configRetryPause)
+	}
+}
+
+func (d *Entry) drain() {
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.DrainTimeout)
+	defer cancel()
+	start := time.Now()
+	d.links.SetLeaving()
+	err := d.entry.Drain(ctx)
+	d.logger.Info().Err(err).Dur("took", time.Since(start)).Msg("entry drained")
+}
+
+func (d *Entry) shutdown() {
+	shutdown(d.server)
+	if d.peerServer != nil {
+		shutdown(d.peerServer)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	d.intents.Close(ctx)
+}
+
+// untilDone drops the error that a loop returns because ctx has ended.
+func untilDone(ctx context.Context, err error) error {
+	if ctx.Err() != nil && errors.Is(err, ctx.Err()) {
+		return nil
+	}
+	return trace.Wrap(err)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// entrySuspects adapts the table of suspects to the entry.
+type entrySuspects struct{ *poison.Table }
+
+const blockedReason = "the request was in progress at two upstream crashes"
+
+// Status converts the status of the table.
+func (s entrySuspects) Status(fingerprint uint64, now time.Time) (suspect bool, blockedFor time.Duration, reason string) {
+	switch s.Table.Status(fingerprint, now) {
+	case poison.Blocked:
+		return true, s.Remaining(fingerprint, now), blockedReason
+	case poison.Suspect:
+		return true, 0, ""
+	default:
+		return false, 0, ""
+	}
+}
--- /dev/null
+++ b/demo/demo.go
@@ -0,0 +1,310 @@
+package demo
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/rs/zerolog"
+
+	"github.com/magnoliausher/magnoliausher/contract"
+	"github.com/magnoliausher/magnoliausher/job"
+	"github.com/magnoliausher/magnoliausher/job/client"
+	"github.com/magnoliausher/magnoliausher/keys"
+	"github.com/magnoliausher/magnoliausher/metric"
+	"github.com/magnoliausher/magnoliausher/standin/engine"
+)
+
+// The demo's load.
+const (
+	entryCount     = 3
+	batchItems     = 1500
+	batchTokens    = 60
+	onlineTokens   = 40
+	onlineInterval = 60 * time.Millisecond
+	burstRequests  = 250
+	onlineFor      = 9 * time.Second
+	burstAt        = 3 * time.Second
+	crashAt        = 5 * time.Second
+	onceCalls      = 5
+	totalTimeout   = 60 * time.Second
+	pollInterval   = 200 * time.Millisecond
+	callerID       = "demo"
+	promptWords    = 40
+)
+
+// Result is the last line of the demo.
+type Result struct {
+	OnlineOK           int     `json:"online_ok"`
+	OnlineFailed       int     `json:"online_failed"`
+	BatchItems         int     `json:"batch_items"`
+	BatchCompletedOnce int     `json:"batch_completed_once"`
+	Preemptions        uint64  `json:"preemptions"`
+	TTFTP95MS          float64 `json:"ttft_p95_ms"`
+	ITLP95MS           float64 `json:"itl_p95_ms"`
+	OnceOK             int     `json:"once_ok"` // non-repeatable calls, each sent twice, that ran once
+}
+
+// Kept reports whether every guarantee held.
+func (r Result) Kept() bool {
+	return r.OnlineFailed == 0 && r.BatchCompletedOnce == r.BatchItems && r.OnceOK == onceCalls
+}
+
+// WithCaller returns a copy of the document with one more caller that holds the
+// key and may do everything.
+func WithCaller(doc *contract.Document, key string) *contract.Document {
+	out := *doc
+	out.Callers = append(append([]contract.Caller(nil), doc.Callers...), contract.Caller{
+		ID: callerID, Organisation: callerID, KeySHA256: contract.HashKey(key),
+		RatePerSecond: 10000, Burst: 10000, MaxInProgress: 10000,
+		Classes:  []contract.Class{contract.ClassOnline, contract.ClassBatch},
+		Operator: true,
+	})
+	return &out
+}
+
+// Run runs the demo on the document's fleet, tells its progress on out, and
+// writes the result as the last line.
+func Run(ctx context.Context, doc *contract.Document, out io.Writer) (Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, totalTimeout)
+	defer cancel()
+	key := keys.NewCallerKey()
+	fleetCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	fleet, err := Start(fleetCtx, FleetConfig{Document: WithCaller(doc, key), Entries: entryCount, Logger: zerolog.Nop()})
+	if err != nil {
+		return Result{}, err
+	}
+	if err := fleet.WaitReady(ctx); err != nil {
+		return Result{}, err
+	}
+	d := &run{fleet: fleet, out: out, key: key, start: time.Now(), engineService: engineService(doc)}
+	d.say("fleet ready: %d entries, %d engines, %d plain services", len(fleet.Entries), len(fleet.Engines), len(fleet.Services))
+	result, err := d.run(ctx, doc)
+	stop()
+	if waitErr := fleet.Wait(); err == nil {
+		err = waitErr
+	}
+	if err != nil {
+		return result, err
+	}
+	line, err := json.Marshal(result)
+	if err != nil {
+		return result, trace.Wrap(err)
+	}
+	_, err = fmt.Fprintf(out, "%s\n", line)
+	return result, trace.Wrap(err)
+}
+
+type run struct {
+	fleet         *Fleet
+	out           io.Writer
+	key           string
+	start         time.Time
+	engineService *contract.Service
+}
+
+func engineService(doc *contract.Document) *contract.Service {
+	for i := range doc.Services {
+		if doc.Services[i].Kind == contract.KindEngine {
+			return &doc.Services[i]
+		}
+	}
+	return nil
+}
+
+func (d *run) say(format string, args ...any) {
+	fmt.Fprintf(d.out, "%5.1fs  %s\n", time.Since(d.start).Seconds(), fmt.Sprintf(format, args...))
+}
+
+func (d *run) run(ctx context.Context, doc *contract.Document) (Result, error) {
+	addresses := make([]string, 0, len(d.fleet.Entries))
+	for _, e := range d.fleet.Entries {
+		addresses = append(addresses, e.Address())
+	}
+	batch := &client.Client{BaseURL: "http://" + addresses[0], Key: d.key}
+	batchID, err := d.submit(ctx, batch)
+	if err != nil {
+		return Result{}, err
+	}
+	c := newCaller(addresses, d.key)
+	d.online(ctx, c)
+	onceOK := d.once(ctx, c, doc)
+	c.inFlight.Wait()
+	ok, failed := c.counts()
+	d.say("online done: %d answered, %d failed", ok, failed)
+	for _, f := range c.failures {
+		d.say("failure: %s", f)
+	}
+	completed, err := d.finishBatch(ctx, batch, batchID)
+	if err != nil {
+		return Result{}, err
+	}
+	return Result{
+		OnlineOK: ok, OnlineFailed: failed,
+		BatchItems: batchItems, BatchCompletedOnce: completed,
+		Preemptions: metric.Sum(metric.PreemptedName),
+		TTFTP95MS:   percentile(c.firstMS, 0.95), ITLP95MS: percentile(c.gapsMS, 0.95),
+		OnceOK: onceOK,
+	}, nil
+}
+
+// online sends requests at a steady rate with a burst and the loss of an engine.
+func (d *run) online(ctx context.Context, c *caller) {
+	model := d.engineService.Model
+	tick := time.NewTicker(onlineInterval)
+	defer tick.Stop()
+	begin := time.Now()
+	burst, crash := false, false
+	for n := 0; time.Since(begin) < onlineFor; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		c.start(ctx, model, prompt("question", n), onlineTokens)
+		if !burst && time.Since(begin) > burstAt {
+			burst = true
+			d.say("burst of %d online requests", burstRequests)
+			for i := range burstRequests {
+				c.start(ctx, model, prompt("burst", i), onlineTokens)
+			}
+		}
+		if !crash && time.Since(begin) > crashAt {
+			crash = true
+			node := d.fleet.Engines[0]
+			d.say("upstream of %s crashes", node.AgentID)
+			node.Engine.Crash(restartDelay)
+		}
+	}
+}
+
+// once sends calls that must not be repeated, each twice, and returns how many
+// ran exactly once.
+func (d *run) once(ctx context.Context, c *caller, doc *contract.Document) int {
+	done := 0
+	for i := range doc.Services {
+		svc := &doc.Services[i]
+		if len(svc.NonRepeatable) == 0 {
+			continue
+		}
+		path := "/services/" + svc.Name + svc.NonRepeatable[0].Path
+		for n := range onceCalls {
+			if err := c.once(ctx, path, fmt.Sprintf("demo-%d", n), d.executions); err != nil {
+				d.say("failure: %v", err)
+				continue
+			}
+			done++
+		}
+		d.say("%s: %d calls sent twice each, %d ran once", path, onceCalls, done)
+		break
+	}
+	return done
+}
+
+func (d *run) executions(body []byte) int {
+	total := 0
+	for _, s := range d.fleet.Services {
+		total += s.ByBody(body)
+	}
+	return total
+}
+
+func prompt(kind string, n int) string {
+	return strings.TrimSpace(fmt.Sprintf("%s %d %s", kind, n, strings.Repeat("word ", promptWords)))
+}
+
+func (d *run) submit(ctx context.Context, c *client.Client) (string, error) {
+	var lines bytes.Buffer
+	for n := range batchItems {
+		item := map[string]any{
+			"custom_id": itemID(n), "method": "POST", "url": job.EndpointChat,
+			"body": map[string]any{
+				"model": d.engineService.Model, "max_tokens": batchTokens,
+				"messages": []map[string]string{{"role": "user", "content": prompt("item", n)}},
+			},
+		}
+		if err := json.NewEncoder(&lines).Encode(item); err != nil {
+			return "", trace.Wrap(err)
+		}
+	}
+	file, err := c.Upload(ctx, "items.jsonl", &lines)
+	if err != nil {
+		return "", trace.Wrap(err)
+	}
+	batch, err := c.Create(ctx, job.CreateRequest{InputFileID: file.ID, Endpoint: job.EndpointChat, CompletionWindow: "24h"}, "")
+	if err != nil {
+		return "", trace.Wrap(err)
+	}
+	d.say("batch %s accepted with %d items", batch.ID, batchItems)
+	return batch.ID, nil
+}
+
+func itemID(n int) string { return fmt.Sprintf("item-%d", n) }
+
+// finishBatch waits for the batch and returns how many items have exactly one
+// result with the right text.
+func (d *run) finishBatch(ctx context.Context, c *client.Client, id string) (int, error) {
+	lastSaid := time.Now()
+	batch, err := c.Wait(ctx, id, pollInterval, func(b *job.BatchObject) {
+		if time.Since(lastSaid) > time.Second {
+			lastSaid = time.Now()
+			d.say("batch: %d of %d items done", b.RequestCounts.Completed, b.RequestCounts.Total)
+		}
+	})
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	d.say("batch ended as %s", batch.Status)
+	var output bytes.Buffer
+	if err := c.Download(ctx, batch.OutputFileID, &output); err != nil {
+		return 0, trace.Wrap(err)
+	}
+	return countResults(&output)
+}
+
+type outputLine struct {
+	CustomID string `json:"custom_id"`
+	Response struct {
+		Body struct {
+			Choices []struct {
+				Message struct {
+					Content string `json:"content"`
+				} `json:"message"`
+			} `json:"choices"`
+		} `json:"body"`
+	} `json:"response"`
+}
+
+func countResults(r io.Reader) (int, error) {
+	want := make(map[string]string, batchItems)
+	for n := range batchItems {
+		want[itemID(n)] = engine.ExpectedText(prompt("item", n), 0, batchTokens)
+	}
+	seen := make(map[string]int, batchItems)
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		var line outputLine
+		if err := json.Unmarshal(lines.Bytes(), &line); err != nil {
+			return 0, trace.Wrap(err)
+		}
+		choices := line.Response.Body.Choices
+		if len(choices) == 1 && choices[0].Message.Content == want[line.CustomID] {
+			seen[line.CustomID]++
+		}
+	}
+	once := 0
+	for _, n := range seen {
+		if n == 1 {
+			once++
+		}
+	}
+	return once, trace.Wrap(lines.Err())
+}
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -22,7 +23,7 @@
 
 // Preempted counts batch attempts that gave way to online work.
 func Preempted(service string) {
-	metrics.GetOrCreateCounter(fmt.Sprintf(`magnoliausher_preempted_total{service=%q}`, service)).Inc()
+	metrics.GetOrCreateCounter(fmt.Sprintf(`%s{service=%q}`, PreemptedName, service)).Inc()
 }
 
 // FirstToken records the time from a request's arrival to its first token, in seconds.
@@ -43,3 +44,17 @@
 		metrics.WritePrometheus(w, true)
 	})
 }
+
+// Sum adds up all counters of one name, over all labels.
+func Sum(name string) uint64 {
+	var total uint64
+	for _, full := range metrics.ListMetricNames() {
+		if full == name || strings.HasPrefix(full, name+"{") {
+			total += metrics.GetOrCreateCounter(full).Get()
+		}
+	}
+	return total
+}
+
+// PreemptedName is the counter of batch attempts that gave way to online work.
+const PreemptedName = "magnoliausher_preempted_total"
