Run client and stand-in tests in virtual time; fix what they found

Cause: the first tests had real timeouts and failed on a busy machine. In virtual time they showed two faults of the stand-in: an engine that cannot keep up with its speed factor held its lock, and a held request with an unread body did not notice that its client had gone. Conclusion: only the test of a refused connection uses TCP.

--- a/standin/engine/fault.go
+++ b/standin/engine/fault.go
@@ -153,23 +153,32 @@
 	address := listener.Addr().String()
 	for {
 		if err := s.serveBoot(ctx, listener); err != nil || ctx.Err() != nil {
-			return err
+			return endOf(ctx, err)
 		}
 		if err := s.waitUp(ctx); err != nil {
 			return nil // the context ended
 		}
 		var err error
-		if listener, err = relisten(ctx, address); err != nil {
-			return err
+		if listener, err = s.listen(ctx, address); err != nil {
+			return endOf(ctx, err)
 		}
 	}
 }
 
+// endOf drops an error that comes from the end of the context.
+func endOf(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
 // serveBoot serves until a crash or the end of the context.
 func (s *Server) serveBoot(ctx context.Context, listener net.Listener) error {
 	server := &http.Server{
 		Handler:           s.Handler(),
 		ReadHeaderTimeout: 10 * time.Second,
+		BaseContext:       func(net.Listener) context.Context { return ctx },
 		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
 			s.mu.Lock()
 			defer s.mu.Unlock()
@@ -218,9 +227,12 @@
 	}
 }
 
-// relisten opens the address again. Another process can hold it for a moment
+// listen opens the address again after a crash. Another process can hold it for a moment
 // as the source of an outgoing connection.
-func relisten(ctx context.Context, address string) (net.Listener, error) {
+func (s *Server) listen(ctx context.Context, address string) (net.Listener, error) {
+	if s.cfg.Listen != nil {
+		return s.cfg.Listen(ctx)
+	}
 	const (
 		attempts = 100
 		pause    = 50 * time.Millisecond
@@ -234,7 +246,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return nil, nil
+			return nil, ctx.Err()
 		case <-time.After(pause):
 		}
 	}
--- a/standin/engine/handlers.go
+++ b/standin/engine/handlers.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"io"
@@ -58,6 +59,13 @@
 	if down {
 		panic(http.ErrAbortHandler)
 	}
+	// net/http notices a closed connection only after the body has been read.
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "body_unreadable", err.Error())
+		return
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
 	s.hold(r.Context(), s.faults(r.Context()))
 	s.mux.ServeHTTP(w, r)
 }
@@ -73,10 +81,9 @@
 // complete serves /v1/chat/completions and /v1/completions.
 func (s *Server) complete(w http.ResponseWriter, r *http.Request) {
 	faults := s.faults(r.Context())
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	if err != nil {
-		refuse(w, http.StatusBadRequest, "body_unreadable", err.Error())
-		return
+	body, err := io.ReadAll(r.Body)
+	if err != nil { // serveHTTP has read the body
+		panic(err)
 	}
 	prompt, err := upstream.ParsePrompt(body)
 	if err != nil {
@@ -252,7 +259,7 @@
 }
 
 func readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
-	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(into)
+	err := json.NewDecoder(r.Body).Decode(into)
 	if err != nil {
 		refuse(w, http.StatusBadRequest, "body_invalid", err.Error())
 	}
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"math"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -25,6 +27,9 @@
 	KeepAlive     time.Duration // real time; 0 means DefaultKeepAlive
 	Weights       *WeightStore  // nil makes weight loads immediate
 	State         State         // what the engine serves when it starts
+
+	// Listen opens the address of Serve again after a crash; nil means by TCP.
+	Listen func(context.Context) (net.Listener, error)
 }
 
 // Server is a stand-in engine with an HTTP interface. Run drives its time.
@@ -106,21 +111,40 @@
 	}
 }
 
-// advance ends all steps that are due and returns the real time to the next one.
+// maxLag is the virtual time by which the engine may run late, because the
+// machine is too slow for the speed factor. Beyond it the virtual clock slips.
+const maxLag = 100 * time.Millisecond
+
+// advance ends the step in progress if it is due, and returns the real time to
+// the end of the next one. It takes one step at a time, so that handlers get
+// the lock even when the engine runs late.
 func (s *Server) advance() (time.Duration, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for !s.down && !s.silent {
-		next, ok := s.model.Next()
-		if !ok {
-			return 0, false
-		}
-		if now := s.virtualLocked(); next > now {
-			return time.Duration(float64(next-now)/s.cfg.Speed) + 1, true
+	if s.down || s.silent {
+		return 0, false
+	}
+	now := s.virtualLocked()
+	if next, ok := s.model.Next(); ok && next <= now {
+		if lag := now - next; lag > maxLag {
+			s.bootAt += lag - maxLag
 		}
 		s.deliverLocked(s.model.Step())
 	}
-	return 0, false
+	next, ok := s.model.Next()
+	if !ok || s.down {
+		return 0, false
+	}
+	return s.untilLocked(next), true
+}
+
+// untilLocked is the real time to a virtual time, rounded up, or 0.
+func (s *Server) untilLocked(at time.Duration) time.Duration {
+	left := at - s.virtualLocked()
+	if left <= 0 {
+		return 0
+	}
+	return time.Duration(math.Ceil(float64(left) / s.cfg.Speed))
 }
 
 // deliverLocked passes generated tokens to their requests. A token of a poison
--- a/upstream/engine_test.go
+++ b/upstream/engine_test.go
@@ -10,24 +10,19 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/magnoliausher/magnoliausher/standin/engine"
 	"github.com/magnoliausher/magnoliausher/upstream"
 )
 
-const testSpeed = 50
-
-// startEngine serves a stand-in engine on a loopback address until the test ends.
-func startEngine(t *testing.T, cfg engine.Config) (*engine.Server, string) {
+// startEngine serves a stand-in engine in memory until the test ends.
+func startEngine(t *testing.T, cfg engine.Config) (*engine.Server, *upstream.EngineClient) {
 	t.Helper()
-	if cfg.Speed == 0 {
-		cfg.Speed = testSpeed
-	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	var network upstream.PipeNetwork
+	listener, _ := network.Listen(t.Context()) // never fails
+	cfg.Listen = network.Listen
 	s := engine.New(cfg)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
@@ -38,7 +33,12 @@
 			t.Errorf("Serve: %v", err)
 		}
 	})
-	return s, "http://" + listener.Addr().String()
+	return s, upstream.NewEngine(upstream.EngineConfig{BaseURL: "http://engine", Dial: network.Dial})
+}
+
+// bubble runs a test case in virtual time.
+func bubble(t *testing.T, name string, f func(t *testing.T)) {
+	t.Run(name, func(t *testing.T) { synctest.Test(t, f) })
 }
 
 func request(prompt string, tokens int) upstream.GenerateRequest {
@@ -62,106 +62,190 @@
 
 // Guards against a resumed completion with a gap, a repeat, or usage of one attempt only.
 func TestGenerateAndResume(t *testing.T) {
-	_, url := startEngine(t, engine.Config{})
-	client := upstream.NewEngine(upstream.EngineConfig{BaseURL: url})
-	req := request("the oven is cold", 20)
-	for _, delivered := range []int{0, 7, 19} {
-		req.DeliveredTokens = delivered
-		req.DeliveredText = engine.ExpectedText("the oven is cold", 0, delivered)
-		stream, err := client.Generate(t.Context(), req)
+	synctest.Test(t, func(t *testing.T) {
+		_, client := startEngine(t, engine.Config{})
+		req := request("the oven is cold", 20)
+		for _, delivered := range []int{0, 7, 19} {
+			req.DeliveredTokens = delivered
+			req.DeliveredText = engine.ExpectedText("the oven is cold", 0, delivered)
+			stream, err := client.Generate(t.Context(), req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			text, tokens, err := readAll(stream)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if want := engine.ExpectedText("the oven is cold", delivered, 20); text != want || tokens != 20-delivered {
+				t.Errorf("after %d tokens: got %q (%d tokens), want %q", delivered, text, tokens, want)
+			}
+			if want := (upstream.Usage{FinishReason: "length", PromptTokens: 4, OutputTokens: 20}); stream.Usage() != want {
+				t.Errorf("after %d tokens: usage %+v, want %+v", delivered, stream.Usage(), want)
+			}
+			if err := stream.Close(); err != nil {
+				t.Error(err)
+			}
+		}
+	})
+}
+
+// Guards against streams that wait for one another: one whose reader does not
+// read must not hold up the others, on however many connections.
+func TestUnreadStreamBlocksNoOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, client := startEngine(t, engine.Config{})
+		for i := range 20 {
+			unread, err := client.Generate(t.Context(), request(fmt.Sprintf("unread %d", i), 10_000_000))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = unread.Close() }() // ends the test's own stream
+		}
+		for _, prompt := range []string{"a", "b", "c"} {
+			stream, err := client.Generate(t.Context(), request(prompt, 500))
+			if err != nil {
+				t.Fatal(err)
+			}
+			text, _, err := readAll(stream)
+			if err != nil || text != engine.ExpectedText(prompt, 0, 500) {
+				t.Errorf("stream %s: %d bytes, %v", prompt, len(text), err)
+			}
+			_ = stream.Close()
+		}
+		if n := s.InProgress(); n != 20 {
+			t.Errorf("%d requests in progress, want the 20 unread ones", n)
+		}
+	})
+}
+
+// Guards against a closed stream or a cancelled attempt that keeps its slot.
+func TestCloseAndCancelFreeTheSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, client := startEngine(t, engine.Config{})
+		closed, err := client.Generate(t.Context(), request("closed", 1_000_000))
 		if err != nil {
 			t.Fatal(err)
 		}
-		text, tokens, err := readAll(stream)
+		cancelled, err := client.Generate(t.Context(), request("cancelled", 1_000_000))
 		if err != nil {
 			t.Fatal(err)
 		}
-		if want := engine.ExpectedText("the oven is cold", delivered, 20); text != want || tokens != 20-delivered {
-			t.Errorf("after %d tokens: got %q (%d tokens), want %q", delivered, text, tokens, want)
+		if err := closed.Close(); err != nil {
+			t.Error(err)
+		}
+		if ok, err := client.Cancel(t.Context(), "a-cancelled"); !ok || err != nil {
+			t.Errorf("cancel: %v, %v", ok, err)
 		}
-		if want := (upstream.Usage{FinishReason: "length", PromptTokens: 4, OutputTokens: 20}); stream.Usage() != want {
-			t.Errorf("after %d tokens: usage %+v, want %+v", delivered, stream.Usage(), want)
+		var ended *upstream.EngineError
+		if _, _, err := readAll(cancelled); !errors.As(err, &ended) || ended.Code != "cancelled" {
+			t.Errorf("cancelled stream: %v", err)
 		}
-		if err := stream.Close(); err != nil {
-			t.Error(err)
+		_ = cancelled.Close()
+		synctest.Wait() // the close reaches the engine
+		if n := s.InProgress(); n != 0 {
+			t.Errorf("%d requests in progress", n)
 		}
-	}
+		if ok, err := client.Cancel(t.Context(), "a-closed"); ok || err != nil {
+			t.Errorf("second cancel: %v, %v", ok, err)
+		}
+	})
+}
+
+// Guards against a refusal that hides the reason or is taken for a failure.
+func TestRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, client := startEngine(t, engine.Config{CheckFencing: true})
+		order := upstream.Order{Kind: upstream.OrderSetRole, Role: "serve", Fencing: 5}
+		if err := client.Order(t.Context(), order); err != nil {
+			t.Fatal(err)
+		}
+		order.Fencing = 4
+		if err := client.Order(t.Context(), order); !errors.Is(err, upstream.ErrFenced) {
+			t.Errorf("old fencing number: got %v, want ErrFenced", err)
+		}
+		req := request("p", 5)
+		req.DeliveredTokens, req.DeliveredText = 2, "text of another prompt"
+		var status *upstream.StatusError
+		if _, err := client.Generate(t.Context(), req); !errors.As(err, &status) || status.Status != http.StatusBadRequest {
+			t.Errorf("foreign resume text: got %v, want status 400", err)
+		}
+		req.Body = []byte("[]")
+		if _, err := client.Generate(t.Context(), req); !errors.Is(err, upstream.ErrBadBody) || !errors.Is(err, upstream.ErrNotSent) {
+			t.Errorf("bad body: got %v, want ErrBadBody and ErrNotSent", err)
+		}
+	})
 }
 
 // Guards against a refused connection that is reported as a crash, which would
 // forbid a retry and raise a suspect.
 func TestRefusedConnectionIsNotSent(t *testing.T) {
-	s, url := startEngine(t, engine.Config{})
-	client := upstream.NewEngine(upstream.EngineConfig{BaseURL: url})
-	s.Crash(time.Hour)
-	waitRefused(t, url)
-	_, err := client.Generate(t.Context(), request("p", 5))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	if err := listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	client := upstream.NewEngine(upstream.EngineConfig{BaseURL: "http://" + address})
+	_, err = client.Generate(t.Context(), request("p", 5))
 	if !errors.Is(err, upstream.ErrNotSent) || errors.Is(err, upstream.ErrCrashed) {
 		t.Errorf("got %v, want ErrNotSent", err)
 	}
 }
 
-// waitRefused waits until the address refuses connections.
-func waitRefused(t *testing.T, url string) {
-	t.Helper()
-	for {
-		conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
-		if err != nil {
-			return
-		}
-		_ = conn.Close()
-	}
-}
-
 // Guards against a stream broken by a crash that looks complete or silent.
 func TestCrashBreaksStream(t *testing.T) {
-	s, url := startEngine(t, engine.Config{})
-	client := upstream.NewEngine(upstream.EngineConfig{BaseURL: url})
-	before, err := client.Healthy(t.Context())
-	if err != nil {
-		t.Fatal(err)
-	}
-	stream, err := client.Generate(t.Context(), request("p", 100_000))
-	if err != nil {
-		t.Fatal(err)
-	}
-	if _, err := stream.Next(); err != nil {
-		t.Fatal(err)
-	}
-	s.Crash(0)
-	if _, _, err := readAll(stream); !errors.Is(err, upstream.ErrCrashed) {
-		t.Errorf("got %v, want ErrCrashed", err)
-	}
-	for {
-		after, err := client.Healthy(t.Context())
-		if err == nil {
-			if after == before {
-				t.Error("boot id did not change")
-			}
-			return
+	synctest.Test(t, func(t *testing.T) {
+		s, client := startEngine(t, engine.Config{})
+		before, err := client.Healthy(t.Context())
+		if err != nil {
+			t.Fatal(err)
 		}
-	}
+		stream, err := client.Generate(t.Context(), request("p", 100_000))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := stream.Next(); err != nil {
+			t.Fatal(err)
+		}
+		s.Crash(time.Second)
+		if _, _, err := readAll(stream); !errors.Is(err, upstream.ErrCrashed) {
+			t.Errorf("got %v, want ErrCrashed", err)
+		}
+		_ = stream.Close()
+		synctest.Wait()
+		if _, err := client.Healthy(t.Context()); !errors.Is(err, upstream.ErrNotSent) {
+			t.Errorf("during the crash: got %v, want ErrNotSent", err)
+		}
+		time.Sleep(2 * time.Second)
+		if after, err := client.Healthy(t.Context()); err != nil || after == before {
+			t.Errorf("after the restart: boot id %s, was %s, %v", after, before, err)
+		}
+	})
 }
 
 // Guards against a silent engine that holds a request forever.
 func TestSilence(t *testing.T) {
-	s, url := startEngine(t, engine.Config{})
-	client := upstream.NewEngine(upstream.EngineConfig{BaseURL: url, ProgressTimeout: 50 * time.Millisecond})
-	stream, err := client.Generate(t.Context(), request("p", 100_000))
-	if err != nil {
-		t.Fatal(err)
-	}
-	s.SilenceOpen()
-	if _, _, err := readAll(stream); !errors.Is(err, upstream.ErrSilent) {
-		t.Errorf("silenced connection: got %v, want ErrSilent", err)
-	}
-	if _, err := client.Healthy(t.Context()); err != nil {
-		t.Errorf("new connection: %v", err)
-	}
-	s.Silence(0)
-	if _, err := client.Generate(t.Context(), request("q", 5)); !errors.Is(err, upstream.ErrSilent) {
-		t.Errorf("silent engine: got %v, want ErrSilent", err)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		s, client := startEngine(t, engine.Config{})
+		stream, err := client.Generate(t.Context(), request("p", 100_000))
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.SilenceOpen()
+		if _, _, err := readAll(stream); !errors.Is(err, upstream.ErrSilent) {
+			t.Errorf("silenced connection: got %v, want ErrSilent", err)
+		}
+		_ = stream.Close()
+		if _, err := client.Healthy(t.Context()); err != nil {
+			t.Errorf("new connection: %v", err)
+		}
+		s.Silence(0)
+		if _, err := client.Generate(t.Context(), request("q", 5)); !errors.Is(err, upstream.ErrSilent) {
+			t.Errorf("silent engine: got %v, want ErrSilent", err)
+		}
+	})
 }
 
 // Guards against an end of the stream before [DONE] that counts as a whole answer,
@@ -180,9 +264,9 @@
 		{"connection broken before the head", func(http.ResponseWriter) { panic(http.ErrAbortHandler) }, upstream.ErrCrashed},
 	}
 	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
+		bubble(t, c.name, func(t *testing.T) {
 			var calls atomic.Int32
-			client := upstream.NewEngine(upstream.EngineConfig{BaseURL: serve(t, func(w http.ResponseWriter, r *http.Request) {
+			client := upstream.NewEngine(upstream.EngineConfig{BaseURL: "http://engine", Dial: serve(t, func(w http.ResponseWriter, r *http.Request) {
 				calls.Add(1)
 				_, _ = io.Copy(io.Discard, r.Body) // an unread body makes the server reset the connection
 				c.serve(w)
@@ -202,21 +286,13 @@
 	}
 }
 
-func serve(t *testing.T, handler http.HandlerFunc) string {
+// serve runs a handler in memory until the test ends.
+func serve(t *testing.T, handler http.HandlerFunc) upstream.DialFunc {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	var network upstream.PipeNetwork
+	listener, _ := network.Listen(t.Context()) // never fails
 	server := &http.Server{Handler: handler}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = server.Serve(listener) // ends with Close
-	}()
-	t.Cleanup(func() {
-		_ = server.Close()
-		<-done
-	})
-	return "http://" + listener.Addr().String()
+	go func() { _ = server.Serve(listener) }() // ends with Close
+	t.Cleanup(func() { _ = server.Close() })
+	return network.Dial
 }
--- /dev/null
+++ b/upstream/fenced_test.go
@@ -0,0 +1,119 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// orders is an engine that only records orders.
+type orders struct {
+	Engine
+	got []Order
+}
+
+func (o *orders) Order(_ context.Context, order Order) error {
+	o.got = append(o.got, order)
+	return nil
+}
+
+// Guards against an order that is sent before or after the lease, or with the
+// fencing number of an earlier lease.
+func TestFencedSenderKeepsToTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine := &orders{}
+		s := NewFencedSender(engine, 2*time.Second)
+		send := func(want error) {
+			t.Helper()
+			if err := s.Send(t.Context(), Order{Kind: OrderSetRole, Fencing: 99}); !errors.Is(err, want) {
+				t.Errorf("got %v, want %v", err, want)
+			}
+		}
+		send(ErrNoLease)
+		now := time.Now()
+		s.SetLease(OrderLease{Fencing: 4, From: now.Add(time.Second), Until: now.Add(10 * time.Second)})
+		send(ErrNoLease)
+		time.Sleep(time.Second)
+		send(nil)
+		s.SetLease(OrderLease{Fencing: 3, Until: now.Add(time.Hour)})
+		time.Sleep(7*time.Second - 1)
+		send(nil)
+		time.Sleep(1)
+		send(ErrNotSent)
+		if len(engine.got) != 2 || engine.got[0].Fencing != 4 || engine.got[1].Fencing != 4 {
+			t.Errorf("orders %+v", engine.got)
+		}
+	})
+}
+
+// Guards against an order that is written after the lease because the sender
+// paused between its check and the connection.
+func TestFencedSenderChecksBeforeTheFirstByte(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		received := 0
+		client := NewEngine(EngineConfig{BaseURL: "http://engine", ProgressTimeout: time.Hour, Dial: func(context.Context, string, string) (net.Conn, error) {
+			time.Sleep(20 * time.Second) // a pause that the context's deadline does not reach
+			local, remote := net.Pipe()
+			go func() {
+				n, _ := remote.Read(make([]byte, 1))
+				received += n
+			}()
+			return local, nil
+		}})
+		s := NewFencedSender(pausedClock{client}, time.Second)
+		s.SetLease(OrderLease{Fencing: 1, Until: time.Now().Add(10 * time.Second)})
+		err := s.Send(t.Context(), Order{Kind: OrderSetRole})
+		if !errors.Is(err, ErrNotSent) || !errors.Is(err, ErrNoLease) {
+			t.Errorf("got %v, want ErrNotSent and ErrNoLease", err)
+		}
+		synctest.Wait()
+		if received != 0 {
+			t.Errorf("%d bytes were sent", received)
+		}
+	})
+}
+
+// pausedClock removes the deadline, as a pause of the process delays its timers.
+type pausedClock struct{ Engine }
+
+func (p pausedClock) Order(ctx context.Context, order Order) error {
+	return p.Engine.Order(context.WithoutCancel(ctx), order)
+}
+
+// Guards against a caller that is slow to send its body, or to read the answer,
+// and is taken for a silent upstream.
+func TestSlowCallerIsNotSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var network PipeNetwork
+		listener, _ := network.Listen(t.Context())
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			buffer := make([]byte, 16)
+			for {
+				n, err := r.Body.Read(buffer)
+				_, _ = w.Write(buffer[:n])
+				if err != nil {
+					return
+				}
+			}
+		})}
+		go func() { _ = server.Serve(listener) }() // ends with Close
+		defer func() { _ = server.Close() }()
+		client := NewPlain(PlainConfig{BaseURL: "http://service", ProgressTimeout: time.Second, Dial: network.Dial})
+		resp, err := client.Call(t.Context(), http.MethodPost, "/", nil, &slowReader{left: 3, pause: 5 * time.Second})
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(5 * time.Second)
+		if answer, err := io.ReadAll(resp.Body); err != nil || string(answer) != "xxx" {
+			t.Errorf("got %q, %v", answer, err)
+		}
+		if err := resp.Body.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- /dev/null
+++ b/upstream/pipe_test.go
@@ -0,0 +1,81 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// PipeNetwork joins clients and one server in memory, for tests in a synctest bubble.
+type PipeNetwork struct {
+	mu       sync.Mutex
+	listener *pipeListener
+}
+
+var errRefused = errors.New("connection refused")
+
+// Dial connects to the present listener.
+func (n *PipeNetwork) Dial(context.Context, string, string) (net.Conn, error) {
+	n.mu.Lock()
+	l := n.listener
+	n.mu.Unlock()
+	if l == nil {
+		return nil, errRefused
+	}
+	local, remote := net.Pipe()
+	select {
+	case l.conns <- remote:
+		return local, nil
+	case <-l.closed:
+		return nil, errRefused
+	}
+}
+
+// Listen replaces the listener.
+func (n *PipeNetwork) Listen(context.Context) (net.Listener, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.listener = &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+	return n.listener, nil
+}
+
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// slowReader gives single bytes with a pause before each.
+type slowReader struct {
+	left  int
+	pause time.Duration
+}
+
+func (r *slowReader) Read(p []byte) (int, error) {
+	if r.left == 0 {
+		return 0, io.EOF
+	}
+	time.Sleep(r.pause)
+	r.left--
+	p[0] = 'x'
+	return 1, nil
+}
--- a/upstream/plain_test.go
+++ b/upstream/plain_test.go
@@ -21,20 +21,20 @@
 		want  error
 	}{
 		{service.FaultNone, nil},
+		{service.FaultSlow, nil},
 		{service.FaultSilent, upstream.ErrSilent},
 		{service.FaultCrash, upstream.ErrCrashed},
 		{service.FaultTruncated, upstream.ErrTruncated},
 	}
 	for _, c := range cases {
 		for _, method := range []string{http.MethodGet, http.MethodPost} {
-			t.Run(method+" "+string(c.fault), func(t *testing.T) {
+			bubble(t, method+" "+string(c.fault), func(t *testing.T) {
 				s := service.New()
-				url := serve(t, s.Handler().ServeHTTP)
-				client := upstream.NewPlain(upstream.PlainConfig{BaseURL: url, ProgressTimeout: 100 * time.Millisecond})
+				client := upstream.NewPlain(upstream.PlainConfig{BaseURL: "http://service", Dial: serve(t, s.Handler().ServeHTTP)})
 				if err := client.Healthy(t.Context()); err != nil {
 					t.Fatal(err)
 				}
-				s.SetFault(c.fault, -1, 0)
+				s.SetFault(c.fault, -1, upstream.DefaultProgressTimeout-time.Millisecond)
 				header := http.Header{service.AttemptHeader: {"a1"}, "Idempotency-Key": {"k"}}
 				resp, err := client.Call(t.Context(), method, "/orders/7?x=1", header, strings.NewReader("body"))
 				if err == nil {
