Test crashes, silence, drain and slow readers of the agent

Cause: only the whole answer, tickets and preemption had tests. Change: fault tests in synctest, singly and in pairs. A request without fingerprint is never a suspect, one that becomes a suspect while it waits is counted at the hand-over, and silence triggers a probe. Conclusion: in-flight attempts of a crash are reported once and only once.

--- a/agent/fake_test.go
+++ b/agent/fake_test.go
@@ -223,3 +223,17 @@
 	synctest.Wait()
 	return o
 }
+
+// open is the number of streams that the engine runs.
+func (e *fakeEngine) open() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.streams)
+}
+
+// list prints the fingerprints of each crash.
+func (f *fakeSuspects) list() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return fmt.Sprint(f.crashes)
+}
--- /dev/null
+++ b/agent/fault_test.go
@@ -0,0 +1,246 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
+	"github.com/magnoliausher/magnoliausher/upstream"
+)
+
+// Guards against in-flight attempts that survive a crash, a crash reported more
+// than once, and suspects that were not at the upstream.
+func TestCrashFailsAllAndReportsSuspects(t *testing.T) {
+	evidence := map[string]func(e *fakeEngine){
+		"broken streams":   func(e *fakeEngine) { e.crash("2") },
+		"boot id":          func(e *fakeEngine) { e.set(func() { e.boot = "2"; e.silent = true }) },
+		"connection fails": func(e *fakeEngine) { e.set(func() { e.healthy = upstream.ErrNotSent; e.silent = true }) },
+	}
+	for name, crash := range evidence {
+		inBubble(t, 2, func(t *testing.T, r *rig) {
+			r.engine.set(func() { r.engine.length = 0 })
+			var running []*outcome
+			for i := range 3 {
+				req := r.request(online)
+				req.Fingerprint = uint64(i + 1)
+				running = append(running, r.submit(t, req))
+			}
+			time.Sleep(100 * time.Millisecond)
+			crash(r.engine)
+			for _, o := range running[:2] {
+				f := o.last().GetFailed()
+				if !f.GetUpstreamCrashed() || f.GetExecuted() != rpc.Executed_EXECUTED_YES {
+					t.Errorf("%s: running attempt ended with %v", name, o.last())
+				}
+			}
+			if got := running[2].last().GetRefused().GetReason(); got != "upstream_down" {
+				t.Errorf("%s: queued attempt ended with %v", name, running[2].last())
+			}
+			time.Sleep(3 * time.Second)
+			if got := r.suspects.list(); got != "[[1 2]]" {
+				t.Errorf("%s: suspects %s", name, got)
+			}
+			r.engine.set(func() { r.engine.healthy, r.engine.silent, r.engine.length = nil, false, 3 })
+			time.Sleep(time.Second)
+			if again := r.submit(t, r.request(online)); again.last().GetEnd() == nil {
+				t.Errorf("%s: after the restart: %v", name, again.last())
+			}
+		})
+	}
+}
+
+// Guards against a silent upstream that holds attempts forever, and against
+// suspects made from silence.
+func TestSilenceFailsWithoutSuspects(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, r *rig) {
+		req := r.request(online)
+		req.Fingerprint = 5
+		o := r.submit(t, req)
+		time.Sleep(50 * time.Millisecond)
+		r.engine.set(func() { r.engine.silent, r.engine.healthy = true, context.DeadlineExceeded })
+		f := o.last().GetFailed()
+		if f.GetReason() != FailedSilent || f.GetExecuted() != rpc.Executed_EXECUTED_YES {
+			t.Errorf("ended with %v", o.last())
+		}
+		if r.suspects.list() != "[]" {
+			t.Errorf("suspects %s", r.suspects.list())
+		}
+	})
+}
+
+// Guards against a drain that interrupts online work, accepts new work, or
+// waits for batch work.
+func TestDrain(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, r *rig) {
+		r.engine.set(func() { r.engine.length = 50 })
+		item, running := r.submit(t, r.request(batch)), r.submit(t, r.request(online))
+		drained := make(chan error, 1)
+		go func() { drained <- r.Drain(t.Context()) }()
+		synctest.Wait()
+		late := r.submit(t, r.request(online))
+		if got := late.last().GetRefused().GetReason(); got != "leaving" {
+			t.Errorf("new work: %v", late.last())
+		}
+		if !item.last().GetFailed().GetPreempted() {
+			t.Errorf("batch: %v", item.last())
+		}
+		if running.last().GetEnd() == nil {
+			t.Errorf("online: %v", running.last())
+		}
+		if err := <-drained; err != nil {
+			t.Errorf("drain: %v", err)
+		}
+	})
+}
+
+// Guards pairs of faults: a crash or silence during a drain must end the drain,
+// and a second crash right after the first one must be reported on its own.
+func TestPairsOfFaults(t *testing.T) {
+	faults := map[string]func(e *fakeEngine){
+		"crash":   func(e *fakeEngine) { e.crash("2") },
+		"silence": func(e *fakeEngine) { e.set(func() { e.silent = true }) },
+	}
+	for name, fault := range faults {
+		inBubble(t, 2, func(t *testing.T, r *rig) {
+			r.engine.set(func() { r.engine.length = 0 })
+			o := r.submit(t, r.request(online))
+			drained := make(chan error, 1)
+			go func() { drained <- r.Drain(t.Context()) }()
+			time.Sleep(100 * time.Millisecond)
+			fault(r.engine)
+			if o.last().GetFailed() == nil {
+				t.Errorf("%s: %v", name, o.last())
+			}
+			if err := <-drained; err != nil {
+				t.Errorf("%s: drain: %v", name, err)
+			}
+		})
+	}
+	inBubble(t, 2, func(t *testing.T, r *rig) {
+		r.engine.set(func() { r.engine.length = 0 })
+		for i := range 2 {
+			req := r.request(online)
+			req.Fingerprint = 9
+			o := r.submit(t, req)
+			time.Sleep(100 * time.Millisecond)
+			r.engine.crash(fmt.Sprint("boot", i))
+			_ = o.last()
+			time.Sleep(time.Second)
+		}
+		if got := r.suspects.list(); got != "[[9] [9]]" {
+			t.Errorf("suspects %s", got)
+		}
+	})
+}
+
+// Guards against a restart in silence: the attempts fail as crashed once,
+// without a second end by the progress timeout.
+func TestSilenceThenCrash(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, r *rig) {
+		r.engine.set(func() { r.engine.silent = true })
+		req := r.request(online)
+		req.Fingerprint = 3
+		o := r.submit(t, req)
+		time.Sleep(5 * time.Second)
+		r.engine.crash("2")
+		if !o.last().GetFailed().GetUpstreamCrashed() || len(o.events) != 2 {
+			t.Errorf("events %v", o.events)
+		}
+		time.Sleep(20 * time.Second)
+		if got := r.suspects.list(); got != "[[3]]" {
+			t.Errorf("suspects %s", got)
+		}
+	})
+}
+
+// Guards against two suspects at once and against running a blocked request.
+func TestSuspectsRunAloneAndBlockedNever(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, r *rig) {
+		r.suspects.status[1], r.suspects.status[2], r.suspects.status[3] = Suspect, Suspect, Blocked
+		want := map[uint64]string{1: "", 2: "suspect_already_running", 3: "blocked"}
+		for fp := uint64(1); fp <= 3; fp++ {
+			req := r.request(online)
+			req.Fingerprint = fp
+			o := r.submit(t, req)
+			if want[fp] != "" && o.last().GetRefused().GetReason() != want[fp] {
+				t.Errorf("fingerprint %d: %v", fp, o.last())
+			}
+		}
+	})
+}
+
+// Guards against work that goes on at the upstream after its entry has left, or
+// beyond its deadline.
+func TestCancellationAndDeadlineReachUpstream(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, r *rig) {
+		r.engine.set(func() { r.engine.length = 0 })
+		gone := r.submit(t, r.request(online))
+		limited := r.request(online)
+		limited.DeadlineMs = 500
+		late := r.submit(t, limited)
+		gone.cancel()
+		synctest.Wait()
+		if n := r.engine.open(); n != 1 {
+			t.Errorf("%d streams after the entry left", n)
+		}
+		if f := late.last().GetFailed(); f.GetReason() != FailedDeadline {
+			t.Errorf("deadline: %v", late.last())
+		}
+		if n := r.engine.open(); n != 0 {
+			t.Errorf("%d streams after the deadline", n)
+		}
+	})
+}
+
+// Guards against a reader that has stopped holding up others or its slot.
+func TestSlowReaderBlocksNobody(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, r *rig) {
+		r.cfg.BufferBytes = 200
+		r.engine.set(func() { r.engine.length = 0 })
+		blocked := make(chan struct{})
+		served := make(chan struct{})
+		var last *rpc.RunEvent
+		go func() {
+			defer close(served)
+			_ = r.serve(t.Context(), r.request(online), func(e *rpc.RunEvent) error {
+				<-blocked
+				last = e
+				return nil
+			})
+		}()
+		synctest.Wait()
+		r.engine.set(func() { r.engine.length = 5 })
+		if o := r.submit(t, r.request(online)); o.last().GetEnd() == nil {
+			t.Errorf("other reader: %v", o.last())
+		}
+		time.Sleep(3 * time.Second)
+		if n := r.engine.open(); n != 0 {
+			t.Errorf("%d streams with a stopped reader", n)
+		}
+		close(blocked)
+		<-served
+		if last.GetFailed().GetReason() != FailedSlowReader {
+			t.Errorf("last event %v", last)
+		}
+	})
+}
+
+// Guards against a wrong executed value when the engine did no work.
+func TestErrorsBeforeWork(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, r *rig) {
+		for want, err := range map[string]error{
+			FailedNotSent: fmt.Errorf("dial: %w", upstream.ErrNotSent),
+			FailedStatus:  &upstream.StatusError{Status: 400, Body: []byte("bad")},
+		} {
+			r.engine.set(func() { r.engine.genErr = err })
+			o := r.submit(t, r.request(online))
+			f := o.last().GetFailed()
+			if f.GetReason() != want || f.GetExecuted() != rpc.Executed_EXECUTED_NO {
+				t.Errorf("%s: %v", want, o.last())
+			}
+		}
+	})
+}
--- a/agent/grants.go
+++ b/agent/grants.go
@@ -137,7 +137,10 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case id := <-a.control.CancelledJobs():
+		case id, ok := <-a.control.CancelledJobs():
+			if !ok {
+				return nil
+			}
 			a.cancelJob(id)
 		}
 	}
--- a/agent/health.go
+++ b/agent/health.go
@@ -165,7 +165,7 @@
 	var fingerprints []uint64
 	for _, q := range a.snap.Running {
 		t := a.running[q]
-		if t.handed {
+		if t.handed && t.req.Fingerprint != 0 {
 			fingerprints = append(fingerprints, t.req.Fingerprint)
 		}
 		a.end(q, errCrashed)
@@ -207,6 +207,7 @@
 			stuck = append(stuck, t)
 		case t.handed && !t.seq.Ending && quiet > a.cfg.ProgressTimeout:
 			a.end(t.seq, errSilent)
+			signal(a.probeNow)
 		}
 	}
 	for _, t := range stuck {
--- a/agent/scheduler.go
+++ b/agent/scheduler.go
@@ -60,7 +60,7 @@
 	if err := attempt.Check(t.ticket(), a.incarnation, a.now()); err != nil {
 		return ticketReason(err)
 	}
-	switch a.cfg.Suspects.Status(t.req.Fingerprint, time.Now()) {
+	switch a.suspicion(t) {
 	case Blocked:
 		return admission.ReasonBlocked
 	case Suspect:
@@ -71,7 +71,8 @@
 
 // handOver makes the last checks before the request is passed to the upstream.
 func (a *Agent) handOver(t *task) admission.Reason {
-	if a.cfg.Suspects.Status(t.req.Fingerprint, time.Now()) == Blocked {
+	suspicion := a.suspicion(t)
+	if suspicion == Blocked {
 		return admission.ReasonBlocked
 	}
 	a.mu.Lock()
@@ -79,6 +80,9 @@
 	if !a.snap.Ready {
 		return admission.ReasonUpstreamDown
 	}
+	if suspicion == Suspect && !a.markSuspect(t.seq) {
+		return admission.ReasonSuspectRunning
+	}
 	now := a.now()
 	ticket := t.ticket()
 	if err := attempt.Check(ticket, a.incarnation, now); err != nil {
@@ -96,6 +100,30 @@
 	return admission.ReasonNone
 }
 
+// suspicion looks the request up among the suspects. A request without
+// a fingerprint is never one.
+func (a *Agent) suspicion(t *task) SuspectStatus {
+	if t.req.Fingerprint == 0 {
+		return Clear
+	}
+	return a.cfg.Suspects.Status(t.req.Fingerprint, time.Now())
+}
+
+// markSuspect counts a sequence as a suspect that became one while it waited.
+// It reports false when another suspect runs. Needs mu.
+func (a *Agent) markSuspect(q *admission.Sequence) bool {
+	if q.Suspect {
+		return true
+	}
+	if a.snap.Tally.Suspects > 0 {
+		return false
+	}
+	a.snap.Tally.Remove(q)
+	q.Suspect = true
+	a.snap.Tally.Add(q)
+	return true
+}
+
 func ticketReason(err error) admission.Reason {
 	switch {
 	case errors.Is(err, attempt.ErrWrongIncarnation):
