Report cache changes so that lost reports make no difference

Cause: a prefix that was evicted and cached again since the complete list was missing from later reports. Change: reports hold every prefix touched since the period began; grants, job cancellation and the cache have tests. Conclusion: a receiver of one complete list stays correct.

--- a/agent/cache.go
+++ b/agent/cache.go
@@ -15,9 +15,10 @@
 	cachePollInterval = 500 * time.Millisecond
 	// cachePrefixLimit bounds the prefixes in a report to 1 KiB.
 	cachePrefixLimit = 128
-	// A complete list is repeated in all reports of the first cacheCompleteFor
-	// of each cachePeriod. Reports are at most 2 s apart, so every stream gets
-	// one; between them, reports hold the changes since the complete list.
+	// Complete lists are sent for cacheCompleteFor at the start of each
+	// cachePeriod. Reports are at most 2 s apart, so every stream gets one.
+	// Later reports hold all changes since the start of the period, so that
+	// a lost report or another stream's reports make no difference.
 	cachePeriod      = 30 * time.Second
 	cacheCompleteFor = 2500 * time.Millisecond
 )
@@ -26,19 +27,26 @@
 type cacheState struct {
 	mu       sync.Mutex
 	sequence uint64
-	synced   bool                // no gap since the last complete list
-	order    map[uint64]uint64   // prefix to the sequence that cached it
-	period   time.Duration       // number of the period of the base
-	base     map[uint64]struct{} // prefixes of the period's complete list
+	synced   bool              // no gap since the last complete list
+	order    map[uint64]uint64 // prefix to the sequence that cached it
+
+	listed        bool                // a complete list arrived since the last report
+	periodStart   time.Duration       // agent's monotonic time; 0 before the first report
+	completeUntil time.Duration       // agent's monotonic time
+	touched       map[uint64]struct{} // prefixes changed since periodStart
 }
 
 // apply takes events after the known sequence. It reports false on a gap.
 func (c *cacheState) apply(events []upstream.CacheEvent, complete bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.synced && len(events) > 0 && events[0].Sequence == 1 {
+		complete = true // the engine's whole history
+	}
 	if complete {
 		c.order = make(map[uint64]uint64, len(events))
 		c.synced = true
+		c.listed = true
 	}
 	for _, e := range events {
 		if !complete {
@@ -57,6 +65,10 @@
 
 func (c *cacheState) set(e upstream.CacheEvent) {
 	c.sequence = max(c.sequence, e.Sequence)
+	if c.touched == nil {
+		c.touched = make(map[uint64]struct{})
+	}
+	c.touched[e.Prefix] = struct{}{}
 	if e.Evicted {
 		delete(c.order, e.Prefix)
 		return
@@ -74,6 +86,7 @@
 	c.sequence = 0
 	c.order = nil
 	c.synced = false
+	c.listed = true
 }
 
 // after is the sequence to ask from: 0 asks for a resynchronisation.
@@ -91,27 +104,21 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r.CacheSequence = c.sequence
-	newest := c.newest()
-	period := now / cachePeriod
-	if c.base == nil || period != c.period || now%cachePeriod < cacheCompleteFor {
-		c.period = period
-		c.base = make(map[uint64]struct{}, len(newest))
-		for _, p := range newest {
-			c.base[p] = struct{}{}
-		}
-		r.CachedPrefixes = newest
+	if c.listed || now-c.periodStart >= cachePeriod || len(c.touched) > cachePrefixLimit {
+		c.listed = false
+		c.periodStart = now
+		c.completeUntil = now + cacheCompleteFor
+		clear(c.touched)
+	}
+	if now < c.completeUntil {
+		r.CachedPrefixes = c.newest()
 		r.CacheComplete = true
 		return
 	}
-	current := make(map[uint64]struct{}, len(newest))
-	for _, p := range newest {
-		current[p] = struct{}{}
-		if _, ok := c.base[p]; !ok {
+	for p := range c.touched {
+		if _, ok := c.order[p]; ok {
 			r.CachedPrefixes = append(r.CachedPrefixes, p)
-		}
-	}
-	for p := range c.base {
-		if _, ok := current[p]; !ok {
+		} else {
 			r.EvictedPrefixes = append(r.EvictedPrefixes, p)
 		}
 	}
--- /dev/null
+++ b/agent/control_test.go
@@ -0,0 +1,232 @@
+package agent
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
+	"github.com/magnoliausher/magnoliausher/upstream"
+)
+
+// rpcMethods stands for the RPCs, which are not called here.
+type rpcMethods interface{ Control }
+
+// fakeControl holds the demands and records the grants.
+type fakeControl struct {
+	rpcMethods
+
+	mu      sync.Mutex
+	demands []EntryDemand
+	granted map[string]int
+	gone    bool // no entry takes grants
+	leaving bool
+	changed chan struct{}
+	jobs    chan string
+}
+
+func newFakeControl() *fakeControl {
+	return &fakeControl{granted: map[string]int{}, changed: make(chan struct{}, 1), jobs: make(chan string)}
+}
+
+func (c *fakeControl) LoadChanged()                   {}
+func (c *fakeControl) DemandChanged() <-chan struct{} { return c.changed }
+func (c *fakeControl) CancelledJobs() <-chan string   { return c.jobs }
+
+func (c *fakeControl) SetLeaving() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaving = true
+}
+
+func (c *fakeControl) Demands() []EntryDemand {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.demands
+}
+
+func (c *fakeControl) Grant(entryID string, items int, _ time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.gone {
+		c.granted[entryID] += items
+	}
+	return !c.gone
+}
+
+// take returns and resets the granted items.
+func (c *fakeControl) take() string {
+	synctest.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := fmt.Sprint(c.granted)
+	c.granted = map[string]int{}
+	return s
+}
+
+func (c *fakeControl) demand(d ...EntryDemand) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.demands = d
+	c.changed <- struct{}{}
+}
+
+// Guards against room granted twice, lost with lapsed or unsendable grants, or
+// not granted at once when a slot becomes free.
+func TestGrants(t *testing.T) {
+	inBubble(t, 3, func(t *testing.T, r *rig) {
+		due := time.Now().Add(time.Hour)
+		r.control.demand(EntryDemand{"a", 9, due}, EntryDemand{"b", 1, due})
+		if got := r.control.take(); got != "map[a:2 b:1]" {
+			t.Errorf("granted %s", got)
+		}
+		var items []*outcome
+		for range 3 {
+			items = append(items, r.submit(t, r.request(batch)))
+		}
+		time.Sleep(150 * time.Millisecond)
+		if got := r.control.take(); got != "map[]" {
+			t.Errorf("granted %s on full slots", got)
+		}
+		items[0].cancel()
+		if got := r.control.take(); got != "map[a:1]" {
+			t.Errorf("granted %s for a freed slot", got)
+		}
+		for _, o := range items[1:] {
+			o.last()
+		}
+		if got := r.control.take(); got != "map[a:1 b:1]" && got != "map[a:2]" {
+			t.Errorf("granted %s after the items", got)
+		}
+		r.control.take()
+		time.Sleep(grantValidity - 100*time.Millisecond)
+		if got := r.control.take(); got != "map[]" {
+			t.Errorf("granted %s beside valid grants", got)
+		}
+		time.Sleep(2 * grantInterval)
+		if got := r.control.take(); got != "map[a:2 b:1]" && got != "map[a:3]" {
+			t.Errorf("granted %s after grants lapsed", got)
+		}
+		r.control.mu.Lock()
+		r.control.gone = true
+		r.control.mu.Unlock()
+		time.Sleep(grantValidity + 2*grantInterval)
+		synctest.Wait()
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if n := r.pruneGrants(r.now()); n != 0 {
+			t.Errorf("%d items outstanding that were never sent", n)
+		}
+	})
+}
+
+// Guards against grants while online work waits or while the agent leaves.
+func TestNoGrantsBesideWaitingOnline(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, r *rig) {
+		r.engine.set(func() { r.engine.length = 0 })
+		first := r.submit(t, r.request(online))
+		waiting := r.submit(t, r.request(online))
+		r.control.demand(EntryDemand{"a", 9, time.Now().Add(time.Hour)})
+		time.Sleep(time.Second)
+		if got := r.control.take(); got != "map[]" {
+			t.Errorf("granted %s", got)
+		}
+		drained := make(chan error, 1)
+		go func() { drained <- r.Drain(t.Context()) }()
+		waiting.last()
+		first.cancel()
+		if err := <-drained; err != nil {
+			t.Error(err)
+		}
+		if got := r.control.take(); got != "map[]" || !r.control.leaving {
+			t.Errorf("granted %s while leaving (%v)", got, r.control.leaving)
+		}
+	})
+}
+
+// Guards against items of a cancelled job that go on or start later.
+func TestCancelledJobStops(t *testing.T) {
+	inBubble(t, 4, func(t *testing.T, r *rig) {
+		r.engine.set(func() { r.engine.length = 0 })
+		mine, other := r.request(batch), r.request(batch)
+		mine.JobId, other.JobId = "j1", "j2"
+		cancelled, kept := r.submit(t, mine), r.submit(t, other)
+		r.control.jobs <- "j1"
+		if got := cancelled.last().GetFailed().GetReason(); got != FailedJobCancelled {
+			t.Errorf("item of the job: %v", cancelled.last())
+		}
+		later := r.request(batch)
+		later.JobId = "j1"
+		if got := r.submit(t, later).last().GetRefused().GetReason(); got != "job_cancelled" {
+			t.Errorf("later item: %q", got)
+		}
+		if n := r.engine.open(); n != 1 {
+			t.Errorf("%d streams", n)
+		}
+		kept.cancel()
+	})
+}
+
+// Guards against a cache list that misses events, repeats late ones, or is not
+// brought up to date after a gap.
+func TestCacheEvents(t *testing.T) {
+	var c cacheState
+	add := func(seq, prefix uint64, evicted bool) upstream.CacheEvent {
+		return upstream.CacheEvent{Sequence: seq, Prefix: prefix, Evicted: evicted}
+	}
+	steps := []struct {
+		name     string
+		events   []upstream.CacheEvent
+		complete bool
+		ok       bool
+		after    uint64
+		want     string
+	}{
+		{"before the first list", []upstream.CacheEvent{add(9, 1, false)}, false, false, 0, "[]"},
+		{"list", []upstream.CacheEvent{add(3, 7, false), add(5, 8, false)}, true, true, 5, "[8 7]"},
+		{"change", []upstream.CacheEvent{add(6, 7, true), add(7, 9, false)}, false, true, 7, "[9 8]"},
+		{"late repetition", []upstream.CacheEvent{add(6, 7, false)}, false, true, 7, "[9 8]"},
+		{"gap", []upstream.CacheEvent{add(9, 4, false)}, false, false, 0, "[9 8]"},
+		{"list after the gap", []upstream.CacheEvent{add(9, 4, false)}, true, true, 9, "[4]"},
+	}
+	for _, s := range steps {
+		if ok := c.apply(s.events, s.complete); ok != s.ok {
+			t.Errorf("%s: apply returned %v", s.name, ok)
+		}
+		if c.after() != s.after || fmt.Sprint(c.newest()) != s.want {
+			t.Errorf("%s: after %d, prefixes %v", s.name, c.after(), c.newest())
+		}
+	}
+}
+
+// Guards against changes between complete lists that a receiver can't apply.
+func TestCacheReports(t *testing.T) {
+	var c cacheState
+	known := map[uint64]bool{}
+	read := func(now time.Duration) {
+		var r rpc.LoadReport
+		c.fill(&r, now)
+		if r.CacheComplete {
+			clear(known)
+		}
+		for _, p := range r.CachedPrefixes {
+			known[p] = true
+		}
+		for _, p := range r.EvictedPrefixes {
+			delete(known, p)
+		}
+		if len(known) != len(c.order) {
+			t.Errorf("at %v: receiver knows %v, cache has %v", now, known, c.order)
+		}
+	}
+	c.apply([]upstream.CacheEvent{{Sequence: 1, Prefix: 1}, {Sequence: 2, Prefix: 2}}, true)
+	read(0)
+	for i := uint64(3); i < 60; i++ {
+		c.apply([]upstream.CacheEvent{{Sequence: i, Prefix: i / 2, Evicted: i%2 == 0}}, false)
+		if i%3 > 0 { // some reports are lost
+			read(time.Duration(i) * time.Second)
+		}
+	}
+}
--- a/agent/fake_test.go
+++ b/agent/fake_test.go
@@ -158,24 +158,24 @@
 	*Agent
 	engine   *fakeEngine
 	suspects *fakeSuspects
-	stopRun  context.CancelFunc
+	control  *fakeControl
 }
 
 // inBubble runs test with an agent of that many slots and waits for its end.
 func inBubble(t *testing.T, slots int, test func(t *testing.T, r *rig)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		r := &rig{engine: newFakeEngine(), suspects: &fakeSuspects{status: map[uint64]SuspectStatus{}}}
+		r := &rig{engine: newFakeEngine(), suspects: &fakeSuspects{status: map[uint64]SuspectStatus{}}, control: newFakeControl()}
 		a, err := New(Config{
 			ID: "a1", Service: "chat", Kind: contract.KindEngine, Slots: slots,
 			Engine: r.engine, Suspects: r.suspects, Logger: zerolog.Nop(),
+			NewControl: func(ControlDeps) Control { return r.control },
 		})
 		if err != nil {
 			t.Fatal(err)
 		}
 		r.Agent = a
 		ctx, cancel := context.WithCancel(t.Context())
-		r.stopRun = cancel
 		done := make(chan error, 1)
 		go func() { done <- a.Run(ctx) }()
 		synctest.Wait()
