--- a/agent/agent.go
+++ b/agent/agent.go
@@ -24,6 +24,7 @@
 const (
 	DefaultBufferBytes     = 256 << 10
 	DefaultProgressTimeout = 10 * time.Second
+	DefaultSlowReader      = 5 * time.Second
 	DefaultProbeInterval   = time.Second
 	DefaultProbeTimeout    = time.Second
 	DefaultSeenCapacity    = 32768
@@ -51,8 +52,11 @@
 	BufferBytes     int                       // unread output per attempt
 	ProgressTimeout time.Duration             // of an attempt without output
 	ProbeInterval   time.Duration
-	ProbeTimeout    time.Duration
-	SeenCapacity    int // attempt ids kept until their tickets expire
+	// SlowReaderTimeout is how long a full buffer of a plain service's body waits
+	// for its reader, and how long a cancelled reader may take to read the end.
+	SlowReaderTimeout time.Duration
+	ProbeTimeout      time.Duration
+	SeenCapacity      int // attempt ids kept until their tickets expire
 }
 
 // OrderLoop sends the orders that the configuration in force asks for, each
@@ -135,6 +139,7 @@
 	setDefault(&c.QueueLimit, admission.DefaultQueueLimit)
 	setDefault(&c.BufferBytes, DefaultBufferBytes)
 	setDefault(&c.ProgressTimeout, DefaultProgressTimeout)
+	setDefault(&c.SlowReaderTimeout, DefaultSlowReader)
 	setDefault(&c.ProbeInterval, DefaultProbeInterval)
 	setDefault(&c.ProbeTimeout, DefaultProbeTimeout)
 	setDefault(&c.SeenCapacity, DefaultSeenCapacity)
--- a/agent/health.go
+++ b/agent/health.go
@@ -36,6 +36,7 @@
 		if err == nil {
 			failures = 0
 			a.alive(boot)
+			a.readSlots(ctx)
 		} else {
 			failures++
 			a.probeFailed(err, failures, failedAt)
@@ -87,6 +88,30 @@
 	}
 }
 
+// readSlots follows an engine that runs fewer sequences than configured, for
+// example after a change of its role.
+func (a *Agent) readSlots(ctx context.Context) {
+	if a.cfg.Kind != contract.KindEngine {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, a.cfg.ProbeTimeout)
+	defer cancel()
+	load, err := a.cfg.Engine.Load(ctx)
+	if err != nil || load.Slots <= 0 {
+		return // an engine need not report its slots
+	}
+	slots := min(a.cfg.Slots, load.Slots)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if slots == a.snap.Slots {
+		return
+	}
+	a.cfg.Logger.Info().Str("agent", a.cfg.ID).Int("slots", slots).Msg("engine reports another number of slots")
+	a.snap.Slots = slots
+	a.dispatch(a.now())
+	a.notify()
+}
+
 func (a *Agent) probeFailed(err error, failures int, since time.Duration) {
 	if failures < probeFailures {
 		return
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -23,8 +23,6 @@
 	reportInterval = 500 * time.Millisecond
 	// plainChunk is the most body bytes of a plain service in one event.
 	plainChunk = 32 << 10
-	// slowReaderTimeout bounds how long a plain service's body waits for its reader.
-	slowReaderTimeout = 5 * time.Second
 )
 
 type controllerKey struct{}
@@ -153,7 +151,7 @@
 	}
 	return context.AfterFunc(t.ctx, func() {
 		if errors.Is(context.Cause(t.ctx), errSlowReader) {
-			_ = rc.SetWriteDeadline(time.Now().Add(slowReaderTimeout)) // HTTP/1 in tests may not support it
+			_ = rc.SetWriteDeadline(time.Now().Add(a.cfg.SlowReaderTimeout)) // HTTP/1 in tests may not support it
 		}
 	})
 }
@@ -270,7 +268,7 @@
 		n, err := resp.Body.Read(chunk)
 		if n > 0 {
 			t.progress.Store(int64(a.now()))
-			if putErr := t.putData(chunk[:n]); putErr != nil {
+			if putErr := t.putData(chunk[:n], a.cfg.SlowReaderTimeout); putErr != nil {
 				return nil, putErr
 			}
 		}
@@ -284,13 +282,13 @@
 }
 
 // putData waits a while for a reader that is slower than the service.
-func (t *task) putData(chunk []byte) error {
+func (t *task) putData(chunk []byte, patience time.Duration) error {
 	e := t.event()
 	e.Event = &rpc.RunEvent_Data{Data: chunk}
 	if t.out.put(e, len(chunk)) {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(t.ctx, slowReaderTimeout)
+	ctx, cancel := context.WithTimeout(t.ctx, patience)
 	defer cancel()
 	if !t.out.putWait(ctx, e, len(chunk)) {
 		t.cancel(errSlowReader) // no effect when another cause came first
