Close the request body when a control stream ends

Cause: net/http waits for the end of the request body before it looks at the context, so a cancelled control stream stayed until its next heartbeat, and for good on a silent connection. Change: the end of the context closes the body.

--- a/link/entrylink.go
+++ b/link/entrylink.go
@@ -107,6 +107,8 @@
 	l.opened(p, client)
 	agent := magnoliausherv1connect.NewAgentClient(client.http, client.url, clientOptions()...)
 	stream := agent.Control(ctx)
+	// net/http notices the end of ctx only when the request body ends.
+	defer context.AfterFunc(ctx, func() { _ = stream.CloseRequest() })()
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		return p.sendLoop(groupCtx, l.parts, stream.Send)
--- a/link/fleet_test.go
+++ b/link/fleet_test.go
@@ -136,6 +136,7 @@
 			t.Fatalf("not reached: %s", what)
 		}
 	}
+	t.Logf("reached %s", what)
 }
 
 func connectedCount(e *testEntry, service string) int {
