Test the merge laws and expiry of suspects

Cause: suspects travel over many paths, repeated and out of order. Change: gopter properties for commutative, associative and idempotent merges and for copies that expire before their source; cases for status over time, circulation, bounds and change notices.

--- /dev/null
+++ b/poison/poison_test.go
@@ -0,0 +1,155 @@
+package poison
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// genSuspects makes lists with few distinct values, so that they overlap.
+func genSuspects() gopter.Gen {
+	return gen.SliceOfN(6, gopter.CombineGens(
+		gen.UInt64Range(1, 4),
+		gen.SliceOfN(3, gen.UInt64Range(1, 12)),
+		gen.UInt32Range(0, 700_000),
+	).Map(func(v []any) *rpc.Suspect {
+		return &rpc.Suspect{Fingerprint: v[0].(uint64), CrashIds: v[1].([]uint64), ExpiresInMs: v[2].(uint32)}
+	}))
+}
+
+func merged(lists ...[]*rpc.Suspect) *Table {
+	t := NewTable(Config{})
+	for _, l := range lists {
+		t.Merge(l, start)
+	}
+	return t
+}
+
+type state struct {
+	Crashes []uint64
+	Expires time.Time
+}
+
+func (t *Table) state() map[uint64]state {
+	all := make(map[uint64]state, len(t.records))
+	for fp, r := range t.records {
+		all[fp] = state{Crashes: r.crashes, Expires: r.expires}
+	}
+	return all
+}
+
+// Guards against suspects that depend on the path and order of messages.
+func TestMergeLaws(t *testing.T) {
+	same := func(a, b *Table) bool { return reflect.DeepEqual(a.state(), b.state()) }
+	laws := gopter.NewProperties(nil)
+	laws.Property("commutative", prop.ForAll(func(a, b []*rpc.Suspect) bool {
+		return same(merged(a, b), merged(b, a))
+	}, genSuspects(), genSuspects()))
+	laws.Property("associative", prop.ForAll(func(a, b, c []*rpc.Suspect) bool {
+		return same(merged(a, b, c), merged(b, c, a)) && same(merged(a, b, c), merged(c, a, b))
+	}, genSuspects(), genSuspects(), genSuspects()))
+	laws.Property("idempotent", prop.ForAll(func(a, b []*rpc.Suspect) bool {
+		table := merged(a, b)
+		return !table.Merge(a, start) && !table.Merge(b, start) && same(table, merged(a, b))
+	}, genSuspects(), genSuspects()))
+	laws.Property("copy expires before its source", prop.ForAll(func(a []*rpc.Suspect, heldMS, transitMS uint32) bool {
+		source := merged(a)
+		sent := start.Add(time.Duration(heldMS) * time.Millisecond)
+		arrived := sent.Add(time.Duration(transitMS) * time.Millisecond)
+		copied := NewTable(Config{})
+		copied.Merge(source.Export(sent), arrived)
+		for fp, r := range copied.records {
+			if !r.expires.Before(source.records[fp].expires.Add(time.Millisecond)) {
+				return false
+			}
+		}
+		return true
+	}, genSuspects(), gen.UInt32Range(0, 600_000), gen.UInt32Range(0, 2_000)))
+	laws.TestingRun(t)
+}
+
+// Guards against a refusal after one crash, one that ends 10 minutes after the
+// first crash instead of the last, and one that never ends.
+func TestStatusOverTime(t *testing.T) {
+	table := NewTable(Config{})
+	table.Crash(1, []uint64{7}, start)
+	table.Crash(1, []uint64{7}, start.Add(time.Minute)) // the same crash, reported again
+	cases := []struct {
+		after time.Duration
+		crash uint64 // recorded before the check when not 0
+		want  Status
+	}{
+		{2 * time.Minute, 0, Suspect},
+		{9 * time.Minute, 2, Blocked},
+		{18 * time.Minute, 0, Blocked},
+		{19 * time.Minute, 0, Clear},
+		{20 * time.Minute, 3, Suspect},
+	}
+	for _, c := range cases {
+		now := start.Add(c.after)
+		if c.crash != 0 {
+			table.Crash(c.crash, []uint64{7}, now)
+		}
+		if got := table.Status(7, now); got != c.want {
+			t.Errorf("after %v: %v, want %v", c.after, got, c.want)
+		}
+	}
+}
+
+// Guards against copies that renew each other: two tables that exchange
+// everything in turn must both forget a suspect.
+func TestExchangeDoesNotRenew(t *testing.T) {
+	a, b := NewTable(Config{}), NewTable(Config{})
+	a.Crash(1, []uint64{7}, start)
+	now := start
+	for now.Before(start.Add(DefaultTTL)) {
+		b.Merge(a.Export(now), now.Add(time.Second))
+		a.Merge(b.Export(now.Add(time.Second)), now.Add(2*time.Second))
+		now = now.Add(3 * time.Second)
+	}
+	if a.Status(7, now) != Clear || b.Status(7, now) != Clear {
+		t.Fatal("the suspect outlived its crash by circulating")
+	}
+}
+
+// Guards against unbounded growth, and against evicting blocked requests first.
+func TestTableIsBounded(t *testing.T) {
+	table := NewTable(Config{MaxFingerprints: 10})
+	table.Crash(1, []uint64{1}, start)
+	table.Crash(2, []uint64{1}, start)
+	for i := range uint64(100) {
+		table.Crash(3, []uint64{100 + i}, start.Add(time.Duration(i)*time.Second))
+	}
+	if table.Len() != 10 {
+		t.Fatalf("%d fingerprints, want 10", table.Len())
+	}
+	if got := table.Status(1, start.Add(2*time.Minute)); got != Blocked {
+		t.Fatalf("blocked request became %v", got)
+	}
+}
+
+// Guards against a change that watchers or ExportSince miss.
+func TestChangesAreSeen(t *testing.T) {
+	table := NewTable(Config{})
+	changed := table.Changed()
+	table.Crash(1, []uint64{7}, start)
+	select {
+	case <-changed:
+	default:
+		t.Fatal("no notice")
+	}
+	first, sequence := table.ExportSince(0, start)
+	table.Crash(1, []uint64{8}, start)
+	second, _ := table.ExportSince(sequence, start)
+	if len(first) != 1 || len(second) != 1 || second[0].Fingerprint != 8 {
+		t.Fatalf("exports %v and %v", first, second)
+	}
+}
