--- /dev/null
+++ b/instance/table_test.go
@@ -0,0 +1,131 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/magnoliausher/magnoliausher/platform"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func agent(id string, state platform.InstanceState) platform.Instance {
+	return platform.Instance{ID: id, Role: platform.RoleAgent, State: state}
+}
+
+func member(t *testing.T, table *Table, id string, now time.Time) Member {
+	t.Helper()
+	m, ok := table.Member(id, now)
+	if !ok {
+		t.Fatalf("%s is missing", id)
+	}
+	return m
+}
+
+// Guards against new work for a leaving instance that the lagging list still
+// shows live, and against a late observation that takes the notice back.
+func TestLeavingWinsOverTheList(t *testing.T) {
+	table := NewTable(Config{})
+	list := []platform.Instance{agent("a", platform.InstanceLive)}
+	table.ApplyList(list, 1, start)
+	table.Observe("a", Observation{Connected: true, Incarnation: 1}, start)
+	if !member(t, table, "a", start).Usable {
+		t.Fatal("a live instance is not usable")
+	}
+	table.Observe("a", Observation{Connected: true, Leaving: true, Incarnation: 1}, start)
+	table.ApplyList(list, 2, start)
+	table.Observe("a", Observation{Connected: true, Incarnation: 1}, start)
+	if m := member(t, table, "a", start); m.Usable || !m.Leaving {
+		t.Fatalf("leaving instance: %+v", m)
+	}
+	table.Observe("a", Observation{Connected: true, Incarnation: 2}, start)
+	if !member(t, table, "a", start).Usable {
+		t.Fatal("the restarted process is not usable")
+	}
+}
+
+// Guards against the loss of working instances with an incomplete list, and
+// against using them for ever.
+func TestUnlistedStaysForABoundedTime(t *testing.T) {
+	table := NewTable(Config{})
+	table.ApplyList([]platform.Instance{agent("a", platform.InstanceLive), agent("b", platform.InstanceLive)}, 1, start)
+	table.Observe("a", Observation{Connected: true}, start)
+	table.ApplyList([]platform.Instance{}, 2, start)
+	if _, ok := table.Member("b", start); ok {
+		t.Error("an instance without link or listing is present")
+	}
+	if m := member(t, table, "a", start.Add(DefaultKeepUnlisted-1)); !m.Usable || m.Listed {
+		t.Errorf("unlisted instance with a link: %+v", m)
+	}
+	if _, ok := table.Member("a", start.Add(DefaultKeepUnlisted)); ok {
+		t.Error("the unlisted instance stayed beyond the bound")
+	}
+	table.Observe("a", Observation{Connected: true, Silent: true}, start)
+	if _, ok := table.Member("a", start); ok {
+		t.Error("the unlisted instance stayed although its link is silent")
+	}
+}
+
+// Guards against full load on a fresh process, and against a ramp for the
+// whole fleet when this process starts.
+func TestNewcomerRamp(t *testing.T) {
+	table := NewTable(Config{})
+	old := agent("old", platform.InstanceLive)
+	table.ApplyList([]platform.Instance{old}, 1, start)
+	table.ApplyList([]platform.Instance{old, agent("new", platform.InstanceLive)}, 2, start)
+	table.Observe("old", Observation{Connected: true, Incarnation: 1}, start)
+	for _, c := range []struct {
+		id    string
+		after time.Duration
+		want  float64
+	}{
+		{"old", 0, 1}, {"new", 0, 0.1}, {"new", DefaultRamp / 2, 0.55}, {"new", DefaultRamp, 1},
+	} {
+		got := member(t, table, c.id, start.Add(c.after)).Weight
+		if got < c.want-1e-9 || got > c.want+1e-9 {
+			t.Errorf("%s after %v: weight %v, want %v", c.id, c.after, got, c.want)
+		}
+	}
+	table.Observe("old", Observation{Connected: true, Incarnation: 2}, start.Add(time.Hour))
+	if w := member(t, table, "old", start.Add(time.Hour)).Weight; w > 0.11 {
+		t.Errorf("weight %v after a restart", w)
+	}
+}
+
+// failingList fails every second read and counts the reads.
+type failingList struct{ reads int }
+
+func (l *failingList) Instances(_ context.Context, _ uint64) ([]platform.Instance, uint64, error) {
+	l.reads++
+	if l.reads%2 == 0 {
+		return nil, 0, errors.New("unavailable")
+	}
+	return []platform.Instance{agent("a", platform.InstanceLive)}, uint64(l.reads), nil
+}
+
+// Guards against polls that stop, or drop the list, after an error.
+func TestPollKeepsListDuringOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		table, list := NewTable(Config{}), new(failingList)
+		done := make(chan error)
+		go func() { done <- table.Poll(ctx, list, zerolog.Nop()) }()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		if list.reads < 10 || list.reads > 16 {
+			t.Errorf("%d reads in a minute", list.reads)
+		}
+		if _, ok := table.Member("a", time.Now()); !ok {
+			t.Error("the list was lost")
+		}
+		cancel()
+		if err := <-done; !errors.Is(err, context.Canceled) {
+			t.Error(err)
+		}
+	})
+}
