Test dispatch and idempotency under faults

Faults of attempts and of the table could reach callers as gaps, clean ends of partial answers or second runs. Engine client errors now end a request instead of being retried.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/magnoliausher/magnoliausher/attempt"
@@ -20,6 +21,7 @@
 	endRefused                   // the agent confirmed that it did not hand the attempt over
 	endNotAccepted               // cancelled because the agent did not accept it in time
 	endFailed                    // lost after a possible hand-over
+	endEngineError               // the engine refused the request itself, as any engine would
 	endDeadline
 	endCallerGone
 	endStopped // the answer cannot be passed on, for example because it is too large
@@ -42,7 +44,7 @@
 type result struct {
 	ending     ending
 	reason     string
-	executed   attempt.Executed // of endFailed
+	executed   attempt.Executed // of endFailed and endEngineError
 	crashed    bool             // the upstream crashed
 	retryAfter time.Duration    // of endRefused
 	end        *rpc.End         // of endWhole
@@ -50,18 +52,19 @@
 }
 
 // sink takes the events of a request's attempts in order. An error ends the
-// attempt: errCallerGone, errEngineStatus, or one that cannot be retried.
+// attempt: errCallerGone, errProtocol, or one that cannot be retried.
 type sink interface {
 	head(h *rpc.Head) error
 	text(d *rpc.Delta) error
 	data(b []byte) error
+	// resumable reports whether another attempt can continue the answer.
+	resumable() bool
 }
 
 var (
-	errCallerGone   = errors.New("the caller takes no more data")
-	errEngineStatus = errors.New("the engine answered with a server error")
-	errNotAccepted  = errors.New("attempt was not accepted in time")
-	errNoProgress   = errors.New("attempt made no progress")
+	errCallerGone  = errors.New("the caller takes no more data")
+	errNotAccepted = errors.New("attempt was not accepted in time")
+	errNoProgress  = errors.New("attempt made no progress")
 )
 
 // run performs one attempt on the upstream. reroute is asked once if a
@@ -122,8 +125,8 @@
 	id      string
 	out     sink
 	watch   *watchdog
-	hasHead bool
-	started bool // the upstream has produced something
+	status  uint32 // of the head, 0 before it
+	started bool   // the upstream has produced something
 	last    time.Time
 }
 
@@ -151,7 +154,7 @@
 	case *rpc.RunEvent_Refused:
 		return a.onRefused(x.Refused), true
 	case *rpc.RunEvent_Failed:
-		return failed(x.Failed), true
+		return a.onFailed(x.Failed), true
 	}
 	return result{}, false // an event kind of a later version
 }
@@ -159,10 +162,10 @@
 var errProtocol = errors.New("events are out of order")
 
 func (a *receiver) onHead(h *rpc.Head) error {
-	if a.hasHead || a.started {
+	if a.status != 0 || a.started || h.GetStatus() == 0 {
 		return errProtocol
 	}
-	a.hasHead = true
+	a.status = h.GetStatus()
 	return a.out.head(h)
 }
 
@@ -194,17 +197,19 @@
 }
 
 func (a *receiver) onData(b []byte) error {
-	if !a.hasHead {
+	if a.status == 0 {
 		return errProtocol
 	}
-	a.started = true
 	return a.out.data(b)
 }
 
 func (a *receiver) onEnd(end *rpc.End) result {
-	if a.rq.plain() && !a.hasHead {
+	if a.rq.plain() && a.status == 0 {
 		return result{ending: endFailed, reason: reasonProtocol, executed: attempt.ExecutedUnknown}
 	}
+	if !a.rq.plain() && a.status >= http.StatusBadRequest {
+		return a.onEngineError(result{executed: attempt.ExecutedUnknown})
+	}
 	if end == nil {
 		end = &rpc.End{}
 	}
@@ -213,19 +218,35 @@
 
 // onRefused trusts a refusal only before any output of the upstream.
 func (a *receiver) onRefused(r *rpc.Refused) result {
-	if a.started || a.hasHead {
+	if a.started || a.status != 0 {
 		return result{ending: endFailed, reason: reasonProtocol, executed: attempt.ExecutedUnknown}
 	}
 	wait := time.Duration(r.GetRetryAfterMs()) * time.Millisecond
 	return result{ending: endRefused, reason: label(r.GetReason()), retryAfter: wait}
 }
 
-func failed(f *rpc.Failed) result {
+func (a *receiver) onFailed(f *rpc.Failed) result {
 	executed := attempt.ExecutedUnknown
 	if f.GetExecuted() == rpc.Executed_EXECUTED_NO {
 		executed = attempt.ExecutedNo
 	}
-	return result{ending: endFailed, reason: label(f.GetReason()), executed: executed, crashed: f.GetUpstreamCrashed()}
+	res := result{ending: endFailed, reason: label(f.GetReason()), executed: executed, crashed: f.GetUpstreamCrashed()}
+	if !a.rq.plain() && a.status >= http.StatusBadRequest {
+		return a.onEngineError(res)
+	}
+	return res
+}
+
+// onEngineError ends the request with a client error of the engine, since any
+// engine would give the same. After an overload or a server error another
+// engine may do better.
+func (a *receiver) onEngineError(res result) result {
+	res.ending = endFailed
+	res.reason = reasonEngineError
+	if a.status < http.StatusInternalServerError && a.status != http.StatusTooManyRequests {
+		res.ending = endEngineError
+	}
+	return res
 }
 
 // maxLabelBytes keeps an agent's free text from becoming a metric label.
@@ -254,8 +275,6 @@
 		return result{ending: endCallerGone, reason: codeCallerGone}, true
 	case errors.Is(err, errProtocol):
 		return result{ending: endFailed, reason: reasonProtocol, executed: attempt.ExecutedUnknown}, true
-	case errors.Is(err, errEngineStatus):
-		return result{ending: endFailed, reason: reasonEngineError, executed: attempt.ExecutedUnknown}, true
 	}
 	return result{ending: endStopped, reason: codeAnswerTooLarge, cause: err}, true
 }
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -39,7 +39,8 @@
 }
 
 // dispatch runs attempts until one gives the whole answer, and returns its end
-// event, or the error that ends the request.
+// event, or the error that ends the request. Both are nil when an engine refused
+// the request with an error of its own, which the sink has kept.
 func (e *Entry) dispatch(ctx context.Context, rq *request, out sink) (*rpc.End, *apierror.Error) {
 	budget := &e.service(rq.service, time.Now()).budget
 	budget.Request()
@@ -55,7 +56,10 @@
 		if res.ending == endWhole {
 			return res.end, nil
 		}
-		if fail := e.afterAttempt(rq, &c, res, n, budget); fail != nil {
+		if res.ending == endEngineError {
+			return nil, nil
+		}
+		if fail := e.afterAttempt(rq, &c, res, n, budget, out); fail != nil {
 			return nil, fail
 		}
 		metric.Retried(rq.service.Name, classOnline, res.reason)
@@ -168,7 +172,7 @@
 	switch r.ending {
 	case endNotSent, endRefused:
 		return false
-	case endFailed:
+	case endFailed, endEngineError:
 		return r.executed != attempt.ExecutedNo
 	}
 	return true
@@ -238,7 +242,7 @@
 
 // afterAttempt returns the error that ends the request, or nil when a further
 // attempt may start.
-func (e *Entry) afterAttempt(rq *request, c *choice, res result, n int, budget *limit.RetryBudget) *apierror.Error {
+func (e *Entry) afterAttempt(rq *request, c *choice, res result, n int, budget *limit.RetryBudget, out sink) *apierror.Error {
 	switch res.ending {
 	case endDeadline:
 		return deadlineError(rq.executed())
@@ -253,6 +257,9 @@
 	if rq.single && res.ending == endRefused {
 		return e.failure(rq, codeRefused, "The upstream refused the request: "+res.reason+".", e.advice(res))
 	}
+	if !out.resumable() {
+		return e.failure(rq, codeUpstreamFailed, "The answer broke off: "+res.reason+".", 0)
+	}
 	rq.excluded = append(rq.excluded, c.upstream.AgentID)
 	if n >= e.config.MaxAttempts {
 		return e.exhausted(rq, res, "after "+res.reason+" and too many attempts")
@@ -297,3 +304,10 @@
 	}
 	return e.failure(rq, codeUpstreamFailed, "The call did not take effect: "+res.reason+".", e.config.RetryAfter)
 }
+
+// engineError is an engine's refusal of a request whose answer has begun.
+func (rq *request) engineError() *apierror.Error {
+	err := refusal(http.StatusBadGateway, typeServer, codeUpstreamAnswer, "The engine refused to resume the answer.")
+	err.Executed = rq.executed()
+	return err
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -42,6 +42,10 @@
 	// nil means that staleness is not known.
 	ConfigHeard func() time.Time
 
+	// Prompt returns the hash of a generation request's cacheable prefix, as
+	// engines report it, and the estimated prompt tokens. nil means no affinity.
+	Prompt func(body []byte) (prefix uint64, tokens int)
+
 	Weights         routing.Weights
 	MaxBodyBytes    int64         // of a request
 	MaxAnswerBytes  int           // of an answer held in memory
--- a/entry/openai.go
+++ b/entry/openai.go
@@ -3,10 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
-	"net/http"
-	"strings"
-
-	"github.com/cespare/xxhash/v2"
+	"errors"
 
 	"github.com/magnoliausher/magnoliausher/apierror"
 	"github.com/magnoliausher/magnoliausher/finding"
@@ -36,8 +33,6 @@
 	Tools               json.RawMessage `json:"tools"`
 	Functions           json.RawMessage `json:"functions"`
 	Logprobs            json.RawMessage `json:"logprobs"`
-
-	prompt string // text whose prefix engines cache
 }
 
 type message struct {
@@ -70,7 +65,7 @@
 		err.Findings = findings
 		return nil, err
 	}
-	if param := g.unsupported(f); param != "" {
+	if param := g.unsupported(); param != "" {
 		return nil, badRequest(codeUnsupported, param, param+" is not supported: an answer is one choice of plain text.")
 	}
 	return &g, nil
@@ -80,13 +75,15 @@
 func malformed(body []byte, err error) *apierror.Error {
 	place := finding.Finding{Line: 1, Reason: "is not valid JSON"}
 	offset := int64(0)
-	switch x := err.(type) {
-	case *json.SyntaxError:
-		offset = x.Offset
-	case *json.UnmarshalTypeError:
-		offset = x.Offset
-		place.Key = x.Field
-		place.Reason = "must not be a JSON " + x.Value
+	var syntax *json.SyntaxError
+	var wrongType *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &syntax):
+		offset = syntax.Offset
+	case errors.As(err, &wrongType):
+		offset = wrongType.Offset
+		place.Key = wrongType.Field
+		place.Reason = "must not be a JSON " + wrongType.Value
 	}
 	before := body[:min(max(offset, 0), int64(len(body)))]
 	place.Line += bytes.Count(before, []byte("\n"))
@@ -103,31 +100,26 @@
 	if len(g.Messages) == 0 {
 		findings.Add(finding.Finding{Key: "messages", Reason: "must have at least one message"})
 	}
-	var prompt strings.Builder
 	for _, m := range g.Messages {
 		if m.Role == "" {
 			findings.Add(finding.Finding{Key: "messages.role", Reason: "must not be empty"})
+			return
 		}
-		prompt.WriteString(m.Role)
-		prompt.WriteByte(0)
-		prompt.Write(m.Content)
-		prompt.WriteByte(0)
 	}
-	g.prompt = prompt.String()
 }
 
+// checkPrompt accepts one text, alone or in a list, or one list of tokens.
 func (g *generation) checkPrompt(findings *finding.List) {
-	if json.Unmarshal(g.Prompt, &g.prompt) == nil && !isNull(g.Prompt) {
+	var text string
+	var texts []string
+	var tokens []uint32
+	switch {
+	case isNull(g.Prompt):
+	case json.Unmarshal(g.Prompt, &text) == nil:
 		return
-	}
-	var list []string
-	if json.Unmarshal(g.Prompt, &list) == nil && len(list) == 1 {
-		g.prompt = list[0]
+	case json.Unmarshal(g.Prompt, &texts) == nil && len(texts) == 1:
 		return
-	}
-	var tokens []uint32
-	if json.Unmarshal(g.Prompt, &tokens) == nil && len(tokens) > 0 {
-		g.prompt = string(g.Prompt)
+	case json.Unmarshal(g.Prompt, &tokens) == nil && len(tokens) > 0:
 		return
 	}
 	findings.Add(finding.Finding{Key: "prompt", Reason: "must be one text, or one list of tokens"})
@@ -149,7 +141,7 @@
 const maxCount = 1 << 30
 
 // unsupported names a parameter whose effect plain text of one choice cannot carry.
-func (g *generation) unsupported(f format) string {
+func (g *generation) unsupported() string {
 	switch {
 	case g.N != nil && *g.N > 1:
 		return "n"
@@ -176,7 +168,7 @@
 	return true
 }
 
-func isNull(raw json.RawMessage) bool { return string(raw) == "null" }
+func isNull(raw json.RawMessage) bool { return len(raw) == 0 || string(raw) == "null" }
 
 func (g *generation) outputTokens() uint32 {
 	switch {
@@ -187,35 +179,3 @@
 	}
 	return 0
 }
-
-// bytesPerToken estimates prompt tokens from text.
-const bytesPerToken = 4
-
-func (g *generation) promptTokens() uint32 {
-	return uint32(len(g.prompt)/bytesPerToken) + 1
-}
-
-// prefixBytes is the length of the prompt that the prefix hash covers: long
-// enough to tell system prompts apart, and shared by all requests that begin
-// with the same one.
-const prefixBytes = 1024
-
-// prefix hashes the start of the prompt, or returns 0 for a prompt too short
-// to be worth caching.
-func (g *generation) prefix(service string) uint64 {
-	if len(g.prompt) < prefixBytes {
-		return 0
-	}
-	d := xxhash.New()
-	_, _ = d.WriteString(service)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(g.prompt[:prefixBytes])
-	return d.Sum64()
-}
-
-// writeRaw sends an engine's own error answer.
-func writeRaw(w http.ResponseWriter, status int, contentType string, body []byte) {
-	w.Header().Set("Content-Type", contentType)
-	w.WriteHeader(status)
-	_, _ = w.Write(body) // the caller may be gone
-}
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -204,6 +204,9 @@
 // maxStatus is the highest status that net/http writes.
 const maxStatus = 999
 
+// resumable is false once a part of one attempt's answer is out.
+func (s *plainSink) resumable() bool { return !s.sent }
+
 func (s *plainSink) text(*rpc.Delta) error { return errProtocol }
 
 func (s *plainSink) data(b []byte) error {
@@ -230,6 +233,9 @@
 	for name, values := range s.header {
 		h[name] = values
 	}
+	if s.header.Get("Content-Type") == "" {
+		h["Content-Type"] = nil // keeps net/http from guessing one
+	}
 	s.writer.w.WriteHeader(s.status)
 }
 
--- a/entry/respond.go
+++ b/entry/respond.go
@@ -10,6 +10,7 @@
 	"github.com/magnoliausher/magnoliausher/apierror"
 	"github.com/magnoliausher/magnoliausher/attempt"
 	"github.com/magnoliausher/magnoliausher/contract"
+	"github.com/magnoliausher/magnoliausher/metric"
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
 )
 
@@ -64,6 +65,9 @@
 	return nil
 }
 
+// bytesPerToken estimates prompt tokens from a body.
+const bytesPerToken = 4
+
 // readGeneration reads and checks the body, and completes the request with it.
 func (e *Entry) readGeneration(w http.ResponseWriter, r *http.Request, rq *request, f format) (*generation, *apierror.Error) {
 	body, fail := e.readBody(w, r)
@@ -85,8 +89,12 @@
 	rq.body = body
 	rq.header = []*rpc.Header{{Name: "Content-Type", Value: "application/json"}, {Name: requestIDHeader, Value: rq.id}}
 	rq.fingerprint = attempt.Fingerprint(rq.caller.ID, rq.service.Name, body)
-	rq.prefix = g.prefix(rq.service.Name)
-	rq.promptTokens = g.promptTokens()
+	rq.promptTokens = uint32(len(body)/bytesPerToken) + 1
+	if e.config.Prompt != nil {
+		prefix, tokens := e.config.Prompt(body)
+		rq.prefix = prefix
+		rq.promptTokens = uint32(max(tokens, 0))
+	}
 	rq.outputTokens = g.outputTokens()
 	return g, nil
 }
@@ -95,7 +103,7 @@
 type generationSink interface {
 	sink
 	begun() bool               // the answer's status has been sent
-	finish(end *rpc.End)       // after a whole attempt
+	finish(end *rpc.End)       // after a whole attempt, or with nil after an engine's client error
 	abort(err *apierror.Error) // ends an answer that has begun
 }
 
@@ -134,17 +142,11 @@
 // maxEngineError bounds an engine's error body.
 const maxEngineError = 64 << 10
 
-// head keeps a client error of the engine and rejects a server error, which
-// another engine may not have.
+// head starts to keep an engine's error, in place of an earlier attempt's.
 func (a *answer) head(h *rpc.Head) error {
-	status := int(h.GetStatus())
-	switch {
-	case status >= http.StatusInternalServerError:
-		return errEngineStatus
-	case status >= http.StatusBadRequest:
-		a.engine.status = status
-		a.engine.contentType = headerValue(h, "Content-Type")
-	}
+	a.engine.status = int(h.GetStatus())
+	a.engine.contentType = headerValue(h, "Content-Type")
+	a.engine.body = a.engine.body[:0]
 	return nil
 }
 
@@ -158,26 +160,27 @@
 }
 
 func (a *answer) data(b []byte) error {
-	if a.engine.status == 0 {
-		return errProtocol
-	}
 	if len(a.engine.body)+len(b) <= maxEngineError {
 		a.engine.body = append(a.engine.body, b...)
 	}
 	return nil
 }
 
-// finishEngine sends the engine's own error, if it gave one.
-func (a *answer) finishEngine() bool {
-	if a.engine.status == 0 {
-		return false
-	}
-	writeRaw(a.writer.w, a.engine.status, a.engine.contentType, a.engine.body)
-	return true
+// finishEngine sends the engine's own error.
+func (a *answer) finishEngine() {
+	h := a.writer.w.Header()
+	h.Set("Content-Type", a.engine.contentType)
+	h.Set(apierror.ExecutedHeader, string(a.rq.executed()))
+	a.writer.w.WriteHeader(a.engine.status)
+	_ = a.writer.write(a.engine.body) // the caller may be gone
+	metric.Refused("entry", a.rq.service.Name, classOnline, codeUpstreamAnswer)
 }
 
 var errAnswerTooLarge = errors.New("the answer is larger than an instance may hold")
 
+// resumable is true because engines go on after the delivered text.
+func (a *answer) resumable() bool { return true }
+
 // tooLarge bounds the text that is kept for resuming.
 func (a *answer) tooLarge(limit int, d *rpc.Delta) bool {
 	return a.rq.delivered.Len()+len(d.Text) > limit
@@ -262,7 +265,8 @@
 }
 
 func (s *wholeSink) finish(end *rpc.End) {
-	if s.finishEngine() {
+	if end == nil {
+		s.finishEngine()
 		return
 	}
 	text := s.rq.delivered.String()
--- a/entry/server.go
+++ b/entry/server.go
@@ -41,6 +41,8 @@
 		serveMetrics(w, r)
 		return
 	}
+	// A deadline of the connection's previous request must not apply to this one.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 	rq := e.newRequest(r)
 	w.Header().Set(requestIDHeader, rq.id)
 	if !e.drain.begin() {
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -167,7 +167,12 @@
 
 // finish sends the finish reason, the usage if asked for, and the end marker.
 func (s *streamSink) finish(end *rpc.End) {
-	if !s.opened && s.finishEngine() {
+	if end == nil && s.opened {
+		s.abort(s.rq.engineError())
+		return
+	}
+	if end == nil {
+		s.finishEngine()
 		return
 	}
 	if s.open() != nil {
--- /dev/null
+++ b/idempotency/store_test.go
@@ -0,0 +1,218 @@
+package idempotency
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/magnoliausher/magnoliausher/attempt"
+)
+
+var seeds = flag.Int("seeds", 3000, "seeds of the race of resends")
+
+func newStore(f *fakeTable) *Store {
+	return New(Config{Table: f, Objects: fakeObjects{f}, InlineBytes: 16})
+}
+
+func newCall(id string) Call {
+	return Call{Caller: "c1", Key: "k/1", Attempt: attempt.ID(id), Body: "hash", Deadline: time.Now().Add(time.Minute)}
+}
+
+// race is one call that its caller resends to several entries at once.
+type race struct {
+	mu       sync.Mutex
+	runs     int  // attempts that ran at the upstream
+	inDoubt  bool // some attempt ended unknown
+	answered string
+	problems []string
+}
+
+func (r *race) note(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.problems = append(r.problems, fmt.Sprintf(format, args...))
+}
+
+// resend does what an entry does with the call. It returns whether the caller
+// must not send again.
+func (r *race) resend(s *Store, id string, draw func(int) int) bool {
+	ctx := context.Background()
+	got := s.Begin(ctx, newCall(id), time.Now())
+	switch got.Outcome {
+	case Recorded:
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if body := string(got.Answer.Body); body != r.answered {
+			r.problems = append(r.problems, "recorded answer "+body+", want "+r.answered)
+		}
+		return true
+	case Fresh:
+		return r.dispatch(ctx, got.Intent, id, draw)
+	}
+	return false
+}
+
+func (r *race) dispatch(ctx context.Context, in *Intent, id string, draw func(int) int) bool {
+	time.Sleep(time.Duration(draw(3000)) * time.Millisecond) // a pause before or during the run
+	kind := draw(4)
+	if kind == 0 { // refused by every agent
+		_ = in.NotRun(ctx)
+		return false
+	}
+	r.mu.Lock()
+	r.runs++
+	if kind == 1 {
+		r.inDoubt = true
+	} else {
+		r.answered = "the answer of attempt " + id
+	}
+	r.mu.Unlock()
+	if kind == 1 {
+		_ = in.Unknown(ctx)
+		return true
+	}
+	_ = in.Finish(ctx, Answer{Status: 200, Body: []byte("the answer of attempt " + id)})
+	return true
+}
+
+// Guards against two attempts of one call that both run, when answers of the
+// table are lost or come late, the table is down, and resends race on several
+// entries; and against a key that stays unusable although nothing ran.
+func TestRacingResendsRunOnce(t *testing.T) {
+	for seed := range uint64(*seeds) {
+		synctest.Test(t, func(t *testing.T) { raceOnce(t, seed) })
+	}
+}
+
+func raceOnce(t *testing.T, seed uint64) {
+	rnd := rand.New(rand.NewPCG(seed, 3))
+	var drawing sync.Mutex
+	draw := func(n int) int {
+		drawing.Lock()
+		defer drawing.Unlock()
+		return rnd.IntN(n)
+	}
+	table := newTable(seed, rnd.Float64()*0.8)
+	stores := []*Store{newStore(table), newStore(table), newStore(table)}
+	var r race
+	var wg sync.WaitGroup
+	for e, s := range stores {
+		wg.Go(func() {
+			for n := range 3 {
+				time.Sleep(time.Duration(draw(4000)) * time.Millisecond)
+				if r.resend(s, fmt.Sprintf("%d-%d", e, n), draw) {
+					return
+				}
+			}
+		})
+	}
+	if rnd.IntN(3) == 0 {
+		time.Sleep(time.Second)
+		table.mu.Lock()
+		table.down = true
+		table.mu.Unlock()
+	}
+	wg.Wait()
+	table.heal()
+	time.Sleep(time.Minute) // the background settles its rows
+	for _, s := range stores {
+		s.Close(context.Background())
+	}
+	last := newStore(table)
+	defer last.Close(context.Background())
+	got := last.Begin(context.Background(), newCall("last"), time.Now())
+	r.checkEnd(got)
+	if r.runs > 1 {
+		r.note("%d attempts ran", r.runs)
+	}
+	for _, p := range r.problems {
+		t.Errorf("seed %d: %s", seed, p)
+	}
+}
+
+// checkEnd compares what a last resend learns with what happened.
+func (r *race) checkEnd(got Result) {
+	switch {
+	case r.runs == 0 && got.Outcome != Fresh:
+		r.note("nothing ran, but the last resend is %s", got.Outcome)
+	case r.runs > 0 && r.inDoubt && got.Outcome != Unknown:
+		r.note("outcome unknown, but the last resend is %s", got.Outcome)
+	case r.runs > 0 && !r.inDoubt && got.Outcome != Recorded:
+		r.note("answered, but the last resend is %s", got.Outcome)
+	}
+}
+
+// Guards against a key that is accepted for another call, and against a
+// running call that looks settled.
+func TestOutcomes(t *testing.T) {
+	now := time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
+	call := Call{Caller: "c1", Key: "k", Attempt: "b", Body: "hash"}
+	cases := []struct {
+		record Record
+		want   Outcome
+	}{
+		{Record{State: StateBegun, Body: "hash", Deadline: now.Add(time.Second)}, InProgress},
+		{Record{State: StateBegun, Body: "hash", Deadline: now}, Unknown},
+		{Record{State: StateUnknown, Body: "hash"}, Unknown},
+		{Record{State: StateDone, Body: "hash"}, Recorded},
+		{Record{State: StateNotRun, Body: "hash"}, Fresh},
+		{Record{State: StateDone, Body: "other"}, Mismatch},
+		{Record{State: StateNotRun, Body: "other"}, Mismatch},
+	}
+	for _, c := range cases {
+		if got := judge(&c.record, &call, now); got != c.want {
+			t.Errorf("%+v: %s, want %s", c.record, got, c.want)
+		}
+	}
+}
+
+// Guards against a caller whose id and key together name another caller's row.
+func TestRowKeysDoNotCollide(t *testing.T) {
+	a := rowKey(&Call{Caller: "a", Key: "b/c"})
+	b := rowKey(&Call{Caller: "a/b", Key: "c"})
+	if a == b {
+		t.Errorf("both are %s", a)
+	}
+}
+
+// Guards against rows and objects that stay for ever, or go before 24 h.
+func TestSweep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newTable(1, 0)
+		s := newStore(table)
+		defer s.Close(context.Background())
+		ctx := context.Background()
+		for i := range 2*sweepPage + 5 {
+			c := newCall(fmt.Sprint(i))
+			c.Key = fmt.Sprint(i)
+			in := s.Begin(ctx, c, time.Now()).Intent
+			if err := in.Finish(ctx, Answer{Status: 200, Body: make([]byte, 17)}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		sweepAll := func() int {
+			removed := 0
+			for range 4 {
+				n, err := s.Sweep(ctx, time.Now())
+				if err != nil {
+					t.Fatal(err)
+				}
+				removed += n
+			}
+			return removed
+		}
+		time.Sleep(DefaultRetention - time.Minute)
+		if n := sweepAll(); n != 0 {
+			t.Errorf("%d rows removed early", n)
+		}
+		time.Sleep(time.Hour)
+		if n := sweepAll(); n != 2*sweepPage+5 || len(table.objects) != 0 {
+			t.Errorf("%d rows removed, %d objects left", n, len(table.objects))
+		}
+	})
+}
