--- a/routing/routing.go
+++ b/routing/routing.go
@@ -59,17 +59,19 @@
 const (
 	LocalPrefix  Rule = iota // local, holds the prefix, below the affinity bound
 	LocalPacked              // local, carries online work, below the pack bound
-	LocalFree                // local, below the load bound
+	LocalFree                // local, below the pack bound
+	LocalBusy                // local, below the load bound
 	RemotePrefix             // as LocalPrefix in another data centre
 	RemotePacked             // as LocalPacked in another data centre
 	RemoteFree               // as LocalFree in another data centre
+	RemoteBusy               // as LocalBusy in another data centre
 	Overloaded               // every candidate is at or above the load bound
 	rules
 )
 
 var ruleNames = [rules]string{
-	"local_prefix", "local_packed", "local_free",
-	"remote_prefix", "remote_packed", "remote_free", "overloaded",
+	"local_prefix", "local_packed", "local_free", "local_busy",
+	"remote_prefix", "remote_packed", "remote_free", "remote_busy", "overloaded",
 }
 
 // String gives the rule's name in logs.
@@ -101,58 +103,50 @@
 // has a candidate.
 func Choose(snapshot []link.Upstream, r *Request, w *Weights, rnd Random) Decision {
 	local, remote, tally := survey(snapshot, r, w)
-	d := Decision{Index: -1, Tally: tally}
 	if tally.Candidates == 0 {
-		return d
+		return Decision{Index: -1, Tally: tally}
 	}
-	var counts [rules]int
+	s := sample{rule: rules}
 	for i := range snapshot {
 		u := &snapshot[i]
 		if obstacle(u, r, w) == none {
-			counts[ruleOf(u, r, w, &local, &remote)]++
+			s.offer(i, ruleOf(u, r, w, &local, &remote), rnd)
 		}
 	}
-	for counts[d.Rule] == 0 {
-		d.Rule++
+	first := Load(&snapshot[s.picked[0]], w)
+	if s.seen == 1 {
+		return Decision{Index: s.picked[0], Rule: s.rule, Load: first, Tally: tally}
 	}
-	first, second := twoRanks(counts[d.Rule], rnd)
-	rank := 0
-	for i := range snapshot {
-		u := &snapshot[i]
-		if obstacle(u, r, w) != none || ruleOf(u, r, w, &local, &remote) != d.Rule {
-			continue
-		}
-		if rank == first || rank == second {
-			d.prefer(i, Load(u, w))
-		}
-		rank++
-		if rank > first && rank > second {
-			break
-		}
+	second := Load(&snapshot[s.picked[1]], w)
+	if second < first || (second == first && rnd.IntN(2) == 0) {
+		return Decision{Index: s.picked[1], Rule: s.rule, Load: second, Tally: tally}
 	}
-	return d
+	return Decision{Index: s.picked[0], Rule: s.rule, Load: first, Tally: tally}
 }
 
-// prefer takes the upstream if it is the first or carries less.
-func (d *Decision) prefer(index int, load float64) {
-	if d.Index >= 0 && load >= d.Load {
-		return
-	}
-	d.Index = index
-	d.Load = load
+// sample keeps two candidates of the best rule so far, each pair with the same
+// probability (reservoir sampling).
+type sample struct {
+	rule   Rule
+	seen   int
+	picked [2]int
 }
 
-// twoRanks draws two different numbers below n, or the same one when n is 1.
-func twoRanks(n int, rnd Random) (first, second int) {
-	if n == 1 {
-		return 0, 0
+func (s *sample) offer(index int, rule Rule, rnd Random) {
+	if rule > s.rule {
+		return
 	}
-	first = rnd.IntN(n)
-	second = rnd.IntN(n - 1)
-	if second >= first {
-		second++
+	if rule < s.rule {
+		*s = sample{rule: rule}
+	}
+	slot := s.seen
+	s.seen++
+	if slot >= len(s.picked) {
+		slot = rnd.IntN(s.seen)
+	}
+	if slot < len(s.picked) {
+		s.picked[slot] = index
 	}
-	return first, second
 }
 
 // Load is the last report plus own attempts sent since, per slot.
@@ -277,7 +271,10 @@
 	if holds(u, r.Prefix) && have+1 <= max(z.share(w.AffinityBound, n), w.PackBound*n) {
 		return offset + LocalPrefix
 	}
-	if packable(u, w) && have+1 <= w.PackBound*n {
+	if have+1 > w.PackBound*n {
+		return offset + LocalBusy
+	}
+	if packable(u, w) {
 		return offset + LocalPacked
 	}
 	return offset + LocalFree
