--- /dev/null
+++ b/entry/once_test.go
@@ -0,0 +1,215 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/magnoliausher/magnoliausher/apierror"
+	"github.com/magnoliausher/magnoliausher/idempotency"
+	"github.com/magnoliausher/magnoliausher/platform"
+)
+
+// memory is a platform table and object store that can be down.
+type memory struct {
+	mu      sync.Mutex
+	down    bool
+	rows    map[string]platform.Row
+	objects map[string][]byte
+	version uint64
+}
+
+func newMemory() *memory {
+	return &memory{rows: make(map[string]platform.Row), objects: make(map[string][]byte)}
+}
+
+func (m *memory) Get(_ context.Context, key string) (platform.Row, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return platform.Row{}, platform.ErrUnavailable
+	}
+	row, ok := m.rows[key]
+	if !ok {
+		return row, platform.ErrNotFound
+	}
+	return row, nil
+}
+
+func (m *memory) Scan(context.Context, string, string, int) ([]platform.Row, error) { return nil, nil }
+
+func (m *memory) Commit(_ context.Context, tx platform.Transaction) ([]uint64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return nil, platform.ErrUnavailable
+	}
+	w := tx.Writes[0]
+	if m.rows[w.Key].Version != w.IfVersion {
+		return nil, platform.ErrConflict
+	}
+	m.version++
+	m.rows[w.Key] = platform.Row{Key: w.Key, Version: m.version, Value: w.Value}
+	return []uint64{m.version}, nil
+}
+
+type memoryObjects struct{ *memory }
+
+func (m memoryObjects) Put(_ context.Context, key string, body io.Reader) error {
+	b, err := io.ReadAll(body)
+	m.objects[key] = b
+	return err
+}
+
+func (m memoryObjects) Get(_ context.Context, key string) (io.ReadCloser, error) {
+	return io.NopCloser(bytes.NewReader(m.objects[key])), nil
+}
+func (m memoryObjects) Delete(context.Context, string) error { return nil }
+func (m memoryObjects) List(context.Context, string, string, int) ([]platform.ObjectInfo, error) {
+	return nil, nil
+}
+
+func withStore(m *memory) func(*Config) {
+	return func(c *Config) {
+		c.Idempotency = idempotency.New(idempotency.Config{Table: m, Objects: memoryObjects{m}})
+	}
+}
+
+const invoicePath = "/services/orders/invoice"
+
+// Guards against a second hand-over of a call that must not be repeated, and
+// against "not run" after one.
+func TestNonRepeatableFaults(t *testing.T) {
+	cases := []struct {
+		fault    fault
+		status   int
+		executed string
+		resend   int // status of a resend with the same key
+	}{
+		{healthy, 201, "", 201},
+		{crossed, 201, "", 201},
+		{noLink, 201, "", 201},
+		{refused, 201, "", 201},
+		{failedNotRun, 503, "no", 201},
+		{diesBeforeAcceptance, 502, "unknown", 409},
+		{silentBeforeAcceptance, 502, "unknown", 409},
+		{diesMidStream, 502, "unknown", 409},
+		{truncated, 502, "unknown", 409},
+		{crashes, 502, "unknown", 409},
+	}
+	for _, c := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRunner(2, scripted{c.fault, 0})
+			e := newTestEntry(r, withStore(newMemory()))
+			w := call(e, "POST", invoicePath, "body", idempotencyHeader, "k")
+			if w.Code != c.status || w.Header().Get(apierror.ExecutedHeader) != c.executed || r.handOvers > 1 {
+				t.Errorf("fault %d: status %d, executed %q, %d hand-overs", c.fault, w.Code, w.Header().Get(apierror.ExecutedHeader), r.handOvers)
+			}
+			w = call(e, "POST", invoicePath, "body", idempotencyHeader, "k")
+			if w.Code != c.resend || r.handOvers > 1 {
+				t.Errorf("fault %d, resend: status %d, %d hand-overs, %s", c.fault, w.Code, r.handOvers, w.Body)
+			}
+			if w.Code == 201 && (w.Body.String() != "answer" || w.Header().Get("X-Order") != "7") {
+				t.Errorf("fault %d, resend: %v %s", c.fault, w.Header(), w.Body)
+			}
+			w = call(e, "POST", invoicePath, "other", idempotencyHeader, "k")
+			if w.Code != 422 {
+				t.Errorf("fault %d, other body: status %d", c.fault, w.Code)
+			}
+		})
+	}
+}
+
+// Guards against a second attempt of a call without a key, even after a refusal.
+func TestWithoutKeyOneAttempt(t *testing.T) {
+	for f, executed := range map[fault]string{refused: "no", diesBeforeAcceptance: "unknown", truncated: "unknown"} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRunner(3, scripted{f, 0})
+			w := call(newTestEntry(r), "POST", invoicePath, "body")
+			if r.attempts() != 1 || w.Header().Get(apierror.ExecutedHeader) != executed {
+				t.Errorf("fault %d: %d attempts, status %d, executed %q", f, r.attempts(), w.Code, w.Header().Get(apierror.ExecutedHeader))
+			}
+		})
+	}
+}
+
+// Guards against a non-repeatable call on a link that has gone silent.
+func TestQuietLinksAreProbed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRunner(2)
+		r.quiet = 1500 * time.Millisecond
+		r.probeErr = errors.New("no answer")
+		w := call(newTestEntry(r), "POST", invoicePath, "body")
+		if r.probes != 2 || r.attempts() != 0 || w.Code != 503 || w.Header().Get(apierror.ExecutedHeader) != "no" {
+			t.Errorf("%d probes, %d attempts, status %d", r.probes, r.attempts(), w.Code)
+		}
+		r.probeErr = nil
+		if w := call(newTestEntry(r), "POST", invoicePath, "body"); w.Code != 201 || r.probes != 3 {
+			t.Errorf("%d probes, status %d", r.probes, w.Code)
+		}
+		r.quiet = 500 * time.Millisecond
+		if w := call(newTestEntry(r), "POST", invoicePath, "body"); w.Code != 201 || r.probes != 3 {
+			t.Errorf("%d probes of a live link, status %d", r.probes, w.Code)
+		}
+	})
+}
+
+// Guards against a call that runs while the table is down.
+func TestTableDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemory()
+		m.down = true
+		r := newRunner(1)
+		e := newTestEntry(r, withStore(m))
+		w := call(e, "POST", invoicePath, "body", idempotencyHeader, "k")
+		if w.Code != 503 || w.Header().Get(apierror.ExecutedHeader) != "no" || r.attempts() != 0 {
+			t.Errorf("status %d, %d attempts", w.Code, r.attempts())
+		}
+		m.mu.Lock()
+		m.down = false
+		m.mu.Unlock()
+		time.Sleep(time.Minute)
+		if w := call(e, "POST", invoicePath, "body", idempotencyHeader, "k"); w.Code != 201 || r.attempts() != 1 {
+			t.Errorf("after the outage: status %d, %d attempts", w.Code, r.attempts())
+		}
+	})
+}
+
+// Guards against racing resends on several entries that run a call twice under
+// any mix of agent faults, and against "not run" for a key that ran.
+func TestRacingResendsOnEntries(t *testing.T) {
+	for seed := range uint64(1000) {
+		synctest.Test(t, func(t *testing.T) {
+			rnd := rand.New(rand.NewPCG(seed, 5))
+			script := make([]scripted, rnd.IntN(8))
+			for i := range script {
+				script[i].fault = fault(rnd.IntN(int(engineRejects)))
+			}
+			r := newRunner(2, script...)
+			m := newMemory()
+			var wg sync.WaitGroup
+			for range 3 {
+				e := newTestEntry(r, withStore(m))
+				wait := time.Duration(rnd.IntN(3)) * time.Second
+				wg.Go(func() {
+					time.Sleep(wait)
+					w := call(e, "POST", invoicePath, "body", idempotencyHeader, "k")
+					if w.Code == 201 && !strings.Contains(w.Body.String(), "answer") {
+						t.Errorf("seed %d: %s", seed, w.Body)
+					}
+				})
+			}
+			wg.Wait()
+			if r.handOvers > 1 {
+				t.Errorf("seed %d: %d hand-overs", seed, r.handOvers)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/entry/server_test.go
@@ -0,0 +1,292 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/magnoliausher/magnoliausher/apierror"
+	"github.com/magnoliausher/magnoliausher/contract"
+)
+
+// fixedSuspects blocks or suspects every request.
+type fixedSuspects struct {
+	suspect bool
+	blocked time.Duration
+}
+
+func (f fixedSuspects) Status(uint64, time.Time) (bool, time.Duration, string) {
+	return f.suspect, f.blocked, "two upstreams crashed"
+}
+
+// Guards against refusals without a stable code, with a wrong status, or
+// without the statement that the request was not run.
+func TestRefusals(t *testing.T) {
+	small := func(c *Config) { c.MaxBodyBytes = 100 }
+	blocked := func(c *Config) { c.Suspects = fixedSuspects{blocked: time.Minute} }
+	empty := func(c *Config) { c.Holder = new(contract.Holder) }
+	none := func(*Config) {}
+	chat, auth := pathChat, "Authorization"
+	cases := []struct {
+		name, method, path, body string
+		header                   []string
+		change                   func(*Config)
+		status                   int
+		code                     string
+	}{
+		{"no key", "POST", chat, chatBody, []string{auth, ""}, none, 401, codeMissingKey},
+		{"other scheme", "POST", chat, chatBody, []string{auth, "Basic a2V5"}, none, 401, codeMissingKey},
+		{"unknown key", "POST", chat, chatBody, []string{auth, "Bearer x"}, none, 401, codeUnknownKey},
+		{"class", "POST", chat, chatBody, []string{auth, "Bearer key-3"}, none, 403, codeClass},
+		{"syntax", "POST", chat, `{"model":`, nil, none, 400, codeMalformed},
+		{"type", "POST", chat, `{"model":7}`, nil, none, 400, codeInvalid},
+		{"no messages", "POST", chat, `{"model":"taller-1"}`, nil, none, 400, codeInvalid},
+		{"no prompt", "POST", pathCompletion, `{"model":"taller-1"}`, nil, none, 400, codeInvalid},
+		{"two prompts", "POST", pathCompletion, `{"model":"taller-1","prompt":["a","b"]}`, nil, none, 400, codeInvalid},
+		{"choices", "POST", chat, strings.Replace(chatBody, "{", `{"n":2,`, 1), nil, none, 400, codeUnsupported},
+		{"model", "POST", chat, strings.Replace(chatBody, "taller-1", "x", 1), nil, none, 404, codeUnknownModel},
+		{"plain as model", "POST", chat, strings.Replace(chatBody, "taller-1", "orders", 1), nil, none, 404, codeUnknownModel},
+		{"service", "GET", "/services/x/y", "", nil, none, 404, codeUnknownService},
+		{"engine as plain", "GET", "/services/assistant/y", "", nil, none, 404, codeUnknownService},
+		{"path", "GET", "/v2/x", "", nil, none, 404, codeUnknownPath},
+		{"size", "POST", chat, chatBody + strings.Repeat(" ", 100), nil, small, 413, codeTooLarge},
+		{"method", "GET", chat, "", nil, none, 405, codeMethod},
+		{"timeout", "POST", chat, chatBody, []string{timeoutHeader, "-1"}, none, 400, codeHeader},
+		{"blocked", "POST", chat, chatBody, nil, blocked, 422, codeBlocked},
+		{"no configuration", "POST", chat, chatBody, nil, empty, 503, codeNotReady},
+		{"key too long", "POST", "/services/orders/invoice", "", []string{idempotencyHeader, strings.Repeat("k", 256)}, none, 400, codeHeader},
+		{"no store", "POST", "/services/orders/invoice", "", []string{idempotencyHeader, "k"}, none, 503, codeKeyUnavailable},
+	}
+	for _, c := range cases {
+		r := newRunner(2)
+		w := call(newTestEntry(r, c.change), c.method, c.path, c.body, c.header...)
+		var body struct {
+			Error struct{ Code string }
+		}
+		if err := json.Unmarshal(w.Body.Bytes(), &body); err != nil {
+			t.Errorf("%s: %v", c.name, err)
+		}
+		if w.Code != c.status || body.Error.Code != c.code || w.Header().Get(apierror.ExecutedHeader) != "no" {
+			t.Errorf("%s: status %d, executed %q, %s", c.name, w.Code, w.Header().Get(apierror.ExecutedHeader), w.Body)
+		}
+		if w.Header().Get(requestIDHeader) == "" || r.attempts() != 0 {
+			t.Errorf("%s: no request id, or %d attempts", c.name, r.attempts())
+		}
+	}
+}
+
+// Guards against limits that are not applied, or not given back.
+func TestLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestEntry(newRunner(2))
+		want := []int{200, 429, 200}
+		for i, status := range want {
+			w := call(e, "POST", pathChat, chatBody, "Authorization", "Bearer key-2")
+			if w.Code != status {
+				t.Errorf("request %d: status %d, %s", i, w.Code, w.Body)
+			}
+			if status == 429 && w.Header().Get("Retry-After") == "" {
+				t.Error("no Retry-After")
+			}
+			time.Sleep(time.Duration(i) * time.Second)
+		}
+		time.Sleep(time.Minute)
+		if left := e.callers.RemoveIdle(time.Now()); left != 0 {
+			t.Errorf("%d idle callers kept", left)
+		}
+	})
+}
+
+// Guards against answers that an unmodified OpenAI client cannot read. The
+// expected texts follow the API reference.
+func TestOpenAIShapes(t *testing.T) {
+	e := newTestEntry(newRunner(1))
+	chat := call(e, "POST", pathChat, chatBody)
+	text, _ := json.Marshal(wholeText())
+	wantUsage := `"usage":{"prompt_tokens":3,"completion_tokens":12,"total_tokens":15}`
+	for _, part := range []string{`{"id":"chatcmpl-`, `"object":"chat.completion","created":`, `"model":"taller-1"`,
+		`"choices":[{"index":0,"message":{"role":"assistant","content":` + string(text) + `,"refusal":null},"logprobs":null,"finish_reason":"stop"}]`, wantUsage} {
+		if !strings.Contains(chat.Body.String(), part) {
+			t.Errorf("chat answer lacks %s: %s", part, chat.Body)
+		}
+	}
+	stream := call(e, "POST", pathChat, chatStreamBody)
+	if got := stream.Header().Get("Content-Type"); !strings.HasPrefix(got, "text/event-stream") {
+		t.Errorf("content type %q", got)
+	}
+	events := strings.Split(strings.TrimSuffix(stream.Body.String(), "\n\n"), "\n\n")
+	if len(events) != answerTokens+4 || events[len(events)-1] != "data: [DONE]" {
+		t.Fatalf("%d events: %s", len(events), stream.Body)
+	}
+	for event, part := range map[int]string{
+		0:                `"choices":[{"index":0,"delta":{"role":"assistant","content":"","refusal":null},"logprobs":null,"finish_reason":null}],"usage":null}`,
+		1:                `"object":"chat.completion.chunk"`,
+		answerTokens + 1: `"choices":[{"index":0,"delta":{},"logprobs":null,"finish_reason":"stop"}],"usage":null}`,
+		answerTokens + 2: `"choices":[],` + wantUsage + `}`,
+	} {
+		if !strings.Contains(events[event], part) {
+			t.Errorf("event %d lacks %s: %s", event, part, events[event])
+		}
+	}
+	completion := call(e, "POST", pathCompletion, `{"model":"taller-1","prompt":"a","stream":true}`)
+	if got := readStream(t, completion); got.text != wholeText() || !got.done || strings.Contains(completion.Body.String(), "usage") {
+		t.Errorf("completion: %s", completion.Body)
+	}
+	models := call(e, "GET", pathModels, "").Body.String()
+	if want := `{"object":"list","data":[{"id":"taller-1","object":"model","created":1772409600,"owned_by":"magnoliausher"}]}`; strings.TrimSpace(models) != want {
+		t.Errorf("models: %s", models)
+	}
+}
+
+// Guards against hop-by-hop headers, the caller's key and an upstream's claim
+// about execution being passed on.
+func TestPlainHeaders(t *testing.T) {
+	r := newRunner(1)
+	w := call(newTestEntry(r), "PUT", "/services/orders/a%2Fb/c?x=1", "body", "Connection", "X-Drop", "X-Drop", "1", "X-Keep", "2", "Te", "trailers")
+	if w.Code != 201 || w.Body.String() != "answer" || w.Header().Get("X-Order") != "7" {
+		t.Errorf("status %d, %v, %s", w.Code, w.Header(), w.Body)
+	}
+	for _, name := range []string{apierror.ExecutedHeader, "X-Hop", "Connection"} {
+		if w.Header().Get(name) != "" {
+			t.Errorf("answer has %s", name)
+		}
+	}
+	sent := r.started[0]
+	if sent.Path != "/a%2Fb/c?x=1" || sent.Method != "PUT" || string(sent.Body) != "body" {
+		t.Errorf("upstream got %v", sent)
+	}
+	names := make(map[string]string)
+	for _, h := range sent.Headers {
+		names[h.Name] = h.Value
+	}
+	if len(names) != 2 || names["X-Keep"] != "2" || names[requestIDHeader] != w.Header().Get(requestIDHeader) {
+		t.Errorf("upstream got headers %v", names)
+	}
+}
+
+// Guards against a spelling of a path that hides a non-repeatable call.
+func TestSpellingsOfNonRepeatablePaths(t *testing.T) {
+	svc := testDocument().Services[1]
+	for _, path := range []string{"/invoice", "/invoice/7", "/%69nvoice", "//invoice", "/x/../invoice", "/invoice/", "/%2e/invoice"} {
+		if repeatable(&svc, "post", path) {
+			t.Errorf("%s counts as repeatable", path)
+		}
+	}
+	if !repeatable(&svc, "POST", "/invoices") || !repeatable(&svc, "GET", "/invoice") {
+		t.Error("a repeatable call counts as non-repeatable")
+	}
+}
+
+// Guards against a shutdown that breaks requests in progress or accepts new ones.
+func TestDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRunner(1)
+		r.release = make(chan struct{})
+		e := newTestEntry(r)
+		var first *httptest.ResponseRecorder
+		go func() { first = call(e, "POST", pathChat, chatStreamBody) }()
+		synctest.Wait()
+		drained := make(chan error, 1)
+		go func() { drained <- e.Drain(context.Background()) }()
+		synctest.Wait()
+		if w := call(e, "GET", pathReady, ""); w.Code != 503 || !strings.Contains(w.Body.String(), "draining") {
+			t.Errorf("readyz: %d %s", w.Code, w.Body)
+		}
+		w := call(e, "POST", pathChat, chatBody)
+		if w.Code != 503 || w.Header().Get("Retry-After") == "" || w.Header().Get(apierror.ExecutedHeader) != "no" {
+			t.Errorf("new request: %d %v", w.Code, w.Header())
+		}
+		if len(drained) != 0 {
+			t.Error("drained with a request in progress")
+		}
+		close(r.release)
+		if err := <-drained; err != nil || !readStream(t, first).done {
+			t.Errorf("drain: %v, first answer %s", err, first.Body)
+		}
+		expired, cancel := context.WithCancel(context.Background())
+		cancel()
+		if err := newTestEntry(r).Drain(expired); err != nil && !errors.Is(err, context.Canceled) {
+			t.Error(err)
+		}
+	})
+}
+
+// stuckWriter is a caller that takes no data: writes block until their deadline.
+type stuckWriter struct {
+	header   http.Header
+	deadline time.Time
+}
+
+func (s *stuckWriter) Header() http.Header { return s.header }
+func (s *stuckWriter) WriteHeader(int)     {}
+func (s *stuckWriter) Flush()              {}
+
+func (s *stuckWriter) SetWriteDeadline(t time.Time) error {
+	s.deadline = t
+	return nil
+}
+
+func (s *stuckWriter) Write(b []byte) (int, error) {
+	if s.deadline.IsZero() {
+		select {} // for ever
+	}
+	time.Sleep(time.Until(s.deadline))
+	return 0, errors.New("write deadline exceeded")
+}
+
+// Guards against a caller that does not read and so holds an upstream.
+func TestStuckCallerReleasesUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRunner(2)
+		e := newTestEntry(r)
+		req := httptest.NewRequest("POST", pathChat, strings.NewReader(chatStreamBody))
+		req.Header.Set("Authorization", "Bearer "+testKey)
+		start := time.Now()
+		e.Handler().ServeHTTP(&stuckWriter{header: make(http.Header)}, req)
+		if waited := time.Since(start); waited > 2*DefaultWriteTimeout {
+			t.Errorf("upstream was held for %v", waited)
+		}
+		if r.attempts() != 1 {
+			t.Errorf("%d attempts for a stuck caller", r.attempts())
+		}
+	})
+}
+
+// Guards against readiness without a configuration, and against staleness that
+// is not reported or stops the service.
+func TestReadiness(t *testing.T) {
+	heard := time.Now().Add(-time.Minute)
+	w := call(newTestEntry(newRunner(1), func(c *Config) { c.ConfigHeard = func() time.Time { return heard } }), "GET", pathReady, "")
+	if w.Code != 200 || !strings.Contains(w.Body.String(), "possibly stale") {
+		t.Errorf("stale: %d %s", w.Code, w.Body)
+	}
+	w = call(newTestEntry(newRunner(0)), "GET", pathReady, "")
+	if w.Code != 200 || !strings.Contains(w.Body.String(), "no upstream linked for service orders") {
+		t.Errorf("no upstream: %d %s", w.Code, w.Body)
+	}
+	w = call(newTestEntry(newRunner(1), func(c *Config) { c.Holder = new(contract.Holder) }), "GET", pathReady, "")
+	if w.Code != 503 || !strings.Contains(w.Body.String(), "no configuration") {
+		t.Errorf("no configuration: %d %s", w.Code, w.Body)
+	}
+}
+
+// Guards against batch requests that reach the jobs handler without their caller.
+func TestJobsGetTheCaller(t *testing.T) {
+	var got []string
+	jobs := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		got = append(got, contract.CallerFrom(r.Context()).ID+" "+r.URL.Path)
+	})
+	e := newTestEntry(newRunner(1), func(c *Config) { c.Jobs = jobs })
+	call(e, "POST", "/v1/files", "")
+	call(e, "GET", "/v1/batches/b1", "")
+	w := call(e, "GET", "/v1/batches", "", "Authorization", "Bearer key-2")
+	if strings.Join(got, ",") != "c1 /v1/files,c1 /v1/batches/b1" || w.Code != 403 {
+		t.Errorf("%v, status %d", got, w.Code)
+	}
+}
