Add the runner of batch chunks

Cause: jobs in the store are not executed. Change: Runner claims chunks by the scheduling functions, announces demand, starts items on grants, keeps the output of preempted items, bounds attempts, records non-repeatable items before they start, renews claims in one transaction, and returns chunks on Drain. A watcher rule limits which entries look after jobs whose chunks are all taken. Conclusion: tests of shared execution, loss of a holder at four points, cancel with and without notice, platform outage, item rules, non-repeatable items and drain pass under the race detector in virtual time.

--- a/job/chunk.go
+++ b/job/chunk.go
@@ -151,9 +151,12 @@
 		if err := s.settle(ctx, claim); err != nil {
 			return trace.Wrap(err)
 		}
-		if done(claim.Chunk) {
-			return nil
-		}
+	}
+	if done(claim.Chunk) {
+		return nil
+	}
+	if claim.Chunk.State != ChunkClaimed {
+		return ErrLost // committed or returned rows are no longer the holder's
 	}
 	before := claim.Chunk.Version
 	err := s.writeChunk(ctx, claim, next(claim.Chunk))
@@ -206,7 +209,7 @@
 	return s.update(ctx, claim,
 		func(c Chunk) Chunk {
 			return Chunk{
-				State: ChunkDone, ClaimID: c.ClaimID, Index: c.Index, Object: key,
+				State: ChunkDone, ClaimID: c.ClaimID, Index: c.Index,
 				Completed: r.Completed, Failed: r.Failed,
 				OutputBytes: int64(len(r.Output)), ErrorBytes: int64(len(r.Errors)),
 			}
@@ -214,6 +217,17 @@
 		func(c Chunk) bool { return c.State == ChunkDone })
 }
 
+// putBack gives a chunk back as the holder found it.
+func (s *Store) putBack(ctx context.Context, claim *Claim) error {
+	return s.update(ctx, claim,
+		func(c Chunk) Chunk {
+			c.State = ChunkReturned
+			c.Holder = ""
+			return c
+		},
+		func(c Chunk) bool { return c.State == ChunkReturned })
+}
+
 // Return gives a chunk back with the states of its items, so that the next
 // holder goes on where this one stopped.
 func (s *Store) Return(ctx context.Context, claim *Claim, partial []byte) error {
--- /dev/null
+++ b/job/execute.go
@@ -0,0 +1,241 @@
+package job
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/magnoliausher/magnoliausher/attempt"
+	"github.com/magnoliausher/magnoliausher/contract"
+	"github.com/magnoliausher/magnoliausher/link"
+	"github.com/magnoliausher/magnoliausher/metric"
+	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
+)
+
+// ticketValidity is the time within which an agent may hand an attempt to its upstream.
+const ticketValidity = 10 * time.Second
+
+// Estimates for requests that state no bound.
+const (
+	bytesPerToken       = 4
+	defaultOutputTokens = 256
+)
+
+// execute runs one attempt of an item on an agent.
+func (r *Runner) execute(ctx context.Context, h *held, it *item, agentID string) {
+	defer r.release(h, it)
+	o := outcome{kind: outcomeNotSent, attempt: attempt.NewID()}
+	if req := r.request(h, it, agentID, o.attempt); req != nil {
+		o = r.attempt(ctx, h, agentID, req)
+	}
+	r.apply(h, it, o)
+}
+
+// request builds the attempt, or returns nil if the agent is gone.
+func (r *Runner) request(h *held, it *item, agentID string, id attempt.ID) *rpc.RunRequest {
+	now := time.Now()
+	up := findUpstream(r.cfg.Links.Upstreams(h.service), agentID)
+	if up == nil {
+		return nil
+	}
+	fingerprint := r.fingerprint(h, it)
+	return &rpc.RunRequest{
+		AttemptId: string(id),
+		Ticket: &rpc.Ticket{
+			AgentIncarnation: up.Incarnation,
+			NotAfterMs:       uint64((up.AgentTime(now) + ticketValidity).Milliseconds()),
+		},
+		Caller: h.job.Caller, Service: h.service, Class: rpc.Class_CLASS_BATCH,
+		Repeatable: it.repeatable, DeadlineMs: remainingMS(h.job.Deadline.Sub(now)),
+		Fingerprint: fingerprint, Suspect: r.cfg.Suspects.Status(fingerprint, now) != Clear,
+		ConfigVersion: r.cfg.Contract.Version(), Method: it.Method, Path: h.path,
+		Headers: []*rpc.Header{{Name: "Content-Type", Value: "application/json"}}, Body: it.Body,
+		PromptTokens: uint32(len(it.Body) / bytesPerToken), OutputTokens: outputTokens(it.Body),
+		DeliveredTokens: uint32(it.tokens), DeliveredText: string(it.text), JobId: h.job.ID,
+	}
+}
+
+func findUpstream(list []link.Upstream, agentID string) *link.Upstream {
+	for i := range list {
+		if list[i].AgentID == agentID && list[i].Connected {
+			return &list[i]
+		}
+	}
+	return nil
+}
+
+func remainingMS(d time.Duration) uint32 {
+	return uint32(min(max(d.Milliseconds(), 1), math.MaxUint32))
+}
+
+func outputTokens(body []byte) uint32 {
+	var b struct {
+		MaxTokens           uint32 `json:"max_tokens"`
+		MaxCompletionTokens uint32 `json:"max_completion_tokens"`
+	}
+	_ = json.Unmarshal(body, &b) // plain services may take anything
+	if n := max(b.MaxTokens, b.MaxCompletionTokens); n > 0 {
+		return n
+	}
+	return defaultOutputTokens
+}
+
+// attempt sends the request and reads its events to the end.
+func (r *Runner) attempt(ctx context.Context, h *held, agentID string, req *rpc.RunRequest) outcome {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := r.cfg.Links.Run(ctx, agentID, req)
+	if errors.Is(err, link.ErrNoLink) {
+		return outcome{kind: outcomeNotSent, attempt: attempt.ID(req.AttemptId)}
+	}
+	c := collector{req: req, engine: h.target.Kind == contract.KindEngine}
+	if err == nil {
+		err = c.read(stream)
+		_ = stream.Close() // the attempt has ended or is given up
+	}
+	return c.outcome(ctx, err)
+}
+
+// collector joins the events of one attempt.
+type collector struct {
+	req    *rpc.RunRequest
+	engine bool
+	status int
+	text   strings.Builder
+	tokens int
+	data   bytes.Buffer
+	last   *rpc.RunEvent // end, refused or failed
+}
+
+// read takes events until the attempt's last one. Events of other attempts are dropped.
+func (c *collector) read(stream link.Stream) error {
+	for {
+		event, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		if event.AttemptId != c.req.AttemptId {
+			continue
+		}
+		switch e := event.Event.(type) {
+		case *rpc.RunEvent_Head:
+			c.status = int(e.Head.Status)
+		case *rpc.RunEvent_Delta:
+			c.text.WriteString(e.Delta.Text)
+			c.tokens += int(e.Delta.Tokens)
+		case *rpc.RunEvent_Data:
+			c.data.Write(e.Data)
+		case *rpc.RunEvent_End, *rpc.RunEvent_Refused, *rpc.RunEvent_Failed:
+			c.last = event
+			return nil
+		}
+	}
+}
+
+// outcome tells how the attempt ended; err is the error of the connection, if any.
+func (c *collector) outcome(ctx context.Context, err error) outcome {
+	o := outcome{
+		kind: outcomeFailed, attempt: attempt.ID(c.req.AttemptId), executed: attempt.ExecutedUnknown,
+		text: c.text.String(), tokens: c.tokens,
+	}
+	switch {
+	case err != nil && ctx.Err() != nil: // this entry stopped the attempt
+		o.kind = outcomePreempted
+		return o
+	case errors.Is(err, io.EOF):
+		o.reason = "the answer ended early"
+		return o
+	case err != nil:
+		o.reason = "the connection to the agent failed"
+		return o
+	}
+	switch e := c.last.Event.(type) {
+	case *rpc.RunEvent_Refused:
+		o.kind = outcomeRefused
+		o.reason = e.Refused.Reason
+	case *rpc.RunEvent_Failed:
+		o.reason = e.Failed.Reason
+		o.executed = executedOf(e.Failed.Executed)
+		o.crashed = e.Failed.UpstreamCrashed
+		if e.Failed.Preempted {
+			o.kind = outcomePreempted
+		}
+	case *rpc.RunEvent_End:
+		o.kind = outcomeAnswered
+		o.status, o.body = c.answer(e.End)
+	}
+	return o
+}
+
+func executedOf(e rpc.Executed) attempt.Executed {
+	switch e {
+	case rpc.Executed_EXECUTED_NO:
+		return attempt.ExecutedNo
+	case rpc.Executed_EXECUTED_YES:
+		return attempt.ExecutedYes
+	}
+	return attempt.ExecutedUnknown
+}
+
+// answer gives status and body. Generated text becomes the OpenAI object of the endpoint.
+func (c *collector) answer(end *rpc.End) (int, []byte) {
+	status := c.status
+	if status == 0 {
+		status = http.StatusOK
+	}
+	if !c.engine || !succeeded(status) {
+		return status, c.data.Bytes()
+	}
+	return status, completionBody(c.req, c.req.DeliveredText+c.text.String(), end)
+}
+
+// apply does what the verdict on an attempt says.
+func (r *Runner) apply(h *held, it *item, o outcome) {
+	r.mu.Lock()
+	v := judge(it.attempts, it.crashes, it.repeatable, o)
+	if h.lost {
+		r.mu.Unlock()
+		return
+	}
+	r.account(h, it, func() {
+		if v.keepText && o.tokens > 0 {
+			it.text = append(it.text, o.text...)
+			it.tokens += o.tokens
+		}
+		if v.counted {
+			it.attempts++
+		}
+		if v.crashed {
+			it.crashes++
+		}
+	})
+	r.mu.Unlock()
+	switch {
+	case v.again:
+		metric.Retried(h.service, string(contract.ClassBatch), retryReason(o.kind))
+	case v.code != "":
+		r.finishItem(h, it, errorLine(it.CustomID, string(o.attempt), v.code, finalMessage(v.code, o.reason)), true)
+	default:
+		r.finishItem(h, it, responseLine(it.CustomID, string(o.attempt), o.status, o.body), !succeeded(o.status))
+	}
+}
+
+func retryReason(k outcomeKind) string {
+	return [...]string{"status", "not_sent", "refused", "preempted", "failed"}[k]
+}
+
+func finalMessage(code, reason string) string {
+	switch code {
+	case codeUnknown:
+		return "the call may have had an effect and must not be repeated: " + reason
+	case codeCrashes:
+		return "upstreams crashed twice while the item was in progress"
+	}
+	return "no attempt succeeded; the last one ended with: " + reason
+}
--- a/job/index.go
+++ b/job/index.go
@@ -7,7 +7,6 @@
 	"sort"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -69,11 +68,9 @@
 }
 
 // IndexReader follows the index of running jobs. A refresh scans the version
-// rows and reads only buckets that changed. It is safe for concurrent use.
+// rows and reads only buckets that changed. It is not safe for concurrent use.
 type IndexReader struct {
-	table platform.Table
-
-	mu       sync.Mutex
+	table    platform.Table
 	versions [buckets]uint64
 	lists    [buckets][]Running
 }
@@ -83,8 +80,6 @@
 
 // Refresh returns the running jobs by id order. The slice is the caller's.
 func (x *IndexReader) Refresh(ctx context.Context) ([]Running, error) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
 	rows, err := x.table.Scan(ctx, versionPrefix, "", buckets)
 	if err != nil {
 		return nil, trace.Wrap(err)
--- a/job/item.go
+++ b/job/item.go
@@ -13,9 +13,10 @@
 // item is one line of a chunk in the memory of its holder.
 type item struct {
 	line
-	index   int
-	running bool
-	done    bool
+	index      int
+	repeatable bool
+	running    bool
+	done       bool
 
 	attempts int // that counted
 	crashes  int // of upstreams while the item was in progress
--- a/job/model.go
+++ b/job/model.go
@@ -128,13 +128,12 @@
 	Partial string     `json:"partial,omitempty"` // object with item states of an earlier holder
 	// Intended lists non-repeatable items that a holder was about to start and
 	// whose results are in no object. A later holder must not run them.
-	Intended    []int  `json:"intended,omitempty"`
-	Renewals    int    `json:"renewals,omitempty"`
-	Object      string `json:"object,omitempty"` // done: output lines, then error lines
-	Completed   int    `json:"completed,omitempty"`
-	Failed      int    `json:"failed,omitempty"`
-	OutputBytes int64  `json:"output_bytes,omitempty"`
-	ErrorBytes  int64  `json:"error_bytes,omitempty"`
+	Intended    []int `json:"intended,omitempty"`
+	Renewals    int   `json:"renewals,omitempty"`
+	Completed   int   `json:"completed,omitempty"`
+	Failed      int   `json:"failed,omitempty"`
+	OutputBytes int64 `json:"output_bytes,omitempty"` // at the start of the results object
+	ErrorBytes  int64 `json:"error_bytes,omitempty"`  // after the output
 
 	Index   int    `json:"-"`
 	Version uint64 `json:"-"` // of the row
--- a/job/output.go
+++ b/job/output.go
@@ -44,7 +44,7 @@
 		if errors {
 			skip, n = c.OutputBytes, c.ErrorBytes
 		}
-		if err := s.copyObject(ctx, c.Object, skip, n, w); err != nil {
+		if err := s.copyObject(ctx, resultKey(j.ID, c.Index, c.ClaimID), skip, n, w); err != nil {
 			return trace.Wrap(err)
 		}
 	}
--- /dev/null
+++ b/job/runner_test.go
@@ -0,0 +1,303 @@
+package job
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
+)
+
+// TestRunnersCompleteJob guards against items that are lost or run twice when
+// several entries share a job without faults.
+func TestRunnersCompleteJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFake()
+		fl := newFleet(20)
+		fl.answer = completes(time.Second)
+		var entries []*entry
+		for rank := range 3 {
+			entries = append(entries, startEntry(t, f, fl, rank, 3))
+		}
+		s := NewStore(f)
+		j := await(t, s, submit(t, s, 1050, "").ID, 10*time.Minute)
+		if *j.Counts != (Counts{Total: 1050, Completed: 1050}) {
+			t.Errorf("counts %+v", j.Counts)
+		}
+		var out bytes.Buffer
+		if err := s.WriteResults(t.Context(), j, false, &out); err != nil {
+			t.Error(err)
+		}
+		for i, line := range strings.Split(strings.TrimSpace(out.String()), "\n") {
+			if !strings.Contains(line, `"custom_id":"i`+itoa(i)+`"`) || !strings.Contains(line, `"content":"ok"`) {
+				t.Fatalf("line %d: %s", i, line)
+			}
+		}
+		for _, e := range entries {
+			e.stop(t)
+		}
+		total := 0
+		for _, n := range fl.runs {
+			total += n
+		}
+		if total != 1050 {
+			t.Errorf("%d runs of 1050 items", total)
+		}
+	})
+}
+
+// TestHolderLost guards against chunks that stay with an entry that crashed
+// after its claim, after the object write, or after the commit, and against the
+// loss of all entries at once.
+func TestHolderLost(t *testing.T) {
+	for _, point := range []string{"claim", "object", "commit", "all"} {
+		t.Run(point, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFake()
+				fl := newFleet(50)
+				fl.answer = completes(time.Second)
+				s := NewStore(f)
+				job := submit(t, s, 300, "")
+				first := startEntry(t, f, fl, 0, 2)
+				puts, dead := 0, false
+				f.setFault(func(op, key string) fault {
+					if op == "put" {
+						puts++
+					}
+					switch {
+					case dead:
+						return faultDown
+					case point == "object" && puts > 0 && op == "commit",
+						point == "commit" && puts > 1 && op == "put":
+						dead = true // this call of the lost entry never arrives
+						return faultDown
+					}
+					return faultNone
+				})
+				time.Sleep(map[string]time.Duration{"claim": 6 * time.Second, "all": 10 * time.Second}[point] + 8*time.Second)
+				first.stop(t)
+				if dead != (point == "object" || point == "commit") {
+					t.Errorf("the entry met its fault: %v", dead)
+				}
+				f.setFault(nil)
+				second := startEntry(t, f, fl, 1, 2)
+				if point == "all" {
+					time.Sleep(7 * time.Second)
+					second.stop(t)
+					second = startEntry(t, f, fl, 0, 1)
+				}
+				j := await(t, s, job.ID, 10*time.Minute)
+				if *j.Counts != (Counts{Total: 300, Completed: 300}) {
+					t.Errorf("counts %+v", j.Counts)
+				}
+				second.stop(t)
+			})
+		})
+	}
+}
+
+// TestCancelStopsItems guards against items that run on after a cancel: with a
+// notice at once, without one after the next read of the index.
+func TestCancelStopsItems(t *testing.T) {
+	for _, notice := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFake()
+			fl := newFleet(10)
+			fl.answer = completes(time.Second)
+			e := startEntry(t, f, fl, 0, 1)
+			s := NewStore(f)
+			job := submit(t, s, 500, "")
+			time.Sleep(10 * time.Second)
+			if _, err := s.Cancel(t.Context(), job.ID); err != nil {
+				t.Fatal(err)
+			}
+			if notice {
+				e.port.cancelled <- job.ID
+				synctest.Wait()
+			} else {
+				time.Sleep(3 * time.Second)
+			}
+			started := fl.total()
+			time.Sleep(time.Minute)
+			if now := fl.total(); now != started || started == 0 {
+				t.Errorf("notice %v: %d items started by the cancel, %d later", notice, started, now)
+			}
+			e.stop(t)
+		})
+	}
+}
+
+// TestOutage guards against claimed work that stops or is lost while the
+// platform is down.
+func TestOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFake()
+		fl := newFleet(10)
+		fl.answer = completes(time.Second)
+		e := startEntry(t, f, fl, 0, 1)
+		s := NewStore(f)
+		job := submit(t, s, 100, "")
+		time.Sleep(7 * time.Second)
+		f.setFault(func(string, string) fault { return faultDown })
+		time.Sleep(5 * time.Minute)
+		if n := fl.total(); n != 100 {
+			t.Errorf("%d items ran in the outage, want all 100 of the claimed chunk", n)
+		}
+		f.setFault(nil)
+		await(t, s, job.ID, time.Minute)
+		if n := fl.total(); n != 100 {
+			t.Errorf("%d runs, want no recomputation after the outage", n)
+		}
+		e.stop(t)
+	})
+}
+
+// TestItemRules guards against wrong ends of single items.
+func TestItemRules(t *testing.T) {
+	cases := []struct {
+		name   string
+		events func(n int, req *rpc.RunRequest) []*rpc.RunEvent
+		runs   int
+		want   string
+	}{
+		{"preempted five times, resumes", func(n int, req *rpc.RunRequest) []*rpc.RunEvent {
+			if n <= 5 {
+				return []*rpc.RunEvent{delta("a", 1), failed(&rpc.Failed{Preempted: true})}
+			}
+			if req.DeliveredTokens != 5 || req.DeliveredText != "aaaaa" {
+				return []*rpc.RunEvent{delta("not resumed", 1), end()}
+			}
+			return []*rpc.RunEvent{delta("b", 1), end()}
+		}, 6, `"content":"aaaaab"`},
+		{"refusals do not count", func(n int, _ *rpc.RunRequest) []*rpc.RunEvent {
+			if n <= 5 {
+				return []*rpc.RunEvent{refused()}
+			}
+			return []*rpc.RunEvent{delta("b", 1), end()}
+		}, 6, `"content":"b"`},
+		{"three failures", func(int, *rpc.RunRequest) []*rpc.RunEvent {
+			return []*rpc.RunEvent{failed(&rpc.Failed{Reason: "broken"})}
+		}, 3, codeAttempts},
+		{"stream without end", func(int, *rpc.RunRequest) []*rpc.RunEvent {
+			return []*rpc.RunEvent{delta("a", 1)}
+		}, 3, codeAttempts},
+		{"two crashes", func(int, *rpc.RunRequest) []*rpc.RunEvent {
+			return []*rpc.RunEvent{failed(&rpc.Failed{UpstreamCrashed: true})}
+		}, 2, codeCrashes},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFake()
+				fl := newFleet(1)
+				n := 0
+				fl.answer = func(_ context.Context, req *rpc.RunRequest) []*rpc.RunEvent {
+					n++
+					return c.events(n, req)
+				}
+				e := startEntry(t, f, fl, 0, 1)
+				s := NewStore(f)
+				j := await(t, s, submit(t, s, 1, "").ID, time.Minute)
+				var out bytes.Buffer
+				_ = s.WriteResults(t.Context(), j, j.Counts.Failed > 0, &out)
+				if n != c.runs || !strings.Contains(out.String(), c.want) {
+					t.Errorf("%d runs, want %d: %s", n, c.runs, out.String())
+				}
+				e.stop(t)
+			})
+		})
+	}
+}
+
+// TestNonRepeatable guards against a second run of an item that must not be
+// repeated, after a failure in doubt and after the loss of its entry.
+func TestNonRepeatable(t *testing.T) {
+	line := `{"custom_id":"i%","method":"POST","url":"/services/orders/post","body":%}` + "\n"
+	var input strings.Builder
+	for i := range 40 {
+		input.WriteString(strings.ReplaceAll(line, "%", itoa(i)))
+	}
+	synctest.Test(t, func(t *testing.T) {
+		f := newFake()
+		fl := newFleet(3)
+		fl.answer = func(ctx context.Context, req *rpc.RunRequest) []*rpc.RunEvent {
+			if string(req.Body) == "1" {
+				return []*rpc.RunEvent{failed(&rpc.Failed{Executed: rpc.Executed_EXECUTED_UNKNOWN})}
+			}
+			if string(req.Body) == "2" && fl.count("2") == 1 {
+				return []*rpc.RunEvent{failed(&rpc.Failed{Executed: rpc.Executed_EXECUTED_NO})}
+			}
+			time.Sleep(time.Second)
+			return []*rpc.RunEvent{{Event: &rpc.RunEvent_Data{Data: []byte(`{}`)}}, end()}
+		}
+		s := NewStore(f)
+		file, err := s.Upload(t.Context(), "org", "caller", "in", strings.NewReader(input.String()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		sub := submission(file, "")
+		sub.Service = "orders"
+		job, err := s.Submit(t.Context(), sub)
+		if err != nil {
+			t.Fatal(err)
+		}
+		first := startEntry(t, f, fl, 0, 1)
+		time.Sleep(5 * time.Second)
+		first.stop(t) // without a drain, with items in progress
+		second := startEntry(t, f, fl, 0, 1)
+		j := await(t, s, job.ID, 10*time.Minute)
+		second.stop(t)
+		for body, n := range fl.runs {
+			if want := map[string]int{"2": 2}[body]; n != max(want, 1) {
+				t.Errorf("item %s ran %d times", body, n)
+			}
+		}
+		if j.Counts.Completed+j.Counts.Failed != 40 || j.Counts.Failed == 0 || j.Counts.Completed == 0 {
+			t.Errorf("counts %+v", j.Counts)
+		}
+		var out bytes.Buffer
+		_ = s.WriteResults(t.Context(), j, true, &out)
+		if n := strings.Count(out.String(), codeUnknown); n != j.Counts.Failed {
+			t.Errorf("%d unknown of %d errors", n, j.Counts.Failed)
+		}
+	})
+}
+
+// TestDrain guards against chunks that stay claimed by a leaving entry and
+// against the loss of delivered output.
+func TestDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFake()
+		fl := newFleet(10)
+		drained := false
+		fl.answer = func(ctx context.Context, req *rpc.RunRequest) []*rpc.RunEvent {
+			if !drained {
+				return []*rpc.RunEvent{delta("a", 1), nil}
+			}
+			return []*rpc.RunEvent{delta("b", 1), end()}
+		}
+		s := NewStore(f)
+		job := submit(t, s, 100, "")
+		first := startEntry(t, f, fl, 0, 1)
+		time.Sleep(7 * time.Second)
+		if err := first.Drain(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		first.stop(t)
+		if rows, _ := s.AllChunks(t.Context(), job.ID); len(rows) != 1 || rows[0].State != ChunkReturned {
+			t.Fatalf("%+v", rows)
+		}
+		drained = true
+		second := startEntry(t, f, fl, 0, 1)
+		j := await(t, s, job.ID, 30*time.Second) // no wait for an expiry
+		second.stop(t)
+		var out bytes.Buffer
+		_ = s.WriteResults(t.Context(), j, false, &out)
+		if n := strings.Count(out.String(), `"content":"ab"`); n != 10 {
+			t.Errorf("%d items resumed, want the 10 in progress", n)
+		}
+	})
+}
--- a/job/schedule.go
+++ b/job/schedule.go
@@ -18,8 +18,9 @@
 
 // ServiceView is the batch work of one service in this entry's memory.
 type ServiceView struct {
-	Ready   int // items that can start
-	Running int
+	Ready     int // items that can start
+	Running   int
+	Reachable bool // an agent of the service is linked and not leaving
 }
 
 // Snapshot is the input of Next.
@@ -47,8 +48,11 @@
 	return !now.Before(j.Deadline.Add(-lead))
 }
 
-// WantsItems reports whether a service should get another chunk.
-func WantsItems(v ServiceView) bool { return v.Ready < readyReserve+v.Running }
+// WantsItems reports whether a service should get another chunk. An entry
+// without a reachable agent leaves the work to other entries.
+func WantsItems(v ServiceView) bool {
+	return v.Reachable && v.Ready < readyReserve+v.Running
+}
 
 // Next chooses the job whose chunk the entry claims next, or -1. Urgent jobs come first by
 // deadline; then the organisation with the fewest chunks held here, and within
@@ -100,7 +104,7 @@
 // watchersPerJob is the number of entries that look after a job whose chunks
 // are all claimed or done: they take expired claims over, complete the job and
 // expire it.
-const watchersPerJob = 4
+const watchersPerJob = 3
 
 // Watches reports whether the entry is one of the job's watchers.
 func Watches(job string, rank, entries int) bool {
