--- /dev/null
+++ b/job/http.go
@@ -0,0 +1,160 @@
+package job
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/magnoliausher/magnoliausher/apierror"
+	"github.com/magnoliausher/magnoliausher/attempt"
+	"github.com/magnoliausher/magnoliausher/contract"
+	"github.com/magnoliausher/magnoliausher/finding"
+	"github.com/magnoliausher/magnoliausher/metric"
+	"github.com/magnoliausher/magnoliausher/platform"
+)
+
+// platformTimeout bounds the calls of one request other than the transfer of a
+// file. A create that meets it may have taken effect; a resend gets the same job.
+const platformTimeout = 10 * time.Second
+
+// retryAfter is advised while the platform is down.
+const retryAfter = 5 * time.Second
+
+// API serves files and batches in the form of the OpenAI API. It takes the
+// caller from contract.CallerFrom.
+type API struct {
+	Store    *Store
+	Contract *contract.Holder
+	// Announce spreads the id of a cancelled job; link.BatchPort.AnnounceCancelled.
+	Announce func(jobID string)
+	Log      zerolog.Logger
+
+	counts countCache
+}
+
+type handler func(w http.ResponseWriter, r *http.Request, c *contract.Caller) error
+
+// Handler returns the routes under /v1/files and /v1/batches.
+func (a *API) Handler() http.Handler {
+	mux := http.NewServeMux()
+	for pattern, h := range map[string]handler{
+		"POST /v1/files":               a.upload,
+		"GET /v1/files/{id}":           a.getFile,
+		"GET /v1/files/{id}/content":   a.getContent,
+		"POST /v1/batches":             a.create,
+		"GET /v1/batches":              a.list,
+		"GET /v1/batches/{id}":         a.get,
+		"POST /v1/batches/{id}/cancel": a.cancel,
+	} {
+		mux.Handle(pattern, a.route(h))
+	}
+	return mux
+}
+
+// route checks the caller and writes errors.
+func (a *API) route(h handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := contract.CallerFrom(r.Context())
+		var err error
+		switch {
+		case c == nil:
+			err = invalid(http.StatusUnauthorized, "invalid_api_key", "", "no valid key")
+		case !c.Allows(contract.ClassBatch):
+			err = invalid(http.StatusForbidden, "class_not_allowed", "", "the caller may not submit batch work")
+		default:
+			err = h(w, r, c)
+		}
+		if err != nil {
+			a.refuse(w, r, err)
+		}
+	})
+}
+
+// refuse writes an error of a handler. Details of the platform are only logged.
+func (a *API) refuse(w http.ResponseWriter, r *http.Request, err error) {
+	e := apiErrorOf(err)
+	if e.Status >= http.StatusInternalServerError {
+		a.Log.Warn().Err(err).Str("path", r.URL.Path).Msg("request of the batch API failed")
+	}
+	if r.Method == http.MethodGet {
+		e.Executed = ""
+	}
+	metric.Refused("entry", "", string(contract.ClassBatch), e.Code)
+	apierror.Write(w, e)
+}
+
+func invalid(status int, code, param, message string) *apierror.Error {
+	return &apierror.Error{
+		Status: status, Type: "invalid_request_error", Code: code, Param: param,
+		Message: message, Executed: attempt.ExecutedNo,
+	}
+}
+
+func apiErrorOf(err error) *apierror.Error {
+	var e *apierror.Error
+	var findings finding.List
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &e):
+		copied := *e
+		return &copied
+	case errors.As(err, &findings):
+		e = invalid(http.StatusBadRequest, "invalid_file", "file", "the file has findings; nothing was stored")
+		e.Findings = findings
+		return e
+	case errors.Is(err, ErrTooLarge), errors.As(err, &tooLarge):
+		return invalid(http.StatusRequestEntityTooLarge, "file_too_large", "file", ErrTooLarge.Error())
+	case errors.Is(err, ErrMismatch):
+		return invalid(http.StatusConflict, "idempotency_key_reused", "Idempotency-Key", ErrMismatch.Error())
+	case errors.Is(err, platform.ErrNotFound):
+		return invalid(http.StatusNotFound, "not_found", "", "no such file or batch")
+	}
+	// A create whose commit was sent may have taken effect; a resend gets the same job.
+	e = &apierror.Error{
+		Status: http.StatusServiceUnavailable, Type: "server_error", Code: "platform_unavailable",
+		Message: "the platform does not answer; send the request again", Executed: attempt.ExecutedUnknown,
+		RetryAfter: retryAfter,
+	}
+	if errors.Is(err, ErrNothingWritten) {
+		e.Executed = attempt.ExecutedNo
+	}
+	return e
+}
+
+func writeJSON(w http.ResponseWriter, v any) error {
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(append(mustJSON(v), '\n')) // the caller may be gone
+	return nil
+}
+
+// bounded limits the platform calls of a request.
+func bounded(r *http.Request) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(r.Context(), platformTimeout)
+}
+
+// ownJob returns a job of the caller's organisation.
+func (a *API) ownJob(ctx context.Context, id string, c *contract.Caller) (*Job, error) {
+	j, err := a.Store.Job(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	if j.Organisation != c.Organisation {
+		return nil, platform.ErrNotFound
+	}
+	return j, nil
+}
+
+// maxCreateBytes bounds the body of POST /v1/batches.
+const maxCreateBytes = 64 << 10
+
+func decodeBody(w http.ResponseWriter, r *http.Request, v any) error {
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxCreateBytes))
+	if err := d.Decode(v); err != nil {
+		return invalid(http.StatusBadRequest, "invalid_json", "", "the body is not the expected JSON object: "+err.Error())
+	}
+	return nil
+}
--- /dev/null
+++ b/job/http_batches.go
@@ -0,0 +1,251 @@
+package job
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/magnoliausher/magnoliausher/contract"
+	"github.com/magnoliausher/magnoliausher/finding"
+	"github.com/magnoliausher/magnoliausher/platform"
+)
+
+// CreateRequest is the body of POST /v1/batches.
+type CreateRequest struct {
+	InputFileID      string            `json:"input_file_id"`
+	Endpoint         string            `json:"endpoint"`
+	CompletionWindow string            `json:"completion_window"` // Go duration, e.g. 24h
+	Metadata         map[string]string `json:"metadata,omitempty"`
+}
+
+// BatchObject is a batch of the OpenAI API. Times are Unix seconds.
+type BatchObject struct {
+	ID               string            `json:"id"`
+	Object           string            `json:"object"`
+	Endpoint         string            `json:"endpoint"`
+	Errors           *struct{}         `json:"errors"` // input is validated on upload, so always null
+	InputFileID      string            `json:"input_file_id"`
+	CompletionWindow string            `json:"completion_window"`
+	Status           Status            `json:"status"`
+	OutputFileID     string            `json:"output_file_id,omitempty"`
+	ErrorFileID      string            `json:"error_file_id,omitempty"`
+	CreatedAt        int64             `json:"created_at"`
+	InProgressAt     int64             `json:"in_progress_at"`
+	ExpiresAt        int64             `json:"expires_at"`
+	CompletedAt      int64             `json:"completed_at,omitempty"`
+	ExpiredAt        int64             `json:"expired_at,omitempty"`
+	CancelledAt      int64             `json:"cancelled_at,omitempty"`
+	RequestCounts    Counts            `json:"request_counts"`
+	Metadata         map[string]string `json:"metadata"`
+}
+
+// ListObject is a page of batches.
+type ListObject struct {
+	Object  string        `json:"object"`
+	Data    []BatchObject `json:"data"`
+	FirstID string        `json:"first_id,omitempty"`
+	LastID  string        `json:"last_id,omitempty"`
+	HasMore bool          `json:"has_more"`
+}
+
+// Bounds of requests about batches.
+const (
+	defaultWindow  = 24 * time.Hour
+	minWindow      = time.Minute
+	defaultPage    = 20
+	maxPage        = 100
+	maxMetadata    = 16  // pairs
+	maxMetadataKey = 64  // bytes
+	maxMetadataVal = 512 // bytes
+	maxKeyBytes    = 255 // of Idempotency-Key
+)
+
+func (a *API) create(w http.ResponseWriter, r *http.Request, c *contract.Caller) error {
+	ctx, cancel := bounded(r)
+	defer cancel()
+	var req CreateRequest
+	if err := decodeBody(w, r, &req); err != nil {
+		return err
+	}
+	sub, err := a.submission(ctx, req, r.Header.Get("Idempotency-Key"), c)
+	if err != nil {
+		return err
+	}
+	j, err := a.Store.Submit(ctx, sub)
+	if err != nil {
+		return err
+	}
+	return a.writeBatch(ctx, w, j)
+}
+
+// submission checks a request and reports all its findings.
+func (a *API) submission(ctx context.Context, req CreateRequest, key string, c *contract.Caller) (Submission, error) {
+	sub := Submission{
+		Organisation: c.Organisation, Caller: c.ID, FileID: req.InputFileID, Endpoint: req.Endpoint,
+		Window: defaultWindow, Metadata: req.Metadata, IdempotencyKey: key,
+	}
+	var list finding.List
+	if req.CompletionWindow != "" {
+		window, err := time.ParseDuration(req.CompletionWindow)
+		if err != nil || window < minWindow || window > MaxWindow {
+			list.Add(finding.Finding{Key: "completion_window", Value: req.CompletionWindow, Reason: "must be a duration from 1m to 168h"})
+		}
+		sub.Window = window
+	}
+	checkMetadata(&list, req.Metadata)
+	if len(key) > maxKeyBytes {
+		list.Add(finding.Finding{Key: "Idempotency-Key", Reason: "longer than 255 bytes"})
+	}
+	file, err := a.ownFile(ctx, req.InputFileID, c)
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		list.Add(finding.Finding{Key: "input_file_id", Value: req.InputFileID, Reason: "no such file"})
+	case err != nil:
+		return sub, err
+	case file.Endpoint != req.Endpoint:
+		list.Add(finding.Finding{Key: "endpoint", Value: req.Endpoint, Reason: "differs from the url of the file's lines, " + file.Endpoint})
+	default:
+		sub.Service = a.service(file, &list)
+	}
+	if len(list) == 0 {
+		return sub, nil
+	}
+	e := invalid(http.StatusBadRequest, "invalid_batch", list[0].Key, "the request has findings; no batch was created")
+	e.Findings = list
+	return sub, e
+}
+
+// service resolves the file's model or service in the configuration.
+func (a *API) service(file *File, list *finding.List) string {
+	ix := a.Contract.Current()
+	name, _, _ := ParseEndpoint(file.Endpoint)
+	var s *contract.Service
+	switch {
+	case ix == nil:
+	case name == "":
+		s = ix.ServiceForModel(file.Model)
+	default:
+		s = ix.Service(name)
+	}
+	if s == nil || (name != "" && s.Kind != contract.KindPlain) {
+		list.Add(finding.Finding{Key: "endpoint", Value: file.Endpoint, Reason: "no service for it and model \"" + file.Model + "\""})
+		return ""
+	}
+	return s.Name
+}
+
+func checkMetadata(list *finding.List, metadata map[string]string) {
+	if len(metadata) > maxMetadata {
+		list.Add(finding.Finding{Key: "metadata", Reason: "more than 16 pairs"})
+	}
+	for k, v := range metadata {
+		if len(k) > maxMetadataKey || len(v) > maxMetadataVal {
+			list.Add(finding.Finding{Key: "metadata." + k[:min(len(k), maxMetadataKey)], Reason: "key above 64 or value above 512 bytes"})
+		}
+	}
+}
+
+func (a *API) get(w http.ResponseWriter, r *http.Request, c *contract.Caller) error {
+	ctx, cancel := bounded(r)
+	defer cancel()
+	j, err := a.ownJob(ctx, r.PathValue("id"), c)
+	if err != nil {
+		return err
+	}
+	return a.writeBatch(ctx, w, j)
+}
+
+// cancel answers with the final state, which is not cancelled when the job had
+// ended before.
+func (a *API) cancel(w http.ResponseWriter, r *http.Request, c *contract.Caller) error {
+	ctx, cancel := bounded(r)
+	defer cancel()
+	j, err := a.ownJob(ctx, r.PathValue("id"), c)
+	if err != nil {
+		return err
+	}
+	j, err = a.Store.Cancel(ctx, j.ID)
+	if err != nil {
+		return err
+	}
+	if j.Status == StatusCancelled {
+		a.Announce(j.ID)
+	}
+	return a.writeBatch(ctx, w, j)
+}
+
+func (a *API) list(w http.ResponseWriter, r *http.Request, c *contract.Caller) error {
+	ctx, cancel := bounded(r)
+	defer cancel()
+	limit := defaultPage
+	if s := r.URL.Query().Get("limit"); s != "" {
+		n, err := strconv.Atoi(s)
+		if err != nil || n < 1 || n > maxPage {
+			return invalid(http.StatusBadRequest, "invalid_limit", "limit", "must be from 1 to 100")
+		}
+		limit = n
+	}
+	after := r.URL.Query().Get("after")
+	if after != "" {
+		if _, err := a.ownJob(ctx, after, c); err != nil {
+			return err
+		}
+	}
+	jobs, more, err := a.Store.List(ctx, c.Organisation, after, limit)
+	if err != nil {
+		return err
+	}
+	page := ListObject{Object: "list", Data: []BatchObject{}, HasMore: more}
+	for _, j := range jobs {
+		b, err := a.batch(ctx, j)
+		if err != nil {
+			return err
+		}
+		page.Data = append(page.Data, b)
+	}
+	if n := len(page.Data); n > 0 {
+		page.FirstID, page.LastID = page.Data[0].ID, page.Data[n-1].ID
+	}
+	return writeJSON(w, page)
+}
+
+func (a *API) writeBatch(ctx context.Context, w http.ResponseWriter, j *Job) error {
+	b, err := a.batch(ctx, j)
+	if err != nil {
+		return err
+	}
+	return writeJSON(w, b)
+}
+
+// batch gives the API's form of a job. Counts of jobs without stored ones come
+// from the chunk rows.
+func (a *API) batch(ctx context.Context, j *Job) (BatchObject, error) {
+	b := BatchObject{
+		ID: j.ID, Object: "batch", Endpoint: j.Endpoint, InputFileID: j.FileID, CompletionWindow: j.Window,
+		Status: j.Status, CreatedAt: j.Created.Unix(), InProgressAt: j.Created.Unix(),
+		ExpiresAt: j.Deadline.Unix(), Metadata: j.Metadata,
+	}
+	counts, err := a.counts.get(ctx, a.Store, j)
+	if err != nil {
+		return b, err
+	}
+	b.RequestCounts = *counts
+	if !j.Status.Final() {
+		return b, nil
+	}
+	b.OutputFileID = OutputFileID(j.ID)
+	if counts.Completed < counts.Total {
+		b.ErrorFileID = ErrorFileID(j.ID)
+	}
+	switch ended := j.Ended.Unix(); j.Status {
+	case StatusCompleted:
+		b.CompletedAt = ended
+	case StatusCancelled:
+		b.CancelledAt = ended
+	case StatusExpired:
+		b.ExpiredAt = ended
+	}
+	return b, nil
+}
--- /dev/null
+++ b/job/http_files.go
@@ -0,0 +1,223 @@
+package job
+
+import (
+	"context"
+	"errors"
+	"io"
+	"mime/multipart"
+	"net/http"
+	"strconv"
+
+	"github.com/gravitational/trace"
+
+	"github.com/magnoliausher/magnoliausher/contract"
+	"github.com/magnoliausher/magnoliausher/platform"
+)
+
+// FileObject is a file of the OpenAI API.
+type FileObject struct {
+	ID        string `json:"id"`
+	Object    string `json:"object"`
+	Bytes     int64  `json:"bytes"`
+	CreatedAt int64  `json:"created_at"` // Unix seconds
+	ExpiresAt int64  `json:"expires_at"` // Unix seconds
+	Filename  string `json:"filename"`
+	Purpose   string `json:"purpose"` // batch or batch_output
+	Status    string `json:"status"`
+}
+
+// Purposes of files.
+const (
+	purposeBatch  = "batch"
+	purposeOutput = "batch_output"
+)
+
+// formSlack is the part of a multipart body that is not the file.
+const formSlack = 64 << 10
+
+// maxPurpose bounds the value of the purpose field, in bytes.
+const maxPurpose = 64
+
+// upload streams the form's file part. The purpose may come before or after it.
+func (a *API) upload(w http.ResponseWriter, r *http.Request, c *contract.Caller) error {
+	r.Body = http.MaxBytesReader(w, r.Body, MaxFileBytes+formSlack)
+	form, err := r.MultipartReader()
+	if err != nil {
+		return invalid(http.StatusBadRequest, "invalid_form", "", "the body must be multipart/form-data")
+	}
+	var file *File
+	purpose := ""
+	for {
+		part, err := form.NextPart()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err == nil {
+			err = a.formPart(r.Context(), part, c, &file, &purpose)
+		}
+		if err != nil {
+			a.dropFile(r.Context(), file)
+			return formError(err)
+		}
+	}
+	if file == nil {
+		return invalid(http.StatusBadRequest, "missing_file", "file", "the form has no file")
+	}
+	if purpose != purposeBatch {
+		a.dropFile(r.Context(), file)
+		return invalid(http.StatusBadRequest, "invalid_purpose", "purpose", "must be batch")
+	}
+	return writeJSON(w, fileObject(file))
+}
+
+func (a *API) formPart(ctx context.Context, part *multipart.Part, c *contract.Caller, file **File, purpose *string) error {
+	var err error
+	switch part.FormName() {
+	case "purpose":
+		var b []byte
+		b, err = io.ReadAll(io.LimitReader(part, maxPurpose))
+		*purpose = string(b)
+	case "file":
+		if *file != nil {
+			return invalid(http.StatusBadRequest, "several_files", "file", "the form has more than one file")
+		}
+		*file, err = a.Store.Upload(ctx, c.Organisation, c.ID, part.FileName(), part)
+	}
+	return err
+}
+
+// formError tells a broken body from a failing platform.
+func formError(err error) error {
+	if errors.Is(err, io.ErrUnexpectedEOF) {
+		return invalid(http.StatusBadRequest, "truncated_body", "", "the body ended early; nothing was stored")
+	}
+	return err
+}
+
+// dropFile removes a file whose form turned out to be invalid.
+func (a *API) dropFile(ctx context.Context, f *File) {
+	if f == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), platformTimeout)
+	defer cancel()
+	if err := a.Store.removeFile(ctx, f.ID, nil); err != nil {
+		a.Log.Warn().Err(err).Str("file", f.ID).Msg("removing a refused file failed")
+	}
+}
+
+func fileObject(f *File) FileObject {
+	return FileObject{
+		ID: f.ID, Object: "file", Bytes: f.Bytes, CreatedAt: f.Created.Unix(), ExpiresAt: f.KeepUntil.Unix(),
+		Filename: f.Name, Purpose: purposeBatch, Status: "processed",
+	}
+}
+
+func (a *API) getFile(w http.ResponseWriter, r *http.Request, c *contract.Caller) error {
+	ctx, cancel := bounded(r)
+	defer cancel()
+	id := r.PathValue("id")
+	if job, isErrors, ok := parseResultFileID(id); ok {
+		j, bytes, err := a.resultFile(ctx, job, isErrors, c)
+		if err != nil {
+			return err
+		}
+		return writeJSON(w, FileObject{
+			ID: id, Object: "file", Bytes: bytes, CreatedAt: j.Ended.Unix(),
+			ExpiresAt: j.expires().Unix(), Filename: id + ".jsonl", Purpose: purposeOutput, Status: "processed",
+		})
+	}
+	f, err := a.ownFile(ctx, id, c)
+	if err != nil {
+		return err
+	}
+	return writeJSON(w, fileObject(f))
+}
+
+func (a *API) ownFile(ctx context.Context, id string, c *contract.Caller) (*File, error) {
+	f, err := a.Store.File(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	if f.Organisation != c.Organisation {
+		return nil, platform.ErrNotFound
+	}
+	return f, nil
+}
+
+// resultFile returns an ended job and the size of its output or error file.
+// The size of an error file with lines for missing items is counted by writing it.
+func (a *API) resultFile(ctx context.Context, id string, isErrors bool, c *contract.Caller) (*Job, int64, error) {
+	j, err := a.ownJob(ctx, id, c)
+	if err != nil {
+		return nil, 0, err
+	}
+	if !j.Status.Final() {
+		return nil, 0, platform.ErrNotFound
+	}
+	if isErrors && j.Status != StatusCompleted {
+		var n byteCounter
+		err := a.Store.WriteResults(ctx, j, true, &n)
+		return j, int64(n), err
+	}
+	done, err := a.Store.DoneChunks(ctx, id)
+	var sum int64
+	for i := range done {
+		if isErrors {
+			sum += done[i].ErrorBytes
+		} else {
+			sum += done[i].OutputBytes
+		}
+	}
+	return j, sum, err
+}
+
+type byteCounter int64
+
+func (n *byteCounter) Write(p []byte) (int, error) {
+	*n += byteCounter(len(p))
+	return len(p), nil
+}
+
+// getContent streams a file. After a failure in the middle the connection is
+// broken off, so that the caller never takes a part for the whole.
+func (a *API) getContent(w http.ResponseWriter, r *http.Request, c *contract.Caller) error {
+	ctx := r.Context()
+	id := r.PathValue("id")
+	write, size, err := a.content(ctx, id, c)
+	if err != nil {
+		return err
+	}
+	w.Header().Set("Content-Type", "application/jsonl")
+	if size >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(size, 10))
+	}
+	if err := write(w); err != nil {
+		a.Log.Warn().Err(err).Str("file", id).Msg("streaming a file failed")
+		panic(http.ErrAbortHandler)
+	}
+	return nil
+}
+
+// content finds what to write. The size is negative where it is not known
+// without writing.
+func (a *API) content(ctx context.Context, id string, c *contract.Caller) (func(io.Writer) error, int64, error) {
+	short, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	job, isErrors, ok := parseResultFileID(id)
+	if !ok {
+		f, err := a.ownFile(short, id, c)
+		if err != nil {
+			return nil, 0, trace.Wrap(err)
+		}
+		return func(w io.Writer) error { return a.Store.WriteInput(ctx, f, w) }, f.Bytes, nil
+	}
+	j, err := a.ownJob(short, job, c)
+	if err != nil {
+		return nil, 0, trace.Wrap(err)
+	}
+	if !j.Status.Final() {
+		return nil, 0, platform.ErrNotFound
+	}
+	return func(w io.Writer) error { return a.Store.WriteResults(ctx, j, isErrors, w) }, -1, nil
+}
--- /dev/null
+++ b/job/http_test.go
@@ -0,0 +1,258 @@
+package job
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"mime/multipart"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/magnoliausher/magnoliausher/contract"
+)
+
+// apiTest calls two entries of the API in turn as a caller of an organisation.
+type apiTest struct {
+	t         *testing.T
+	store     *Store
+	handlers  []http.Handler
+	calls     int
+	announced []string
+}
+
+func newAPITest(t *testing.T, f *fake) *apiTest {
+	a := &apiTest{t: t, store: NewStore(f)}
+	for range 2 {
+		api := &API{
+			Store: NewStore(f), Contract: testContract(), Log: zerolog.Nop(),
+			Announce: func(id string) { a.announced = append(a.announced, id) },
+		}
+		a.handlers = append(a.handlers, api.Handler())
+	}
+	return a
+}
+
+func (a *apiTest) send(org, method, path, contentType, body string, header ...string) *httptest.ResponseRecorder {
+	a.calls++
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	r.Header.Set("Content-Type", contentType)
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	if org != "" {
+		r = r.WithContext(contract.WithCaller(r.Context(), &contract.Caller{
+			ID: org + "-caller", Organisation: org, Classes: []contract.Class{contract.ClassBatch},
+		}))
+	}
+	w := httptest.NewRecorder()
+	a.handlers[a.calls%len(a.handlers)].ServeHTTP(w, r)
+	return w
+}
+
+func form(purpose, content string) (contentType, body string) {
+	var buf bytes.Buffer
+	w := multipart.NewWriter(&buf)
+	part, _ := w.CreateFormFile("file", "in.jsonl")
+	_, _ = io.WriteString(part, content)
+	_ = w.WriteField("purpose", purpose)
+	_ = w.Close()
+	return w.FormDataContentType(), buf.String()
+}
+
+// call sends JSON and decodes the answer, which must have the status.
+func call[T any](a *apiTest, status int, org, method, path, body string, header ...string) T {
+	a.t.Helper()
+	w := a.send(org, method, path, "application/json", body, header...)
+	var v T
+	if w.Code != status {
+		a.t.Fatalf("%s %s: %d, want %d: %s", method, path, w.Code, status, w.Body)
+	}
+	if err := json.Unmarshal(w.Body.Bytes(), &v); err != nil {
+		a.t.Fatalf("%s %s: %v", method, path, err)
+	}
+	return v
+}
+
+func (a *apiTest) upload(n int) FileObject {
+	a.t.Helper()
+	contentType, body := form("batch", inputLines(n))
+	w := a.send("org", "POST", "/v1/files", contentType, body)
+	var f FileObject
+	if err := json.Unmarshal(w.Body.Bytes(), &f); err != nil || w.Code != 200 {
+		a.t.Fatal(w.Code, w.Body)
+	}
+	return f
+}
+
+func createBody(file, window string) string {
+	return fmt.Sprintf(`{"input_file_id":%q,"endpoint":%q,"completion_window":%q,"metadata":{"k":"v"}}`, file, EndpointChat, window)
+}
+
+// TestAPILifecycle guards against answers that differ from the OpenAI form or
+// between entries, and against output that changes between reads.
+func TestAPILifecycle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFake()
+		a := newAPITest(t, f)
+		file := a.upload(250)
+		if got := call[FileObject](a, 200, "org", "GET", "/v1/files/"+file.ID, ""); got != file || got.Purpose != "batch" {
+			t.Errorf("file %+v", got)
+		}
+		if w := a.send("org", "GET", "/v1/files/"+file.ID+"/content", "", ""); w.Body.String() != inputLines(250) {
+			t.Errorf("content of %d bytes", w.Body.Len())
+		}
+		b := call[BatchObject](a, 200, "org", "POST", "/v1/batches", createBody(file.ID, "24h"), "Idempotency-Key", "k")
+		again := call[BatchObject](a, 200, "org", "POST", "/v1/batches", createBody(file.ID, "24h"), "Idempotency-Key", "k")
+		if b.ID != again.ID || b.Status != "in_progress" || b.Object != "batch" || b.RequestCounts.Total != 250 {
+			t.Errorf("%+v, resend %+v", b, again)
+		}
+		if w := a.send("org", "GET", "/v1/files/"+OutputFileID(b.ID)+"/content", "", ""); w.Code != 404 {
+			t.Errorf("output of a running batch: %d", w.Code)
+		}
+		fl := newFleet(20)
+		fl.answer = completes(time.Second)
+		e := startEntry(t, f, fl, 0, 1)
+		await(t, a.store, b.ID, time.Minute)
+		e.stop(t)
+		b = call[BatchObject](a, 200, "org", "GET", "/v1/batches/"+b.ID, "")
+		if b.Status != "completed" || b.CompletedAt == 0 || b.RequestCounts != (Counts{250, 250, 0}) || b.ErrorFileID != "" {
+			t.Errorf("%+v", b)
+		}
+		var outputs []string
+		for range 2 {
+			outputs = append(outputs, a.send("org", "GET", "/v1/files/"+b.OutputFileID+"/content", "", "").Body.String())
+		}
+		info := call[FileObject](a, 200, "org", "GET", "/v1/files/"+b.OutputFileID, "")
+		if outputs[0] != outputs[1] || strings.Count(outputs[0], "\n") != 250 || info.Bytes != int64(len(outputs[0])) {
+			t.Errorf("output of %d and %d bytes, stated %d", len(outputs[0]), len(outputs[1]), info.Bytes)
+		}
+		if c := call[BatchObject](a, 200, "org", "POST", "/v1/batches/"+b.ID+"/cancel", ""); c.Status != "completed" {
+			t.Errorf("cancel after completion: %s", c.Status)
+		}
+	})
+}
+
+// TestAPICancelled guards against a cancelled batch whose items have neither
+// an output nor an error line.
+func TestAPICancelled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFake()
+		a := newAPITest(t, f)
+		b := call[BatchObject](a, 200, "org", "POST", "/v1/batches", createBody(a.upload(350).ID, "24h"))
+		j, _ := a.store.Job(t.Context(), b.ID)
+		claim, _ := a.store.Claim(t.Context(), j, Chunk{Index: 2}, "x")
+		if err := a.store.Commit(t.Context(), claim, testResults(claim)); err != nil {
+			t.Fatal(err)
+		}
+		b = call[BatchObject](a, 200, "org", "POST", "/v1/batches/"+b.ID+"/cancel", "")
+		if b.Status != "cancelled" || b.RequestCounts != (Counts{350, 100, 0}) || len(a.announced) != 1 {
+			t.Errorf("%+v, announced %v", b, a.announced)
+		}
+		errors := a.send("org", "GET", "/v1/files/"+b.ErrorFileID+"/content", "", "").Body.String()
+		lines := strings.Split(strings.TrimSpace(errors), "\n")
+		if len(lines) != 250 || !strings.Contains(lines[200], `"i300"`) || !strings.Contains(lines[0], codeCancelled) {
+			t.Errorf("%d error lines; 200: %.200s", len(lines), lines[min(200, len(lines)-1)])
+		}
+		info := call[FileObject](a, 200, "org", "GET", "/v1/files/"+b.ErrorFileID, "")
+		if info.Bytes != int64(len(errors)) {
+			t.Errorf("%d bytes stated, %d read", info.Bytes, len(errors))
+		}
+	})
+}
+
+// TestAPIRefusals guards against access to another organisation's data and
+// against wrong statuses.
+func TestAPIRefusals(t *testing.T) {
+	f := newFake()
+	a := newAPITest(t, f)
+	file := a.upload(5)
+	b := call[BatchObject](a, 200, "org", "POST", "/v1/batches", createBody(file.ID, "24h"))
+	badType, badForm := form("batch", "{\n{")
+	fineTune, fineForm := form("fine-tune", inputLines(1))
+	cases := []struct {
+		org, method, path, contentType, body string
+		status                               int
+		want                                 string
+	}{
+		{"", "GET", "/v1/batches", "", "", 401, "invalid_api_key"},
+		{"other", "GET", "/v1/files/" + file.ID, "", "", 404, "not_found"},
+		{"other", "GET", "/v1/files/" + file.ID + "/content", "", "", 404, "not_found"},
+		{"other", "GET", "/v1/files/" + OutputFileID(b.ID), "", "", 404, "not_found"},
+		{"other", "GET", "/v1/batches/" + b.ID, "", "", 404, "not_found"},
+		{"other", "POST", "/v1/batches/" + b.ID + "/cancel", "", "", 404, "not_found"},
+		{"other", "GET", "/v1/batches?after=" + b.ID, "", "", 404, "not_found"},
+		{"other", "POST", "/v1/batches", "", createBody(file.ID, "24h"), 400, "no such file"},
+		{"org", "POST", "/v1/batches", "", createBody(file.ID, "30 days"), 400, "completion_window"},
+		{"org", "POST", "/v1/batches", "", "{", 400, "invalid_json"},
+		{"org", "GET", "/v1/batches?limit=0", "", "", 400, "invalid_limit"},
+		{"org", "POST", "/v1/files", badType, badForm, 400, `"line":2`},
+		{"org", "POST", "/v1/files", fineTune, fineForm, 400, "invalid_purpose"},
+		{"org", "POST", "/v1/files", "text/plain", "x", 400, "invalid_form"},
+	}
+	for _, c := range cases {
+		w := a.send(c.org, c.method, c.path, c.contentType, c.body)
+		if w.Code != c.status || !strings.Contains(w.Body.String(), c.want) {
+			t.Errorf("%s %s %s: %d %s, want %d %s", c.org, c.method, c.path, w.Code, w.Body, c.status, c.want)
+		}
+	}
+	if page := call[ListObject](a, 200, "other", "GET", "/v1/batches", ""); len(page.Data) != 0 {
+		t.Error("a list shows another organisation's batch")
+	}
+}
+
+// TestAPIPaging guards against batches that are missing or doubled over pages.
+func TestAPIPaging(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newAPITest(t, newFake())
+		file := a.upload(1)
+		var created []string
+		for i := range 25 {
+			b := call[BatchObject](a, 200, "org", "POST", "/v1/batches", createBody(file.ID, "24h"), "Idempotency-Key", itoa(i))
+			created = append([]string{b.ID}, created...)
+			time.Sleep(time.Second)
+		}
+		var listed []string
+		for path := "/v1/batches?limit=10"; ; {
+			page := call[ListObject](a, 200, "org", "GET", path, "")
+			for _, b := range page.Data {
+				listed = append(listed, b.ID)
+			}
+			if !page.HasMore {
+				break
+			}
+			path = "/v1/batches?limit=10&after=" + page.LastID
+		}
+		if strings.Join(listed, " ") != strings.Join(created, " ") {
+			t.Errorf("listed %d of %d: %v", len(listed), len(created), listed)
+		}
+	})
+}
+
+// TestAPIOutage guards against a create that hangs in an outage or states
+// wrongly whether it may have taken effect.
+func TestAPIOutage(t *testing.T) {
+	for op, executed := range map[string]string{"get": "no", "commit": "unknown"} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFake()
+			a := newAPITest(t, f)
+			file := a.upload(1)
+			f.setFault(func(have, key string) fault {
+				if have == op && !strings.HasPrefix(key, filePrefix) {
+					return faultDown
+				}
+				return faultNone
+			})
+			w := a.send("org", "POST", "/v1/batches", "", createBody(file.ID, "24h"))
+			if w.Code != 503 || w.Header().Get("X-Request-Executed") != executed || w.Header().Get("Retry-After") == "" {
+				t.Errorf("%s down: %d %v", op, w.Code, w.Header())
+			}
+		})
+	}
+}
--- a/job/model.go
+++ b/job/model.go
@@ -31,6 +31,8 @@
 	// ErrLost: the chunk's row is no longer at the version of the claim, or the
 	// job has ended. The holder stops work on the chunk.
 	ErrLost = errors.New("claim lost")
+	// ErrNothingWritten: the platform failed before anything was written.
+	ErrNothingWritten = errors.New("nothing was written")
 	// ErrMismatch: the idempotency key was used with other input.
 	ErrMismatch = errors.New("idempotency key was used for another request")
 )
--- a/job/store.go
+++ b/job/store.go
@@ -76,20 +76,30 @@
 
 // Submit creates a job, or returns the one that an earlier send of the same
 // request created. Every round reads the state back first, so a lost answer and
-// a conflict are settled alike. ErrMismatch: the key stands for other input.
+// a conflict are settled alike. ErrMismatch: the key stands for other input. ErrNothingWritten: the context
+// ended before a commit was sent.
 func (s *Store) Submit(ctx context.Context, sub Submission) (*Job, error) {
 	var b backoff
+	uncertain := false
 	for {
 		j, err := s.trySubmit(ctx, sub)
 		if err == nil || !(transient(err) || errors.Is(err, platform.ErrConflict)) {
 			return j, err
 		}
-		if b.wait(ctx) != nil {
-			return nil, trace.Wrap(err)
+		uncertain = uncertain || errors.Is(err, errUncertain)
+		if b.wait(ctx) == nil {
+			continue
+		}
+		if !uncertain {
+			err = errors.Join(ErrNothingWritten, err)
 		}
+		return nil, trace.Wrap(err)
 	}
 }
 
+// errUncertain marks a failed commit that may have taken effect.
+var errUncertain = errors.New("outcome of the commit is open")
+
 func (s *Store) trySubmit(ctx context.Context, sub Submission) (*Job, error) {
 	file, fileRow, err := s.fileRow(ctx, sub.FileID)
 	if err != nil {
@@ -114,6 +124,9 @@
 		{Key: fileKey(file.ID), Value: mustJSON(file), IfVersion: fileRow.Version},
 	}, index...)
 	versions, err := s.table.Commit(ctx, platform.Transaction{Conditions: conditions, Writes: writes})
+	if errors.Is(err, platform.ErrUnavailable) {
+		err = errors.Join(errUncertain, err)
+	}
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/job/upload.go
+++ b/job/upload.go
@@ -122,6 +122,8 @@
 	if u.lines == 0 || len(u.check.findings) > 0 {
 		return nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
 	key := partKey(u.file.ID, len(u.file.Parts))
 	_, err := retry(ctx, func() (struct{}, error) {
 		return struct{}{}, u.store.objects.Put(ctx, key, bytes.NewReader(u.buf.Bytes()))
@@ -152,6 +154,8 @@
 
 // insertFile writes the row. Ids are random, so a row that exists is this one.
 func (s *Store) insertFile(ctx context.Context, f *File) error {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
 	tx := platform.Transaction{Writes: []platform.Write{{Key: fileKey(f.ID), Value: mustJSON(f)}}}
 	_, err := retry(ctx, func() ([]uint64, error) { return s.table.Commit(ctx, tx) })
 	if errors.Is(err, platform.ErrConflict) {
