Check job histories against a sequential model

Cause: single-failure tests do not show that combinations are safe. Change: TestHistories runs three holders, resends, cancels and completions on a platform with lost, late and failed answers and an outage, and checks each history with porcupine; then a new entry finishes the job and its output must be the committed claims.

--- /dev/null
+++ b/job/history_test.go
@@ -0,0 +1,416 @@
+package job
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+)
+
+var (
+	historySeeds = flag.Int("history.seeds", 2000, "number of seeds of TestHistories")
+	historyFirst = flag.Uint64("history.first", 1, "first seed of TestHistories")
+)
+
+// Sizes of a checked history.
+const (
+	historyItems   = 250
+	historyChunks  = 3
+	historyHolders = 3
+	historyLength  = 6 * time.Minute
+)
+
+// opKind is a kind of operation in a history.
+type opKind int
+
+const (
+	opCommit opKind = iota
+	opCancel
+	opComplete
+	opReadStatus
+	opReadDone
+)
+
+type opInput struct {
+	kind  opKind
+	chunk int
+	claim string
+}
+
+type opOutput struct {
+	ok      bool // commit took effect; complete found the job ended
+	unknown bool
+	status  Status
+	done    jobDone
+}
+
+// jobDone holds the committed claim of each chunk.
+type jobDone [historyChunks]string
+
+type modelState struct {
+	status Status
+	done   jobDone
+}
+
+// jobModel is the sequential behaviour that histories must be explained by.
+var jobModel = porcupine.Model{
+	Init: func() any { return modelState{status: StatusRunning} },
+	Step: func(state, input, output any) (bool, any) {
+		return stepJob(state.(modelState), input.(opInput), output.(opOutput))
+	},
+	DescribeOperation: func(in, out any) string { return fmt.Sprintf("%+v -> %+v", in, out) },
+}
+
+func stepJob(s modelState, in opInput, out opOutput) (bool, any) {
+	all := true
+	for _, claim := range s.done {
+		all = all && claim != ""
+	}
+	switch in.kind {
+	case opCommit:
+		open := s.status == StatusRunning && s.done[in.chunk] == ""
+		if out.unknown && !open {
+			return true, s
+		}
+		if !out.ok && !out.unknown {
+			return s.done[in.chunk] != in.claim, s
+		}
+		if s.done[in.chunk] == in.claim {
+			return true, s
+		}
+		s.done[in.chunk] = in.claim
+		return open, s
+	case opCancel:
+		if s.status == StatusRunning {
+			s.status = StatusCancelled
+		}
+		return out.unknown || s.status == out.status, s
+	case opComplete:
+		if s.status == StatusRunning && all {
+			s.status = StatusCompleted
+		}
+		return out.unknown || s.status.Final() == out.ok, s
+	case opReadStatus:
+		return s.status == out.status, s
+	}
+	return s.done == out.done, s
+}
+
+// history records operations of one seed.
+type history struct {
+	mu    sync.Mutex
+	start time.Time
+	ops   []porcupine.Operation
+}
+
+// record runs an operation. One with an open outcome may take effect at any later time.
+func (h *history) record(client int, in opInput, f func() opOutput) opOutput {
+	call := time.Since(h.start).Nanoseconds()
+	out := f()
+	ret := time.Since(h.start).Nanoseconds()
+	if out.unknown {
+		ret = math.MaxInt64
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ops = append(h.ops, porcupine.Operation{ClientId: client, Input: in, Call: call, Output: out, Return: ret})
+	return out
+}
+
+// TestHistories guards against lost, doubled or changed results, and against
+// two outcomes of one job, under resends, crashes, pauses, lost and late
+// answers, outages, cancels and completions by several entries.
+func TestHistories(t *testing.T) {
+	seeds := *historySeeds
+	if testing.Short() {
+		seeds = min(seeds, 200)
+	}
+	outcomes := make(map[Status]int)
+	commits := make(map[string]int)
+	for i := range seeds {
+		seed := *historyFirst + uint64(i)
+		var h *history
+		synctest.Test(t, func(t *testing.T) {
+			var end Status
+			h, end = runHistory(t, seed)
+			outcomes[end]++
+		})
+		for _, op := range h.ops {
+			if op.Input.(opInput).kind == opCommit {
+				out := op.Output.(opOutput)
+				commits[fmt.Sprintf("ok %v unknown %v", out.ok, out.unknown)]++
+			}
+		}
+		if !porcupine.CheckOperations(jobModel, h.ops) {
+			for _, op := range h.ops {
+				t.Logf("%d..%d client %d: %s", op.Call, op.Return, op.ClientId, jobModel.DescribeOperation(op.Input, op.Output))
+			}
+			t.Fatalf("seed %d: no sequential order explains the history", seed)
+		}
+	}
+	t.Logf("%d seeds: outcomes %v, commits %v", seeds, outcomes, commits)
+	if seeds >= 200 && (outcomes[StatusCompleted] == 0 || outcomes[StatusCancelled] == 0 || commits["ok false unknown false"] == 0) {
+		t.Error("the histories do not reach both outcomes and lost claims")
+	}
+}
+
+func runHistory(t *testing.T, seed uint64) (*history, Status) {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	f := newFake()
+	s := NewStore(f)
+	faults := newFaults(seed, rng)
+	f.latency = faults.latency
+	f.setFault(faults.meet)
+	j := submitTwice(t, s)
+	h := &history{start: time.Now()}
+	ctx, cancel := context.WithTimeout(t.Context(), historyLength)
+	defer cancel()
+	var wg sync.WaitGroup
+	for i := range historyHolders {
+		r := rand.New(rand.NewPCG(seed, uint64(i)+1))
+		wg.Go(func() { holder(ctx, s, h, j, i, r) })
+	}
+	r := rand.New(rand.NewPCG(seed, 100))
+	wg.Go(func() { observer(ctx, s, h, j, r) })
+	wg.Wait()
+	f.setFault(nil)
+	time.Sleep(2 * time.Second) // late writes arrive
+	return h, finishHistory(t, s, h, j, seed)
+}
+
+// faults is the failing platform of a history, with one outage of up to 90 s.
+type faults struct {
+	mu          sync.Mutex
+	rng         *rand.Rand
+	share       float64
+	start       time.Time
+	outage, end time.Duration
+}
+
+func newFaults(seed uint64, rng *rand.Rand) *faults {
+	f := &faults{rng: rand.New(rand.NewPCG(seed, 200)), start: time.Now(), share: rng.Float64() * 0.3}
+	f.outage = time.Duration(rng.Int64N(int64(historyLength)))
+	f.end = f.outage + time.Duration(rng.Int64N(int64(90*time.Second)))
+	return f
+}
+
+func (f *faults) latency() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Duration(f.rng.Int64N(int64(20*time.Millisecond)) + 1)
+}
+
+func (f *faults) meet(string, string) fault {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at := time.Since(f.start); at >= f.outage && at < f.end {
+		return faultDown
+	}
+	if f.rng.Float64() < f.share {
+		return fault(1 + f.rng.IntN(4))
+	}
+	return faultNone
+}
+
+// submitTwice sends the same request from two entries at once.
+func submitTwice(t *testing.T, s *Store) *Job {
+	file, err := s.Upload(t.Context(), "org", "caller", "in", strings.NewReader(inputLines(historyItems)))
+	for err != nil { // an outage longer than the bound of an upload; the caller sends again
+		file, err = s.Upload(t.Context(), "org", "caller", "in", strings.NewReader(inputLines(historyItems)))
+	}
+	var jobs [2]*Job
+	var wg sync.WaitGroup
+	for i := range jobs {
+		wg.Go(func() {
+			j, err := s.Submit(t.Context(), submission(file, ""))
+			if err != nil {
+				t.Error(err)
+			}
+			jobs[i] = j
+		})
+	}
+	wg.Wait()
+	if jobs[0].ID != jobs[1].ID || jobs[0].Version != jobs[1].Version {
+		t.Fatalf("two jobs: %+v and %+v", jobs[0], jobs[1])
+	}
+	return jobs[0]
+}
+
+// holder claims chunks and commits, pauses, returns or forgets them.
+func holder(ctx context.Context, s *Store, h *history, j *Job, client int, r *rand.Rand) {
+	watch := NewObserver()
+	for ctx.Err() == nil {
+		sleep(ctx, time.Duration(r.Int64N(int64(20*time.Second))))
+		rows, err := s.ScanChunks(ctx, j.ID, 0, historyChunks)
+		if err != nil {
+			continue
+		}
+		seen, ok := pickChunk(watch, j, rows, r)
+		if !ok {
+			continue
+		}
+		claim, err := s.Claim(ctx, j, seen, fmt.Sprint(client))
+		if err != nil {
+			continue
+		}
+		hold(ctx, s, h, claim, client, r)
+	}
+}
+
+func pickChunk(watch *Observer, j *Job, rows []Chunk, r *rand.Rand) (Chunk, bool) {
+	free := map[int]Chunk{0: {Index: 0}, 1: {Index: 1}, 2: {Index: 2}}
+	for _, c := range rows {
+		delete(free, c.Index)
+		if c.State == ChunkReturned || watch.Expired(j.ID, c, time.Now()) {
+			free[c.Index] = c
+		}
+	}
+	c, ok := free[r.IntN(historyChunks)]
+	return c, ok
+}
+
+func hold(ctx context.Context, s *Store, h *history, claim *Claim, client int, r *rand.Rand) {
+	for range r.IntN(3) {
+		sleep(ctx, time.Duration(r.Int64N(int64(30*time.Second))))
+		if errors.Is(s.Renew(ctx, claim), ErrLost) {
+			return
+		}
+	}
+	switch r.IntN(6) {
+	case 0:
+		return // crash after the claim
+	case 1:
+		_ = s.Return(ctx, claim, []byte(`{"index":1,"tokens":1}`+"\n"))
+		return
+	case 2:
+		sleep(ctx, time.Duration(r.Int64N(int64(200*time.Second)))) // paused, wakes up
+	}
+	tries := 1 + r.IntN(20) // a crash ends the tries
+	h.record(client, opInput{kind: opCommit, chunk: claim.Chunk.Index, claim: claim.Chunk.ClaimID}, func() opOutput {
+		var b backoff
+		for range tries {
+			err := s.Commit(ctx, claim, testResults(claim))
+			if err == nil || errors.Is(err, ErrLost) {
+				return opOutput{ok: err == nil}
+			}
+			if b.wait(ctx) != nil {
+				break
+			}
+		}
+		return opOutput{unknown: true}
+	})
+}
+
+// observer cancels or completes the job and reads it.
+func observer(ctx context.Context, s *Store, h *history, j *Job, r *rand.Rand) {
+	const client = historyHolders
+	for ctx.Err() == nil {
+		sleep(ctx, time.Duration(r.Int64N(int64(20*time.Second))))
+		switch r.IntN(16) {
+		case 0:
+			h.record(client, opInput{kind: opCancel}, func() opOutput {
+				got, err := s.Cancel(ctx, j.ID)
+				if err != nil {
+					return opOutput{unknown: true}
+				}
+				return opOutput{status: got.Status}
+			})
+		case 1, 2, 3, 4:
+			h.record(client, opInput{kind: opComplete}, func() opOutput {
+				ended, err := s.Complete(ctx, j.ID)
+				return opOutput{ok: ended, unknown: err != nil}
+			})
+		default:
+			readJob(ctx, s, h, j, client)
+		}
+	}
+}
+
+func readJob(ctx context.Context, s *Store, h *history, j *Job, client int) {
+	start := time.Since(h.start).Nanoseconds()
+	got, err := s.Job(ctx, j.ID)
+	if err != nil {
+		return
+	}
+	middle := time.Since(h.start).Nanoseconds()
+	done, err := s.DoneChunks(ctx, j.ID)
+	if err != nil {
+		return
+	}
+	out := opOutput{}
+	for _, c := range done {
+		out.done[c.Index] = c.ClaimID
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ops = append(h.ops,
+		porcupine.Operation{ClientId: client, Input: opInput{kind: opReadStatus}, Call: start, Output: opOutput{status: got.Status}, Return: middle},
+		porcupine.Operation{ClientId: client, Input: opInput{kind: opReadDone}, Call: middle, Output: out, Return: time.Since(h.start).Nanoseconds()})
+}
+
+// finishHistory lets a new entry finish the job and compares the output with
+// the committed claims.
+func finishHistory(t *testing.T, s *Store, h *history, j *Job, seed uint64) Status {
+	ctx := t.Context()
+	watch := NewObserver()
+	for range 100 {
+		out := h.record(historyHolders+1, opInput{kind: opComplete}, func() opOutput {
+			ended, err := s.Complete(ctx, j.ID)
+			return opOutput{ok: ended, unknown: err != nil}
+		})
+		if out.ok {
+			break
+		}
+		rows, _ := s.AllChunks(ctx, j.ID)
+		for i := range historyChunks {
+			c, row := Chunk{Index: i}, false
+			for _, have := range rows {
+				if have.Index == i {
+					c, row = have, true
+				}
+			}
+			if row && c.State != ChunkReturned && !watch.Expired(j.ID, c, time.Now()) {
+				continue
+			}
+			claim, err := s.Claim(ctx, j, c, "last")
+			if err != nil {
+				t.Fatalf("seed %d: %v", seed, err)
+			}
+			h.record(historyHolders+1, opInput{kind: opCommit, chunk: i, claim: claim.Chunk.ClaimID}, func() opOutput {
+				return opOutput{ok: s.Commit(ctx, claim, testResults(claim)) == nil}
+			})
+		}
+		time.Sleep(10 * time.Second)
+	}
+	readJob(ctx, s, h, j, historyHolders+1)
+	end, err := s.Job(ctx, j.ID)
+	if err != nil || !end.Status.Final() {
+		t.Fatalf("seed %d: %+v %v", seed, end, err)
+	}
+	var want, got bytes.Buffer
+	done, _ := s.DoneChunks(ctx, j.ID)
+	for _, c := range done {
+		want.WriteString(strings.Repeat(c.ClaimID+"\n", j.chunkLen(c.Index)))
+	}
+	if err := s.WriteResults(ctx, end, false, &got); err != nil || got.String() != want.String() {
+		t.Fatalf("seed %d: output of %d bytes, want %d: %v", seed, got.Len(), want.Len(), err)
+	}
+	return end.Status
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
