Run the whole path: demo and dev commands

Cause: the roles were not yet exercised together. Change: commands entry, agent, demo and dev; the batch runner and the batch API are part of the entry daemon; the demo checks every answer against the text of the stand-in engine.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -85,6 +85,10 @@
 
 func commands() []*cli.Command {
 	return []*cli.Command{
+		entryCommand(),
+		agentCommand(),
+		demoCommand(),
+		devCommand(),
 		checkSettingsCommand(),
 		keysCommand(),
 		versionCommand(),
--- /dev/null
+++ b/cli/demo.go
@@ -0,0 +1,119 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/rs/zerolog"
+	"github.com/urfave/cli/v3"
+
+	"github.com/magnoliausher/magnoliausher/contract"
+	"github.com/magnoliausher/magnoliausher/demo"
+	"github.com/magnoliausher/magnoliausher/keys"
+)
+
+const devReadyTimeout = 30 * time.Second
+
+func demoCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "demo",
+		Usage: "run the whole path on embedded stand-ins",
+		Description: "Runs online requests, a batch job, a burst and an upstream loss, checks every answer,\n" +
+			"and prints one line of JSON at the end. Exits 1 if a guarantee was broken.",
+		Action: func(ctx context.Context, c *cli.Command) error {
+			result, err := demo.Run(ctx, demoDocument(), c.Root().Writer)
+			if err != nil {
+				return err
+			}
+			if !result.Kept() {
+				return errors.New("a guarantee was broken")
+			}
+			return nil
+		},
+	}
+}
+
+func devCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "dev",
+		Usage: "keep the demo's fleet running for trying it by hand",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:8080", Usage: "IP address and port for callers"},
+			&cli.StringFlag{Name: "key", Usage: "the caller's key; made up if not given"},
+			&cli.StringFlag{Name: "log-level", Value: "warn", Usage: "debug, info, warn or error"},
+		},
+		Action: runDev,
+	}
+}
+
+func runDev(ctx context.Context, c *cli.Command) error {
+	if _, err := netip.ParseAddrPort(c.String("listen")); err != nil {
+		return usageError{fmt.Sprintf("--listen %q must be an IP address with a port", c.String("listen"))}
+	}
+	level, err := zerolog.ParseLevel(c.String("log-level"))
+	if err != nil {
+		return usageError{fmt.Sprintf("--log-level %q must be debug, info, warn or error", c.String("log-level"))}
+	}
+	key := c.String("key")
+	if key == "" {
+		key = keys.NewCallerKey()
+	}
+	doc := demoDocument()
+	fleet, err := demo.Start(ctx, demo.FleetConfig{
+		Document: demo.WithCaller(doc, key),
+		Listen:   c.String("listen"),
+		Entries:  len(dataCentres(doc)),
+		Logger:   zerolog.New(os.Stderr).Level(level).With().Timestamp().Logger(),
+	})
+	if err != nil {
+		return err
+	}
+	ready, cancel := context.WithTimeout(ctx, devReadyTimeout)
+	defer cancel()
+	if err := fleet.WaitReady(ready); err != nil {
+		return err
+	}
+	if err := printUse(c.Root().Writer, doc, fleet.Entries[0].Address(), key); err != nil {
+		return trace.Wrap(err)
+	}
+	return fleet.Wait()
+}
+
+func dataCentres(doc *contract.Document) map[string]struct{} {
+	names := make(map[string]struct{})
+	for _, g := range doc.Groups {
+		names[g.DataCentre] = struct{}{}
+	}
+	return names
+}
+
+const useText = `ready at http://%[1]s (GET /readyz), key %[2]s
+
+curl -s http://%[1]s/v1/chat/completions -H 'Authorization: Bearer %[2]s' -d '{"model":"%[3]s","messages":[{"role":"user","content":"Diagnose a faulty escapement"}]}'
+
+curl -sN http://%[1]s/v1/chat/completions -H 'Authorization: Bearer %[2]s' -d '{"model":"%[3]s","stream":true,"messages":[{"role":"user","content":"Which pendulum weight is this?"}]}'
+
+echo '{"custom_id":"note-1","method":"POST","url":"/v1/chat/completions","body":{"model":"%[3]s","messages":[{"role":"user","content":"Write a service note"}]}}' > items.jsonl
+curl -s http://%[1]s/v1/files -H 'Authorization: Bearer %[2]s' -F purpose=batch -F file=@items.jsonl
+curl -s http://%[1]s/v1/batches -H 'Authorization: Bearer %[2]s' -d '{"input_file_id":"FILE_ID","endpoint":"/v1/chat/completions","completion_window":"24h"}'
+
+Stop with Ctrl-C or SIGTERM.
+`
+
+func printUse(w io.Writer, doc *contract.Document, address, key string) error {
+	model := ""
+	for _, s := range doc.Services {
+		if s.Kind == contract.KindEngine {
+			model = s.Model
+			break
+		}
+	}
+	_, err := fmt.Fprintf(w, useText, address, key, model)
+	return err
+}
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -15,6 +15,7 @@
 	"github.com/magnoliausher/magnoliausher/entry"
 	"github.com/magnoliausher/magnoliausher/idempotency"
 	"github.com/magnoliausher/magnoliausher/instance"
+	"github.com/magnoliausher/magnoliausher/job"
 	"github.com/magnoliausher/magnoliausher/link"
 	"github.com/magnoliausher/magnoliausher/platform"
 	"github.com/magnoliausher/magnoliausher/poison"
@@ -42,6 +43,8 @@
 	intents  *idempotency.Store
 	poller   *contract.Poller
 	fetcher  link.Fetcher
+	runner   *job.Runner
+	sweeper  *job.Sweeper
 
 	server       *http.Server
 	listener     net.Listener
@@ -86,6 +89,7 @@
 	})
 	store := contract.NewStore(limited)
 	d.poller = contract.NewPoller(store, d.holder, contract.PollerConfig{Log: logger})
+	jobs := d.newJobs(suspects)
 	d.entry = entry.New(entry.Config{
 		ID:             s.Instance.ID,
 		DataCentre:     s.Instance.DataCentre,
@@ -94,6 +98,7 @@
 		Holder:         d.holder,
 		Idempotency:    d.intents,
 		Suspects:       entrySuspects{suspects},
+		Jobs:           jobs.Handler(),
 		Logger:         logger,
 		MaxBodyBytes:   s.MaxBodyBytes,
 		AcceptTimeout:  s.AcceptTimeout,
@@ -103,6 +108,43 @@
 	return d, d.open()
 }
 
+// newJobs makes the batch runner and returns the batch API.
+func (d *Entry) newJobs(suspects *poison.Table) *job.API {
+	d.runner = job.NewRunner(job.RunnerConfig{
+		Platform:    d.platform,
+		Links:       d.links,
+		Port:        d.links,
+		Contract:    d.holder,
+		Suspects:    jobSuspects{suspects},
+		InstanceID:  d.settings.Instance.ID,
+		Rank:        d.rank,
+		MemoryBytes: d.settings.BatchBytes,
+		Log:         d.logger,
+	})
+	store := job.NewStore(d.platform)
+	d.sweeper = &job.Sweeper{Store: store, Rank: d.rank, Log: d.logger}
+	return &job.API{Store: store, Contract: d.holder, Announce: d.links.AnnounceCancelled, Log: d.logger}
+}
+
+// rank is this entry's position among all entries by id. An entry that the
+// list does not show yet counts as the last one.
+func (d *Entry) rank() (rank, entries int) {
+	members := d.members.Members(platform.RoleEntry, time.Now())
+	listed := false
+	for _, m := range members {
+		switch {
+		case m.ID == d.settings.Instance.ID:
+			listed = true
+		case m.ID < d.settings.Instance.ID:
+			rank++
+		}
+	}
+	if listed {
+		return rank, len(members)
+	}
+	return len(members), len(members) + 1
+}
+
 func (d *Entry) open() error {
 	var err error
 	if d.listener, err = listen(d.settings.Instance.Listen); err != nil {
@@ -170,6 +212,8 @@
 	group.Go(func() error { d.poller.Run(background); return nil })
 	group.Go(func() error { d.entry.Run(background); return nil })
 	group.Go(func() error { d.fetchConfig(background); return nil })
+	group.Go(func() error { return untilDone(background, d.runner.Run(background)) })
+	group.Go(func() error { d.sweeper.Run(background); return nil })
 	group.Go(func() error { return serve(d.server, d.listener) })
 	if d.peerServer != nil {
 		group.Go(func() error { return serve(d.peerServer, d.peerListener) })
@@ -211,7 +255,9 @@
 	defer cancel()
 	start := time.Now()
 	d.links.SetLeaving()
-	err := d.entry.Drain(ctx)
+	batch := make(chan error, 1)
+	go func() { batch <- d.runner.Drain(ctx) }()
+	err := errors.Join(d.entry.Drain(ctx), <-batch)
 	d.logger.Info().Err(err).Dur("took", time.Since(start)).Msg("entry drained")
 }
 
@@ -258,3 +304,18 @@
 		return false, 0, ""
 	}
 }
+
+// jobSuspects adapts the table of suspects to the batch runner.
+type jobSuspects struct{ *poison.Table }
+
+// Status converts the status of the table.
+func (s jobSuspects) Status(fingerprint uint64, now time.Time) job.Suspicion {
+	switch s.Table.Status(fingerprint, now) {
+	case poison.Blocked:
+		return job.Blocked
+	case poison.Suspect:
+		return job.Suspect
+	default:
+		return job.Clear
+	}
+}
--- a/demo/caller.go
+++ b/demo/caller.go
@@ -16,6 +16,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/magnoliausher/magnoliausher/standin/engine"
+	"github.com/magnoliausher/magnoliausher/upstream"
 )
 
 // caller sends online requests and checks every answer against the text that
@@ -73,6 +74,22 @@
 	}
 }
 
+type chatRequest struct {
+	Model     string        `json:"model"`
+	Stream    bool          `json:"stream,omitempty"`
+	MaxTokens int           `json:"max_tokens"`
+	Messages  []chatMessage `json:"messages"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+func newChatRequest(model, prompt string, tokens int) chatRequest {
+	return chatRequest{Model: model, MaxTokens: tokens, Messages: []chatMessage{{Role: "user", Content: prompt}}}
+}
+
 type chatChunk struct {
 	Choices []struct {
 		Delta struct {
@@ -85,10 +102,9 @@
 }
 
 func (c *caller) chat(ctx context.Context, model, prompt string, tokens int) error {
-	body, err := json.Marshal(map[string]any{
-		"model": model, "stream": true, "max_tokens": tokens,
-		"messages": []map[string]string{{"role": "user", "content": prompt}},
-	})
+	request := newChatRequest(model, prompt, tokens)
+	request.Stream = true
+	body, err := json.Marshal(request)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -106,12 +122,25 @@
 	if err != nil {
 		return err
 	}
-	if want := engine.ExpectedText(prompt, 0, tokens); text != want {
+	want, err := expectedText(body)
+	if err != nil {
+		return err
+	}
+	if text != want {
 		return trace.Errorf("answer of %d bytes differs from the expected %d bytes", len(text), len(want))
 	}
 	return nil
 }
 
+// expectedText is what the stand-in engine generates for a request's body.
+func expectedText(body []byte) (string, error) {
+	p, err := upstream.ParsePrompt(body)
+	if err != nil {
+		return "", trace.Wrap(err)
+	}
+	return engine.ExpectedText(p.Text, 0, p.MaxTokens), nil
+}
+
 func (c *caller) post(ctx context.Context, address, path, idempotencyKey string, body []byte) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -18,7 +18,6 @@
 	"github.com/magnoliausher/magnoliausher/job/client"
 	"github.com/magnoliausher/magnoliausher/keys"
 	"github.com/magnoliausher/magnoliausher/metric"
-	"github.com/magnoliausher/magnoliausher/standin/engine"
 )
 
 // The demo's load.
@@ -224,11 +223,7 @@
 	var lines bytes.Buffer
 	for n := range batchItems {
 		item := map[string]any{
-			"custom_id": itemID(n), "method": "POST", "url": job.EndpointChat,
-			"body": map[string]any{
-				"model": d.engineService.Model, "max_tokens": batchTokens,
-				"messages": []map[string]string{{"role": "user", "content": prompt("item", n)}},
-			},
+			"custom_id": itemID(n), "method": "POST", "url": job.EndpointChat, "body": d.itemBody(n),
 		}
 		if err := json.NewEncoder(&lines).Encode(item); err != nil {
 			return "", trace.Wrap(err)
@@ -246,6 +241,10 @@
 	return batch.ID, nil
 }
 
+func (d *run) itemBody(n int) chatRequest {
+	return newChatRequest(d.engineService.Model, prompt("item", n), batchTokens)
+}
+
 func itemID(n int) string { return fmt.Sprintf("item-%d", n) }
 
 // finishBatch waits for the batch and returns how many items have exactly one
@@ -266,7 +265,7 @@
 	if err := c.Download(ctx, batch.OutputFileID, &output); err != nil {
 		return 0, trace.Wrap(err)
 	}
-	return countResults(&output)
+	return d.countResults(&output)
 }
 
 type outputLine struct {
@@ -282,10 +281,16 @@
 	} `json:"response"`
 }
 
-func countResults(r io.Reader) (int, error) {
+func (d *run) countResults(r io.Reader) (int, error) {
 	want := make(map[string]string, batchItems)
 	for n := range batchItems {
-		want[itemID(n)] = engine.ExpectedText(prompt("item", n), 0, batchTokens)
+		body, err := json.Marshal(d.itemBody(n))
+		if err != nil {
+			return 0, trace.Wrap(err)
+		}
+		if want[itemID(n)], err = expectedText(body); err != nil {
+			return 0, err
+		}
 	}
 	seen := make(map[string]int, batchItems)
 	lines := bufio.NewScanner(r)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -50,9 +50,9 @@
 	Log      Log
 
 	MaxBodyBytes    int64
-	MaxInProgress   int // online requests of this process
-	BatchItems      int // items held in memory
-	LinksPerService int // agents of one service that the entry links to
+	MaxInProgress   int   // online requests of this process
+	BatchBytes      int64 // bound of batch items and results held in memory
+	LinksPerService int   // agents of one service that the entry links to
 	DrainTimeout    time.Duration
 	ProgressTimeout time.Duration // longest silence within an attempt
 	AcceptTimeout   time.Duration // a repeatable attempt not accepted in this time is moved
@@ -121,7 +121,7 @@
 		Log:             r.log(),
 		MaxBodyBytes:    int64(r.integer("limits", "max_body_bytes", 4<<20, 1<<10, 1<<30)),
 		MaxInProgress:   r.integer("limits", "max_in_progress", 10000, 1, 1_000_000),
-		BatchItems:      r.integer("limits", "batch_items", 4000, 100, 200_000),
+		BatchBytes:      int64(r.integer("limits", "batch_bytes", 64<<20, 1<<20, 8<<30)),
 		LinksPerService: r.integer("limits", "links_per_service", 32, 2, 1000),
 		DrainTimeout:    r.duration("timeouts", "drain", 60*time.Second, minTimeout, maxTimeout),
 		ProgressTimeout: r.duration("timeouts", "progress", 5*time.Second, minTimeout, maxTimeout),
