Let tests wait for late writes of the platform stand-in

Cause: a synctest bubble can't end while a late write is pending. Change: Platform.WaitLate. Figures: go test -race -p 2 ./standin/platform passes. Conclusion: needed by the tests of contract.Store.

--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -58,7 +58,8 @@
 
 // Platform is the stand-in. It is safe for concurrent use.
 type Platform struct {
-	clock Clock
+	clock   Clock
+	pending sync.WaitGroup // late writes
 
 	mu       sync.Mutex // guards everything below
 	random   *rand.Rand
@@ -207,16 +208,19 @@
 
 // applyLater lets a write take effect after its caller has left.
 func (p *Platform) applyLater(after time.Duration, apply func() error) {
-	go func() {
+	p.pending.Go(func() {
 		_ = p.clock.Sleep(context.Background(), after) // never ends early
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		if apply() == nil {
 			p.stats.Lost++
 		}
-	}()
+	})
 }
 
+// WaitLate returns when all late writes so far have been applied or refused.
+func (p *Platform) WaitLate() { p.pending.Wait() }
+
 // admit refuses a call during an outage or above the rate. The mutex is held.
 func (p *Platform) admit(l *rate.Limiter) error {
 	if p.faults.outage || p.faults.takeFailure(p.random) {
