Compare paths of non-repeatable calls in clean form

Change: Service.Repeatable cleans the path; NewIndex prefers the service without an adapter, else the first.

--- a/contract/contract.go
+++ b/contract/contract.go
@@ -5,6 +5,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"path"
 	"time"
 )
 
@@ -117,7 +118,7 @@
 	for i := range doc.Services {
 		s := &doc.Services[i]
 		ix.serviceByName[s.Name] = s
-		if s.Model != "" {
+		if s.Model != "" && ix.preferred(s) {
 			ix.serviceByModel[s.Model] = s
 		}
 	}
@@ -129,6 +130,13 @@
 	return ix
 }
 
+// preferred reports whether requests for the service's model go to it rather
+// than to the one found so far: the service without an adapter, else the first.
+func (ix *Index) preferred(s *Service) bool {
+	other := ix.serviceByModel[s.Model]
+	return other == nil || (s.Adapter == "" && other.Adapter != "")
+}
+
 // Service finds a service by name, or nil.
 func (ix *Index) Service(name string) *Service { return ix.serviceByName[name] }
 
@@ -151,13 +159,15 @@
 func (ix *Index) Caller(id string) *Caller { return ix.callerByID[id] }
 
 // Repeatable reports whether a call of the service may be run more than once.
-// Engine calls have no effects and always may.
-func (s *Service) Repeatable(method, path string) bool {
+// Engine calls have no effects and always may. The path is compared in its
+// clean form, because upstreams treat /a//b and /a/./b like /a/b.
+func (s *Service) Repeatable(method, requestPath string) bool {
+	clean := path.Clean("/" + requestPath)
 	for _, r := range s.NonRepeatable {
 		if r.Method != method {
 			continue
 		}
-		if pathHasPrefix(path, r.Path) {
+		if pathHasPrefix(clean, r.Path) {
 			return false
 		}
 	}
--- a/contract/contract_test.go
+++ b/contract/contract_test.go
@@ -14,6 +14,8 @@
 		{"POST", "/invoices", true},
 		{"GET", "/invoice", true},
 		{"POST", "/", true},
+		{"POST", "//invoice", false},
+		{"POST", "/a/.././invoice/", false},
 	}
 	for _, c := range cases {
 		if got := svc.Repeatable(c.method, c.path); got != c.want {
