--- /dev/null
+++ b/contract/problem.go
@@ -0,0 +1,55 @@
+package contract
+
+import (
+	"fmt"
+
+	"github.com/magnoliausher/magnoliausher/finding"
+)
+
+// Section is a part of a document.
+type Section string
+
+// Sections of a document, named as in its JSON form.
+const (
+	SectionSheet    Section = "sheet" // date and revision
+	SectionServices Section = "services"
+	SectionGroups   Section = "groups"
+	SectionCallers  Section = "callers"
+)
+
+// Problem is one rule that a document breaks, with its place.
+type Problem struct {
+	Section Section
+	Index   int    // of the element in its section
+	Route   int    // index of the non-repeatable route, or NoRoute
+	Field   string // JSON name of the field
+	Value   string
+	Reason  string
+}
+
+// NoRoute is the Route of problems outside the non-repeatable routes.
+const NoRoute = -1
+
+// key gives the place as a path in the JSON form, e.g. services[2].name.
+func (p Problem) key() string {
+	switch {
+	case p.Section == SectionSheet:
+		return p.Field
+	case p.Field == "":
+		return string(p.Section)
+	case p.Route != NoRoute:
+		return fmt.Sprintf("%s[%d].non_repeatable[%d].%s", p.Section, p.Index, p.Route, p.Field)
+	}
+	return fmt.Sprintf("%s[%d].%s", p.Section, p.Index, p.Field)
+}
+
+// Validate checks a whole document and returns all findings; their keys are
+// paths in the JSON form. Version and change id are not checked, because
+// acceptance sets them.
+func Validate(doc *Document) finding.List {
+	var list finding.List
+	for _, p := range Check(doc) {
+		list.Add(finding.Finding{Key: p.key(), Value: p.Value, Reason: p.Reason})
+	}
+	return list
+}
