--- a/standin/engine/cache.go
+++ b/standin/engine/cache.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"math/rand/v2"
+	"sort"
 	"time"
 
 	"github.com/magnoliausher/magnoliausher/upstream"
@@ -100,24 +101,32 @@
 	if lost {
 		return
 	}
-	if len(c.log) >= cacheEventsKept {
-		half := len(c.log) / 2
-		c.dropped = c.log[half-1].Sequence
-		c.log = append(c.log[:0], c.log[half:]...)
-	}
+	c.trim(now)
 	event := CacheEvent{Sequence: c.last, Prefix: key, Evicted: evicted}
 	c.log = append(c.log, loggedEvent{CacheEvent: event, visible: c.visible})
 }
 
+// trim drops the older half of the published events when there are too many.
+func (c *prefixCache) trim(now time.Duration) {
+	if len(c.log) < cacheEventsKept {
+		return
+	}
+	published := sort.Search(len(c.log), func(i int) bool { return c.log[i].visible > now })
+	if published < cacheEventsKept {
+		return
+	}
+	drop := published / 2
+	c.dropped = c.log[drop-1].Sequence
+	c.log = append(c.log[:0], c.log[drop:]...)
+}
+
 func (c *prefixCache) eventsAfter(now time.Duration, after uint64) (events []CacheEvent, next uint64, complete bool) {
 	if after == 0 || after < c.dropped || after > c.last {
 		return c.content(), c.last, true
 	}
 	next = after
-	for _, e := range c.log {
-		if e.Sequence <= after {
-			continue
-		}
+	start := sort.Search(len(c.log), func(i int) bool { return c.log[i].Sequence > after })
+	for _, e := range c.log[start:] {
 		if e.visible > now {
 			break
 		}
--- a/standin/engine/model.go
+++ b/standin/engine/model.go
@@ -20,7 +20,7 @@
 	LoadLag          = 500 * time.Millisecond // age of a load report
 	CacheEventLag    = 2 * time.Second        // a cache event is published at most this late
 	CacheEventLoss   = 100                    // one cache event in this many is never published
-	cacheEventsKept  = 4096                   // older events can only be replaced by the complete list
+	cacheEventsKept  = 4096                   // published events; older ones are only in the complete list
 	transferBase     = 20 * time.Millisecond  // duration of a KV export or import of no tokens
 	transferPerToken = 10 * time.Microsecond  // added for each token of a KV export or import
 )
--- a/upstream/fenced_test.go
+++ b/upstream/fenced_test.go
@@ -41,9 +41,9 @@
 		time.Sleep(time.Second)
 		send(nil)
 		s.SetLease(OrderLease{Fencing: 3, Until: now.Add(time.Hour)})
-		time.Sleep(7*time.Second - 1)
+		time.Sleep(7*time.Second - time.Nanosecond)
 		send(nil)
-		time.Sleep(1)
+		time.Sleep(time.Nanosecond)
 		send(ErrNotSent)
 		if len(engine.got) != 2 || engine.got[0].Fencing != 4 || engine.got[1].Fencing != 4 {
 			t.Errorf("orders %+v", engine.got)
