Drop hop-by-hop headers in the client of plain services

Cause: agents pass headers on; Connection or Upgrade of one side can end or corrupt the connection of the other. Change: both directions drop them and those that Connection lists; the client sends no User-Agent of its own. Conclusion: the agent can forward what Call returns unchanged.

--- a/upstream/plain.go
+++ b/upstream/plain.go
@@ -48,7 +48,8 @@
 	}
 }
 
-// Call sends one request; path may hold a query. Its errors are ErrNotSent,
+// Call sends one request; path may hold a query. Headers of single connections
+// are dropped in both directions. Its errors are ErrNotSent,
 // ErrCrashed, ErrSilent or the cause of the end of ctx. An answer of any status
 // is returned; the caller closes its body, which reports ErrTruncated when it
 // ends before its length or its last chunk, ErrCrashed and ErrSilent.
@@ -65,11 +66,24 @@
 		return nil, err
 	}
 	resp.Body = &answerBody{body: resp.Body, x: x, truncated: ErrTruncated}
+	dropHopByHop(resp.Header)
 	return resp, nil
 }
 
+// dropHopByHop removes the headers of the connection to the service, so that
+// the others can be passed on.
+func dropHopByHop(header http.Header) {
+	all := header.Clone()
+	for name := range all {
+		if name != "Content-Length" && hopByHop(name, all) {
+			header.Del(name)
+		}
+	}
+}
+
 // copyEndToEnd copies headers except those that concern a single connection.
 func copyEndToEnd(to, from http.Header) {
+	to["User-Agent"] = nil // net/http adds its own to a request without the field
 	for name, values := range from {
 		if !hopByHop(name, from) {
 			to[name] = append([]string(nil), values...)
