Add KV export and import to the engine client

Cause: moving a long completion can be cheaper than recomputing its prompt. Change: EngineClient.Export and Import; test across two engines. Conclusion: they are methods of EngineClient; the Engine interface is unchanged.

--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -213,15 +213,39 @@
 	return answer.BootID, err
 }
 
+// attemptBody names an attempt in a control call.
+type attemptBody struct {
+	ID string `json:"id"`
+}
+
 // Cancel ends an attempt at the engine by its id and reports whether it was in
 // progress. It works when the attempt's own connection has gone silent.
 func (c *EngineClient) Cancel(ctx context.Context, attemptID string) (bool, error) {
-	in := struct {
-		ID string `json:"id"`
-	}{ID: attemptID}
+	in := attemptBody{ID: attemptID}
 	var answer struct {
 		Cancelled bool `json:"cancelled"`
 	}
 	err := c.callJSON(ctx, http.MethodPost, "/engine/cancel", in, &answer)
 	return answer.Cancelled, err
 }
+
+// KV is the exported key-value cache of a running completion, as the engine
+// that imports it expects it.
+type KV json.RawMessage
+
+// Export returns the key-value cache of an attempt that has generated a token.
+// It should be called before the attempt is cancelled.
+func (c *EngineClient) Export(ctx context.Context, attemptID string) (KV, error) {
+	in := attemptBody{ID: attemptID}
+	var kv json.RawMessage
+	if err := c.callJSON(ctx, http.MethodPost, "/engine/kv/export", in, &kv); err != nil {
+		return nil, err
+	}
+	return KV(kv), nil
+}
+
+// Import gives a key-value cache to the engine, which uses it for the next
+// completion of the same prompt.
+func (c *EngineClient) Import(ctx context.Context, kv KV) error {
+	return c.callJSON(ctx, http.MethodPost, "/engine/kv/import", json.RawMessage(kv), nil)
+}
--- a/upstream/engine_test.go
+++ b/upstream/engine_test.go
@@ -151,6 +151,48 @@
 	})
 }
 
+// Guards against a client whose KV calls do not fit together: an exported cache
+// must make the resumed attempt faster than its prompt processing.
+func TestExportToAnotherEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, from := startEngine(t, engine.Config{})
+		_, to := startEngine(t, engine.Config{})
+		prompt := strings.Repeat("w ", 20_000)
+		req := request(prompt, 100)
+		req.AttemptID = "long"
+		first, err := from.Generate(t.Context(), req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		delivered, err := first.Next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		kv, err := from.Export(t.Context(), "long")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = first.Close()
+		if err := to.Import(t.Context(), kv); err != nil {
+			t.Fatal(err)
+		}
+		start := time.Now()
+		req.DeliveredText, req.DeliveredTokens = delivered.Text, delivered.Tokens
+		second, err := to.Generate(t.Context(), req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, _, err := readAll(second)
+		if want := engine.ExpectedText(prompt, delivered.Tokens, 100); err != nil || text != want {
+			t.Errorf("got %d bytes, want %d, %v", len(text), len(want), err)
+		}
+		if took := time.Since(start); took >= 20_000*engine.PromptTokenTime {
+			t.Errorf("resuming took %s, as long as the prompt", took)
+		}
+		_ = second.Close()
+	})
+}
+
 // Guards against a refusal that hides the reason or is taken for a failure.
 func TestRefusals(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
