--- a/standin/engine/property_test.go
+++ b/standin/engine/property_test.go
@@ -15,7 +15,6 @@
 // record is what a driven model did.
 type record struct {
 	outputs []string // id, index and time
-	started []string // ids in order of their first token
 	faults  []string // broken invariants
 	events  []CacheEvent
 }
--- a/workload/workload_test.go
+++ b/workload/workload_test.go
@@ -190,3 +190,25 @@
 		}
 	})
 }
+
+// BenchmarkTrace gives the time to generate, write and read one event.
+func BenchmarkTrace(b *testing.B) {
+	all, err := Generate(Options{Fleet: Donautal, Day: Faults, Duration: 24 * time.Hour, Seed: 1})
+	if err != nil {
+		b.Fatal(err)
+	}
+	var trace bytes.Buffer
+	w := NewWriter(&trace)
+	n := 0
+	b.ReportAllocs()
+	for e := range all {
+		if n++; n > b.N {
+			break
+		}
+		_ = w.Write(e) // a buffer does not fail
+	}
+	_ = w.Flush()
+	if _, err := Read(&trace, "trace"); err != nil {
+		b.Fatal(err)
+	}
+}
