Test versions, deltas, feeds and report intervals; decode a change once

Cause: a change arrives over all links at once, and each waiting receiver decoded it again. Change: the version is checked again under the lock; zstd uses its low-memory modes. Properties and synctest cases for what spreads.

--- a/link/body.go
+++ b/link/body.go
@@ -33,7 +33,7 @@
 // encodeBody compresses data. With a base it writes a delta: the base is the
 // zstd dictionary and its version the dictionary id.
 func encodeBody(data, base []byte, baseVersion uint64) ([]byte, error) {
-	options := []zstd.EOption{zstd.WithEncoderConcurrency(1)}
+	options := []zstd.EOption{zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true)}
 	if base != nil {
 		options = append(options, zstd.WithEncoderDictRaw(uint32(baseVersion), base), zstd.WithWindowSize(windowFor(len(base)+len(data))))
 	}
@@ -59,6 +59,7 @@
 func decodeBody(body, base []byte, baseVersion uint64) ([]byte, error) {
 	options := []zstd.DOption{
 		zstd.WithDecoderConcurrency(1),
+		zstd.WithDecoderLowmem(true),
 		zstd.WithDecoderMaxMemory(maxConfigBytes),
 	}
 	if base != nil {
@@ -159,9 +160,11 @@
 	return nil
 }
 
-// take decodes a body and offers it to the holder. It reports whether the
-// version is in force now or a higher one is.
+// take decodes a body and offers it to the holder, unless the version in force
+// is as high. One change arrives over many links at once and is decoded once.
 func (b *bodies) take(body *rpc.ConfigBody) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	if body.GetVersion() <= b.holder.Version() {
 		return nil
 	}
@@ -175,8 +178,6 @@
 
 // decode reads a body; a delta needs its base among the kept versions.
 func (b *bodies) decode(body *rpc.ConfigBody) (*contract.Document, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	if _, err := b.current(); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/link/state_test.go
@@ -0,0 +1,258 @@
+package link
+
+import (
+	"context"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+	"github.com/rs/zerolog"
+
+	"github.com/magnoliausher/magnoliausher/contract"
+	"github.com/magnoliausher/magnoliausher/poison"
+	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
+)
+
+func newTestSpread() *spread {
+	return newSpread("self", "mvd-a", 1, new(contract.Holder), poison.NewTable(poison.Config{}), zerolog.Nop())
+}
+
+// largeDocument has n callers with keys that do not compress.
+func largeDocument(version uint64, n int) *contract.Document {
+	random := rand.New(rand.NewPCG(1, 2))
+	doc := &contract.Document{Version: version, ChangeID: fmt.Sprint("change-", version)}
+	for i := range n {
+		key := make([]byte, 32)
+		for j := range key {
+			key[j] = byte(random.Uint32())
+		}
+		doc.Callers = append(doc.Callers, contract.Caller{
+			ID: fmt.Sprint("caller-", i), Organisation: fmt.Sprint("organisation-", i),
+			KeySHA256: hex.EncodeToString(key), RatePerSecond: float64(i % 50), Burst: i % 100,
+			MaxInProgress: i % 20, Classes: []contract.Class{contract.ClassOnline, contract.ClassBatch},
+		})
+	}
+	doc.Callers[n/2].Burst = int(version)
+	return doc
+}
+
+// Guards against versions in force or known versions that go down when
+// messages arrive repeated, reordered, or over several streams.
+func TestVersionsNeverGoDown(t *testing.T) {
+	properties := gopter.NewProperties(nil)
+	properties.Property("versions only rise", prop.ForAll(func(versions, sequences []uint64) bool {
+		s := newTestSpread()
+		peers := []*peer{s.newPeer(), s.newPeer()}
+		var inForce, known uint64
+		for i, version := range versions {
+			data, _ := encodeDocument(&contract.Document{Version: version})
+			body, _ := encodeBody(data, nil, 0)
+			msg := &rpc.ControlMessage{
+				SenderId: "peer", Sequence: sequences[i], ConfigVersion: version,
+				Config:           &rpc.ConfigBody{Version: version, Body: body},
+				InstanceVersions: []*rpc.InstanceVersion{{InstanceId: "third", ConfigVersion: version}},
+			}
+			peers[i%2].receive(msg, time.Now())
+			peers[i%2].receive(msg, time.Now())
+			third := s.versionOf("third", time.Now()).Version
+			if s.bodies.holder.Version() < inForce || third < known {
+				return false
+			}
+			inForce, known = s.bodies.holder.Version(), third
+		}
+		return true
+	}, gen.SliceOfN(8, gen.UInt64Range(1, 6)), gen.SliceOfN(8, gen.UInt64Range(1, 6))))
+	properties.TestingRun(t)
+}
+
+// Guards against whole bodies for small changes, which would exceed the control
+// traffic, and against a receiver without the base that stays behind.
+func TestConfigDelta(t *testing.T) {
+	sender, receiver := newTestSpread(), newTestSpread()
+	sender.bodies.holder.Offer(largeDocument(1, 3800))
+	receiver.bodies.holder.Offer(largeDocument(1, 3800))
+	if _, err := sender.bodies.forPeer(0, false); err != nil { // keeps version 1 as a base
+		t.Fatal(err)
+	}
+	sender.bodies.holder.Offer(largeDocument(2, 3800))
+	whole, err := sender.bodies.forPeer(0, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	delta, err := sender.bodies.forPeer(1, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("whole body %d bytes, delta %d bytes", len(whole.Body), len(delta.Body))
+	if len(delta.Body) > 1000 {
+		t.Errorf("delta of %d bytes", len(delta.Body))
+	}
+	if err := receiver.bodies.take(delta); err != nil || receiver.bodies.holder.Version() != 2 {
+		t.Errorf("version %d after the delta, error %v", receiver.bodies.holder.Version(), err)
+	}
+	if err := newTestSpread().bodies.take(delta); err == nil {
+		t.Error("a delta without its base was taken")
+	}
+
+	// The receiver of an unusable delta announces version 0 and gets the whole body.
+	p := sender.newPeer()
+	p.receive(&rpc.ControlMessage{SenderId: "peer", Sequence: 1, ConfigVersion: 1}, time.Now())
+	if msg, urgent := p.compose(time.Now()); !urgent || len(msg.Config.GetBody()) != len(delta.Body) {
+		t.Errorf("the first body has %d bytes", len(msg.Config.GetBody()))
+	}
+	p.receive(&rpc.ControlMessage{Sequence: 2}, time.Now())
+	if msg, urgent := p.compose(time.Now()); !urgent || len(msg.Config.GetBody()) != len(whole.Body) {
+		t.Errorf("the second body has %d bytes", len(msg.Config.GetBody()))
+	}
+}
+
+// Guards against announcements that circulate, fill the memory, or are lost to
+// links that open shortly after.
+func TestCancelledJobsAreBoundedAndForwardedOnce(t *testing.T) {
+	jobs, now := newCancelledJobs(), time.Unix(1000, 0)
+	if !jobs.add("a", "peer", now) || jobs.add("a", "other", now) {
+		t.Fatal("an id must be new exactly once")
+	}
+	if ids, _ := jobs.since(0, "peer", now); len(ids) != 0 {
+		t.Errorf("%v sent back to its sender", ids)
+	}
+	ids, sent := jobs.since(0, "other", now)
+	if len(ids) != 1 {
+		t.Errorf("%d ids for another peer, want 1", len(ids))
+	}
+	if ids, _ = jobs.since(sent, "other", now); len(ids) != 0 {
+		t.Errorf("%v forwarded twice", ids)
+	}
+	if ids, _ = jobs.since(0, "new", now.Add(cancelledForwarded)); len(ids) != 0 {
+		t.Errorf("%v forwarded late", ids)
+	}
+	for i := range 3 * maxCancelled {
+		jobs.add(fmt.Sprint(i), "", now)
+	}
+	if len(jobs.order) != maxCancelled || len(jobs.known) != maxCancelled {
+		t.Errorf("%d announcements kept", len(jobs.order))
+	}
+	jobs.expire(now.Add(cancelledKept))
+	if len(jobs.known) != 0 {
+		t.Errorf("%d announcements after their expiry", len(jobs.known))
+	}
+}
+
+// Guards against versions that a bounded feed skips for ever, sends back to
+// their source, or accumulates in memory.
+func TestVersionLogReachesEveryInstance(t *testing.T) {
+	log, now := newVersionLog(), time.Unix(1000, 0)
+	const instances = 50
+	for round := range uint64(20) {
+		for i := range instances {
+			log.note(fmt.Sprint("i", i), round+1, now, "source")
+		}
+	}
+	if len(log.order) > 2*instances+versionsPerMessage {
+		t.Errorf("%d rises kept", len(log.order))
+	}
+	seen, cursor := make(map[string]uint64), uint64(0)
+	for range instances {
+		items, next := log.since(cursor, "peer", now)
+		cursor = next
+		for _, item := range items {
+			seen[item.InstanceId] = item.ConfigVersion
+		}
+	}
+	for i := range instances {
+		if v := seen[fmt.Sprint("i", i)]; v != 20 {
+			t.Errorf("instance %d announced with version %d", i, v)
+		}
+	}
+	if items, _ := log.since(0, "source", now); len(items) != 0 {
+		t.Errorf("%v sent back", items)
+	}
+	for i := range maxVersions + 200 {
+		log.note(fmt.Sprint("j", i), 1, now, "source")
+	}
+	if len(log.records) > maxVersions {
+		t.Errorf("%d instances kept", len(log.records))
+	}
+}
+
+// Guards against more reports than the control traffic allows, against silence
+// beyond the heartbeat interval, and against a late notice of a state change.
+func TestReportIntervals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestSpread()
+		load := &rpc.LoadReport{Slots: 64, State: rpc.UpstreamState_UPSTREAM_STATE_READY}
+		var r reporter
+		var sent []time.Time
+		var last *rpc.LoadReport
+		p := s.newPeer()
+		ctx, cancel := context.WithCancelCause(t.Context())
+		done := make(chan error)
+		go func() {
+			done <- p.sendLoop(ctx, func(msg *rpc.ControlMessage, now time.Time, heartbeat bool) (bool, time.Duration) {
+				return r.add(msg, load, now, heartbeat)
+			}, func(msg *rpc.ControlMessage) error {
+				sent = append(sent, time.Now())
+				last = msg.Load
+				return nil
+			})
+		}()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		if n := len(sent); n < 30 || n > 32 {
+			t.Errorf("%d idle messages in a minute", n)
+		}
+		sent = nil
+		for i := range uint32(6000) { // a change every 10 ms
+			load = &rpc.LoadReport{Slots: 64, State: load.State, OnlineActive: 32 * (i % 2)}
+			p.wakeUp()
+			time.Sleep(10 * time.Millisecond)
+			synctest.Wait()
+		}
+		if n := len(sent); n > 121 {
+			t.Errorf("%d busy messages in a minute", n)
+		}
+		load = &rpc.LoadReport{Slots: 64, State: rpc.UpstreamState_UPSTREAM_STATE_DOWN}
+		p.wakeUp()
+		synctest.Wait()
+		if last.GetState() != rpc.UpstreamState_UPSTREAM_STATE_DOWN {
+			t.Error("the state change waits for the next report")
+		}
+		stop := errors.New("stop")
+		cancel(stop)
+		if err := <-done; !errors.Is(err, stop) {
+			t.Error(err)
+		}
+	})
+}
+
+// Guards against views of the prefix cache that miss or keep entries.
+func TestPrefixChangesConverge(t *testing.T) {
+	var r reporter
+	var view map[uint64]struct{}
+	now, prefixes := time.Unix(1000, 0), []uint64{}
+	for i := range uint64(100) {
+		prefixes = append(prefixes, i, 1000+i)
+		if i > 20 {
+			prefixes = prefixes[1:]
+		}
+		now = now.Add(reportMax)
+		msg := new(rpc.ControlMessage)
+		r.add(msg, &rpc.LoadReport{CacheComplete: true, CachedPrefixes: prefixes}, now, true)
+		view = changePrefixes(view, msg.Load)
+	}
+	if len(view) != len(prefixes) {
+		t.Errorf("%d prefixes known, want %d", len(view), len(prefixes))
+	}
+	for _, prefix := range prefixes {
+		if _, ok := view[prefix]; !ok {
+			t.Errorf("prefix %d is missing", prefix)
+		}
+	}
+}
