--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -137,7 +137,8 @@
 		a.rq.log.Debug().Str("attempt", a.id).Str("other", ev.AttemptId).Msg("dropped an event of another attempt")
 		return result{}, false
 	}
-	a.watch.progress()
+	now := time.Now()
+	a.watch.progress(now)
 	a.watch.pause(true)
 	defer a.watch.pause(false)
 	switch x := ev.Event.(type) {
@@ -146,7 +147,7 @@
 	case *rpc.RunEvent_Head:
 		return a.pass(a.onHead(x.Head))
 	case *rpc.RunEvent_Delta:
-		return a.pass(a.onDelta(x.Delta))
+		return a.pass(a.onDelta(x.Delta, now))
 	case *rpc.RunEvent_Data:
 		return a.pass(a.onData(x.Data))
 	case *rpc.RunEvent_End:
@@ -169,11 +170,10 @@
 	return a.out.head(h)
 }
 
-func (a *receiver) onDelta(d *rpc.Delta) error {
+func (a *receiver) onDelta(d *rpc.Delta, now time.Time) error {
 	if a.rq.plain() {
 		return errProtocol
 	}
-	now := time.Now()
 	a.observe(now, d.Tokens)
 	a.last = now
 	a.started = true
@@ -190,7 +190,7 @@
 func (a *receiver) observe(now time.Time, tokens uint32) {
 	switch {
 	case a.started:
-		observeInterval(a.rq.serviceName(), now.Sub(a.last), tokens)
+		a.rq.observeInterval(now.Sub(a.last), tokens)
 	case a.rq.deliveredTokens == 0:
 		observeFirst(a.rq.serviceName(), now.Sub(a.rq.arrived))
 	}
@@ -267,7 +267,7 @@
 
 // pass turns the sink's error into the attempt's end.
 func (a *receiver) pass(err error) (result, bool) {
-	a.watch.progress()
+	a.watch.progress(time.Now())
 	switch {
 	case err == nil:
 		return result{}, false
--- /dev/null
+++ b/entry/bench_test.go
@@ -0,0 +1,115 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/magnoliausher/magnoliausher/link"
+	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
+)
+
+// benchTokens is the length of an answer in the benchmarks.
+const benchTokens = 100
+
+// benchRunner answers at once. Attempts of held requests wait until the end.
+type benchRunner struct {
+	upstreams []link.Upstream
+	hold      chan struct{}
+	held      chan struct{}
+	tokens    int
+}
+
+func (r *benchRunner) Upstreams(string) []link.Upstream    { return r.upstreams }
+func (r *benchRunner) Probe(context.Context, string) error { return nil }
+func (r *benchRunner) Run(ctx context.Context, _ string, req *rpc.RunRequest) (link.Stream, error) {
+	s := &benchStream{left: r.tokens}
+	s.delta = rpc.RunEvent{AttemptId: req.AttemptId, Event: &rpc.RunEvent_Delta{Delta: &rpc.Delta{Text: "token ", Tokens: 1}}}
+	s.end = rpc.RunEvent{AttemptId: req.AttemptId, Event: &rpc.RunEvent_End{End: &rpc.End{FinishReason: "stop"}}}
+	if strings.Contains(string(req.Body), "held") {
+		s.hold = r.hold
+		r.held <- struct{}{}
+	}
+	return s, nil
+}
+
+type benchStream struct {
+	delta, end rpc.RunEvent
+	left       int
+	hold       chan struct{}
+}
+
+func (s *benchStream) Recv() (*rpc.RunEvent, error) {
+	if s.hold != nil {
+		<-s.hold
+		s.hold = nil
+	}
+	switch {
+	case s.left > 0:
+		s.left--
+		return &s.delta, nil
+	case s.left == 0:
+		s.left--
+		return &s.end, nil
+	}
+	return nil, io.EOF
+}
+
+func (s *benchStream) Close() error { return nil }
+
+// discard takes an answer at no cost, so that only the entry's work is measured.
+type discard struct{ header http.Header }
+
+func (d *discard) Header() http.Header         { return d.header }
+func (d *discard) WriteHeader(int)             {}
+func (d *discard) Write(b []byte) (int, error) { return len(b), nil }
+func (d *discard) Flush()                      {}
+
+func (r *benchRunner) serve(e *Entry, body string) {
+	req := httptest.NewRequest("POST", pathChat, strings.NewReader(body))
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	e.Handler().ServeHTTP(&discard{header: make(http.Header)}, req)
+}
+
+// BenchmarkRequest measures what the entry adds to a streamed request with one
+// token, while others are in progress.
+func BenchmarkRequest(b *testing.B) { benchmark(b, 1) }
+
+// BenchmarkTokens measures the same with 100 tokens and reports the time per
+// token beyond the first.
+func BenchmarkTokens(b *testing.B) { benchmark(b, benchTokens) }
+
+func benchmark(b *testing.B, tokens int) {
+	for _, inProgress := range []int{1, 100, 10_000} {
+		b.Run(fmt.Sprint(inProgress), func(b *testing.B) {
+			r := &benchRunner{upstreams: newRunner(12).Upstreams(""), hold: make(chan struct{}), held: make(chan struct{}), tokens: tokens}
+			e := newTestEntry(r, func(c *Config) {
+				c.EngineProgress = DefaultMaxDeadline
+				c.Weights.SilentAfter = DefaultMaxDeadline
+			})
+			done := make(chan struct{})
+			for range inProgress - 1 {
+				go func() {
+					r.serve(e, `{"model":"taller-1","stream":true,"messages":[{"role":"user","content":"held"}]}`)
+					done <- struct{}{}
+				}()
+				<-r.held
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				r.serve(e, chatStreamBody)
+			}
+			if tokens > 1 {
+				b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(tokens), "ns/token")
+			}
+			close(r.hold)
+			for range inProgress - 1 {
+				<-done
+			}
+		})
+	}
+}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -222,9 +222,10 @@
 
 // rerouter returns the question that the watchdog asks about an attempt that
 // is not accepted in time: is there another upstream, and budget to use it. It
-// runs beside the attempt, so it works on copies.
+// runs beside the attempt, so it works on copies. A suspect stays, because few
+// upstreams can take it.
 func (e *Entry) rerouter(rq *request, c *choice, budget *limit.RetryBudget) func() bool {
-	if !rq.repeatable {
+	if !rq.repeatable || c.suspect {
 		return nil
 	}
 	r := routing.Request{
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -135,13 +135,17 @@
 
 // New returns an entry that serves through its Handler.
 func New(c Config) *Entry {
-	return &Entry{
+	e := &Entry{
 		config:   c.withDefaults(),
 		callers:  limit.NewCallers(),
 		suspects: suspectTracker{running: make(map[string]int)},
 		services: make(map[string]*serviceState),
 		drain:    newDrainState(),
 	}
+	if c.ConfigHeard != nil {
+		registerStale(c.ID, e.possiblyStale)
+	}
+	return e
 }
 
 // service returns the state of a service with the bounds now in force.
--- a/entry/health.go
+++ b/entry/health.go
@@ -30,7 +30,7 @@
 	if ix == nil {
 		r.Reasons = append(r.Reasons, "no configuration")
 	}
-	if e.config.ConfigHeard != nil && now.Sub(e.config.ConfigHeard()) > staleAfter {
+	if e.possiblyStale(now) {
 		r.Details = append(r.Details, "configuration is possibly stale")
 	}
 	if ix != nil {
@@ -45,6 +45,11 @@
 	return r
 }
 
+// possiblyStale reports whether no source has confirmed the configuration lately.
+func (e *Entry) possiblyStale(now time.Time) bool {
+	return e.config.ConfigHeard != nil && now.Sub(e.config.ConfigHeard()) > staleAfter
+}
+
 func (e *Entry) serveReady(w http.ResponseWriter) {
 	r := e.readiness(time.Now())
 	status := http.StatusOK
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -19,6 +19,19 @@
 }
 
 // observeInterval records the mean time between the tokens of one event.
-func observeInterval(service string, d time.Duration, tokens uint32) {
-	metric.TokenInterval(service, classOnline, d.Seconds()/float64(max(tokens, 1)))
+func (rq *request) observeInterval(d time.Duration, tokens uint32) {
+	if rq.intervals == nil {
+		rq.intervals = metric.TokenIntervals(rq.service.Name, classOnline)
+	}
+	rq.intervals.Update(d.Seconds() / float64(max(tokens, 1)))
+}
+
+// registerStale exports whether the instance's configuration may be stale.
+func registerStale(instance string, stale func(time.Time) bool) {
+	metrics.GetOrCreateGauge(fmt.Sprintf(`magnoliausher_config_possibly_stale{instance=%q}`, instance), func() float64 {
+		if stale(time.Now()) {
+			return 1
+		}
+		return 0
+	})
 }
--- a/entry/request.go
+++ b/entry/request.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
 	"github.com/magnoliausher/magnoliausher/apierror"
@@ -62,6 +63,7 @@
 	crashes         int        // upstreams that crashed under this request
 	delivered       strings.Builder
 	deliveredTokens int
+	intervals       *metrics.Histogram // of the service, set at the second token
 }
 
 // executed is what the caller may be told after the attempts so far.
--- a/entry/server_test.go
+++ b/entry/server_test.go
@@ -189,8 +189,8 @@
 		r := newRunner(1)
 		r.release = make(chan struct{})
 		e := newTestEntry(r)
-		var first *httptest.ResponseRecorder
-		go func() { first = call(e, "POST", pathChat, chatStreamBody) }()
+		answered := make(chan *httptest.ResponseRecorder, 1)
+		go func() { answered <- call(e, "POST", pathChat, chatStreamBody) }()
 		synctest.Wait()
 		drained := make(chan error, 1)
 		go func() { drained <- e.Drain(context.Background()) }()
@@ -206,6 +206,7 @@
 			t.Error("drained with a request in progress")
 		}
 		close(r.release)
+		first := <-answered
 		if err := <-drained; err != nil || !readStream(t, first).done {
 			t.Errorf("drain: %v, first answer %s", err, first.Body)
 		}
--- a/entry/watchdog.go
+++ b/entry/watchdog.go
@@ -36,8 +36,8 @@
 func (w *watchdog) stop() { w.timer.Stop() }
 
 // progress notes an event of the attempt.
-func (w *watchdog) progress() {
-	w.lastSeen.Store(max(1, int64(time.Since(w.started))))
+func (w *watchdog) progress(now time.Time) {
+	w.lastSeen.Store(max(1, int64(now.Sub(w.started))))
 }
 
 // pause keeps the time that a slow caller takes out of the measure.
--- a/idempotency/store_test.go
+++ b/idempotency/store_test.go
@@ -111,7 +111,7 @@
 			}
 		})
 	}
-	if rnd.IntN(3) == 0 {
+	if draw(3) == 0 {
 		time.Sleep(time.Second)
 		table.mu.Lock()
 		table.down = true
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -33,8 +33,14 @@
 
 // TokenInterval records the time between two tokens of one request, in seconds.
 func TokenInterval(service, class string, seconds float64) {
-	metrics.GetOrCreateHistogram(fmt.Sprintf(
-		`magnoliausher_token_interval_seconds{service=%q,class=%q}`, service, class)).Update(seconds)
+	TokenIntervals(service, class).Update(seconds)
+}
+
+// TokenIntervals returns the histogram of TokenInterval. A caller that records
+// every token keeps it, because building its name costs more than an update.
+func TokenIntervals(service, class string) *metrics.Histogram {
+	return metrics.GetOrCreateHistogram(fmt.Sprintf(
+		`magnoliausher_token_interval_seconds{service=%q,class=%q}`, service, class))
 }
 
 // Handler serves all metrics in the Prometheus text format.
