Start batch jobs and links at once

Cause: a new entry waited up to 7 s for its first links (5 s poll of a list that lags by 2 s), and a job waited up to 5 s for the next read of the index. Change: the list is read every 500 ms until it shows an agent; the entry that accepts a job reads the index at once; demo sets the list's lag after the start.

--- a/cli/demo.go
+++ b/cli/demo.go
@@ -77,6 +77,9 @@
 	ready, cancel := context.WithTimeout(ctx, devReadyTimeout)
 	defer cancel()
 	if err := fleet.WaitReady(ready); err != nil {
+		if ctx.Err() != nil { // stopped by a signal
+			return fleet.Wait()
+		}
 		return err
 	}
 	if err := printUse(c.Root().Writer, doc, fleet.Entries[0].Address(), key); err != nil {
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -123,7 +123,8 @@
 	})
 	store := job.NewStore(d.platform)
 	d.sweeper = &job.Sweeper{Store: store, Rank: d.rank, Log: d.logger}
-	return &job.API{Store: store, Contract: d.holder, Announce: d.links.AnnounceCancelled, Log: d.logger}
+	return &job.API{Store: store, Contract: d.holder, Announce: d.links.AnnounceCancelled,
+		Accepted: d.runner.LookForJobs, Log: d.logger}
 }
 
 // rank is this entry's position among all entries by id. An entry that the
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -67,7 +67,6 @@
 	group, ctx := errgroup.WithContext(ctx)
 	f := &Fleet{
 		Platform: standin.New(standin.Config{
-			InstanceLag:     instanceLag,
 			ReadsPerSecond:  standin.NominalReadsPerSecond,
 			WritesPerSecond: standin.NominalWritesPerSecond,
 		}),
@@ -226,6 +225,7 @@
 // WaitReady returns when all entries are ready and have a link to an upstream
 // of each service.
 func (f *Fleet) WaitReady(ctx context.Context) error {
+	defer f.Platform.SetInstanceLag(instanceLag) // the list is complete at the start
 	for _, e := range f.Entries {
 		for !e.Ready() {
 			select {
--- a/instance/poll.go
+++ b/instance/poll.go
@@ -14,6 +14,10 @@
 // entries make 66 reads per second, of about 2,000 that the platform sustains.
 const PollInterval = 5 * time.Second
 
+// startInterval is the mean time between reads until the list shows an agent,
+// so that a new instance does not wait a whole PollInterval for its first links.
+const startInterval = 500 * time.Millisecond
+
 // pollTimeout bounds one read, so that a slow platform delays at most one poll.
 const pollTimeout = 4 * time.Second
 
@@ -23,7 +27,7 @@
 		if err := t.Refresh(ctx, list); err != nil && ctx.Err() == nil {
 			logger.Warn().Err(err).Msg("reading the instance list failed")
 		}
-		timer := time.NewTimer(jitter(PollInterval))
+		timer := time.NewTimer(jitter(t.pollInterval()))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -33,6 +37,13 @@
 	}
 }
 
+func (t *Table) pollInterval() time.Duration {
+	if len(t.Members(platform.RoleAgent, time.Now())) == 0 {
+		return startInterval
+	}
+	return PollInterval
+}
+
 // Refresh reads the platform's list once.
 func (t *Table) Refresh(ctx context.Context, list platform.InstanceList) error {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
--- a/job/http.go
+++ b/job/http.go
@@ -31,6 +31,8 @@
 	Contract *contract.Holder
 	// Announce spreads the id of a cancelled job; link.BatchPort.AnnounceCancelled.
 	Announce func(jobID string)
+	// Accepted is called after a job has been accepted here; Runner.LookForJobs.
+	Accepted func()
 	Log      zerolog.Logger
 
 	counts countCache
--- a/job/http_batches.go
+++ b/job/http_batches.go
@@ -77,6 +77,9 @@
 	if err != nil {
 		return err
 	}
+	if a.Accepted != nil {
+		a.Accepted()
+	}
 	return a.writeBatch(ctx, w, j)
 }
 
--- a/job/runner.go
+++ b/job/runner.go
@@ -65,6 +65,7 @@
 	writers chan struct{}
 	wake    chan struct{} // claim loop
 	demand  chan struct{} // demand loop
+	look    chan struct{} // index loop
 	items   sync.WaitGroup
 
 	mu        sync.Mutex
@@ -99,7 +100,7 @@
 	return &Runner{
 		cfg: cfg, store: NewStore(cfg.Platform), index: NewIndexReader(cfg.Platform), watch: NewObserver(),
 		writers: make(chan struct{}, maxWriters), wake: make(chan struct{}, 1), demand: make(chan struct{}, 1),
-		jobs: make(map[string]*jobState), ended: make(map[string]bool), held: make(map[string]*held),
+		look: make(chan struct{}, 1), jobs: make(map[string]*jobState), ended: make(map[string]bool), held: make(map[string]*held),
 		running: make(map[string]int), announced: make(map[string]link.Demand),
 		base: context.Background(), claiming: make(chan struct{}, 1),
 	}
@@ -164,12 +165,16 @@
 		if r.holds() {
 			interval = holdInterval
 		}
-		if !pause(ctx, interval, nil) {
+		if !pause(ctx, interval, r.look) {
 			return
 		}
 	}
 }
 
+// LookForJobs reads the index of running jobs soon, so that a job accepted by
+// this entry does not wait for the next periodic read.
+func (r *Runner) LookForJobs() { signal(r.look) }
+
 func (r *Runner) holds() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
