Give an empty prompt no prefix

Cause: a prompt without words but with prompt_cache_key got a prefix of no tokens, which the fuzz target calls impossible. Change: such a prompt has no prefix; table test of prefixes and fuzz target. Conclusion: ParsePrompt is safe for callers' bodies as far as the target shows.

--- a/upstream/prompt.go
+++ b/upstream/prompt.go
@@ -122,7 +122,7 @@
 func (p *Prompt) setPrefix(cacheKey, system string) {
 	head := firstWords(p.Text, leadingWords)
 	switch {
-	case cacheKey != "":
+	case cacheKey != "" && p.Tokens > 0:
 		p.Prefix = xxhash.Sum64String("key\x00" + cacheKey)
 		p.PrefixTokens = countWords(head)
 		if system != "" {
--- /dev/null
+++ b/upstream/prompt_test.go
@@ -0,0 +1,58 @@
+package upstream
+
+import (
+	"errors"
+	"strings"
+	"testing"
+)
+
+// Guards against requests of one prefix that get different hashes, or requests
+// without a common prefix that share one, either of which misroutes them.
+func TestPromptPrefix(t *testing.T) {
+	long := strings.Repeat("w ", leadingWords)
+	chat := func(system, user string) string {
+		return `{"messages":[{"role":"system","content":"` + system + `"},{"role":"user","content":"` + user + `"}]}`
+	}
+	cases := []struct {
+		a, b   string
+		same   bool
+		tokens int // prefix of a
+	}{
+		{chat("be brief", "x"), chat("be brief", "y"), true, 3},
+		{chat("be brief", "x"), chat("be long", "x"), false, 3},
+		{`{"prompt":"` + long + `x"}`, `{"prompt":"` + long + `y"}`, true, leadingWords},
+		{`{"prompt":"` + long + `x"}`, `{"prompt":"x ` + long + `"}`, false, leadingWords},
+		{`{"prompt":"a b","prompt_cache_key":"k"}`, `{"prompt":"c d","prompt_cache_key":"k"}`, true, 2},
+	}
+	for _, c := range cases {
+		a, errA := ParsePrompt([]byte(c.a))
+		b, errB := ParsePrompt([]byte(c.b))
+		if err := errors.Join(errA, errB); err != nil {
+			t.Fatal(err)
+		}
+		if (a.Prefix == b.Prefix) != c.same || a.PrefixTokens != c.tokens || a.Prefix == 0 {
+			t.Errorf("%.60s: prefixes %x and %x, %d tokens", c.a, a.Prefix, b.Prefix, a.PrefixTokens)
+		}
+	}
+}
+
+// Guards against callers' bodies that make the parser panic or give counts that
+// cannot be.
+func FuzzParsePrompt(f *testing.F) {
+	f.Add([]byte(`{"prompt":["a","b"],"max_tokens":3,"resume":{"text":"x","tokens":1}}`))
+	f.Add([]byte(`{"messages":[{"role":"system","content":[{"text":"a b"}]},{"role":"user","content":"c"}]}`))
+	f.Add([]byte(`{"prompt":"x","max_tokens":0}`))
+	f.Add([]byte(`{"prompt":" ","prompt_cache_key":"k"}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		p, err := ParsePrompt(body)
+		if err != nil {
+			if !errors.Is(err, ErrBadBody) {
+				t.Error(err)
+			}
+			return
+		}
+		if p.MaxTokens < 1 || p.PrefixTokens > p.Tokens || p.Resume.Tokens < 0 || (p.Prefix == 0) != (p.PrefixTokens == 0) {
+			t.Errorf("%+v", p)
+		}
+	})
+}
