Keep the progress timeout from firing after its wait has ended

Cause: a timer that fires while its wait ends cancelled an exchange whose upstream had just answered. Change: the watchdog checks its deadline under its lock before it expires; response headers are bounded to 256 KiB; Call states which truncation it cannot see. Conclusion: only a wait that is still open can end as ErrSilent.

--- a/upstream/plain.go
+++ b/upstream/plain.go
@@ -52,7 +52,9 @@
 // are dropped in both directions. Its errors are ErrNotSent,
 // ErrCrashed, ErrSilent or the cause of the end of ctx. An answer of any status
 // is returned; the caller closes its body, which reports ErrTruncated when it
-// ends before its length or its last chunk, ErrCrashed and ErrSilent.
+// ends before its length or its last chunk, ErrCrashed and ErrSilent. An answer
+// with neither a length nor chunks ends with its connection, so that a truncated
+// one cannot be told from a whole one.
 func (c *PlainClient) Call(ctx context.Context, method, path string, header http.Header, body io.Reader) (*http.Response, error) {
 	x := newExchange(ctx, c.cfg.ProgressTimeout)
 	req, err := http.NewRequestWithContext(x.ctx, method, c.cfg.BaseURL+path, body)
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -19,8 +19,11 @@
 	DefaultDialTimeout     = time.Second
 )
 
-// maxErrorBody bounds the body kept in a StatusError.
-const maxErrorBody = 64 << 10
+// Bounds of what is kept of an answer.
+const (
+	maxErrorBody   = 64 << 10 // of a StatusError
+	maxHeaderBytes = 256 << 10
+)
 
 // DialFunc opens a connection, as net.Dialer.DialContext does.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
@@ -60,8 +63,9 @@
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
 	return &http.Transport{
-		DisableKeepAlives:  true,
-		DisableCompression: true,
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dial(ctx, network, address)
 			if err != nil {
@@ -143,6 +147,7 @@
 
 	mu        sync.Mutex
 	timer     *time.Timer
+	deadline  time.Time
 	waiting   bool
 	uploading bool
 }
@@ -172,17 +177,28 @@
 }
 
 func (d *watchdog) resetLocked() {
-	if !d.waiting || d.uploading {
+	switch {
+	case !d.waiting || d.uploading:
 		if d.timer != nil {
 			d.timer.Stop()
 		}
-		return
+	case d.timer == nil:
+		d.deadline = time.Now().Add(d.timeout)
+		d.timer = time.AfterFunc(d.timeout, d.fire)
+	default:
+		d.deadline = time.Now().Add(d.timeout)
+		d.timer.Reset(d.timeout)
 	}
-	if d.timer == nil {
-		d.timer = time.AfterFunc(d.timeout, d.expired)
-		return
+}
+
+// fire expires, unless the wait ended or began anew while the timer fired.
+func (d *watchdog) fire() {
+	d.mu.Lock()
+	due := d.waiting && !d.uploading && !time.Now().Before(d.deadline)
+	d.mu.Unlock()
+	if due {
+		d.expired()
 	}
-	d.timer.Reset(d.timeout)
 }
 
 // uploadBody keeps a slow sender of the request body from counting as silence
