Hash a prompt once per completion; test a restart over TCP

Cause: the stand-in hashed the whole prompt for every event; the restart on the same address was only tested in memory. Change: the hash is kept with the request; the refused-connection test crashes a stand-in on TCP and waits for its return. Conclusion: no behaviour changes.

--- a/standin/engine/handlers.go
+++ b/standin/engine/handlers.go
@@ -74,6 +74,7 @@
 type job struct {
 	request *request
 	prompt  upstream.Prompt
+	hash    uint32 // of the prompt, for the output
 	chat    bool
 	faults  connection
 }
@@ -109,7 +110,7 @@
 	}
 	defer s.release(req)
 	w.Header().Set(requestIDHeader, id)
-	j := &job{request: req, prompt: prompt, chat: r.URL.Path == pathChat, faults: faults}
+	j := &job{request: req, prompt: prompt, hash: promptHash(prompt.Text), chat: r.URL.Path == pathChat, faults: faults}
 	if prompt.Stream {
 		s.stream(w, r, j)
 		return
--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -66,7 +66,7 @@
 	reason := s.finishReason(j.prompt)
 	whole := s.envelope(j, "")
 	from := j.prompt.Resume.Tokens
-	whole.Choices = []choice{j.choice(ExpectedText(j.prompt.Text, from, from+seen), false, &reason)}
+	whole.Choices = []choice{j.choice(tokens(j.hash, from, from+seen), false, &reason)}
 	whole.Usage = j.usage(seen)
 	writeJSON(w, http.StatusOK, whole)
 }
@@ -75,7 +75,7 @@
 func (s *Server) chunk(j *job, from, to int) completion {
 	c := s.envelope(j, "chunk")
 	first := j.prompt.Resume.Tokens
-	text := ExpectedText(j.prompt.Text, first+from, first+to)
+	text := tokens(j.hash, first+from, first+to)
 	c.Choices = []choice{j.choice(text, true, nil)}
 	if to-from > 1 {
 		c.Tokens = to - from
--- a/standin/engine/text.go
+++ b/standin/engine/text.go
@@ -17,7 +17,10 @@
 // ExpectedText returns the output tokens from (inclusive) to to (exclusive) of
 // a prompt. The text of a completion of n tokens is ExpectedText(prompt, 0, n).
 func ExpectedText(prompt string, from, to int) string {
-	hash := promptHash(prompt)
+	return tokens(promptHash(prompt), from, to)
+}
+
+func tokens(hash uint32, from, to int) string {
 	var b strings.Builder
 	for i := from; i < to; i++ {
 		b.WriteString(token(hash, i))
--- a/upstream/engine_test.go
+++ b/upstream/engine_test.go
@@ -219,20 +219,33 @@
 }
 
 // Guards against a refused connection that is reported as a crash, which would
-// forbid a retry and raise a suspect.
+// forbid a retry and raise a suspect, and against a stand-in that does not
+// return to its address. It uses TCP, whose errors differ from those in memory.
 func TestRefusedConnectionIsNotSent(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	address := listener.Addr().String()
-	if err := listener.Close(); err != nil {
-		t.Fatal(err)
+	s := engine.New(engine.Config{})
+	ctx, cancel := context.WithCancel(t.Context())
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(ctx, listener) }()
+	client := upstream.NewEngine(upstream.EngineConfig{BaseURL: "http://" + listener.Addr().String(), ProgressTimeout: time.Hour})
+	s.Crash(100 * time.Millisecond)
+	refused := false
+	for {
+		_, err := client.Healthy(t.Context())
+		if err == nil && refused {
+			break
+		}
+		refused = refused || errors.Is(err, upstream.ErrNotSent)
+		if errors.Is(err, upstream.ErrNotSent) && errors.Is(err, upstream.ErrCrashed) {
+			t.Fatalf("got %v, want one meaning", err)
+		}
 	}
-	client := upstream.NewEngine(upstream.EngineConfig{BaseURL: "http://" + address})
-	_, err = client.Generate(t.Context(), request("p", 5))
-	if !errors.Is(err, upstream.ErrNotSent) || errors.Is(err, upstream.ErrCrashed) {
-		t.Errorf("got %v, want ErrNotSent", err)
+	cancel()
+	if err := <-served; err != nil {
+		t.Error(err)
 	}
 }
 
