--- a/standin/engine/fault.go
+++ b/standin/engine/fault.go
@@ -48,26 +48,34 @@
 }
 
 // Silence stops the engine without closing a connection: nothing is generated
-// and nothing is answered. It ends after a duration, or with 0 never.
+// and nothing is answered. It ends after a duration, or with 0 only by a restart.
 func (s *Server) Silence(duration time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.silent {
+	if s.down || s.silent {
 		return
 	}
 	s.silent = true
-	s.resumed = make(chan struct{})
+	resumed := make(chan struct{})
+	s.resumed = resumed
 	if duration > 0 {
-		time.AfterFunc(duration, s.endSilence)
+		time.AfterFunc(duration, func() { s.endSilence(resumed) })
 	}
 }
 
-func (s *Server) endSilence() {
+// endSilence ends the silence that the channel belongs to, unless a restart has.
+func (s *Server) endSilence(resumed chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.silent && s.resumed == resumed {
+		s.resumeLocked()
+		s.wakeUp()
+	}
+}
+
+func (s *Server) resumeLocked() {
 	s.silent = false
 	close(s.resumed)
-	s.wakeUp()
 }
 
 // SilenceOpen silences the requests in progress, and with Serve all open
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -276,4 +276,7 @@
 	s.applied = nil
 	s.loads = 0
 	s.down = false
+	if s.silent {
+		s.resumeLocked()
+	}
 }
