--- a/standin/engine/model.go
+++ b/standin/engine/model.go
@@ -1,6 +1,3 @@
-// Package engine is a stand-in for a model engine with continuous batching. It
-// has two layers: Model, a deterministic simulation in virtual time, and
-// Server, an OpenAI-style HTTP server that drives a Model in real time.
 package engine
 
 import (
--- a/workload/event.go
+++ b/workload/event.go
@@ -1,5 +1,13 @@
 // Package workload generates, writes and reads traces of work: requests, jobs,
-// cancellations and faults, one JSON object a line, ordered by time.
+// cancellations and faults, one JSON object a line, ordered by time:
+//
+//	{"at_ms":0,"event":"request","id":"r1","caller":"c1","service":"workshop-assistant","prompt_tokens":400,"output_tokens":120,"prefix":"p7","repeatable":true}
+//	{"at_ms":0,"event":"job","id":"j1","caller":"c2","service":"workshop-assistant","items":5000,"prompt_tokens":300,"output_tokens":200,"due_ms":28800000,"failing_items":3}
+//	{"at_ms":9000,"event":"cancel","id":"j1"}
+//	{"at_ms":9000,"event":"fault","kind":"upstream_crash","target":"workshop-assistant-mvd-a-1","for_ms":5000}
+//
+// A request with "poison":true crashes each engine that runs it; its resends
+// equal it in all but at_ms and id.
 package workload
 
 import (
