--- a/upstream/bench_test.go
+++ b/upstream/bench_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"sync"
 	"testing"
 
 	"github.com/magnoliausher/magnoliausher/standin/engine"
+	"github.com/magnoliausher/magnoliausher/standin/service"
 	"github.com/magnoliausher/magnoliausher/upstream"
 )
 
@@ -53,3 +57,29 @@
 	workers.Wait()
 	b.ReportMetric(float64(b.N*tokens)/b.Elapsed().Seconds(), "tokens/s")
 }
+
+// BenchmarkPlainCall gives the processing time of a call to a plain service over
+// TCP, for client and stand-in together, with a connection for each call.
+func BenchmarkPlainCall(b *testing.B) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	server := &http.Server{Handler: service.New().Handler()}
+	var serving sync.WaitGroup
+	serving.Go(func() { _ = server.Serve(listener) }) // ends with Close
+	defer serving.Wait()
+	defer func() { _ = server.Close() }()
+	client := upstream.NewPlain(upstream.PlainConfig{BaseURL: "http://" + listener.Addr().String()})
+	b.ReportAllocs()
+	for b.Loop() {
+		resp, err := client.Call(b.Context(), http.MethodGet, "/rooms/7", nil, nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, err = io.Copy(io.Discard, resp.Body)
+		if err := errors.Join(err, resp.Body.Close()); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
