Remove old intents by age and keep suspects apart

A row per intent, written in the same transaction and ordered by its start, lets the removal read only old ones. The time between tokens now includes a resume.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -127,7 +127,6 @@
 	watch   *watchdog
 	status  uint32 // of the head, 0 before it
 	started bool   // the upstream has produced something
-	last    time.Time
 }
 
 // event handles one event. ended is true after the last one of the attempt.
@@ -175,7 +174,7 @@
 		return errProtocol
 	}
 	a.observe(now, d.Tokens)
-	a.last = now
+	a.rq.lastToken = now
 	a.started = true
 	if err := a.out.text(d); err != nil {
 		return err
@@ -185,15 +184,14 @@
 	return nil
 }
 
-// observe records the time to the first token of the request, or between tokens
-// of one attempt.
+// observe records the time to the request's first token or since its last one,
+// which includes the time that a resume takes.
 func (a *receiver) observe(now time.Time, tokens uint32) {
-	switch {
-	case a.started:
-		a.rq.observeInterval(now.Sub(a.last), tokens)
-	case a.rq.deliveredTokens == 0:
+	if a.rq.lastToken.IsZero() {
 		observeFirst(a.rq.serviceName(), now.Sub(a.rq.arrived))
+		return
 	}
+	a.rq.observeInterval(now.Sub(a.rq.lastToken), tokens)
 }
 
 func (a *receiver) onData(b []byte) error {
--- a/entry/dispatch_test.go
+++ b/entry/dispatch_test.go
@@ -279,3 +279,43 @@
 		}
 	})
 }
+
+// Guards against two suspects on one upstream, and a suspect that its agent
+// cannot tell from other requests.
+func TestSuspectsRunApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRunner(2)
+		r.release = make(chan struct{})
+		e := newTestEntry(r, func(c *Config) { c.Suspects = fixedSuspects{suspect: true} })
+		answers := make(chan int, 2)
+		for range 2 {
+			go func() { answers <- call(e, "POST", pathChat, chatBody).Code }()
+		}
+		synctest.Wait()
+		if len(r.agents) != 2 || r.agents[0] == r.agents[1] || !r.started[0].Suspect {
+			t.Errorf("agents %v", r.agents)
+		}
+		if w := call(e, "POST", pathChat, chatBody); w.Code != 503 {
+			t.Errorf("third suspect: status %d", w.Code)
+		}
+		close(r.release)
+		if first, second := <-answers, <-answers; first != 200 || second != 200 {
+			t.Errorf("status %d and %d", first, second)
+		}
+		if w := call(e, "POST", pathChat, chatBody); w.Code != 200 {
+			t.Errorf("after the others ended: status %d", w.Code)
+		}
+	})
+}
+
+// Guards against a crash that is not noted until the next attempt of the request.
+func TestRetryAfterCrashIsASuspect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRunner(2, scripted{crashes, 3})
+		call(newTestEntry(r), "POST", pathChat, chatBody)
+		second := r.started[1]
+		if r.started[0].Suspect || !second.Suspect || second.DeliveredTokens != 3 || second.DeliveredText != token(0)+token(1)+token(2) {
+			t.Errorf("second attempt %v", second)
+		}
+	})
+}
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -7,14 +7,14 @@
 
 // drainState counts requests in progress and refuses new ones once draining.
 type drainState struct {
-	mu         *sync.Mutex
+	mu         sync.Mutex
 	draining   bool
 	inProgress int
 	empty      chan struct{} // closed when draining and nothing is in progress
 }
 
-func newDrainState() drainState {
-	return drainState{mu: new(sync.Mutex), empty: make(chan struct{})}
+func newDrainState() *drainState {
+	return &drainState{empty: make(chan struct{})}
 }
 
 // begin counts a request, or returns false when draining.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -62,7 +63,8 @@
 	RetryAfter      time.Duration // advice in refusals without a better one
 	MaxAttempts     int           // of one request
 	IntentTimeout   time.Duration // for the end of an intent before the answer is sent
-	HousekeepPeriod time.Duration
+	HousekeepPeriod time.Duration // between removals of idle callers
+	SweepPeriod     time.Duration // mean time between removals of old intents
 }
 
 // Defaults of Config.
@@ -83,6 +85,7 @@
 	DefaultMaxAttempts     = 6
 	DefaultIntentTimeout   = 2 * time.Second
 	DefaultHousekeepPeriod = 10 * time.Second
+	DefaultSweepPeriod     = time.Minute
 )
 
 func (c Config) withDefaults() Config {
@@ -105,6 +108,7 @@
 	setDefault(&c.MaxAttempts, DefaultMaxAttempts)
 	setDefault(&c.IntentTimeout, DefaultIntentTimeout)
 	setDefault(&c.HousekeepPeriod, DefaultHousekeepPeriod)
+	setDefault(&c.SweepPeriod, DefaultSweepPeriod)
 	return c
 }
 
@@ -124,7 +128,7 @@
 	mu       sync.Mutex // guards services
 	services map[string]*serviceState
 
-	drain drainState
+	drain *drainState
 }
 
 // serviceState is what the entry keeps per service.
@@ -162,26 +166,42 @@
 	return s
 }
 
-// Run removes the state of idle callers and old intent rows until ctx ends.
+// Run removes the state of idle callers and old intents until ctx ends.
 func (e *Entry) Run(ctx context.Context) {
-	tick := time.NewTicker(e.config.HousekeepPeriod)
-	defer tick.Stop()
+	idle := time.NewTicker(e.config.HousekeepPeriod)
+	defer idle.Stop()
+	sweep := time.NewTimer(e.sweepDelay())
+	defer sweep.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-tick.C:
-			e.housekeep(ctx, now)
+		case now := <-idle.C:
+			e.callers.RemoveIdle(now)
+		case now := <-sweep.C:
+			e.sweep(ctx, now)
+			sweep.Reset(e.sweepDelay())
 		}
 	}
 }
 
-func (e *Entry) housekeep(ctx context.Context, now time.Time) {
-	e.callers.RemoveIdle(now)
+// sweepDelay spreads the entries, which all remove the oldest intents first.
+func (e *Entry) sweepDelay() time.Duration {
+	return e.config.SweepPeriod/2 + rand.N(e.config.SweepPeriod)
+}
+
+// sweep removes old intents page by page.
+func (e *Entry) sweep(ctx context.Context, now time.Time) {
 	if e.config.Idempotency == nil {
 		return
 	}
-	if _, err := e.config.Idempotency.Sweep(ctx, now); err != nil {
-		e.config.Logger.Warn().Err(err).Msg("removal of old intent rows failed")
+	for {
+		removed, err := e.config.Idempotency.Sweep(ctx, now)
+		if err != nil {
+			e.config.Logger.Warn().Err(err).Msg("removal of old intents failed")
+		}
+		if err != nil || removed < idempotency.SweepPage {
+			return
+		}
 	}
 }
--- a/entry/once_test.go
+++ b/entry/once_test.go
@@ -51,13 +51,18 @@
 	if m.down {
 		return nil, platform.ErrUnavailable
 	}
-	w := tx.Writes[0]
-	if m.rows[w.Key].Version != w.IfVersion {
-		return nil, platform.ErrConflict
+	for _, w := range tx.Writes {
+		if !w.Always && m.rows[w.Key].Version != w.IfVersion {
+			return nil, platform.ErrConflict
+		}
+	}
+	var versions []uint64
+	for _, w := range tx.Writes {
+		m.version++
+		m.rows[w.Key] = platform.Row{Key: w.Key, Version: m.version, Value: w.Value}
+		versions = append(versions, m.version)
 	}
-	m.version++
-	m.rows[w.Key] = platform.Row{Key: w.Key, Version: m.version, Value: w.Value}
-	return []uint64{m.version}, nil
+	return versions, nil
 }
 
 type memoryObjects struct{ *memory }
--- a/entry/request.go
+++ b/entry/request.go
@@ -63,6 +63,7 @@
 	crashes         int        // upstreams that crashed under this request
 	delivered       strings.Builder
 	deliveredTokens int
+	lastToken       time.Time
 	intervals       *metrics.Histogram // of the service, set at the second token
 }
 
--- a/entry/server_test.go
+++ b/entry/server_test.go
@@ -6,6 +6,8 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"regexp"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -291,3 +293,28 @@
 		t.Errorf("%v, status %d", got, w.Code)
 	}
 }
+
+// Guards against a code or reason that the operators' page does not explain.
+func TestOperatorsPageExplainsEachReason(t *testing.T) {
+	page, err := os.ReadFile("../docs/operators/online.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	constant := regexp.MustCompile(`\n\t(?:code|reason)\w+ *= "(\w+)"|Reason += "(\w+)"`)
+	found := 0
+	for _, file := range []string{"refusal.go", "attempt.go", "../limit/limit.go"} {
+		source, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range constant.FindAllStringSubmatch(string(source), -1) {
+			found++
+			if name := m[1] + m[2]; !strings.Contains(string(page), "`"+name+"`") {
+				t.Errorf("%s is not explained", name)
+			}
+		}
+	}
+	if found < 40 {
+		t.Errorf("found only %d reasons", found)
+	}
+}
--- a/idempotency/record.go
+++ b/idempotency/record.go
@@ -10,14 +10,16 @@
 package idempotency
 
 import (
+	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/url"
+	"strconv"
+	"strings"
 	"time"
 
-	"crypto/sha256"
-
 	"github.com/gravitational/trace"
 
 	"github.com/magnoliausher/magnoliausher/attempt"
@@ -83,6 +85,24 @@
 	return rowPrefix + url.PathEscape(c.Caller) + "/" + url.PathEscape(c.Key)
 }
 
+const expiryPrefix = "intent-expiry/"
+
+// expiryKey is the key of the row that lists an intent by its age, so that the
+// removal reads only old intents. It is written together with the intent row.
+func expiryKey(intentKey string, begun time.Time) string {
+	return fmt.Sprintf("%s%012d/%s", expiryPrefix, begun.Unix(), strings.TrimPrefix(intentKey, rowPrefix))
+}
+
+// parseExpiryKey returns the intent row and the second in which it was begun.
+func parseExpiryKey(key string) (intentKey string, begun time.Time, err error) {
+	second, rest, ok := strings.Cut(strings.TrimPrefix(key, expiryPrefix), "/")
+	unix, parseErr := strconv.ParseInt(second, 10, 64)
+	if !ok || parseErr != nil {
+		return "", time.Time{}, trace.BadParameter("malformed key %q", key)
+	}
+	return rowPrefix + rest, time.Unix(unix, 0), nil
+}
+
 func encode(r *Record) []byte {
 	b, err := json.Marshal(r)
 	if err != nil { // only strings, times and bytes inside
--- a/idempotency/settle.go
+++ b/idempotency/settle.go
@@ -59,54 +59,88 @@
 	case have.Attempt != record.Attempt && have.State != StateNotRun:
 		return true // its conditions have failed for good
 	}
-	_, err = s.put(ctx, key, record, row.Version)
+	list := have == nil || have.Attempt != record.Attempt
+	_, err = s.put(ctx, key, record, row.Version, list)
 	return err == nil
 }
 
-// sweepPage is the number of rows that one Sweep reads.
-const sweepPage = 100
+// SweepPage is the number of intents that one Sweep removes at most.
+const SweepPage = 100
 
-// Sweep removes rows and their objects that are older than the retention. One
-// call reads one page; the next call continues after it. It returns the number
-// of rows removed. Sweep must not be called concurrently.
+// Sweep removes one page of intents, with their objects, that are older than
+// the retention, oldest first, and returns their number. A concurrent Sweep on
+// another entry does no harm.
 func (s *Store) Sweep(ctx context.Context, now time.Time) (int, error) {
-	rows, err := s.config.Table.Scan(ctx, rowPrefix, s.sweepAfter, sweepPage)
+	rows, err := s.config.Table.Scan(ctx, expiryPrefix, "", SweepPage)
 	if err != nil {
 		return 0, trace.Wrap(err)
 	}
-	s.sweepAfter = ""
-	if len(rows) == sweepPage {
-		s.sweepAfter = rows[len(rows)-1].Key
-	}
+	tx := platform.Transaction{}
 	removed := 0
 	for _, row := range rows {
-		record, err := decode(row.Value)
+		key, begun, err := parseExpiryKey(row.Key)
 		if err != nil {
-			return removed, trace.Wrap(err, row.Key)
+			return 0, err
+		}
+		if !s.expired(begun, now) {
+			break // later rows are younger
 		}
-		if now.Sub(record.Begun) <= s.config.Retention {
-			continue
+		tx.Writes = append(tx.Writes, platform.Write{Key: row.Key, IfVersion: row.Version, Delete: true})
+		gone, err := s.expire(ctx, key, now, &tx)
+		if err != nil {
+			return 0, err
 		}
-		if err := s.remove(ctx, row, record); err != nil {
-			return removed, err
+		if gone {
+			removed++
 		}
-		removed++
+	}
+	if len(tx.Writes) == 0 {
+		return 0, nil
+	}
+	_, err = s.config.Table.Commit(ctx, tx)
+	if errors.Is(err, platform.ErrConflict) {
+		return 0, nil // another entry removes the same page
+	}
+	if err != nil {
+		return 0, trace.Wrap(err)
 	}
 	return removed, nil
 }
 
-// remove deletes the object first, so that none is left without a row.
-func (s *Store) remove(ctx context.Context, row platform.Row, r *Record) error {
-	if r.Answer != nil && r.Answer.Object != "" {
-		if err := s.config.Objects.Delete(ctx, r.Answer.Object); err != nil {
-			return trace.Wrap(err)
+func (s *Store) expired(begun, now time.Time) bool {
+	return now.Sub(begun) > s.config.Retention
+}
+
+// expire adds the removal of an intent row to the transaction, unless a later
+// attempt has taken the row over. Its object goes first, so that none is left
+// without a row.
+func (s *Store) expire(ctx context.Context, key string, now time.Time, tx *platform.Transaction) (bool, error) {
+	row, record, err := s.read(ctx, key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return false, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	if !s.expired(record.Begun, now) || removes(tx, key) {
+		return false, nil
+	}
+	if record.Answer != nil && record.Answer.Object != "" {
+		if err := s.config.Objects.Delete(ctx, record.Answer.Object); err != nil {
+			return false, trace.Wrap(err)
 		}
 	}
-	_, err := s.config.Table.Commit(ctx, platform.Transaction{
-		Writes: []platform.Write{{Key: row.Key, IfVersion: row.Version, Delete: true}},
-	})
-	if errors.Is(err, platform.ErrConflict) {
-		return nil
+	tx.Writes = append(tx.Writes, platform.Write{Key: key, IfVersion: row.Version, Delete: true})
+	return true, nil
+}
+
+// removes reports whether the transaction removes the row already: two listings
+// of one row can be in the same page.
+func removes(tx *platform.Transaction, key string) bool {
+	for i := range tx.Writes {
+		if tx.Writes[i].Key == key {
+			return true
+		}
 	}
-	return trace.Wrap(err)
+	return false
 }
--- a/idempotency/store.go
+++ b/idempotency/store.go
@@ -62,8 +62,6 @@
 	settling int
 	closed   bool
 	idle     sync.WaitGroup
-
-	sweepAfter string // position of the removal of old rows
 }
 
 // New returns a store over the table and objects of c.
@@ -113,7 +111,7 @@
 	written := false // a write of this attempt may have taken effect
 	retry := newBackOff()
 	for {
-		version, err := s.put(ctx, in.key, &in.record, replaces)
+		version, err := s.put(ctx, in.key, &in.record, replaces, true)
 		if err == nil {
 			in.version = version
 			return Result{Outcome: Fresh, Intent: in}
@@ -180,10 +178,14 @@
 	return !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrThrottled)
 }
 
-func (s *Store) put(ctx context.Context, key string, r *Record, ifVersion uint64) (uint64, error) {
-	versions, err := s.config.Table.Commit(ctx, platform.Transaction{
-		Writes: []platform.Write{{Key: key, Value: encode(r), IfVersion: ifVersion}},
-	})
+// put writes an intent row. list is set when the row comes to name this
+// attempt, and lists its age for the removal.
+func (s *Store) put(ctx context.Context, key string, r *Record, ifVersion uint64, list bool) (uint64, error) {
+	tx := platform.Transaction{Writes: []platform.Write{{Key: key, Value: encode(r), IfVersion: ifVersion}}}
+	if list {
+		tx.Writes = append(tx.Writes, platform.Write{Key: expiryKey(key, r.Begun), Always: true})
+	}
+	versions, err := s.config.Table.Commit(ctx, tx)
 	if err != nil {
 		return 0, trace.Wrap(err)
 	}
@@ -263,7 +265,7 @@
 // end writes the final state once and leaves the rest to the background.
 func (in *Intent) end(ctx context.Context, state State) error {
 	in.record.State = state
-	version, err := in.store.put(ctx, in.key, &in.record, in.version)
+	version, err := in.store.put(ctx, in.key, &in.record, in.version, false)
 	if err != nil {
 		in.store.pursue(in, state)
 		return err
--- a/idempotency/store_test.go
+++ b/idempotency/store_test.go
@@ -180,6 +180,33 @@
 	}
 }
 
+// Guards against an intent that is removed early because an earlier attempt of
+// its key, which was not run, has reached its age.
+func TestSweepKeepsARowTakenOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newTable(1, 0)
+		s := newStore(table)
+		defer s.Close(context.Background())
+		ctx := context.Background()
+		if err := s.Begin(ctx, newCall("a"), time.Now()).Intent.NotRun(ctx); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(DefaultRetention - time.Hour)
+		if err := s.Begin(ctx, newCall("b"), time.Now()).Intent.Finish(ctx, Answer{Status: 200}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * time.Hour)
+		n, err := s.Sweep(ctx, time.Now())
+		if got := s.Begin(ctx, newCall("c"), time.Now()); n != 0 || err != nil || got.Outcome != Recorded {
+			t.Errorf("%d removed, error %v, then %s", n, err, got.Outcome)
+		}
+		time.Sleep(DefaultRetention)
+		if n, err := s.Sweep(ctx, time.Now()); n != 1 || err != nil || len(table.rows) != 0 {
+			t.Errorf("%d removed, error %v, %d rows left", n, err, len(table.rows))
+		}
+	})
+}
+
 // Guards against rows and objects that stay for ever, or go before 24 h.
 func TestSweep(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -187,7 +214,7 @@
 		s := newStore(table)
 		defer s.Close(context.Background())
 		ctx := context.Background()
-		for i := range 2*sweepPage + 5 {
+		for i := range 2*SweepPage + 5 {
 			c := newCall(fmt.Sprint(i))
 			c.Key = fmt.Sprint(i)
 			in := s.Begin(ctx, c, time.Now()).Intent
@@ -211,8 +238,8 @@
 			t.Errorf("%d rows removed early", n)
 		}
 		time.Sleep(time.Hour)
-		if n := sweepAll(); n != 2*sweepPage+5 || len(table.objects) != 0 {
-			t.Errorf("%d rows removed, %d objects left", n, len(table.objects))
+		if n := sweepAll(); n != 2*SweepPage+5 || len(table.objects) != 0 || len(table.rows) != 0 {
+			t.Errorf("%d intents removed, %d objects and %d rows left", n, len(table.objects), len(table.rows))
 		}
 	})
 }
