Avoid agents that left an attempt without an answer

A lost agent's last report may show online work, so packing sent each request to it first and cost 250 ms each until it counted as silent after 5 s. Entries now prefer other upstreams until the agent is heard of again. With one lost agent of three, ten requests take 250 ms together instead of each. An error that the link reports as not sent while reading also counts as not sent.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -76,18 +76,15 @@
 	watch.start(e.config.AcceptTimeout)
 	defer watch.stop()
 	stream, err := e.config.Runner.Run(ctx, up.AgentID, msg)
-	if errors.Is(err, link.ErrNoLink) {
-		return result{ending: endNotSent, reason: reasonNoLink}
-	}
 	if err != nil {
-		return interrupted(ctx, err)
+		return interrupted(ctx, err, false)
 	}
 	defer stream.Close()
 	a := receiver{rq: rq, id: msg.AttemptId, out: out, watch: watch}
 	for {
 		ev, err := stream.Recv()
 		if err != nil {
-			return interrupted(ctx, err)
+			return interrupted(ctx, err, a.seen)
 		}
 		if res, ended := a.event(ev); ended {
 			return res
@@ -102,9 +99,12 @@
 	return e.config.EngineProgress
 }
 
-// interrupted classifies a stream that ended without a final event.
-func interrupted(ctx context.Context, err error) result {
+// interrupted classifies a stream that ended without a final event. seen is set
+// when the attempt had an event, after which nothing can count as not sent.
+func interrupted(ctx context.Context, err error, seen bool) result {
 	switch cause := context.Cause(ctx); {
+	case !seen && errors.Is(err, link.ErrNoLink):
+		return result{ending: endNotSent, reason: reasonNoLink}
 	case errors.Is(cause, errNotAccepted):
 		return result{ending: endNotAccepted, reason: reasonNotAccepted}
 	case errors.Is(cause, errNoProgress):
@@ -125,6 +125,7 @@
 	id      string
 	out     sink
 	watch   *watchdog
+	seen    bool   // an event of the attempt arrived
 	status  uint32 // of the head, 0 before it
 	started bool   // the upstream has produced something
 }
@@ -137,6 +138,7 @@
 		return result{}, false
 	}
 	now := time.Now()
+	a.seen = true
 	a.watch.progress(now)
 	a.watch.pause(true)
 	defer a.watch.pause(false)
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -110,15 +110,20 @@
 	return err
 }
 
-// selectFrom fills in the choice and returns the agent's id, or "". When every
-// upstream was tried and a stream was lost, the exclusions are lifted once,
-// because the upstream may be well.
+// selectFrom fills in the choice and returns the agent's id, or "". Agents that
+// left an attempt without an answer come after all others. When every upstream
+// was tried and a stream was lost, the exclusions are lifted once, because the
+// upstream may be well.
 func (e *Entry) selectFrom(rq *request, c *choice, busy []string, now time.Time) string {
 	r := routing.Request{
-		DataCentre: e.config.DataCentre, Prefix: rq.prefix, Excluded: rq.excluded,
+		DataCentre: e.config.DataCentre, Prefix: rq.prefix, Excluded: e.silence.exclude(rq.excluded, c.snapshot),
 		Suspect: c.suspect, SuspectsAt: busy, Now: now,
 	}
 	d := routing.Choose(c.snapshot, &r, &e.config.Weights, random{})
+	if !d.Found() && len(r.Excluded) > len(rq.excluded) {
+		r.Excluded = rq.excluded
+		d = routing.Choose(c.snapshot, &r, &e.config.Weights, random{})
+	}
 	if !d.Found() && d.Tally.Excluded > 0 && rq.handedOver && !rq.relaxed {
 		rq.relaxed = true
 		rq.excluded = nil
@@ -152,6 +157,7 @@
 		return result{ending: endDeadline, reason: codeDeadline}
 	}
 	if !rq.repeatable && !e.answers(ctx, &c.upstream, now) {
+		e.silence.note(c.upstream.AgentID, time.Now())
 		return result{ending: endNotSent, reason: reasonProbe}
 	}
 	msg := e.message(rq, c, n, time.Now())
@@ -162,6 +168,9 @@
 	if res.crashed {
 		rq.crashes++
 	}
+	if res.unanswered() {
+		e.silence.note(c.upstream.AgentID, time.Now())
+	}
 	rq.log.Debug().Str("attempt", msg.AttemptId).Str("agent", c.upstream.AgentID).Int("number", n).
 		Str("reason", res.reason).Bool("whole", res.ending == endWhole).Msg("attempt ended")
 	return res
--- a/entry/dispatch_test.go
+++ b/entry/dispatch_test.go
@@ -209,7 +209,7 @@
 			f = r.script[i].fault
 		}
 		switch f {
-		case noLink, refused, failedNotRun, engineRejects, engineOverloads:
+		case noLink, noLinkLate, refused, failedNotRun, engineRejects, engineOverloads:
 		default:
 			return false
 		}
@@ -319,3 +319,29 @@
 		}
 	})
 }
+
+// Guards against packing that sends request after request to a lost agent,
+// because its last report shows online work.
+func TestLostAgentIsAvoided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRunner(3)
+		r.lost, r.lostAt = "agent-1", time.Now()
+		r.upstreams[1].Load.OnlineActive = 1
+		e := newTestEntry(r)
+		start := time.Now()
+		for range 10 {
+			if w := call(e, "POST", pathChat, chatBody); w.Code != 200 {
+				t.Errorf("status %d", w.Code)
+			}
+		}
+		if waited := time.Since(start); waited != DefaultAcceptTimeout || r.attempts() != 11 {
+			t.Errorf("%v and %d attempts for ten requests", waited, r.attempts())
+		}
+		r.lost = "" // heard of again
+		time.Sleep(time.Second)
+		call(e, "POST", pathChat, chatBody)
+		if last := r.agents[len(r.agents)-1]; last != "agent-1" {
+			t.Errorf("after it was heard of again, the request went to %s", last)
+		}
+	})
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -124,6 +124,7 @@
 	config   Config
 	callers  *limit.Callers
 	suspects suspectTracker
+	silence  *silence
 
 	mu       sync.Mutex // guards services
 	services map[string]*serviceState
@@ -143,6 +144,7 @@
 		config:   c.withDefaults(),
 		callers:  limit.NewCallers(),
 		suspects: suspectTracker{running: make(map[string]int)},
+		silence:  newSilence(),
 		services: make(map[string]*serviceState),
 		drain:    newDrainState(),
 	}
@@ -178,6 +180,7 @@
 			return
 		case now := <-idle.C:
 			e.callers.RemoveIdle(now)
+			e.silence.removeOld(now)
 		case now := <-sweep.C:
 			e.sweep(ctx, now)
 			sweep.Reset(e.sweepDelay())
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -24,6 +24,7 @@
 const (
 	healthy fault = iota
 	noLink
+	noLinkLate // reported by Recv
 	refused
 	diesBeforeAcceptance
 	silentBeforeAcceptance
@@ -71,6 +72,8 @@
 	quiet     time.Duration // age of the last message on each link
 	probeErr  error
 	probes    int
+	lost      string // agent that is silent and was last heard of at lostAt
+	lostAt    time.Time
 	release   chan struct{} // when set, engine attempts wait for it after the first token
 }
 
@@ -91,6 +94,9 @@
 	list := append([]link.Upstream(nil), r.upstreams...)
 	for i := range list {
 		list[i].LastHeard = time.Now().Add(-r.quiet)
+		if list[i].AgentID == r.lost {
+			list[i].LastHeard = r.lostAt
+		}
 		list[i].LoadAt = list[i].LastHeard
 	}
 	return list
@@ -110,12 +116,15 @@
 	if n := len(r.started); n < len(r.script) {
 		s = r.script[n]
 	}
+	if agent == r.lost {
+		s.fault = silentBeforeAcceptance
+	}
 	r.started = append(r.started, req)
 	r.agents = append(r.agents, agent)
 	if s.fault == noLink {
 		return nil, fmt.Errorf("dial: %w", link.ErrNoLink)
 	}
-	if s.fault != refused && s.fault != failedNotRun {
+	if s.fault != refused && s.fault != failedNotRun && s.fault != noLinkLate {
 		r.handOvers++
 	}
 	st := &fakeStream{ctx: ctx, release: r.release}
@@ -195,6 +204,8 @@
 
 func beforeAcceptance(id string, f fault) ([]step, bool) {
 	switch f {
+	case noLinkLate:
+		return []step{{err: fmt.Errorf("dial: %w", link.ErrNoLink)}}, true
 	case refused:
 		return steps(&rpc.RunEvent{AttemptId: id, Event: &rpc.RunEvent_Refused{Refused: &rpc.Refused{Reason: "no_slot", RetryAfterMs: 700}}}), true
 	case diesBeforeAcceptance:
--- a/entry/once.go
+++ b/entry/once.go
@@ -26,8 +26,9 @@
 	}
 	rq.firstAttempt = attempt.NewID()
 	begun := e.config.Idempotency.Begin(ctx, idempotency.Call{
-		Caller: rq.caller.ID, Key: key, Attempt: rq.firstAttempt, Deadline: rq.deadline,
-		Body: idempotency.HashBody(rq.service.Name, rq.method, rq.path, rq.body),
+		Caller: rq.caller.ID, Key: key, Attempt: rq.firstAttempt,
+		Deadline: rq.deadline.Add(e.config.IntentTimeout), // covers the recording of the answer
+		Body:     idempotency.HashBody(rq.service.Name, rq.method, rq.path, rq.body),
 	}, rq.arrived)
 	rq.log.Debug().Str("outcome", string(begun.Outcome)).Err(begun.Reason).Msg("intent read")
 	switch begun.Outcome {
--- a/entry/once_test.go
+++ b/entry/once_test.go
@@ -43,7 +43,17 @@
 	return row, nil
 }
 
-func (m *memory) Scan(context.Context, string, string, int) ([]platform.Row, error) { return nil, nil }
+func (m *memory) Scan(_ context.Context, prefix, _ string, _ int) ([]platform.Row, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []platform.Row
+	for key, row := range m.rows {
+		if strings.HasPrefix(key, prefix) {
+			list = append(list, row)
+		}
+	}
+	return list, nil
+}
 
 func (m *memory) Commit(_ context.Context, tx platform.Transaction) ([]uint64, error) {
 	m.mu.Lock()
@@ -59,6 +69,10 @@
 	var versions []uint64
 	for _, w := range tx.Writes {
 		m.version++
+		if w.Delete {
+			delete(m.rows, w.Key)
+			continue
+		}
 		m.rows[w.Key] = platform.Row{Key: w.Key, Version: m.version, Value: w.Value}
 		versions = append(versions, m.version)
 	}
@@ -101,6 +115,7 @@
 		{healthy, 201, "", 201},
 		{crossed, 201, "", 201},
 		{noLink, 201, "", 201},
+		{noLinkLate, 201, "", 201},
 		{refused, 201, "", 201},
 		{failedNotRun, 503, "no", 201},
 		{diesBeforeAcceptance, 502, "unknown", 409},
--- a/entry/server_test.go
+++ b/entry/server_test.go
@@ -318,3 +318,27 @@
 		t.Errorf("found only %d reasons", found)
 	}
 }
+
+// Guards against states of idle callers and old intents that are never removed.
+func TestRunRemovesOldState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemory()
+		e := newTestEntry(newRunner(1), withStore(m))
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go e.Run(ctx)
+		call(e, "POST", invoicePath, "body", idempotencyHeader, "k")
+		call(e, "POST", pathChat, chatBody, "Authorization", "Bearer key-2")
+		time.Sleep(time.Minute)
+		if left := e.callers.RemoveIdle(time.Now().Add(-time.Hour)); left != 0 {
+			t.Errorf("%d callers kept", left)
+		}
+		if len(m.rows) != 2 {
+			t.Errorf("%d rows after a minute", len(m.rows))
+		}
+		time.Sleep(25 * time.Hour)
+		if len(m.rows) != 0 {
+			t.Errorf("%d rows after a day", len(m.rows))
+		}
+	})
+}
