--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -76,18 +76,15 @@
 	watch.start(e.config.AcceptTimeout)
 	defer watch.stop()
 	stream, err := e.config.Runner.Run(ctx, up.AgentID, msg)
-	if errors.Is(err, link.ErrNoLink) {
-		return result{ending: endNotSent, reason: reasonNoLink}
-	}
 	if err != nil {
-		return interrupted(ctx, err)
+		return interrupted(ctx, err, false)
 	}
 	defer stream.Close()
 	a := receiver{rq: rq, id: msg.AttemptId, out: out, watch: watch}
 	for {
 		ev, err := stream.Recv()
 		if err != nil {
-			return interrupted(ctx, err)
+			return interrupted(ctx, err, a.seen)
 		}
 		if res, ended := a.event(ev); ended {
 			return res
@@ -102,9 +99,12 @@
 	return e.config.EngineProgress
 }
 
-// interrupted classifies a stream that ended without a final event.
-func interrupted(ctx context.Context, err error) result {
+// interrupted classifies a stream that ended without a final event. seen is set
+// when the attempt had an event, after which nothing can count as not sent.
+func interrupted(ctx context.Context, err error, seen bool) result {
 	switch cause := context.Cause(ctx); {
+	case !seen && errors.Is(err, link.ErrNoLink):
+		return result{ending: endNotSent, reason: reasonNoLink}
 	case errors.Is(cause, errNotAccepted):
 		return result{ending: endNotAccepted, reason: reasonNotAccepted}
 	case errors.Is(cause, errNoProgress):
@@ -125,9 +125,9 @@
 	id      string
 	out     sink
 	watch   *watchdog
+	seen    bool   // an event of the attempt arrived
 	status  uint32 // of the head, 0 before it
 	started bool   // the upstream has produced something
-	last    time.Time
 }
 
 // event handles one event. ended is true after the last one of the attempt.
@@ -138,6 +138,7 @@
 		return result{}, false
 	}
 	now := time.Now()
+	a.seen = true
 	a.watch.progress(now)
 	a.watch.pause(true)
 	defer a.watch.pause(false)
@@ -175,7 +176,7 @@
 		return errProtocol
 	}
 	a.observe(now, d.Tokens)
-	a.last = now
+	a.rq.lastToken = now
 	a.started = true
 	if err := a.out.text(d); err != nil {
 		return err
@@ -185,15 +186,14 @@
 	return nil
 }
 
-// observe records the time to the first token of the request, or between tokens
-// of one attempt.
+// observe records the time to the request's first token or since its last one,
+// which includes the time that a resume takes.
 func (a *receiver) observe(now time.Time, tokens uint32) {
-	switch {
-	case a.started:
-		a.rq.observeInterval(now.Sub(a.last), tokens)
-	case a.rq.deliveredTokens == 0:
+	if a.rq.lastToken.IsZero() {
 		observeFirst(a.rq.serviceName(), now.Sub(a.rq.arrived))
+		return
 	}
+	a.rq.observeInterval(now.Sub(a.rq.lastToken), tokens)
 }
 
 func (a *receiver) onData(b []byte) error {
