Report the earlier element of a duplicate as data

Cause: a finding in a sheet must name the line of the first use, and only the sheet knows its lines. Change: Problem.Earlier holds the index; Validate adds it to the reason. A non-repeatable call of an engine is reported at its route. Conclusion: Check serves JSON documents and sheets.

--- a/contract/problem.go
+++ b/contract/problem.go
@@ -21,14 +21,15 @@
 type Problem struct {
 	Section Section
 	Index   int    // of the element in its section
-	Route   int    // index of the non-repeatable route, or NoRoute
-	Field   string // JSON name of the field
+	Route   int    // index of the non-repeatable route, or NoIndex
+	Field   string // JSON name of the field; empty for the whole section
 	Value   string
 	Reason  string
+	Earlier int // index of the element that already has the value, or NoIndex
 }
 
-// NoRoute is the Route of problems outside the non-repeatable routes.
-const NoRoute = -1
+// NoIndex stands for no element.
+const NoIndex = -1
 
 // key gives the place as a path in the JSON form, e.g. services[2].name.
 func (p Problem) key() string {
@@ -37,7 +38,7 @@
 		return p.Field
 	case p.Field == "":
 		return string(p.Section)
-	case p.Route != NoRoute:
+	case p.Route != NoIndex:
 		return fmt.Sprintf("%s[%d].non_repeatable[%d].%s", p.Section, p.Index, p.Route, p.Field)
 	}
 	return fmt.Sprintf("%s[%d].%s", p.Section, p.Index, p.Field)
@@ -49,7 +50,11 @@
 func Validate(doc *Document) finding.List {
 	var list finding.List
 	for _, p := range Check(doc) {
-		list.Add(finding.Finding{Key: p.key(), Value: p.Value, Reason: p.Reason})
+		reason := p.Reason
+		if p.Earlier != NoIndex {
+			reason += fmt.Sprintf(" by %s[%d]", p.Section, p.Earlier)
+		}
+		list.Add(finding.Finding{Key: p.key(), Value: p.Value, Reason: reason})
 	}
 	return list
 }
--- a/contract/validate.go
+++ b/contract/validate.go
@@ -44,7 +44,7 @@
 
 // Check returns every rule that the document breaks, in document order.
 func Check(doc *Document) []Problem {
-	c := &checker{route: NoRoute}
+	c := &checker{route: NoIndex}
 	c.checkSheet(doc)
 	c.checkServices(doc.Services)
 	c.checkGroups(doc.Groups, doc.Services)
@@ -53,14 +53,19 @@
 }
 
 func (c *checker) add(field, value, reason string, args ...any) {
+	c.addAfter(NoIndex, field, value, fmt.Sprintf(reason, args...))
+}
+
+// addAfter adds a problem with an earlier element of the section.
+func (c *checker) addAfter(earlier int, field, value, reason string) {
 	c.problems = append(c.problems, Problem{
 		Section: c.section, Index: c.index, Route: c.route,
-		Field: field, Value: value, Reason: fmt.Sprintf(reason, args...),
+		Field: field, Value: value, Reason: reason, Earlier: earlier,
 	})
 }
 
 func (c *checker) at(section Section, index int) {
-	c.section, c.index, c.route = section, index, NoRoute
+	c.section, c.index, c.route = section, index, NoIndex
 }
 
 func (c *checker) checkSheet(doc *Document) {
@@ -122,7 +127,7 @@
 		}
 		v := variant{s.Model, s.Adapter}
 		if first, ok := variants[v]; ok {
-			c.add("model", s.Model, "service %q has the same model and adapter", services[first].Name)
+			c.addAfter(first, "model", s.Model, "model and adapter are already used")
 		} else {
 			variants[v] = i
 		}
@@ -133,13 +138,13 @@
 }
 
 func (c *checker) checkRoutes(s *Service) {
-	if s.Kind == KindEngine && len(s.NonRepeatable) > 0 {
-		c.add("non_repeatable", "", "calls of an engine have no effects and are always repeatable")
-		return
-	}
 	seen := make(map[Route]bool)
 	for i, r := range s.NonRepeatable {
 		c.route = i
+		if s.Kind == KindEngine {
+			c.add("path", r.Path, "calls of an engine have no effects and are always repeatable")
+			continue
+		}
 		if !slices.Contains(methods, r.Method) {
 			c.add("method", r.Method, "want one of %s", strings.Join(methods, ", "))
 		}
@@ -149,7 +154,7 @@
 		}
 		seen[r] = true
 	}
-	c.route = NoRoute
+	c.route = NoIndex
 }
 
 // checkPath requires the form in which request paths are compared; any other
@@ -251,7 +256,7 @@
 
 func (c *checker) checkUnique(seen map[string]int, field, value string, index int) {
 	if first, ok := seen[value]; ok {
-		c.add(field, value, "already used by element %d of %s", first, c.section)
+		c.addAfter(first, field, value, "already used")
 		return
 	}
 	seen[value] = index
