--- a/sheet/parse.go
+++ b/sheet/parse.go
@@ -206,7 +206,7 @@
 // attachCalls adds the non-repeatable calls to their services.
 func (p *parser) attachCalls() {
 	byName := make(map[string]int, len(p.doc.Services))
-	for i := len(p.doc.Services) - 1; i >= 0; i-- { // the first of two services with a name counts
+	for i := range p.doc.Services {
 		byName[p.doc.Services[i].Name] = i
 	}
 	for _, c := range p.calls {
--- a/sheet/sheet_test.go
+++ b/sheet/sheet_test.go
@@ -92,6 +92,9 @@
 			if err := Write(&out, doc, format); err != nil {
 				t.Fatal(err)
 			}
+			if comma := strings.Contains(out.String(), ";0,125;"); comma != format.Semicolon {
+				t.Errorf("%s as %+v: decimal comma %v", file, format, comma)
+			}
 			got, err := Parse(file, &out)
 			if err != nil || !reflect.DeepEqual(got, doc) {
 				t.Errorf("%s as %+v: %+v, %v", file, format, got, err)
@@ -122,6 +125,7 @@
 		{"empty", " \n", []string{`0 "" ""`}},
 		{"UTF-16", "\xff\xfek\x00", []string{`1 "" ""`}},
 		{"no kind column", "name,count\nx,1\n", []string{`1 "kind" ""`}},
+		{"broken quote in the first line", "\"ki\"nd,name\nservice,a\n", []string{`1 "" ""`}},
 		{"unknown column", "extra," + header + "," + strings.Join(strings.SplitAfter(meta+portal+strings.TrimSuffix(operator, "\n"), "\n"), ","),
 			[]string{`1 "" "extra"`}},
 		{"column twice", strings.Replace(header, "\n", ",name\n", 1) + meta + portal + operator, []string{`1 "name" "name"`}},
@@ -138,6 +142,7 @@
 		{"number as text", valid + "group,,,g,,,portal,,,linz,three\n", []string{`5 "count" "three"`}},
 		{"number too large", valid + "group,,,g,,,portal,,,linz,99999999999999999999\n", []string{`5 "count" "99999999999999999999"`}},
 		{"rate not finite", strings.Replace(valid, ",,,,yes", ",NaN,1,,yes", 1), []string{`4 "rate_per_second" "NaN"`}},
+		{"rate with exponent", strings.Replace(valid, ",,,,yes", ",1e3,1,,yes", 1), []string{`4 "rate_per_second" "1e3"`}},
 		{"rate with comma in a comma file", strings.Replace(valid, ",,,,yes", `,"2,5",1,,yes`, 1), []string{`4 "rate_per_second" "2,5"`}},
 		{"truth value", strings.Replace(valid, ",yes", ",maybe", 1), []string{`0 "" ""`, `4 "operator" "maybe"`, `4 "classes" ""`}},
 		{"call of no service", valid + "non_repeatable,,,,,,x,POST,/x\n", []string{`5 "service" "x"`}},
