Distrust a refusal after acceptance, bound the advised wait

The random fault scripts, extended by a refusal after output, found an attempt that was accepted and then refused counted as not run. Agents accept an attempt when they hand it over, so such a refusal now leaves the outcome unknown. A tiny rate made the advised wait overflow and admitted the request; the wait is now at most an hour. A test over a real connection shows that a caller that never reads is dropped.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -121,13 +121,14 @@
 
 // receiver passes the events of one attempt on.
 type receiver struct {
-	rq      *request
-	id      string
-	out     sink
-	watch   *watchdog
-	seen    bool   // an event of the attempt arrived
-	status  uint32 // of the head, 0 before it
-	started bool   // the upstream has produced something
+	rq       *request
+	id       string
+	out      sink
+	watch    *watchdog
+	seen     bool // an event of the attempt arrived
+	accepted bool
+	status   uint32 // of the head, 0 before it
+	started  bool   // the upstream has produced something
 }
 
 // event handles one event. ended is true after the last one of the attempt.
@@ -144,6 +145,7 @@
 	defer a.watch.pause(false)
 	switch x := ev.Event.(type) {
 	case *rpc.RunEvent_Accepted:
+		a.accepted = true
 		return result{}, false
 	case *rpc.RunEvent_Head:
 		return a.pass(a.onHead(x.Head))
@@ -216,9 +218,10 @@
 	return result{ending: endWhole, end: end}
 }
 
-// onRefused trusts a refusal only before any output of the upstream.
+// onRefused trusts a refusal only before acceptance and any output, since an
+// agent accepts an attempt when it hands it over.
 func (a *receiver) onRefused(r *rpc.Refused) result {
-	if a.started || a.status != 0 {
+	if a.accepted || a.started || a.status != 0 {
 		return result{ending: endFailed, reason: reasonProtocol, executed: attempt.ExecutedUnknown}
 	}
 	wait := time.Duration(r.GetRetryAfterMs()) * time.Millisecond
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -31,6 +31,7 @@
 	diesMidStream
 	silentMidStream
 	crashes
+	refusedMidStream // a refusal after output is not to be trusted
 	truncated
 	crossed      // an event of another attempt between its own; the answer is whole
 	duplicateEnd // the answer is whole
@@ -233,6 +234,8 @@
 		return []step{{}}, true
 	case crashes:
 		return steps(crash), true
+	case refusedMidStream:
+		return steps(noSlot), true
 	case truncated:
 		return []step{{err: io.EOF}}, true
 	}
--- a/entry/once_test.go
+++ b/entry/once_test.go
@@ -103,6 +103,7 @@
 		{silentBeforeAcceptance, 502, "unknown", 409},
 		{diesMidStream, 502, "unknown", 409},
 		{truncated, 502, "unknown", 409},
+		{refusedMidStream, 502, "unknown", 409},
 		{crashes, 502, "unknown", 409},
 	}
 	for _, c := range cases {
--- a/entry/plain_test.go
+++ b/entry/plain_test.go
@@ -1,12 +1,16 @@
 package entry
 
 import (
+	"context"
 	"errors"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 )
 
 func overHTTP(t *testing.T, e *Entry, method, path, body string) (*http.Response, string, error) {
@@ -56,3 +60,25 @@
 		t.Errorf("stream %q, error %v", body, err)
 	}
 }
+
+// Guards against a write deadline that does not reach a real connection: a
+// caller that never reads would hold its upstream for ever.
+func TestStuckCallerOverHTTP(t *testing.T) {
+	r := newRunner(1)
+	r.plainBody = strings.Repeat("z", 64<<20) // more than the sockets' buffers
+	e := newTestEntry(r, func(c *Config) { c.WriteTimeout = 50 * time.Millisecond })
+	server := httptest.NewServer(e.Handler())
+	defer server.Close()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "GET /services/orders/list HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n\r\n", testKey)
+	for r.attempts() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if err := e.Drain(context.Background()); err != nil {
+		t.Error(err)
+	}
+}
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -48,6 +48,9 @@
 	return Bucket{spent: max(0, b.spent-elapsed.Seconds()*rate), updated: now}
 }
 
+// maxWait bounds the advice of Take, which a tiny rate would make overflow.
+const maxWait = time.Hour
+
 // Take removes one token. When there is none it returns the time until there is.
 func (b Bucket) Take(now time.Time, rate float64, burst int) (next Bucket, wait time.Duration) {
 	b = b.Refill(now, rate)
@@ -57,7 +60,8 @@
 		return b, 0
 	}
 	missing := b.spent + 1 - size
-	return b, time.Duration(math.Ceil(missing / rate * float64(time.Second)))
+	wait = time.Duration(math.Ceil(min(missing/rate, maxWait.Seconds()) * float64(time.Second)))
+	return b, wait
 }
 
 // Full reports whether the bucket has all its tokens at now.
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -43,6 +43,14 @@
 	properties.TestingRun(t)
 }
 
+// Guards against a tiny rate whose wait overflows and so admits a request.
+func TestTinyRate(t *testing.T) {
+	b, _ := Bucket{}.Take(start, 1e-30, 1)
+	if _, wait := b.Take(start, 1e-30, 1); wait != maxWait {
+		t.Errorf("wait %v", wait)
+	}
+}
+
 // Guards against limits that let a caller have more in progress than allowed,
 // and against idle states that are kept or busy ones that are dropped.
 func TestCallers(t *testing.T) {
