Stop the write deadline guard before the handler returns

Change: stopping the guard waits for it, responses are not compressed, and the test keeps the last event. Stale evidence of a crash and Relieve have tests.

--- a/admission/decide_test.go
+++ b/admission/decide_test.go
@@ -288,3 +288,27 @@
 		}
 	}
 }
+
+// Guards against batch work that keeps slowing online work because the model
+// predicts too little, and against batch work cancelled without need.
+func TestRelieve(t *testing.T) {
+	old := &Sequence{Class: contract.ClassBatch}
+	newest := &Sequence{Class: contract.ClassBatch, Start: 1}
+	online := &Sequence{Class: contract.ClassOnline, Start: 2}
+	cases := []struct {
+		running  []*Sequence
+		interval time.Duration
+		want     *Sequence
+	}{
+		{[]*Sequence{old, newest, online}, StepTarget + 1, newest},
+		{[]*Sequence{old, newest, online}, StepTarget, nil},
+		{[]*Sequence{old, newest}, StepTarget + 1, nil},
+	}
+	for i, c := range cases {
+		s := newSimulation(1, contract.KindEngine, 4).s
+		s.Running, s.Tally, s.TokenInterval = c.running, TallyOf(c.running), c.interval
+		if got := Relieve(s); got != c.want {
+			t.Errorf("case %d: %+v", i, got)
+		}
+	}
+}
--- a/agent/fault_test.go
+++ b/agent/fault_test.go
@@ -244,3 +244,26 @@
 		}
 	})
 }
+
+// Guards against evidence of a crash that arrives after the restart stopping
+// the new upstream, and against a crash assumed while answers still arrive.
+func TestWeakEvidenceOfCrash(t *testing.T) {
+	inBubble(t, 2, func(t *testing.T, r *rig) {
+		r.engine.set(func() { r.engine.length = 0 })
+		r.crashed(0, "test")
+		r.alive("2")
+		r.crashed(0, "the same crash")
+		o := r.submit(t, r.request(online))
+		r.engine.set(func() { r.engine.healthy = upstream.ErrNotSent })
+		time.Sleep(5 * time.Second)
+		select {
+		case <-o.done:
+			t.Errorf("ended with %v", o.last())
+		default:
+		}
+		if got := r.submit(t, r.request(online)).last().GetRefused().GetReason(); got != "upstream_down" {
+			t.Errorf("new work beside a failing probe: %q", got)
+		}
+		o.cancel()
+	})
+}
--- a/agent/http_test.go
+++ b/agent/http_test.go
@@ -137,9 +137,11 @@
 	if err := r.Drain(t.Context()); err != nil { // returns once the slot is free
 		t.Error(err)
 	}
+	var last *rpc.RunEvent
 	for stream.Receive() { // ends, because the handler has given up
+		last = stream.Msg()
 	}
-	if stream.Err() == nil && stream.Msg().GetFailed().GetReason() != FailedSlowReader {
-		t.Errorf("last event %v", stream.Msg())
+	if stream.Err() == nil && last.GetFailed().GetReason() != FailedSlowReader {
+		t.Errorf("the stream ended cleanly with %v", last)
 	}
 }
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -31,10 +33,13 @@
 // server must speak HTTP/2.
 func (a *Agent) Handler() http.Handler {
 	mux := http.NewServeMux()
-	path, h := magnoliausherv1connect.NewAgentHandler(agentService{a})
+	// Clients accept gzip by default, and compressing every event of a few
+	// bytes costs more than the rest of its path.
+	uncompressed := connect.WithCompressMinBytes(math.MaxInt)
+	path, h := magnoliausherv1connect.NewAgentHandler(agentService{a}, uncompressed)
 	mux.Handle(path, withController(h))
 	if a.control != nil {
-		mux.Handle(magnoliausherv1connect.NewPeerHandler(a.control))
+		mux.Handle(magnoliausherv1connect.NewPeerHandler(a.control, uncompressed))
 	}
 	mux.Handle("/metrics", metric.Handler())
 	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
@@ -143,17 +148,28 @@
 }
 
 // guardReader ends a blocked send once the attempt is cancelled for its slow
-// reader, because the reader may never read again.
-func (a *Agent) guardReader(ctx context.Context, t *task) (stop func() bool) {
+// reader, because the reader may never read again. stop must be called before
+// the handler returns; a response must not be touched after that.
+func (a *Agent) guardReader(ctx context.Context, t *task) (stop func()) {
 	rc, ok := ctx.Value(controllerKey{}).(*http.ResponseController)
 	if !ok {
-		return func() bool { return false }
+		return func() {}
 	}
-	return context.AfterFunc(t.ctx, func() {
-		if errors.Is(context.Cause(t.ctx), errSlowReader) {
-			_ = rc.SetWriteDeadline(time.Now().Add(a.cfg.SlowReaderTimeout)) // HTTP/1 in tests may not support it
+	var mu sync.Mutex
+	returned := false
+	cancel := context.AfterFunc(t.ctx, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if !returned && errors.Is(context.Cause(t.ctx), errSlowReader) {
+			_ = rc.SetWriteDeadline(time.Now().Add(a.cfg.SlowReaderTimeout)) // every HTTP/2 response supports it
 		}
 	})
+	return func() {
+		cancel()
+		mu.Lock()
+		defer mu.Unlock()
+		returned = true
+	}
 }
 
 // runTask hands the attempt over, pumps its output and frees its slot.
