--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -22,6 +22,7 @@
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
 	"github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1/magnoliausherv1connect"
 	"github.com/magnoliausher/magnoliausher/settings"
+	"github.com/magnoliausher/magnoliausher/upstream"
 )
 
 // Peers asked for the configuration at start, and the pause between rounds.
@@ -99,6 +100,8 @@
 		Idempotency:    d.intents,
 		Suspects:       entrySuspects{suspects},
 		Jobs:           jobs.Handler(),
+		Prompt:         promptOf,
+		ConfigHeard:    d.configHeard,
 		Logger:         logger,
 		MaxBodyBytes:   s.MaxBodyBytes,
 		AcceptTimeout:  s.AcceptTimeout,
@@ -108,6 +111,33 @@
 	return d, d.open()
 }
 
+// promptOf gives the prefix hash and the size of a request that the engines
+// also see, so that routing finds the engine that has the prefix cached.
+func promptOf(body []byte) (prefix uint64, tokens int) {
+	p, err := upstream.ParsePrompt(body)
+	if err != nil {
+		return 0, 0
+	}
+	return p.Prefix, p.Tokens
+}
+
+// configHeard is the last time at which an agent confirmed the configuration.
+func (d *Entry) configHeard() time.Time {
+	var last time.Time
+	ix := d.holder.Current()
+	if ix == nil {
+		return last
+	}
+	for i := range ix.Document.Services {
+		for _, u := range d.links.Upstreams(ix.Document.Services[i].Name) {
+			if u.LastHeard.After(last) {
+				last = u.LastHeard
+			}
+		}
+	}
+	return last
+}
+
 // newJobs makes the batch runner and returns the batch API.
 func (d *Entry) newJobs(suspects *poison.Table) *job.API {
 	d.runner = job.NewRunner(job.RunnerConfig{
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -129,7 +130,8 @@
 	mu       sync.Mutex // guards services
 	services map[string]*serviceState
 
-	drain *drainState
+	drain  *drainState
+	linked atomic.Bool // an upstream has been linked since the start
 }
 
 // serviceState is what the entry keeps per service.
--- a/entry/health.go
+++ b/entry/health.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/metric"
 )
 
@@ -34,17 +35,28 @@
 		r.Details = append(r.Details, "configuration is possibly stale")
 	}
 	if ix != nil {
-		for i := range ix.Document.Services {
-			name := ix.Document.Services[i].Name
-			if len(e.config.Runner.Upstreams(name)) == 0 {
-				r.Details = append(r.Details, "no upstream linked for service "+name)
-			}
-		}
+		e.addLinks(&r, ix.Document.Services)
 	}
 	r.Ready = len(r.Reasons) == 0
 	return r
 }
 
+// addLinks reports services without an upstream. An entry that has had a link
+// stays ready without any: if all upstreams are lost, every entry is as bad.
+func (e *Entry) addLinks(r *readiness, services []contract.Service) {
+	for i := range services {
+		name := services[i].Name
+		if len(e.config.Runner.Upstreams(name)) > 0 {
+			e.linked.Store(true)
+			continue
+		}
+		r.Details = append(r.Details, "no upstream linked for service "+name)
+	}
+	if !e.linked.Load() && len(services) > 0 {
+		r.Reasons = append(r.Reasons, "no upstream linked yet")
+	}
+}
+
 // possiblyStale reports whether no source has confirmed the configuration lately.
 func (e *Entry) possiblyStale(now time.Time) bool {
 	return e.config.ConfigHeard != nil && now.Sub(e.config.ConfigHeard()) > staleAfter
--- a/entry/server_test.go
+++ b/entry/server_test.go
@@ -267,7 +267,7 @@
 		text      string
 	}{
 		{1, func(c *Config) { c.ConfigHeard = func() time.Time { return time.Now().Add(-time.Minute) } }, 200, "possibly stale"},
-		{0, func(*Config) {}, 200, "no upstream linked for service orders"},
+		{0, func(*Config) {}, 503, "no upstream linked yet"},
 		{1, func(c *Config) { c.Holder = new(contract.Holder) }, 503, "no configuration"},
 	}
 	for _, c := range cases {
@@ -278,6 +278,23 @@
 	}
 }
 
+// Guards against an entry that leaves the load balancer when all upstreams are
+// lost, because then every entry would leave it.
+func TestReadinessOutlivesUpstreams(t *testing.T) {
+	r := newRunner(1)
+	e := newTestEntry(r)
+	if w := call(e, "GET", pathReady, ""); w.Code != 200 {
+		t.Fatalf("with an upstream: %d %s", w.Code, w.Body)
+	}
+	r.mu.Lock()
+	r.upstreams = nil
+	r.mu.Unlock()
+	w := call(e, "GET", pathReady, "")
+	if w.Code != 200 || !strings.Contains(w.Body.String(), "no upstream linked for service orders") {
+		t.Errorf("after the loss: %d %s", w.Code, w.Body)
+	}
+}
+
 // Guards against batch requests that reach the jobs handler without their caller.
 func TestJobsGetTheCaller(t *testing.T) {
 	var got []string
