Keep the stand-in's keys sorted for scans

Cause: a scan of the stand-in sorted all keys, which would dominate measurements of jobs with many chunks.

--- a/standin/platform/objects.go
+++ b/standin/platform/objects.go
@@ -30,7 +30,7 @@
 	}
 	p := o.platform
 	return p.write(ctx, countObjectWrite, func() error {
-		p.objects[key] = object{body: content, written: p.clock.Now()}
+		p.objects.put(key, object{body: content, written: p.clock.Now()})
 		p.stats.BytesWritten += int64(len(content))
 		return nil
 	})
@@ -40,7 +40,7 @@
 	p := o.platform
 	var content []byte
 	err := p.read(ctx, countObjectRead, func() error {
-		found, ok := p.objects[key]
+		found, ok := p.objects.get(key)
 		if !ok {
 			return platform.ErrNotFound
 		}
@@ -57,7 +57,7 @@
 func (o objects) Delete(ctx context.Context, key string) error {
 	p := o.platform
 	return p.write(ctx, countObjectWrite, func() error {
-		delete(p.objects, key)
+		p.objects.remove(key)
 		return nil
 	})
 }
@@ -66,8 +66,8 @@
 	p := o.platform
 	var infos []platform.ObjectInfo
 	err := p.read(ctx, countObjectRead, func() error {
-		for _, key := range selectKeys(p.objects, prefix, after, limit) {
-			found := p.objects[key]
+		for _, key := range p.objects.scan(prefix, after, limit) {
+			found := p.objects.values[key]
 			infos = append(infos, platform.ObjectInfo{Key: key, Bytes: int64(len(found.body)), Written: found.written})
 		}
 		return nil
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -65,9 +65,9 @@
 	random   *rand.Rand
 	reads    *rate.Limiter // nil: no limit
 	writes   *rate.Limiter
-	rows     map[string]platform.Row
+	rows     ordered[platform.Row]
 	sequence uint64 // last row version given out, over all rows
-	objects  map[string]object
+	objects  ordered[object]
 	faults   faults
 	stats    Stats
 	list     instanceHistory
@@ -88,8 +88,8 @@
 		random:  rand.New(rand.NewPCG(config.Seed, config.Seed^0x9e3779b97f4a7c15)),
 		reads:   limiter(config.ReadsPerSecond),
 		writes:  limiter(config.WritesPerSecond),
-		rows:    make(map[string]platform.Row),
-		objects: make(map[string]object),
+		rows:    newOrdered[platform.Row](),
+		objects: newOrdered[object](),
 		list:    instanceHistory{lag: config.InstanceLag},
 	}
 }
--- a/standin/platform/table.go
+++ b/standin/platform/table.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"slices"
-	"strings"
 
 	"github.com/magnoliausher/magnoliausher/platform"
 )
@@ -18,7 +17,7 @@
 func (p *Platform) Get(ctx context.Context, key string) (platform.Row, error) {
 	var row platform.Row
 	err := p.read(ctx, countTableRead, func() error {
-		found, ok := p.rows[key]
+		found, ok := p.rows.get(key)
 		if !ok {
 			return platform.ErrNotFound
 		}
@@ -32,8 +31,8 @@
 func (p *Platform) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
 	var rows []platform.Row
 	err := p.read(ctx, countTableRead, func() error {
-		for _, key := range selectKeys(p.rows, prefix, after, limit) {
-			rows = append(rows, p.readRow(p.rows[key]))
+		for _, key := range p.rows.scan(prefix, after, limit) {
+			rows = append(rows, p.readRow(p.rows.values[key]))
 		}
 		return nil
 	})
@@ -85,12 +84,12 @@
 
 func (p *Platform) conditionsHold(tx platform.Transaction) bool {
 	for _, c := range tx.Conditions {
-		if p.rows[c.Key].Version != c.Version {
+		if p.rows.values[c.Key].Version != c.Version {
 			return false
 		}
 	}
 	for _, w := range tx.Writes {
-		if !w.Always && p.rows[w.Key].Version != w.IfVersion {
+		if !w.Always && p.rows.values[w.Key].Version != w.IfVersion {
 			return false
 		}
 	}
@@ -107,11 +106,11 @@
 		versions = append(versions, p.sequence)
 		p.stats.RowsWritten++
 		if w.Delete {
-			delete(p.rows, w.Key)
+			p.rows.remove(w.Key)
 			continue
 		}
 		p.stats.BytesWritten += int64(len(w.Value))
-		p.rows[w.Key] = platform.Row{Key: w.Key, Version: p.sequence, Value: w.Value}
+		p.rows.put(w.Key, platform.Row{Key: w.Key, Version: p.sequence, Value: w.Value})
 	}
 	return versions
 }
@@ -123,18 +122,6 @@
 	return row
 }
 
-// selectKeys returns at most limit keys with the prefix after a key, in order.
-func selectKeys[V any](entries map[string]V, prefix, after string, limit int) []string {
-	var keys []string
-	for key := range entries {
-		if strings.HasPrefix(key, prefix) && key > after {
-			keys = append(keys, key)
-		}
-	}
-	slices.Sort(keys)
-	return keys[:min(len(keys), max(limit, 0))]
-}
-
 func countTableRead(s *Stats) *int   { return &s.TableReads }
 func countTableWrite(s *Stats) *int  { return &s.TableWrites }
 func countObjectRead(s *Stats) *int  { return &s.ObjectReads }
