Judge broken connections of plain services by the next probe

Cause: a plain service may close one connection alone, which ended every call in progress; a crash noticed by several probes was reported by each of them while a cancelled call had not returned; a body or stream that ignores its context was read on after a cancellation. Change: one broken connection of a plain service ends its own call, and the others when the probe is refused; each attempt is in at most one crash; pumps check their context; a drain lets non-repeatable calls finish. Conclusion: one crash is one report for every kind of evidence.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -75,8 +75,8 @@
 	probeNow    chan struct{}
 	changed     chan struct{} // wakes the notifier
 
-	// mu guards the fields below. No other lock of this package is taken while
-	// it is held, except outbox.mu.
+	// mu guards the fields below. While it is held, only the lock inside seen
+	// is taken, and no call leaves the process.
 	mu            sync.Mutex
 	snap          admission.Snapshot
 	running       map[*admission.Sequence]*task
@@ -87,6 +87,7 @@
 	probed        bool          // a probe has succeeded since the start
 	bootID        string        // of the engine at the last successful probe
 	epoch         uint64        // number of upstream crashes noticed
+	broken        []uint64      // fingerprints of plain calls with a broken connection since the last good probe
 	idle          chan struct{} // closed when nothing runs; nil until someone waits
 }
 
@@ -186,13 +187,14 @@
 }
 
 // Drain refuses new and queued work, ends batch attempts as preempted and
-// waits until the online attempts have finished or ctx ends.
+// waits until the others have finished or ctx ends. Batch calls of plain
+// services that must not be repeated finish too.
 func (a *Agent) Drain(ctx context.Context) error {
 	a.mu.Lock()
 	a.snap.Leaving = true
 	a.refuseQueued(admission.ReasonLeaving)
 	for _, q := range a.snap.Running {
-		if q.Class == contract.ClassBatch && !q.Ending {
+		if q.Class == contract.ClassBatch && !q.Ending && a.mayCancel(q) {
 			a.end(q, errPreempted)
 		}
 	}
@@ -213,6 +215,12 @@
 	}
 }
 
+// mayCancel reports whether a batch attempt can be cancelled and run again.
+// A cancelled non-repeatable call would end with an unknown outcome. Needs mu.
+func (a *Agent) mayCancel(q *admission.Sequence) bool {
+	return a.cfg.Kind == contract.KindEngine || a.running[q].req.Repeatable
+}
+
 // whenIdle returns a channel that is closed when nothing runs. Only used after
 // Leaving is set. Needs mu.
 func (a *Agent) whenIdle() <-chan struct{} {
--- a/agent/control.go
+++ b/agent/control.go
@@ -12,7 +12,7 @@
 // ControlDeps is what the control streams need from the agent.
 type ControlDeps struct {
 	Incarnation uint64
-	Load        func() *rpc.LoadReport // must not be called from within LoadChanged's caller lock; it never blocks
+	Load        func() *rpc.LoadReport // safe for concurrent use; holds no lock of the control side
 }
 
 // Control is the agent's end of the control streams.
--- a/agent/health.go
+++ b/agent/health.go
@@ -81,6 +81,7 @@
 	defer a.mu.Unlock()
 	a.bootID = boot
 	a.probed = true
+	a.broken = nil
 	if !a.snap.Ready {
 		a.snap.Ready = true
 		a.cfg.Logger.Info().Str("agent", a.cfg.ID).Str("boot_id", boot).Msg("upstream is ready")
@@ -113,18 +114,24 @@
 }
 
 func (a *Agent) probeFailed(err error, failures int, since time.Duration) {
-	if failures < probeFailures {
-		return
-	}
 	a.mu.Lock()
 	epoch := a.epoch
-	progress := a.progressSince(since - downProbeInterval)
+	broken := len(a.broken) > 0
+	if failures >= probeFailures {
+		since -= downProbeInterval
+	}
+	progress := a.progressSince(since)
 	a.mu.Unlock()
+	if failures < probeFailures && !broken {
+		return
+	}
 	if refusesConnections(err) && !progress {
 		a.crashed(epoch, "upstream refuses connections")
 		return
 	}
-	a.down()
+	if failures >= probeFailures {
+		a.down()
+	}
 }
 
 // refusesConnections tells a process that is gone from one that is silent.
@@ -166,16 +173,30 @@
 		return
 	}
 	if errors.Is(err, upstream.ErrCrashed) {
-		a.mu.Lock()
-		epoch := t.epoch
-		a.mu.Unlock()
-		a.crashed(epoch, "an attempt's connection ended")
+		a.connectionBroke(t)
 	}
 	if errors.Is(err, upstream.ErrCrashed) || errors.Is(err, upstream.ErrNotSent) || errors.Is(err, upstream.ErrTruncated) {
 		signal(a.probeNow)
 	}
 }
 
+// connectionBroke judges a broken connection. Engines hold their streams open
+// until the end, so it means a crash. A plain service may close one connection
+// alone; it has crashed when the next probe finds that it refuses connections.
+func (a *Agent) connectionBroke(t *task) {
+	a.mu.Lock()
+	epoch := t.epoch
+	if a.cfg.Kind == contract.KindPlain {
+		if t.req.Fingerprint != 0 && epoch == a.epoch {
+			a.broken = append(a.broken, t.req.Fingerprint)
+		}
+		a.mu.Unlock()
+		return
+	}
+	a.mu.Unlock()
+	a.crashed(epoch, "an attempt's connection ended")
+}
+
 // crashed ends every attempt that the upstream may have had and records their
 // fingerprints as suspects. epoch is the number of crashes noticed when the
 // evidence arose, so that one crash with many broken streams is one crash.
@@ -185,16 +206,22 @@
 		a.mu.Unlock()
 		return
 	}
-	a.epoch++
-	a.snap.Ready = false
-	var fingerprints []uint64
+	fingerprints := a.broken
+	a.broken = nil
 	for _, q := range a.snap.Running {
 		t := a.running[q]
-		if t.handed && t.req.Fingerprint != 0 {
+		if t.handed && !t.crashed && t.req.Fingerprint != 0 {
 			fingerprints = append(fingerprints, t.req.Fingerprint)
 		}
+		t.crashed = true // its call may take a while to return
 		a.end(q, errCrashed)
 	}
+	if !a.snap.Ready && len(fingerprints) == 0 {
+		a.mu.Unlock()
+		return // still the same outage
+	}
+	a.epoch++
+	a.snap.Ready = false
 	a.refuseQueued(admission.ReasonUpstreamDown)
 	a.mu.Unlock()
 	if len(fingerprints) > 0 {
--- a/agent/http_test.go
+++ b/agent/http_test.go
@@ -8,7 +8,9 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"connectrpc.com/connect"
@@ -32,7 +34,13 @@
 	return &http.Response{StatusCode: 201, Header: h, Body: io.NopCloser(body)}, nil
 }
 
-func (p fakePlain) Healthy(context.Context) error { return nil }
+func (p fakePlain) Healthy(context.Context) error {
+	if health := p["health"]; health != nil {
+		_, err := health()
+		return err
+	}
+	return nil
+}
 
 type endless struct{}
 
@@ -145,3 +153,65 @@
 		t.Errorf("the stream ended cleanly with %v", last)
 	}
 }
+
+// Guards against one broken connection of a plain service ending other calls,
+// against a crash that spares them, and against a drain that interrupts a call
+// that must not be repeated.
+func TestBrokenConnectionOfPlainService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var down atomic.Bool
+		s := &fakeSuspects{}
+		a, err := New(Config{
+			ID: "p1", Service: "chat", Kind: contract.KindPlain, Slots: 4, Logger: zerolog.Nop(), Suspects: s,
+			Plain: fakePlain{
+				"/slow":   func() (io.Reader, error) { return slow{}, nil },
+				"/broken": func() (io.Reader, error) { return nil, upstream.ErrCrashed },
+				"health": func() (io.Reader, error) {
+					if down.Load() {
+						return nil, upstream.ErrNotSent
+					}
+					return nil, nil
+				},
+			},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := &rig{Agent: a}
+		ctx, cancel := context.WithCancel(t.Context())
+		go a.Run(ctx) //nolint:errcheck
+		synctest.Wait()
+		call := func(path string, fp uint64, class rpc.Class) *outcome {
+			req := r.request(class)
+			req.Path, req.Fingerprint = path, fp
+			return r.submit(t, req)
+		}
+		item := call("/slow", 1, rpc.Class_CLASS_BATCH)
+		if o := call("/broken", 2, rpc.Class_CLASS_ONLINE); !o.last().GetFailed().GetUpstreamCrashed() {
+			t.Errorf("broken call: %v", o.last())
+		}
+		time.Sleep(2 * time.Second)
+		go a.Drain(ctx) //nolint:errcheck
+		time.Sleep(2 * time.Second)
+		if n := a.loadSummary().BatchActive; n != 1 || s.list() != "[]" {
+			t.Errorf("%d batch calls, suspects %s", n, s.list())
+		}
+		a.mu.Lock()
+		a.snap.Leaving = false
+		a.mu.Unlock()
+		down.Store(true)
+		call("/broken", 3, rpc.Class_CLASS_ONLINE)
+		if !item.last().GetFailed().GetUpstreamCrashed() || s.list() != "[[3 1]]" {
+			t.Errorf("after the crash: %v, suspects %s", item.last(), s.list())
+		}
+		cancel()
+	})
+}
+
+// slow gives a byte per second.
+type slow struct{}
+
+func (slow) Read([]byte) (int, error) {
+	time.Sleep(time.Second)
+	return 1, nil
+}
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -224,6 +224,9 @@
 		if err == io.EOF {
 			return t.end(stream.Usage()), nil
 		}
+		if err == nil {
+			err = t.ctx.Err() // the stream may not notice the cancellation
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -291,6 +294,9 @@
 		if err == io.EOF {
 			return t.end(upstream.Usage{}), nil
 		}
+		if err == nil {
+			err = t.ctx.Err() // the body may not notice the cancellation
+		}
 		if err != nil {
 			return nil, err
 		}
--- a/agent/task.go
+++ b/agent/task.go
@@ -58,6 +58,7 @@
 	seq        *admission.Sequence
 	handed     bool // the upstream may have the request
 	released   bool
+	crashed    bool          // was running when a crash was noticed
 	endedAt    time.Duration // when Ending was set
 	epoch      uint64        // crashes noticed before the hand-over
 	besideSeqs int           // sequences at the hand-over
