--- a/agent/fake_test.go
+++ b/agent/fake_test.go
@@ -26,6 +26,7 @@
 	healthy error
 	genErr  error
 	silent  bool
+	stuck   bool // new streams ignore their context
 	streams map[*fakeStream]struct{}
 	handed  map[string]int // attempt id to number of hand-overs
 	peak    int
@@ -46,6 +47,7 @@
 	crash   chan struct{}
 	left    int
 	endless bool
+	stuck   bool
 }
 
 func (e *fakeEngine) Generate(ctx context.Context, req upstream.GenerateRequest) (upstream.TokenStream, error) {
@@ -55,7 +57,10 @@
 		return nil, e.genErr
 	}
 	e.handed[req.AttemptID]++
-	s := &fakeStream{e: e, ctx: ctx, crash: make(chan struct{}), left: e.length, endless: e.length == 0}
+	if e.stuck {
+		ctx = context.WithoutCancel(ctx)
+	}
+	s := &fakeStream{e: e, ctx: ctx, crash: make(chan struct{}), left: e.length, endless: e.length == 0 || e.stuck, stuck: e.stuck}
 	e.streams[s] = struct{}{}
 	e.peak = max(e.peak, len(e.streams))
 	return s, nil
@@ -70,7 +75,7 @@
 	}
 	s.left--
 	var timer <-chan time.Time
-	if !silent {
+	if !silent && !s.stuck {
 		timer = time.After(step)
 	}
 	select {
