--- a/link/fleet_test.go
+++ b/link/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -26,6 +27,7 @@
 	holder   *contract.Holder
 	suspects *poison.Table
 	listener net.Listener
+	stop     func() // closes the server and its connections
 	run      func(context.Context, *connect.Request[rpc.RunRequest], *connect.ServerStream[rpc.RunEvent]) error
 
 	mu   sync.Mutex
@@ -54,6 +56,10 @@
 }
 
 func startAgent(t testing.TB, id, service string, wrap func(net.Listener) net.Listener) *testAgent {
+	return startAgentTLS(t, id, service, wrap, nil)
+}
+
+func startAgentTLS(t testing.TB, id, service string, wrap func(net.Listener) net.Listener, config *tls.Config) *testAgent {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -82,12 +88,13 @@
 	mux := http.NewServeMux()
 	mux.Handle(magnoliausherv1connect.NewAgentHandler(a, HandlerOptions()...))
 	mux.Handle(magnoliausherv1connect.NewPeerHandler(a, HandlerOptions()...))
-	server, err := NewServer(mux, nil)
+	server, err := NewServer(mux, config)
 	if err != nil {
 		t.Fatal(err)
 	}
-	go func() { _ = server.Serve(listener) }()
-	t.Cleanup(func() { _ = server.Close() })
+	go func() { _ = Serve(server, listener) }()
+	a.stop = func() { _ = server.Close() }
+	t.Cleanup(a.stop)
 	return a
 }
 
@@ -100,21 +107,26 @@
 }
 
 func startEntry(t testing.TB, id string, agents ...*testAgent) *testEntry {
+	t.Helper()
+	return startEntryWith(t, EntrySideConfig{ID: id}, nil, agents...)
+}
+
+// startEntryWith starts an entry with further listed instances that do not run.
+func startEntryWith(t testing.TB, cfg EntrySideConfig, listed []platform.Instance, agents ...*testAgent) *testEntry {
 	t.Helper()
 	e := &testEntry{
 		holder:   new(contract.Holder),
 		suspects: poison.NewTable(poison.Config{}),
 		members:  instance.NewTable(instance.Config{}),
 	}
-	list := []platform.Instance{{ID: id, Role: platform.RoleEntry, DataCentre: "mvd-a", State: platform.InstanceLive}}
+	list := append(listed, platform.Instance{ID: cfg.ID, Role: platform.RoleEntry, DataCentre: "mvd-a", State: platform.InstanceLive})
 	for _, a := range agents {
 		list = append(list, a.instance)
 	}
 	e.members.ApplyList(list, 1, time.Now())
-	e.EntrySide = NewEntrySide(EntrySideConfig{
-		ID: id, DataCentre: "mvd-a", Incarnation: 9, Holder: e.holder,
-		Suspects: e.suspects, Members: e.members, Logger: zerolog.Nop(),
-	})
+	cfg.DataCentre, cfg.Incarnation, cfg.Logger = "mvd-a", 9, zerolog.Nop()
+	cfg.Holder, cfg.Suspects, cfg.Members = e.holder, e.suspects, e.members
+	e.EntrySide = NewEntrySide(cfg)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/link/spread_test.go
+++ b/link/spread_test.go
@@ -50,6 +50,10 @@
 	default:
 	}
 
+	eventually(t, "version of an instance two links away", func() bool {
+		return entry2.spread.versionOf("entry-1", time.Now()).Version == 5
+	})
+
 	agent1.SetLeaving()
 	eventually(t, "leaving notice", func() bool { return entry1.Upstreams("chat")[0].Leaving })
 }
--- a/link/transport.go
+++ b/link/transport.go
@@ -172,6 +172,15 @@
 	}, nil
 }
 
+// Serve accepts connections for a server of NewServer, with TLS if it has a
+// configuration. It returns http.ErrServerClosed after Shutdown or Close.
+func Serve(server *http.Server, listener net.Listener) error {
+	if server.TLSConfig == nil {
+		return server.Serve(listener)
+	}
+	return server.ServeTLS(listener, "", "")
+}
+
 // baseURL is the root of an instance's services.
 func baseURL(address string, config *tls.Config) string {
 	if config == nil {
