--- /dev/null
+++ b/job/bench_test.go
@@ -0,0 +1,146 @@
+package job
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
+)
+
+// writesPerChunk is the design page's bound: claim, object and commit.
+const writesPerChunk = 3
+
+// TestPlatformCalls measures platform calls per 1,000 items and guards the
+// design page's bound of writes: three for each chunk, the creation and end of
+// the job, and one renewal transaction of each entry per RenewInterval.
+func TestPlatformCalls(t *testing.T) {
+	for _, size := range []struct{ items, entries, slots int }{{10, 1, 50}, {1000, 2, 50}, {200_000, 4, 500}} {
+		if size.items > 1000 && testing.Short() {
+			continue
+		}
+		synctest.Test(t, func(t *testing.T) {
+			f := newFake()
+			fl := newFleet(size.slots)
+			fl.answer = completes(2 * time.Second)
+			s := NewStore(f)
+			var entries []*entry
+			for rank := range size.entries {
+				entries = append(entries, startEntry(t, f, fl, rank, size.entries))
+			}
+			file, err := s.Upload(t.Context(), "org", "caller", "in", strings.NewReader(inputLines(size.items)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			parts := f.puts
+			start := time.Now()
+			job, err := s.Submit(t.Context(), submission(file, ""))
+			if err != nil {
+				t.Fatal(err)
+			}
+			reads := f.reads
+			j := await(t, s, job.ID, 5*time.Hour)
+			took := time.Since(start)
+			polls := int(took / time.Second) // of await, one read each
+			for _, e := range entries {
+				e.stop(t)
+			}
+			chunks := j.Chunks()
+			per := func(n int) float64 { return float64(n) * 1000 / float64(size.items) }
+			t.Logf("%d items, %d entries, %s: per 1,000 items %.1f commits, %.1f result objects, %.1f part objects, %.1f reads; %d rows and %d KB read in all",
+				size.items, size.entries, took.Round(time.Second), per(f.commits), per(f.puts-parts), per(parts),
+				per(f.reads-reads-polls), f.rowsRead, f.bytesRead>>10)
+			renewals := size.entries * int(took/(RenewInterval*4/5)+2)
+			if n := f.commits + f.puts - parts; n > writesPerChunk*chunks+3+renewals*(1+2*size.slots/ChunkItems) {
+				t.Errorf("%d writes for %d chunks", n, chunks)
+			}
+		})
+	}
+}
+
+// instant answers at once.
+func instant(context.Context, *rpc.RunRequest) []*rpc.RunEvent {
+	return []*rpc.RunEvent{delta("ok", 2), end()}
+}
+
+// BenchmarkItems measures items from upload to the completed job, with agents
+// that answer at once and a platform without latency.
+func BenchmarkItems(b *testing.B) {
+	const items = 20_000
+	for b.Loop() {
+		f := newFake()
+		fl := newFleet(1000)
+		fl.answer = instant
+		e := startEntry(b, f, fl, 0, 1)
+		s := NewStore(f)
+		j := submit(b, s, items, "")
+		signal(e.wake)
+		for {
+			if got, err := s.Job(b.Context(), j.ID); err == nil && got.Status.Final() {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		e.stop(b)
+	}
+	b.ReportMetric(float64(items)*float64(b.N)/b.Elapsed().Seconds(), "items/s")
+}
+
+// BenchmarkUpload measures the validation and storing of an input file.
+func BenchmarkUpload(b *testing.B) {
+	input := inputLines(MaxItems)
+	b.SetBytes(int64(len(input)))
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := NewStore(newFake()).Upload(b.Context(), "org", "caller", "in", strings.NewReader(input)); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkMemory measures the heap of one entry with 10,000 items in progress.
+func BenchmarkMemory(b *testing.B) {
+	const items = 10_000
+	f := newFake()
+	s := NewStore(f)
+	fl := newFleet(items)
+	fl.answer = func(context.Context, *rpc.RunRequest) []*rpc.RunEvent { return []*rpc.RunEvent{nil} }
+	submit(b, s, items, "")
+	before := heap()
+	e := startEntry(b, f, fl, 0, 1)
+	for fl.total() < items {
+		time.Sleep(10 * time.Millisecond)
+	}
+	after := heap()
+	for b.Loop() {
+		runtime.KeepAlive(e)
+	}
+	b.ReportMetric(float64(after-before)/(1<<20), "MB/10k-items")
+	e.stop(b)
+}
+
+func heap() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapInuse + m.StackInuse
+}
+
+// BenchmarkNext measures one scheduling decision over 1,000 running jobs.
+func BenchmarkNext(b *testing.B) {
+	now := time.Now()
+	s := Snapshot{Services: map[string]ServiceView{"m": {Reachable: true}}}
+	for i := range 1000 {
+		s.Jobs = append(s.Jobs, JobView{
+			ID: fmt.Sprint(i), Organisation: fmt.Sprint(i % 100), Service: "m",
+			Created: now, Deadline: now.Add(time.Duration(i+60) * time.Minute),
+		})
+	}
+	for b.Loop() {
+		Next(s, now)
+	}
+}
--- a/job/fleet_test.go
+++ b/job/fleet_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/link"
+	"github.com/magnoliausher/magnoliausher/platform"
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
 )
 
@@ -180,7 +181,7 @@
 	over chan struct{} // the grants have ended
 }
 
-func startEntry(t testing.TB, f *fake, fl *fleet, rank, entries int) *entry {
+func startEntry(t testing.TB, f platform.Platform, fl *fleet, rank, entries int) *entry {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	p := newPort(fl)
@@ -236,3 +237,11 @@
 }
 
 func itoa(n int) string { return strconv.Itoa(n) }
+
+func atoi(s string) int {
+	n, err := strconv.Atoi(s)
+	if err != nil {
+		return -1
+	}
+	return n
+}
--- a/job/history_test.go
+++ b/job/history_test.go
@@ -135,33 +135,66 @@
 	if testing.Short() {
 		seeds = min(seeds, 200)
 	}
-	outcomes := make(map[Status]int)
-	commits := make(map[string]int)
-	for i := range seeds {
-		seed := *historyFirst + uint64(i)
-		var h *history
-		synctest.Test(t, func(t *testing.T) {
-			var end Status
-			h, end = runHistory(t, seed)
-			outcomes[end]++
-		})
-		for _, op := range h.ops {
-			if op.Input.(opInput).kind == opCommit {
-				out := op.Output.(opOutput)
-				commits[fmt.Sprintf("ok %v unknown %v", out.ok, out.unknown)]++
+	var total tally
+	for shard := range historyShards {
+		t.Run(fmt.Sprintf("shard %d", shard), func(t *testing.T) {
+			t.Parallel()
+			for i := shard; i < seeds; i += historyShards {
+				checkHistory(t, *historyFirst+uint64(i), &total)
 			}
+		})
+	}
+	t.Cleanup(func() {
+		t.Logf("%d seeds: outcomes %v, commits %v", seeds, total.outcomes, total.commits)
+		if seeds >= 200 && (total.outcomes[StatusCompleted] == 0 || total.outcomes[StatusCancelled] == 0 || total.commits["lost"] == 0) {
+			t.Error("the histories do not reach both outcomes and lost claims")
 		}
-		if !porcupine.CheckOperations(jobModel, h.ops) {
-			for _, op := range h.ops {
-				t.Logf("%d..%d client %d: %s", op.Call, op.Return, op.ClientId, jobModel.DescribeOperation(op.Input, op.Output))
-			}
-			t.Fatalf("seed %d: no sequential order explains the history", seed)
+	})
+}
+
+// historyShards is the number of seeds that run at the same time.
+const historyShards = 4
+
+// tally counts what the histories reached.
+type tally struct {
+	mu       sync.Mutex
+	outcomes map[Status]int
+	commits  map[string]int
+}
+
+func (c *tally) add(end Status, ops []porcupine.Operation) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.outcomes == nil {
+		c.outcomes, c.commits = make(map[Status]int), make(map[string]int)
+	}
+	c.outcomes[end]++
+	for _, op := range ops {
+		out := op.Output.(opOutput)
+		switch {
+		case op.Input.(opInput).kind != opCommit:
+		case out.unknown:
+			c.commits["open"]++
+		case out.ok:
+			c.commits["done"]++
+		default:
+			c.commits["lost"]++
 		}
 	}
-	t.Logf("%d seeds: outcomes %v, commits %v", seeds, outcomes, commits)
-	if seeds >= 200 && (outcomes[StatusCompleted] == 0 || outcomes[StatusCancelled] == 0 || commits["ok false unknown false"] == 0) {
-		t.Error("the histories do not reach both outcomes and lost claims")
+}
+
+func checkHistory(t *testing.T, seed uint64, total *tally) {
+	var h *history
+	var end Status
+	synctest.Test(t, func(t *testing.T) { h, end = runHistory(t, seed) })
+	total.add(end, h.ops)
+	if porcupine.CheckOperations(jobModel, h.ops) {
+		return
+	}
+	for _, op := range h.ops {
+		t.Logf("%d..%d client %d: %s", op.Call, op.Return, op.ClientId, jobModel.DescribeOperation(op.Input, op.Output))
 	}
+	t.Fatalf("seed %d: no sequential order explains the history", seed)
 }
 
 func runHistory(t *testing.T, seed uint64) (*history, Status) {
--- a/job/runner_test.go
+++ b/job/runner_test.go
@@ -301,3 +301,79 @@
 		}
 	})
 }
+
+// TestRenewal guards against the loss of a live holder's claim while its items
+// take longer than a claim's expiry.
+func TestRenewal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFake()
+		fl := newFleet(30)
+		fl.answer = completes(200 * time.Second)
+		entries := []*entry{startEntry(t, f, fl, 0, 2), startEntry(t, f, fl, 1, 2)}
+		s := NewStore(f)
+		await(t, s, submit(t, s, 200, "").ID, time.Hour)
+		for _, e := range entries {
+			e.stop(t)
+		}
+		if n := fl.total(); n != 200 {
+			t.Errorf("%d runs of 200 items", n)
+		}
+	})
+}
+
+// TestExpiry guards against jobs that run on after their deadline, and against
+// items that have no line in any file.
+func TestExpiry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFake()
+		fl := newFleet(10)
+		fl.answer = func(context.Context, *rpc.RunRequest) []*rpc.RunEvent { return []*rpc.RunEvent{nil} }
+		e := startEntry(t, f, fl, 0, 1)
+		s := NewStore(f)
+		file, _ := s.Upload(t.Context(), "org", "caller", "in", strings.NewReader(inputLines(150)))
+		sub := submission(file, "")
+		sub.Window = time.Hour
+		job, err := s.Submit(t.Context(), sub)
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Hour)
+		j := await(t, s, job.ID, time.Minute)
+		var out bytes.Buffer
+		if err := s.WriteResults(t.Context(), j, true, &out); err != nil || j.Status != StatusExpired ||
+			strings.Count(out.String(), codeExpired) != 150 {
+			t.Errorf("%s, %d bytes, %v", j.Status, out.Len(), err)
+		}
+		e.stop(t)
+	})
+}
+
+// TestStaleHolder guards against new items of a claim that may have expired
+// while this process was paused, and against idle claims in an outage.
+func TestStaleHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFake()
+		fl := newFleet(0)
+		e := startEntry(t, f, fl, 0, 1)
+		submit(t, NewStore(f), 100, "")
+		time.Sleep(7 * time.Second)
+		ready := func(failing bool) bool {
+			e.mu.Lock()
+			for _, h := range e.held {
+				h.renewed = time.Now().Add(-ClaimExpiry)
+			}
+			e.failing = failing
+			e.mu.Unlock()
+			h, it, _ := e.take(testModel, time.Now())
+			if it != nil {
+				e.release(h, it)
+				e.items.Done()
+			}
+			return it != nil
+		}
+		if ready(false) || !ready(true) {
+			t.Error("starts items of a stale claim, or none in an outage")
+		}
+		e.stop(t)
+	})
+}
--- a/job/store_test.go
+++ b/job/store_test.go
@@ -5,7 +5,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,8 +22,8 @@
 func inputLines(n int) string {
 	var b strings.Builder
 	for i := range n {
-		fmt.Fprintf(&b, `{"custom_id":"i%d","method":"POST","url":%q,"body":{"model":%q,"messages":[]}}`+"\n",
-			i, EndpointChat, testModel)
+		fmt.Fprintf(&b, `{"custom_id":"i%d","method":"POST","url":%q,"body":{"model":%q,"messages":["i%d"]}}`+"\n",
+			i, EndpointChat, testModel, i)
 	}
 	return b.String()
 }
@@ -217,13 +219,19 @@
 				func() error { return s.Commit(ctx, c, testResults(c)) },
 			}
 			for i, step := range steps {
-				failures := 1
+				commits := 0
 				f.setFault(func(op, _ string) fault {
-					if op != "commit" || failures == 0 {
+					if op != "commit" {
 						return faultNone
 					}
-					failures--
-					return kind
+					commits++
+					if commits == 1 {
+						return kind
+					}
+					if kind == faultLate && commits == 2 {
+						time.Sleep(2 * time.Second) // the late write is first
+					}
+					return faultNone
 				})
 				for step() != nil {
 					if err := step(); err != nil && !transient(err) {
@@ -240,4 +248,100 @@
 	}
 }
 
+// TestDoneChunkStays guards against a holder that undoes its own commit, whose
+// answer was lost, by a renewal or by returning the chunk.
+func TestDoneChunkStays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := t.Context()
+		f := newFake()
+		s := NewStore(f)
+		j := submit(t, s, 100, "")
+		c, _ := s.Claim(ctx, j, Chunk{}, "a")
+		f.setFault(func(op, _ string) fault {
+			if op == "commit" {
+				return faultLost
+			}
+			return faultNone
+		})
+		if err := s.Commit(ctx, c, testResults(c)); !transient(err) {
+			t.Fatal(err)
+		}
+		f.setFault(nil)
+		before, _ := s.AllChunks(ctx, j.ID)
+		if err := s.Renew(ctx, c); !errors.Is(err, ErrLost) {
+			t.Errorf("renewal: %v", err)
+		}
+		if err := s.Return(ctx, c, nil); !errors.Is(err, ErrLost) {
+			t.Errorf("return: %v", err)
+		}
+		after, _ := s.AllChunks(ctx, j.ID)
+		if after[0].State != ChunkDone || after[0].Version != before[0].Version {
+			t.Errorf("%+v, was %+v", after[0], before[0])
+		}
+		if err := s.Commit(ctx, c, testResults(c)); err != nil {
+			t.Errorf("repeated commit: %v", err)
+		}
+	})
+}
+
+// TestFinishRace guards against two outcomes of one job when cancel, completion
+// and expiry meet.
+func TestFinishRace(t *testing.T) {
+	outcomes := make(map[Status]int)
+	for seed := range uint64(300) {
+		synctest.Test(t, func(t *testing.T) {
+			ctx := t.Context()
+			f := newFake()
+			s := NewStore(f)
+			j := submit(t, s, 100, "")
+			c, _ := s.Claim(ctx, j, Chunk{}, "a")
+			if err := s.Commit(ctx, c, testResults(c)); err != nil {
+				t.Fatal(err)
+			}
+			faults := newFaults(seed, rand.New(rand.NewPCG(seed, 1)))
+			f.latency = faults.latency
+			f.setFault(faults.meet)
+			seen := make([]Status, 3)
+			var wg sync.WaitGroup
+			for i, finish := range []func() (*Job, error){
+				func() (*Job, error) { return s.Cancel(ctx, j.ID) },
+				func() (*Job, error) { return s.Expire(ctx, j.ID) },
+				func() (*Job, error) {
+					if _, err := s.Complete(ctx, j.ID); err != nil {
+						return nil, err
+					}
+					return s.Job(ctx, j.ID)
+				},
+			} {
+				wg.Go(func() {
+					got, err := finish()
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					seen[i] = got.Status
+				})
+			}
+			wg.Wait()
+			time.Sleep(2 * time.Second) // late writes arrive
+			end, err := s.Job(ctx, j.ID)
+			if err != nil {
+				t.Fatal(err)
+			}
+			outcomes[end.Status]++
+			for i, status := range seen {
+				if status != end.Status {
+					t.Errorf("seed %d: finisher %d saw %s, the job ended %s", seed, i, status, end.Status)
+				}
+			}
+			if list, err := NewIndexReader(f).Refresh(ctx); err == nil && len(list) != 0 {
+				t.Errorf("seed %d: an ended job is in the index", seed)
+			}
+		})
+	}
+	if len(outcomes) != 3 {
+		t.Errorf("outcomes %v, want all three", outcomes)
+	}
+}
+
 var _ platform.Platform = (*fake)(nil)
