Settle lost configuration responses over HTTP and allow more racing seeds

Cause: the store was tested only against the stand-in in memory, where a lost response is an error value and not a broken connection. Change: TestLostResponsesOverHTTP; flag -race.seeds of the racing test. The seeds drive the faults and the operators; the order of goroutines and the backoff's jitter are not reproducible.

--- a/contract/linearizability_test.go
+++ b/contract/linearizability_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -203,11 +204,13 @@
 	}},
 }
 
+var raceSeeds = flag.Int("race.seeds", 30, "seeds per scenario of TestRacingOperatorsAreLinearizable")
+
 // Guards against two operators who both win a version, a change that is
 // reported as refused and takes effect, one that takes effect twice, and a
 // configuration that reverts, while responses are lost and the platform fails.
 func TestRacingOperatorsAreLinearizable(t *testing.T) {
-	const seeds = 30
+	seeds := *raceSeeds
 	for _, scenario := range raceScenarios {
 		t.Run(scenario.name, func(t *testing.T) {
 			var accepted, open int
--- a/contract/store_test.go
+++ b/contract/store_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http/httptest"
 	"reflect"
 	"testing"
 	"testing/synctest"
@@ -143,6 +144,30 @@
 	}
 }
 
+// Guards against a connection that breaks after the write took effect, as a
+// real platform's would, and is not taken for a lost response.
+func TestLostResponsesOverHTTP(t *testing.T) {
+	p := standin.New(standin.Config{})
+	server := httptest.NewServer(p.Handler())
+	defer server.Close()
+	client, err := platform.NewClient(platform.ClientConfig{BaseURL: server.URL})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	s := contract.NewStore(platform.NewLimited(client, platform.LimitConfig{}))
+	for base := range uint64(5) {
+		p.LoseNext(2) // the body's and the commit's
+		accept(t, s, base, sheetDocument("2026-03-02", int(base)))
+	}
+	if lost := p.Stats().Lost; lost != 10 {
+		t.Fatalf("%d responses lost, want 10", lost)
+	}
+	if doc, err := s.Load(t.Context()); err != nil || doc.Version != 5 || doc.Revision != 4 {
+		t.Fatalf("in force: %+v, %v", doc, err)
+	}
+}
+
 // Guards against an open outcome that is reported as a refusal, and against a
 // resend that is accepted a second time or refused, also after later changes.
 func TestOpenOutcomeIsSettledByResend(t *testing.T) {
