Document the deadline and the errors of Accept

Cause: without a deadline, Accept retries for as long as an outage lasts. Change: doc comment. Conclusion: callers must set a deadline.

--- a/contract/accept.go
+++ b/contract/accept.go
@@ -98,7 +98,9 @@
 // finds its body.
 //
 // Errors: a finding.List, ConflictError, StaleSheetError, OpenOutcomeError, or
-// a platform error when nothing was changed. Retries end with the context.
+// a platform error when this call changed nothing (the outcome of an earlier
+// call with the same change id is then still open). Retries end only with the
+// context, so it should have a deadline.
 func (s *Store) Accept(ctx context.Context, base uint64, doc *Document, options ...AcceptOption) (uint64, error) {
 	a, err := s.prepare(base, doc, options)
 	if err != nil {
