Shorten the agent's tests with shared checks

Cause: the tests repeated the same checks of an attempt's end. Conclusion: same cases in fewer lines.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -54,20 +54,14 @@
 		}
 		queued := r.submit(t, waits) // the slot frees 200 ms later
 		repeated := r.submit(t, used)
-		if first.last().GetEnd() == nil {
-			t.Errorf("first use: %v", first.last())
-		}
+		first.ended(t)
 		for want, o := range outcomes {
 			if got := o.last().GetRefused().GetReason(); got != want {
 				t.Errorf("got %v, want %s", o.last(), want)
 			}
 		}
-		if got := queued.last().GetRefused().GetReason(); got != "ticket_expired" {
-			t.Errorf("ticket expired in the queue: %v", queued.last())
-		}
-		if got := repeated.last().GetRefused().GetReason(); got != "already_seen" {
-			t.Errorf("repeated: %v", repeated.last())
-		}
+		queued.refused(t, "ticket_expired")
+		repeated.refused(t, "already_seen")
 		for _, req := range []*rpc.RunRequest{foreign, expired, waits} {
 			if r.engine.count(req.AttemptId) != 0 {
 				t.Error("a refused attempt was handed over")
@@ -89,10 +83,7 @@
 		newer := r.submit(t, r.request(batch))
 		time.Sleep(100 * time.Millisecond)
 		o := r.submit(t, r.request(online))
-		failed := newer.last().GetFailed()
-		if !failed.GetPreempted() || failed.GetExecuted() != rpc.Executed_EXECUTED_YES {
-			t.Errorf("newer batch attempt: %v", newer.last())
-		}
+		newer.failed(t, FailedPreempted, rpc.Executed_EXECUTED_YES)
 		if o.last().GetEnd() == nil || older.last().GetEnd() == nil {
 			t.Errorf("online %v, older batch %v", o.last(), older.last())
 		}
--- a/agent/control_test.go
+++ b/agent/control_test.go
@@ -35,16 +35,10 @@
 func (c *fakeControl) DemandChanged() <-chan struct{} { return c.changed }
 func (c *fakeControl) CancelledJobs() <-chan string   { return c.jobs }
 
-func (c *fakeControl) SetLeaving() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.leaving = true
-}
+func (c *fakeControl) SetLeaving() { locked(&c.mu, func() bool { c.leaving = true; return true }) }
 
 func (c *fakeControl) Demands() []EntryDemand {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.demands
+	return locked(&c.mu, func() []EntryDemand { return c.demands })
 }
 
 func (c *fakeControl) Grant(entryID string, items int, _ time.Duration) bool {
@@ -66,6 +60,14 @@
 	return s
 }
 
+// want compares the items granted since the last call.
+func (c *fakeControl) want(t *testing.T, granted, when string) {
+	t.Helper()
+	if got := c.take(); got != granted {
+		t.Errorf("granted %s, want %s %s", got, granted, when)
+	}
+}
+
 func (c *fakeControl) demand(d ...EntryDemand) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -79,21 +81,15 @@
 	inBubble(t, 3, func(t *testing.T, r *rig) {
 		due := time.Now().Add(time.Hour)
 		r.control.demand(EntryDemand{"a", 9, due}, EntryDemand{"b", 1, due})
-		if got := r.control.take(); got != "map[a:2 b:1]" {
-			t.Errorf("granted %s", got)
-		}
+		r.control.want(t, "map[a:2 b:1]", "")
 		var items []*outcome
 		for range 3 {
 			items = append(items, r.submit(t, r.request(batch)))
 		}
 		time.Sleep(150 * time.Millisecond)
-		if got := r.control.take(); got != "map[]" {
-			t.Errorf("granted %s on full slots", got)
-		}
+		r.control.want(t, "map[]", "on full slots")
 		items[0].cancel()
-		if got := r.control.take(); got != "map[a:1]" {
-			t.Errorf("granted %s for a freed slot", got)
-		}
+		r.control.want(t, "map[a:1]", "for a freed slot")
 		for _, o := range items[1:] {
 			o.last()
 		}
@@ -102,9 +98,7 @@
 		}
 		r.control.take()
 		time.Sleep(grantValidity - 100*time.Millisecond)
-		if got := r.control.take(); got != "map[]" {
-			t.Errorf("granted %s beside valid grants", got)
-		}
+		r.control.want(t, "map[]", "beside valid grants")
 		time.Sleep(2 * grantInterval)
 		if got := r.control.take(); got != "map[a:2 b:1]" && got != "map[a:3]" {
 			t.Errorf("granted %s after grants lapsed", got)
@@ -130,9 +124,7 @@
 		waiting := r.submit(t, r.request(online))
 		r.control.demand(EntryDemand{"a", 9, time.Now().Add(time.Hour)})
 		time.Sleep(time.Second)
-		if got := r.control.take(); got != "map[]" {
-			t.Errorf("granted %s", got)
-		}
+		r.control.want(t, "map[]", "")
 		drained := make(chan error, 1)
 		go func() { drained <- r.Drain(t.Context()) }()
 		waiting.last()
@@ -154,14 +146,10 @@
 		mine.JobId, other.JobId = "j1", "j2"
 		cancelled, kept := r.submit(t, mine), r.submit(t, other)
 		r.control.jobs <- "j1"
-		if got := cancelled.last().GetFailed().GetReason(); got != FailedJobCancelled {
-			t.Errorf("item of the job: %v", cancelled.last())
-		}
+		cancelled.failed(t, FailedJobCancelled, rpc.Executed_EXECUTED_YES)
 		later := r.request(batch)
 		later.JobId = "j1"
-		if got := r.submit(t, later).last().GetRefused().GetReason(); got != "job_cancelled" {
-			t.Errorf("later item: %q", got)
-		}
+		r.submit(t, later).refused(t, "job_cancelled")
 		if n := r.engine.open(); n != 1 {
 			t.Errorf("%d streams", n)
 		}
--- a/agent/fake_test.go
+++ b/agent/fake_test.go
@@ -30,8 +30,6 @@
 	streams map[*fakeStream]struct{}
 	handed  map[string]int // attempt id to number of hand-overs
 	peak    int
-	events  []upstream.CacheEvent
-	resyncs int
 }
 
 func newFakeEngine() *fakeEngine {
@@ -91,21 +89,19 @@
 func (s *fakeStream) Usage() upstream.Usage { return upstream.Usage{FinishReason: "stop"} }
 
 func (s *fakeStream) Close() error {
-	s.e.mu.Lock()
-	defer s.e.mu.Unlock()
-	delete(s.e.streams, s)
+	s.e.set(func() { delete(s.e.streams, s) })
 	return nil
 }
 
 // crash breaks every stream and restarts the engine under a new boot id.
 func (e *fakeEngine) crash(boot string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for s := range e.streams {
-		close(s.crash)
-		delete(e.streams, s)
-	}
-	e.boot = boot
+	e.set(func() {
+		for s := range e.streams {
+			close(s.crash)
+			delete(e.streams, s)
+		}
+		e.boot = boot
+	})
 }
 
 func (e *fakeEngine) set(change func()) {
@@ -114,21 +110,23 @@
 	change()
 }
 
-func (e *fakeEngine) count(id string) int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.handed[id]
+// locked returns f's value, computed under mu.
+func locked[T any](mu *sync.Mutex, f func() T) T {
+	mu.Lock()
+	defer mu.Unlock()
+	return f()
 }
 
+// count is how often the attempt was handed over.
+func (e *fakeEngine) count(id string) int { return locked(&e.mu, func() int { return e.handed[id] }) }
+
+// open is the number of streams that the engine runs.
+func (e *fakeEngine) open() int { return locked(&e.mu, func() int { return len(e.streams) }) }
+
 func (e *fakeEngine) Load(context.Context) (upstream.Load, error) { return upstream.Load{}, nil }
 
 func (e *fakeEngine) CacheEvents(_ context.Context, after uint64) ([]upstream.CacheEvent, bool, error) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if after == 0 {
-		e.resyncs++
-	}
-	return e.events, after == 0, nil
+	return nil, after == 0, nil
 }
 
 func (e *fakeEngine) Order(context.Context, upstream.Order) error { return nil }
@@ -153,9 +151,7 @@
 }
 
 func (f *fakeSuspects) Status(fp uint64, _ time.Time) SuspectStatus {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.status[fp]
+	return locked(&f.mu, func() SuspectStatus { return f.status[fp] })
 }
 
 // rig is a running agent in a synctest bubble.
@@ -229,16 +225,40 @@
 	return o
 }
 
-// open is the number of streams that the engine runs.
-func (e *fakeEngine) open() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return len(e.streams)
-}
-
 // list prints the fingerprints of each crash.
 func (f *fakeSuspects) list() string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return fmt.Sprint(f.crashes)
+	return locked(&f.mu, func() string { return fmt.Sprint(f.crashes) })
+}
+
+func (f *fakeSuspects) want(t *testing.T, crashes string) {
+	t.Helper()
+	if got := f.list(); got != crashes {
+		t.Errorf("suspects %s, want %s", got, crashes)
+	}
+}
+
+// refused fails the test unless the attempt ended as refused for the reason.
+func (o *outcome) refused(t *testing.T, reason string) {
+	t.Helper()
+	if got := o.last().GetRefused().GetReason(); got != reason {
+		t.Errorf("ended with %v, want refusal %s", o.last(), reason)
+	}
+}
+
+// ended fails the test unless the answer was complete.
+func (o *outcome) ended(t *testing.T) {
+	t.Helper()
+	if o.last().GetEnd() == nil {
+		t.Errorf("ended with %v", o.last())
+	}
+}
+
+// failed fails the test unless the attempt ended as failed that way.
+func (o *outcome) failed(t *testing.T, reason string, executed rpc.Executed) {
+	t.Helper()
+	f := o.last().GetFailed()
+	flags := f.GetUpstreamCrashed() == (reason == FailedCrashed) && f.GetPreempted() == (reason == FailedPreempted)
+	if f.GetReason() != reason || f.GetExecuted() != executed || !flags {
+		t.Errorf("ended with %v, want failure %s, executed %v", o.last(), reason, executed)
+	}
 }
--- a/agent/fault_test.go
+++ b/agent/fault_test.go
@@ -21,6 +21,7 @@
 	}
 	for name, crash := range evidence {
 		inBubble(t, 2, func(t *testing.T, r *rig) {
+			t.Log(name)
 			r.engine.set(func() { r.engine.length = 0 })
 			var running []*outcome
 			for i := range 3 {
@@ -31,23 +32,14 @@
 			time.Sleep(100 * time.Millisecond)
 			crash(r.engine)
 			for _, o := range running[:2] {
-				f := o.last().GetFailed()
-				if !f.GetUpstreamCrashed() || f.GetExecuted() != rpc.Executed_EXECUTED_YES {
-					t.Errorf("%s: running attempt ended with %v", name, o.last())
-				}
-			}
-			if got := running[2].last().GetRefused().GetReason(); got != "upstream_down" {
-				t.Errorf("%s: queued attempt ended with %v", name, running[2].last())
+				o.failed(t, FailedCrashed, rpc.Executed_EXECUTED_YES)
 			}
+			running[2].refused(t, "upstream_down")
 			time.Sleep(3 * time.Second)
-			if got := r.suspects.list(); got != "[[1 2]]" {
-				t.Errorf("%s: suspects %s", name, got)
-			}
+			r.suspects.want(t, "[[1 2]]")
 			r.engine.set(func() { r.engine.healthy, r.engine.silent, r.engine.length = nil, false, 3 })
 			time.Sleep(time.Second)
-			if again := r.submit(t, r.request(online)); again.last().GetEnd() == nil {
-				t.Errorf("%s: after the restart: %v", name, again.last())
-			}
+			r.submit(t, r.request(online)).ended(t)
 		})
 	}
 }
@@ -61,10 +53,7 @@
 		o := r.submit(t, req)
 		time.Sleep(50 * time.Millisecond)
 		r.engine.set(func() { r.engine.silent, r.engine.healthy = true, context.DeadlineExceeded })
-		f := o.last().GetFailed()
-		if f.GetReason() != FailedSilent || f.GetExecuted() != rpc.Executed_EXECUTED_YES {
-			t.Errorf("ended with %v", o.last())
-		}
+		o.failed(t, FailedSilent, rpc.Executed_EXECUTED_YES)
 		if r.suspects.list() != "[]" {
 			t.Errorf("suspects %s", r.suspects.list())
 		}
@@ -81,15 +70,9 @@
 		go func() { drained <- r.Drain(t.Context()) }()
 		synctest.Wait()
 		late := r.submit(t, r.request(online))
-		if got := late.last().GetRefused().GetReason(); got != "leaving" {
-			t.Errorf("new work: %v", late.last())
-		}
-		if !item.last().GetFailed().GetPreempted() {
-			t.Errorf("batch: %v", item.last())
-		}
-		if running.last().GetEnd() == nil {
-			t.Errorf("online: %v", running.last())
-		}
+		late.refused(t, "leaving")
+		item.failed(t, FailedPreempted, rpc.Executed_EXECUTED_YES)
+		running.ended(t)
 		if err := <-drained; err != nil {
 			t.Errorf("drain: %v", err)
 		}
@@ -130,9 +113,7 @@
 			_ = o.last()
 			time.Sleep(time.Second)
 		}
-		if got := r.suspects.list(); got != "[[9] [9]]" {
-			t.Errorf("suspects %s", got)
-		}
+		r.suspects.want(t, "[[9] [9]]")
 	})
 }
 
@@ -150,9 +131,7 @@
 			t.Errorf("events %v", o.events)
 		}
 		time.Sleep(20 * time.Second)
-		if got := r.suspects.list(); got != "[[3]]" {
-			t.Errorf("suspects %s", got)
-		}
+		r.suspects.want(t, "[[3]]")
 	})
 }
 
@@ -186,9 +165,7 @@
 		if n := r.engine.open(); n != 1 {
 			t.Errorf("%d streams after the entry left", n)
 		}
-		if f := late.last().GetFailed(); f.GetReason() != FailedDeadline {
-			t.Errorf("deadline: %v", late.last())
-		}
+		late.failed(t, FailedDeadline, rpc.Executed_EXECUTED_YES)
 		if n := r.engine.open(); n != 0 {
 			t.Errorf("%d streams after the deadline", n)
 		}
@@ -213,9 +190,7 @@
 		}()
 		synctest.Wait()
 		r.engine.set(func() { r.engine.length = 5 })
-		if o := r.submit(t, r.request(online)); o.last().GetEnd() == nil {
-			t.Errorf("other reader: %v", o.last())
-		}
+		r.submit(t, r.request(online)).ended(t)
 		time.Sleep(3 * time.Second)
 		if n := r.engine.open(); n != 0 {
 			t.Errorf("%d streams with a stopped reader", n)
@@ -237,10 +212,7 @@
 		} {
 			r.engine.set(func() { r.engine.genErr = err })
 			o := r.submit(t, r.request(online))
-			f := o.last().GetFailed()
-			if f.GetReason() != want || f.GetExecuted() != rpc.Executed_EXECUTED_NO {
-				t.Errorf("%s: %v", want, o.last())
-			}
+			o.failed(t, want, rpc.Executed_EXECUTED_NO)
 		}
 	})
 }
@@ -261,9 +233,7 @@
 			t.Errorf("ended with %v", o.last())
 		default:
 		}
-		if got := r.submit(t, r.request(online)).last().GetRefused().GetReason(); got != "upstream_down" {
-			t.Errorf("new work beside a failing probe: %q", got)
-		}
+		r.submit(t, r.request(online)).refused(t, "upstream_down")
 		o.cancel()
 	})
 }
--- a/agent/queue_test.go
+++ b/agent/queue_test.go
@@ -10,13 +10,9 @@
 func TestGrantsAreBoundedByDemand(t *testing.T) {
 	inBubble(t, 3, func(t *testing.T, r *rig) {
 		r.control.demand(EntryDemand{"a", 1, time.Now()})
-		if got := r.control.take(); got != "map[a:1]" {
-			t.Errorf("granted %s", got)
-		}
+		r.control.want(t, "map[a:1]", "")
 		time.Sleep(3 * grantInterval)
-		if got := r.control.take(); got != "map[]" {
-			t.Errorf("granted %s beyond the demand", got)
-		}
+		r.control.want(t, "map[]", "beyond the demand")
 	})
 }
 
@@ -27,9 +23,7 @@
 		r.engine.set(func() { r.engine.stuck = true })
 		r.submit(t, r.request(batch))
 		r.engine.set(func() { r.engine.stuck = false })
-		if o := r.submit(t, r.request(online)); o.last().GetEnd() == nil {
-			t.Errorf("online: %v", o.last())
-		}
+		r.submit(t, r.request(online)).ended(t)
 		r.engine.crash("2") // lets the stuck call return
 	})
 }
@@ -50,9 +44,7 @@
 		r.suspects.status[2] = Suspect
 		r.suspects.mu.Unlock()
 		short.last()
-		if got := o.last().GetRefused().GetReason(); got != "suspect_already_running" {
-			t.Errorf("queued: %v", o.last())
-		}
+		o.refused(t, "suspect_already_running")
 		running.cancel()
 	})
 }
@@ -70,9 +62,7 @@
 		synctest.Wait()
 		select {
 		case <-o.done:
-			if got := o.last().GetRefused().GetReason(); got != "deadline_cannot_be_met" {
-				t.Errorf("refused with %q", got)
-			}
+			o.refused(t, "deadline_cannot_be_met")
 		default:
 			t.Error("still queued")
 		}
