Bound granted batch prompts and suggest when to retry

Cause: without online work, room allowed as many batch prompts at once as slots; they delay the next online attempt or are cancelled with their work. Change: grants stop at one first-token target of pending prompts, and a batch item's first token looks for room again; refusals carry the least wait. Conclusion: fewer prompts stand in front of an arriving online attempt.

--- a/admission/decide.go
+++ b/admission/decide.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 
 	"github.com/magnoliausher/magnoliausher/contract"
@@ -83,11 +84,28 @@
 	if s.Leaving || !s.Ready || len(s.Queued) > 0 {
 		return 0
 	}
-	room := batchSlots(s)
-	if s.Kind == contract.KindEngine && s.Tally.Online > 0 {
-		room = min(room, s.Budget.items(max(s.BatchPrompt, 1)))
+	room := batchSlots(s) - s.Granted
+	if s.Kind == contract.KindPlain {
+		return max(0, room)
+	}
+	if s.Tally.Online > 0 {
+		room = min(room, s.Budget.items(max(s.BatchPrompt, 1))-s.Granted)
+	} else {
+		room = min(room, promptRoom(s))
+	}
+	return max(0, room)
+}
+
+// promptRoom is the number of batch items whose prompts the engine computes
+// within the first-token target. More would not run faster, and their prompts
+// would be in the way of the next online attempt.
+func promptRoom(s *Snapshot) int {
+	if s.BatchPrompt == 0 {
+		return s.Slots // no item has been seen yet
 	}
-	return max(0, room-s.Granted)
+	pending := s.Tally.BatchPrompt + s.Granted*s.BatchPrompt
+	free := FirstTokenTarget.Seconds()*s.Model.PromptRate - float64(pending)
+	return int(math.Ceil(free / float64(s.BatchPrompt)))
 }
 
 // batchSlots is the number of batch sequences that fit beside the running ones,
--- a/admission/decide_test.go
+++ b/admission/decide_test.go
@@ -198,6 +198,24 @@
 	properties.TestingRun(t)
 }
 
+// Guards against grants that pile up prompts in front of the next online
+// attempt, and against an engine left without batch prompts.
+func TestRoomBoundsPendingPrompts(t *testing.T) {
+	properties := gopter.NewProperties(nil)
+	properties.Property("about one first-token target of prompts", prop.ForAll(
+		func(prompt, pending, granted int) bool {
+			s := newSimulation(1, contract.KindEngine, 1000).s
+			s.BatchPrompt, s.Granted = prompt, granted
+			s.Tally.BatchPrompt = pending
+			total := pending + (granted+Room(s))*prompt
+			bound := FirstTokenTarget.Seconds() * s.Model.PromptRate
+			return (Room(s) == 0 || total < int(bound)+prompt) && (Room(s) > 0 || total >= int(bound))
+		},
+		gen.IntRange(10, 20000), gen.IntRange(0, 20000), gen.IntRange(0, 20),
+	))
+	properties.TestingRun(t)
+}
+
 // Guards against batch prompts that lengthen more than 5% of the steps beside
 // online work, or that never start.
 func TestPromptBudgetKeepsShare(t *testing.T) {
--- a/admission/snapshot.go
+++ b/admission/snapshot.go
@@ -47,6 +47,27 @@
 	ReasonJobCancelled     Reason = "job_cancelled"
 )
 
+// Waits before another attempt at the same agent makes sense.
+const (
+	retryAfterQueue = 100 * time.Millisecond // a few slots turn over
+	retryAfterBatch = 500 * time.Millisecond // the next grant usually comes first
+	retryAfterDown  = time.Second            // the next probe
+)
+
+// RetryAfter is the least wait before the same agent may decide otherwise,
+// 0 when waiting doesn't help or the entry should choose another agent.
+func (r Reason) RetryAfter() time.Duration {
+	switch r {
+	case ReasonQueueFull, ReasonSuspectRunning:
+		return retryAfterQueue
+	case ReasonOnlineWaiting, ReasonNoBatchRoom, ReasonSeenSetFull:
+		return retryAfterBatch
+	case ReasonUpstreamDown:
+		return retryAfterDown
+	}
+	return 0
+}
+
 // Sequence is one attempt that occupies a slot of the upstream.
 type Sequence struct {
 	ID           attempt.ID
--- a/agent/meter.go
+++ b/agent/meter.go
@@ -65,7 +65,9 @@
 	s.Model = s.Model.ObserveFirstToken(t.besideSeqs, t.aheadOfIt, elapsed)
 	if t.class == contract.ClassOnline {
 		s.FirstToken = smooth(s.FirstToken, now-t.ask.Arrival)
+		return
 	}
+	a.notify() // a computed batch prompt makes room for the next
 }
 
 func (a *Agent) observeInterval(t *task, interval time.Duration) {
--- a/agent/task.go
+++ b/agent/task.go
@@ -116,7 +116,10 @@
 
 func (t *task) refused(r admission.Reason) *rpc.RunEvent {
 	e := t.event()
-	e.Event = &rpc.RunEvent_Refused{Refused: &rpc.Refused{Reason: string(r)}}
+	e.Event = &rpc.RunEvent_Refused{Refused: &rpc.Refused{
+		Reason:       string(r),
+		RetryAfterMs: uint32(r.RetryAfter() / time.Millisecond),
+	}}
 	return e
 }
 
