Fit the agent's reports and grants to the control side

Cause: the control side sends a complete list of prefixes as changes itself, and names the entry of an attempt in a header. Change: reports hold the complete list of the 256 newest prefixes; riding reports come from the control side when it offers them; grants are used up by their own entry and honoured 250 ms longer; a demand without due time is the least urgent; a preemption is counted once. Conclusion: one place computes the changes of a stream.

--- a/agent/cache.go
+++ b/agent/cache.go
@@ -13,14 +13,9 @@
 
 const (
 	cachePollInterval = 500 * time.Millisecond
-	// cachePrefixLimit bounds the prefixes in a report to 1 KiB.
-	cachePrefixLimit = 128
-	// Complete lists are sent for cacheCompleteFor at the start of each
-	// cachePeriod. Reports are at most 2 s apart, so every stream gets one.
-	// Later reports hold all changes since the start of the period, so that
-	// a lost report or another stream's reports make no difference.
-	cachePeriod      = 30 * time.Second
-	cacheCompleteFor = 2500 * time.Millisecond
+	// cachePrefixLimit bounds the prefixes of a report to 2 KiB. The control
+	// streams send only the changes.
+	cachePrefixLimit = 256
 )
 
 // cacheState is what the engine's events tell of its prefix cache.
@@ -30,10 +25,7 @@
 	synced   bool              // no gap since the last complete list
 	order    map[uint64]uint64 // prefix to the sequence that cached it
 
-	listed        bool                // a complete list arrived since the last report
-	periodStart   time.Duration       // agent's monotonic time; 0 before the first report
-	completeUntil time.Duration       // agent's monotonic time
-	touched       map[uint64]struct{} // prefixes changed since periodStart
+	list []uint64 // newest first; nil after a change; never modified once made
 }
 
 // apply takes events after the known sequence. It reports false on a gap.
@@ -46,7 +38,7 @@
 	if complete {
 		c.order = make(map[uint64]uint64, len(events))
 		c.synced = true
-		c.listed = true
+		c.list = nil
 	}
 	for _, e := range events {
 		if !complete {
@@ -65,10 +57,7 @@
 
 func (c *cacheState) set(e upstream.CacheEvent) {
 	c.sequence = max(c.sequence, e.Sequence)
-	if c.touched == nil {
-		c.touched = make(map[uint64]struct{})
-	}
-	c.touched[e.Prefix] = struct{}{}
+	c.list = nil
 	if e.Evicted {
 		delete(c.order, e.Prefix)
 		return
@@ -86,7 +75,7 @@
 	c.sequence = 0
 	c.order = nil
 	c.synced = false
-	c.listed = true
+	c.list = nil
 }
 
 // after is the sequence to ask from: 0 asks for a resynchronisation.
@@ -99,29 +88,20 @@
 	return c.sequence
 }
 
-// fill writes the complete list or the changes since it into a report.
-func (c *cacheState) fill(r *rpc.LoadReport, now time.Duration) {
+// fill writes the most recently cached prefixes into a report. Between a gap
+// and the next complete list there is nothing to report.
+func (c *cacheState) fill(r *rpc.LoadReport) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	r.CacheSequence = c.sequence
-	if c.listed || now-c.periodStart >= cachePeriod || len(c.touched) > cachePrefixLimit {
-		c.listed = false
-		c.periodStart = now
-		c.completeUntil = now + cacheCompleteFor
-		clear(c.touched)
-	}
-	if now < c.completeUntil {
-		r.CachedPrefixes = c.newest()
-		r.CacheComplete = true
+	if !c.synced {
 		return
 	}
-	for p := range c.touched {
-		if _, ok := c.order[p]; ok {
-			r.CachedPrefixes = append(r.CachedPrefixes, p)
-		} else {
-			r.EvictedPrefixes = append(r.EvictedPrefixes, p)
-		}
+	if c.list == nil {
+		c.list = c.newest()
 	}
+	r.CacheSequence = c.sequence
+	r.CachedPrefixes = c.list
+	r.CacheComplete = true
 }
 
 func (a *Agent) cacheLoop(ctx context.Context) error {
--- a/agent/control.go
+++ b/agent/control.go
@@ -28,11 +28,19 @@
 	CancelledJobs() <-chan string
 }
 
+// ridingLoader is implemented by control sides that know when an entry last
+// got a report. Without it, each stream of attempts gets its own.
+type ridingLoader interface {
+	// RidingLoad returns the report for the next event to an entry, or nil when
+	// none is due.
+	RidingLoad(entryID string) *rpc.LoadReport
+}
+
 // EntryDemand is the batch work that one entry holds for the service.
 type EntryDemand struct {
 	EntryID     string
 	Items       int
-	EarliestDue time.Time
+	EarliestDue time.Time // zero: not urgent
 }
 
 // SuspectStatus is what the fleet knows of a request's fingerprint.
--- a/agent/grants.go
+++ b/agent/grants.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/magnoliausher/magnoliausher/admission"
@@ -11,13 +12,15 @@
 const (
 	// grantValidity bounds how long an entry may hold room without using it.
 	grantValidity = time.Second
+	// grantGrace covers the way of the grant and of the attempt, because entries
+	// count the validity from the arrival.
+	grantGrace = 250 * time.Millisecond
 	// grantInterval is how often room is looked for without a change, because
 	// lapsed grants and the prompt budget free room with time.
 	grantInterval = 100 * time.Millisecond
 )
 
-// grant is an unused permission. Attempts don't name the entry, so the oldest
-// grants count as used first.
+// grant is an unused permission.
 type grant struct {
 	entryID string
 	items   int
@@ -72,17 +75,25 @@
 		open = append(open, admission.EntryDemand{
 			EntryID: d.EntryID,
 			Items:   d.Items - a.granted(d.EntryID),
-			Due:     now + d.EarliestDue.Sub(wall),
+			Due:     dueTime(d.EarliestDue, wall, now),
 		})
 	}
 	a.grantTurn++
 	plan := admission.Spread(room, open, a.grantTurn)
 	for _, g := range plan {
-		a.grants = append(a.grants, grant{entryID: g.EntryID, items: g.Items, until: now + grantValidity})
+		a.grants = append(a.grants, grant{entryID: g.EntryID, items: g.Items, until: now + grantValidity + grantGrace})
 	}
 	return plan
 }
 
+// dueTime converts a wall time to the agent's monotonic time.
+func dueTime(due, wall time.Time, now time.Duration) time.Duration {
+	if due.IsZero() {
+		return math.MaxInt64
+	}
+	return now + due.Sub(wall)
+}
+
 // granted needs mu.
 func (a *Agent) granted(entryID string) int {
 	n := 0
@@ -108,11 +119,13 @@
 	return items
 }
 
-// useGrant counts one item of the oldest grant as started. Needs mu.
-func (a *Agent) useGrant() {
+// useGrant counts one item of the entry's oldest grant as started, of any
+// entry's when the entry is unknown. Needs mu.
+func (a *Agent) useGrant(entryID string) {
 	for i := range a.grants {
-		if a.grants[i].items > 0 {
-			a.grants[i].items--
+		g := &a.grants[i]
+		if g.items > 0 && (entryID == "" || entryID == g.entryID) {
+			g.items--
 			a.snap.Granted = max(0, a.snap.Granted-1)
 			return
 		}
--- a/agent/report.go
+++ b/agent/report.go
@@ -9,7 +9,7 @@
 // Load is the report for the control streams, with the engine's cached prefixes.
 func (a *Agent) Load() *rpc.LoadReport {
 	r := a.loadSummary()
-	a.cache.fill(r, a.now())
+	a.cache.fill(r)
 	return r
 }
 
--- a/agent/scheduler.go
+++ b/agent/scheduler.go
@@ -159,7 +159,7 @@
 	a.snap.Running = append(a.snap.Running, t.seq)
 	a.snap.Tally.Add(t.seq)
 	if t.class == contract.ClassBatch {
-		a.useGrant()
+		a.useGrant(t.entryID)
 		a.observeBatchPrompt(t.ask.PromptTokens)
 		a.snap.Budget = a.snap.Budget.Spend(t.ask.PromptTokens)
 	} else {
@@ -190,10 +190,10 @@
 		q.Ending = true
 		a.snap.Tally.Add(q)
 		t.endedAt = a.now()
-	}
-	if cause == errPreempted {
-		a.meter.resetInterval(&a.snap)
-		metric.Preempted(a.cfg.Service)
+		if cause == errPreempted {
+			a.meter.resetInterval(&a.snap)
+			metric.Preempted(a.cfg.Service)
+		}
 	}
 	t.cancel(cause)
 }
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -27,6 +27,9 @@
 	plainChunk = 32 << 10
 )
 
+// EntryHeader names the entry that runs an attempt, for its grants and reports.
+const EntryHeader = "Magnoliausher-Entry"
+
 type controllerKey struct{}
 
 // Handler serves the RPCs of the agent, /healthz, /readyz and /metrics. The
@@ -75,12 +78,13 @@
 
 // Run performs one attempt.
 func (s agentService) Run(ctx context.Context, req *connect.Request[rpc.RunRequest], stream *connect.ServerStream[rpc.RunEvent]) error {
-	return s.a.serve(ctx, req.Msg, stream.Send)
+	return s.a.serve(ctx, req.Header().Get(EntryHeader), req.Msg, stream.Send)
 }
 
-// serve performs one attempt and passes its events to send, in order.
-func (a *Agent) serve(ctx context.Context, req *rpc.RunRequest, send func(*rpc.RunEvent) error) error {
-	t := a.newTask(ctx, req)
+// serve performs one attempt of an entry, "" when unknown, and passes its
+// events to send, in order.
+func (a *Agent) serve(ctx context.Context, entryID string, req *rpc.RunRequest, send func(*rpc.RunEvent) error) error {
+	t := a.newTask(ctx, entryID, req)
 	defer t.cancel(errEntryGone)
 	reason := a.arrive(t)
 	if reason == admission.ReasonNone {
@@ -122,7 +126,7 @@
 func (a *Agent) forward(ctx context.Context, t *task, send func(*rpc.RunEvent) error) error {
 	stopGuard := a.guardReader(ctx, t)
 	defer stopGuard()
-	var reported time.Duration = -reportInterval
+	load := a.ridingLoads(t.entryID)
 	for {
 		select {
 		case <-t.out.ready:
@@ -132,10 +136,7 @@
 		}
 		events, done := t.out.take()
 		for _, e := range events {
-			if now := a.now(); now-reported >= reportInterval {
-				reported = now
-				e.Load = a.loadSummary()
-			}
+			e.Load = load()
 			if err := send(e); err != nil {
 				t.cancel(errEntryGone)
 				return err
@@ -147,6 +148,23 @@
 	}
 }
 
+// ridingLoads returns a function that gives the report for the next event of
+// one stream, or nil when none is due.
+func (a *Agent) ridingLoads(entryID string) func() *rpc.LoadReport {
+	if r, ok := a.control.(ridingLoader); ok && entryID != "" {
+		return func() *rpc.LoadReport { return r.RidingLoad(entryID) }
+	}
+	due := time.Duration(0)
+	return func() *rpc.LoadReport {
+		now := a.now()
+		if now < due {
+			return nil
+		}
+		due = now + reportInterval
+		return a.loadSummary()
+	}
+}
+
 // guardReader ends a blocked send once the attempt is cancelled for its slow
 // reader, because the reader may never read again. stop must be called before
 // the handler returns; a response must not be touched after that.
--- a/agent/task.go
+++ b/agent/task.go
@@ -42,6 +42,7 @@
 
 // task is one attempt at this agent.
 type task struct {
+	entryID string // "" when unknown
 	req     *rpc.RunRequest
 	class   contract.Class
 	ask     *admission.Queued
@@ -70,9 +71,10 @@
 	produced  int
 }
 
-func (a *Agent) newTask(ctx context.Context, req *rpc.RunRequest) *task {
+func (a *Agent) newTask(ctx context.Context, entryID string, req *rpc.RunRequest) *task {
 	now := a.now()
 	t := &task{
+		entryID: entryID,
 		req:     req,
 		class:   contract.ClassOnline,
 		out:     newOutbox(a.cfg.BufferBytes),
