Replace an online connection after an unanswered attempt

Cause: until the 3.5 s ping limit, attempts rerouted from a silent connection were followed by others on it. Change: closing an online attempt before any event probes the connection; when a new connection fails too, the control stream is reopened and the agent counts as silent until it answers. Events of attempts count as heard. Conclusion: 250 ms for the reroute and two probes of 700 ms stay below 2 s.

--- a/link/entrylink.go
+++ b/link/entrylink.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -37,6 +38,8 @@
 	stop  context.CancelFunc
 	done  chan struct{} // closed when run returned
 
+	checking atomic.Bool // a check of the online connection runs
+
 	mu         sync.Mutex
 	view       Upstream // Leaving and Weight are completed by the membership
 	retired    bool     // outside the subset; no new work
@@ -45,6 +48,7 @@
 	openedAt   time.Time
 	running    int // attempts of all classes
 	peer       *peer
+	cancel     context.CancelCauseFunc // ends the present stream
 	clients    [classCount]*classClient
 	demandSent Demand // last announced on the present stream
 	demandAt   time.Time
@@ -104,7 +108,7 @@
 
 	p := l.side.spread.newPeer()
 	defer l.side.spread.removePeer(p)
-	l.opened(p, client)
+	l.opened(p, client, cancel)
 	agent := magnoliausherv1connect.NewAgentClient(client.http, client.url, clientOptions()...)
 	stream := agent.Control(ctx)
 	// net/http notices the end of ctx only when the request body ends.
@@ -139,10 +143,11 @@
 }
 
 // opened prepares the state for a new stream.
-func (l *entryLink) opened(p *peer, client *classClient) {
+func (l *entryLink) opened(p *peer, client *classClient, cancel context.CancelCauseFunc) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.peer = p
+	l.cancel = cancel
 	l.clients[classControl] = client
 	l.demandSent = Demand{}
 	l.demandAt = time.Time{}
@@ -200,6 +205,24 @@
 	return changed
 }
 
+// reopen ends the control stream as silent; run opens a new one.
+func (l *entryLink) reopen() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.cancel != nil {
+		l.cancel(errSilent)
+	}
+}
+
+// touch records a message of the agent on another connection.
+func (l *entryLink) touch(incarnation uint64, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if incarnation == l.view.Incarnation {
+		l.view.LastHeard = now
+	}
+}
+
 // observe tells the membership what the link knows.
 func (l *entryLink) observe() {
 	l.mu.Lock()
--- a/link/run.go
+++ b/link/run.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -24,8 +25,9 @@
 	// probeFresh is how recent the last byte of an online connection must be
 	// for it to count as working without a probe.
 	probeFresh = time.Second
-	// probeTimeout bounds each of the two tries of a probe.
-	probeTimeout = time.Second
+	// probeTimeout bounds each of the two tries of a probe. With the 250 ms
+	// after which an attempt is rerouted, a lost agent is avoided within 2 s.
+	probeTimeout = 700 * time.Millisecond
 )
 
 // classClient is the HTTP client of one class of a link.
@@ -154,6 +156,8 @@
 	callErr   error
 	ctx       context.Context // of the call, for its cause
 
+	heard atomic.Bool // an event arrived
+
 	mu     sync.Mutex // held by Recv; Close takes it after cancelling
 	closed bool
 }
@@ -216,7 +220,10 @@
 	}
 	for s.stream.Receive() {
 		event := s.stream.Msg()
-		s.link.takeLoad(event.GetLoad(), s.incarnation, time.Now())
+		now := time.Now()
+		s.heard.Store(true)
+		s.link.touch(s.incarnation, now)
+		s.link.takeLoad(event.GetLoad(), s.incarnation, now)
 		if event.GetAttemptId() != s.attemptID {
 			continue
 		}
@@ -258,6 +265,9 @@
 	s.timer.Stop()
 	s.end()
 	go s.release() // waits for the call, which the cancellation ends
+	if s.online && !s.heard.Load() {
+		s.link.checkOnline()
+	}
 	return nil
 }
 
@@ -282,6 +292,10 @@
 	if l == nil {
 		return fmt.Errorf("%w: %s is not linked", ErrNoLink, agentID)
 	}
+	return l.probe(ctx)
+}
+
+func (l *entryLink) probe(ctx context.Context) error {
 	c := l.client(classOnline)
 	if c.traffic.heardWithin(probeFresh, time.Now()) {
 		return nil
@@ -291,10 +305,29 @@
 		return err
 	}
 	l.dropClient(classOnline, c)
-	if err = l.client(classOnline).probe(ctx); err != nil {
-		return fmt.Errorf("%w: %w", ErrNoLink, err)
+	err = l.client(classOnline).probe(ctx)
+	if err == nil || ctx.Err() != nil {
+		return err
 	}
-	return nil
+	l.reopen() // the agent is lost, or its control stream proves that it is not
+	return fmt.Errorf("%w: %w", ErrNoLink, err)
+}
+
+// checkOnline probes after an attempt that was given up without any event, so
+// that the next ones do not wait on the same silent connection. One check runs
+// at a time.
+func (l *entryLink) checkOnline() {
+	if !l.checking.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer l.checking.Store(false)
+		ctx, cancel := context.WithTimeout(context.Background(), 3*probeTimeout)
+		defer cancel()
+		if err := l.probe(ctx); err != nil {
+			l.side.cfg.Logger.Warn().Err(err).Str("agent", l.agent.ID).Msg("agent does not answer")
+		}
+	}()
 }
 
 // probe asks for a version that no peer has, which costs one small message
--- a/link/run_test.go
+++ b/link/run_test.go
@@ -143,6 +143,33 @@
 	}
 }
 
+// Guards against attempts that are sent one after the other into a silent
+// connection: giving one up before any event replaces the connection.
+func TestUnansweredAttemptReplacesConnection(t *testing.T) {
+	var listener *stallListener
+	agent := startAgent(t, "agent-1", "chat", stallable(t, &listener))
+	entry := startEntry(t, "entry-1", agent)
+	eventually(t, "link open", func() bool { return connectedCount(entry, "chat") == 1 })
+	if err := entry.Probe(t.Context(), "agent-1"); err != nil {
+		t.Fatal(err)
+	}
+	link := entry.link("agent-1")
+	silent := link.client(classOnline)
+	listener.stall()
+	time.Sleep(probeFresh) // until the connection does not count as fresh
+	stream, err := entry.Run(t.Context(), "agent-1", &rpc.RunRequest{AttemptId: "x"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := stream.Close(); err != nil {
+		t.Error(err)
+	}
+	eventually(t, "a working online connection", func() bool {
+		c := link.client(classOnline)
+		return c != silent && c.traffic.lastRead.Load() != 0
+	})
+}
+
 // Guards against events of another attempt in a response, against a clean end
 // that the agent did not send, and against stale load from the side channel.
 func TestRunDropsForeignEvents(t *testing.T) {
