Close connections that accept no bytes; ignore replaced links

Cause: a full socket blocked the sender of a control stream, and the end of a link to an agent's former address hid that the new one works. Change: write timeouts on both ends; only the current link reports to the membership. goleak checks the tests of link. Conclusion: the tests leave no goroutine behind.

--- a/link/entrylink.go
+++ b/link/entrylink.go
@@ -223,8 +223,12 @@
 	}
 }
 
-// observe tells the membership what the link knows.
+// observe tells the membership what the link knows, unless a link to a newer
+// address of the agent replaced it.
 func (l *entryLink) observe() {
+	if l.side.link(l.agent.ID) != l {
+		return
+	}
 	l.mu.Lock()
 	o := instance.Observation{
 		Connected:   l.view.Connected,
--- a/link/fleet_test.go
+++ b/link/fleet_test.go
@@ -11,6 +11,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
 
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/instance"
@@ -20,6 +21,11 @@
 	"github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1/magnoliausherv1connect"
 )
 
+// Guards against goroutines and connections that outlive their links.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
 // testAgent is an agent on a loopback server. Its Run is set by tests.
 type testAgent struct {
 	*AgentSide
--- a/link/reconcile.go
+++ b/link/reconcile.go
@@ -17,7 +17,8 @@
 	// expandedKept is how long a service's subset stays doubled after the
 	// original links recovered, so that it does not alternate.
 	expandedKept = 30 * time.Second
-	// drainLimit ends the attempts of a link that left the subset.
+	// drainLimit closes the control stream of a link that left the subset
+	// although attempts still run on it.
 	drainLimit = 10 * time.Minute
 )
 
--- a/link/transport.go
+++ b/link/transport.go
@@ -22,6 +22,9 @@
 	sendPingOnline  = 2 * time.Second
 	sendPingBatch   = 5 * time.Second
 	pingTimeout     = 1500 * time.Millisecond
+	// writeTimeout closes a connection whose socket accepts no bytes, which
+	// would block the sender of a control stream.
+	writeTimeout = 5 * time.Second
 	// idleTimeout closes unused online and batch connections, which ends their pings.
 	idleTimeout = 60 * time.Second
 	// The windows cover the product of bandwidth and delay between regions
@@ -126,6 +129,7 @@
 		MaxReceiveBufferPerConnection: windowPerConnection,
 		MaxReceiveBufferPerStream:     windowPerStream,
 		PingTimeout:                   pingTimeout,
+		WriteByteTimeout:              writeTimeout,
 	}
 	switch c {
 	case classControl:
@@ -168,6 +172,7 @@
 			MaxReceiveBufferPerStream:     windowPerStream,
 			SendPingTimeout:               serverSendPing,
 			PingTimeout:                   pingTimeout,
+			WriteByteTimeout:              writeTimeout,
 		},
 	}, nil
 }
