Bound uploads, count batch events, test scheduling and the index

Cause: concurrent uploads had no bound, short pages of a scan would have hidden chunks, and the scheduling functions had no tests. Change: at most 4 uploads per entry; scans of all chunks end at the last chunk or an empty page; counters of chunks and items; completion_window is answered in short form; demand without ready items is zero; gopter properties of Next.

--- a/job/chunk.go
+++ b/job/chunk.go
@@ -55,25 +55,27 @@
 	return c, trace.Wrap(err)
 }
 
-// AllChunks returns all chunk rows of a job by index.
-func (s *Store) AllChunks(ctx context.Context, job string) ([]Chunk, error) {
+// AllChunks returns all chunk rows of a job by index. Pages may be shorter than
+// asked for, so only an empty one or the last chunk ends the scan.
+func (s *Store) AllChunks(ctx context.Context, job string, chunks int) ([]Chunk, error) {
 	var all []Chunk
-	for from := 0; ; {
+	for from := 0; from < chunks; {
 		page, err := retry(ctx, func() ([]Chunk, error) { return s.ScanChunks(ctx, job, from, scanRows) })
 		if err != nil {
 			return nil, trace.Wrap(err)
 		}
-		all = append(all, page...)
-		if len(page) < scanRows {
-			return all, nil
+		if len(page) == 0 {
+			break
 		}
+		all = append(all, page...)
 		from = page[len(page)-1].Index + 1
 	}
+	return all, nil
 }
 
 // DoneChunks returns the committed chunks of a job by index.
-func (s *Store) DoneChunks(ctx context.Context, job string) ([]Chunk, error) {
-	all, err := s.AllChunks(ctx, job)
+func (s *Store) DoneChunks(ctx context.Context, j *Job) ([]Chunk, error) {
+	all, err := s.AllChunks(ctx, j.ID, j.Chunks())
 	done := all[:0]
 	for _, c := range all {
 		if c.State == ChunkDone {
--- a/job/claimloop.go
+++ b/job/claimloop.go
@@ -126,12 +126,14 @@
 	claim, err := r.store.Claim(ctx, st.row, seen, r.cfg.InstanceID)
 	if errors.Is(err, ErrLost) {
 		// A faster entry or the end of the job; reading the row again tells.
+		countChunk(chunkCollided)
 		st.free, st.row = nil, nil
 		return nil
 	}
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	countChunk(chunkClaimed)
 	return trace.Wrap(r.load(ctx, st, claim))
 }
 
--- a/job/counts.go
+++ b/job/counts.go
@@ -42,7 +42,7 @@
 	if e, ok := c.cache.Get(key); ok && (j.Status.Final() || time.Since(e.at) < countAge) {
 		return e.counts, nil
 	}
-	done, err := s.DoneChunks(ctx, j.ID)
+	done, err := s.DoneChunks(ctx, j)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/job/execute.go
+++ b/job/execute.go
@@ -220,8 +220,10 @@
 	case v.again:
 		metric.Retried(h.service, string(contract.ClassBatch), retryReason(o.kind))
 	case v.code != "":
+		countItem(h.service, v.code)
 		r.finishItem(h, it, errorLine(it.CustomID, string(o.attempt), v.code, finalMessage(v.code, o.reason)), true)
 	default:
+		countItem(h.service, "answered")
 		r.finishItem(h, it, responseLine(it.CustomID, string(o.attempt), o.status, o.body), !succeeded(o.status))
 	}
 }
--- a/job/held.go
+++ b/job/held.go
@@ -120,6 +120,7 @@
 			}
 			return h, it, ctx
 		}
+		countItem(h.service, codeCrashes)
 		r.finishItem(h, it, errorLine(it.CustomID, string(attempt.NewID()), codeCrashes,
 			"not run: upstreams crashed twice while the item was in progress"), true)
 		r.release(h, it)
--- a/job/http.go
+++ b/job/http.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -33,7 +34,8 @@
 	Announce func(jobID string)
 	Log      zerolog.Logger
 
-	counts countCache
+	counts  countCache
+	uploads atomic.Int32
 }
 
 type handler func(w http.ResponseWriter, r *http.Request, c *contract.Caller) error
--- a/job/http_batches.go
+++ b/job/http_batches.go
@@ -86,6 +86,12 @@
 		Organisation: c.Organisation, Caller: c.ID, FileID: req.InputFileID, Endpoint: req.Endpoint,
 		Window: defaultWindow, Metadata: req.Metadata, IdempotencyKey: key,
 	}
+	if a.Contract.Current() == nil {
+		e := invalid(http.StatusServiceUnavailable, "no_configuration", "", "this entry has no configuration yet")
+		e.Type = "server_error"
+		e.RetryAfter = retryAfter
+		return sub, e
+	}
 	var list finding.List
 	if req.CompletionWindow != "" {
 		window, err := time.ParseDuration(req.CompletionWindow)
@@ -123,7 +129,6 @@
 	name, _, _ := ParseEndpoint(file.Endpoint)
 	var s *contract.Service
 	switch {
-	case ix == nil:
 	case name == "":
 		s = ix.ServiceForModel(file.Model)
 	default:
--- a/job/http_files.go
+++ b/job/http_files.go
@@ -38,8 +38,20 @@
 // maxPurpose bounds the value of the purpose field, in bytes.
 const maxPurpose = 64
 
+// maxUploads bounds the uploads in progress at one entry. Each needs up to 2 MiB
+// for its part and 10 MiB for the ids of 200,000 items.
+const maxUploads = 4
+
 // upload streams the form's file part. The purpose may come before or after it.
 func (a *API) upload(w http.ResponseWriter, r *http.Request, c *contract.Caller) error {
+	if a.uploads.Add(1) > maxUploads {
+		a.uploads.Add(-1)
+		e := invalid(http.StatusTooManyRequests, "uploads_in_progress", "", "this entry has too many uploads in progress")
+		e.Type = "rate_limit_error"
+		e.RetryAfter = retryAfter
+		return e
+	}
+	defer a.uploads.Add(-1)
 	r.Body = http.MaxBytesReader(w, r.Body, MaxFileBytes+formSlack)
 	form, err := r.MultipartReader()
 	if err != nil {
@@ -160,7 +172,7 @@
 		err := a.Store.WriteResults(ctx, j, true, &n)
 		return j, int64(n), err
 	}
-	done, err := a.Store.DoneChunks(ctx, id)
+	done, err := a.Store.DoneChunks(ctx, j)
 	var sum int64
 	for i := range done {
 		if isErrors {
--- a/job/lease.go
+++ b/job/lease.go
@@ -97,6 +97,7 @@
 		}
 		if !transient(err) {
 			if h.ctx.Err() == nil {
+				countChunk(chunkLost)
 				r.cfg.Log.Warn().Err(err).Str("chunk", h.key).Msg("claim of a chunk lost")
 			}
 			r.lose(h)
@@ -138,6 +139,7 @@
 		if err != nil {
 			return
 		}
+		countChunk(chunkCommitted)
 		r.lose(h)
 		r.afterCommit(h.job.ID)
 	})
@@ -208,6 +210,7 @@
 		case own == nil:
 			r.noteRenewal(h)
 		case errors.Is(own, ErrLost) && !committed:
+			countChunk(chunkLost)
 			r.cfg.Log.Warn().Str("chunk", h.key).Msg("claim of a chunk lost")
 			r.lose(h)
 		}
@@ -294,6 +297,7 @@
 	if errors.Is(err, ErrLost) {
 		return nil
 	}
+	countChunk(chunkReturned)
 	return trace.Wrap(err)
 }
 
--- a/job/output.go
+++ b/job/output.go
@@ -28,7 +28,7 @@
 	if !j.Status.Final() {
 		return trace.Wrap(platform.ErrNotFound, "job %s has not ended", j.ID)
 	}
-	done, err := s.DoneChunks(ctx, j.ID)
+	done, err := s.DoneChunks(ctx, j)
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/job/runner.go
+++ b/job/runner.go
@@ -257,6 +257,9 @@
 	defer r.mu.Unlock()
 	now := make(map[string]link.Demand)
 	for _, h := range r.held {
+		if h.ready == 0 || r.draining {
+			continue
+		}
 		d := now[h.service]
 		d.Items += h.ready
 		if due := h.job.Deadline; d.EarliestDue.IsZero() || due.Before(d.EarliestDue) {
@@ -266,9 +269,6 @@
 	}
 	changed := make(map[string]link.Demand)
 	for service, d := range now {
-		if r.draining {
-			d = link.Demand{}
-		}
 		if r.announced[service] != d {
 			changed[service] = d
 		}
--- /dev/null
+++ b/job/schedule_test.go
@@ -0,0 +1,162 @@
+package job
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+// randomSnapshot gives jobs of four organisations and three services.
+func randomSnapshot(seed uint64, now time.Time) Snapshot {
+	r := rand.New(rand.NewPCG(seed, 0))
+	s := Snapshot{Services: make(map[string]ServiceView)}
+	for i := range 3 {
+		s.Services[fmt.Sprint(i)] = ServiceView{Ready: r.IntN(100), Running: r.IntN(50), Reachable: r.IntN(4) > 0}
+	}
+	for i := range r.IntN(12) {
+		created := now.Add(-time.Duration(r.IntN(24*60)) * time.Minute)
+		s.Jobs = append(s.Jobs, JobView{
+			ID: fmt.Sprint(i), Organisation: fmt.Sprint(r.IntN(4)), Service: fmt.Sprint(r.IntN(3)),
+			Created: created, Deadline: created.Add(24 * time.Hour).Add(-time.Duration(r.IntN(60)) * time.Minute),
+			Held: r.IntN(4), Exhausted: r.IntN(4) == 0,
+		})
+	}
+	return s
+}
+
+// TestNextProperties guards against idle capacity while a job has work, against
+// urgent jobs that wait behind others, and against an organisation that gets
+// more than its share or a later deadline that goes first within one.
+func TestNextProperties(t *testing.T) {
+	now := time.Now()
+	properties := gopter.NewProperties(gopter.DefaultTestParameters())
+	properties.Property("order of claims", prop.ForAll(func(seed uint64) string {
+		s := randomSnapshot(seed, now)
+		held := make(map[string]int)
+		for _, j := range s.Jobs {
+			held[j.Organisation] += j.Held
+		}
+		can := func(j JobView) bool {
+			return !j.Exhausted && now.Before(j.Deadline) && WantsItems(s.Services[j.Service])
+		}
+		i := Next(s, now)
+		if i >= 0 && !can(s.Jobs[i]) {
+			return "chose a job that cannot run"
+		}
+		for _, j := range s.Jobs {
+			if !can(j) {
+				continue
+			}
+			if i < 0 {
+				return "idle while a job has work"
+			}
+			best := s.Jobs[i]
+			switch {
+			case Urgent(best, now) && !Urgent(j, now):
+			case Urgent(j, now) && !Urgent(best, now):
+				return "an urgent job waits"
+			case Urgent(best, now) && j.Deadline.Before(best.Deadline):
+				return "a later urgent deadline goes first"
+			case Urgent(best, now):
+			case held[j.Organisation] < held[best.Organisation]:
+				return "an organisation with fewer chunks waits"
+			case j.Organisation == best.Organisation && j.Deadline.Before(best.Deadline):
+				return "a later deadline goes first within an organisation"
+			}
+		}
+		return ""
+	}, gen.UInt64()))
+	properties.TestingRun(t)
+}
+
+// TestFairShares guards against an organisation with many or early jobs that
+// keeps others from their share.
+func TestFairShares(t *testing.T) {
+	now := time.Now()
+	s := Snapshot{Services: map[string]ServiceView{"m": {Reachable: true}}}
+	for i := range 21 {
+		org := "large"
+		if i == 20 {
+			org = "small"
+		}
+		s.Jobs = append(s.Jobs, JobView{
+			ID: fmt.Sprint(i), Organisation: org, Service: "m", Created: now, Deadline: now.Add(time.Duration(i+1) * 24 * time.Hour),
+		})
+	}
+	got := make(map[string]int)
+	for range 40 {
+		i := Next(s, now)
+		s.Jobs[i].Held++
+		got[s.Jobs[i].Organisation]++
+	}
+	if got["large"] != 20 || got["small"] != 20 {
+		t.Errorf("chunks %v, want 20 each", got)
+	}
+}
+
+// TestStartSpread guards against entries that begin at the same chunk of a job,
+// and against jobs that no entry or every entry watches.
+func TestStartSpread(t *testing.T) {
+	for _, c := range []struct{ chunks, entries int }{{2000, 330}, {330, 330}, {50, 330}, {7, 3}, {1, 1}} {
+		starts := make(map[int]int)
+		watchers := 0
+		for rank := range c.entries {
+			start := Start("batch_x", c.chunks, rank, c.entries)
+			if start < 0 || start >= c.chunks {
+				t.Fatalf("%+v: start %d", c, start)
+			}
+			starts[start]++
+			if Watches("batch_x", rank, c.entries) {
+				watchers++
+			}
+		}
+		most := (c.entries + c.chunks - 1) / c.chunks
+		for start, n := range starts {
+			if n > most {
+				t.Errorf("%+v: %d entries start at chunk %d, want at most %d", c, n, start, most)
+			}
+		}
+		if watchers != min(c.entries, watchersPerJob) {
+			t.Errorf("%+v: %d watchers", c, watchers)
+		}
+	}
+}
+
+// TestIndexCost guards against an index whose refresh reads all running jobs.
+func TestIndexCost(t *testing.T) {
+	ctx := t.Context()
+	f := newFake()
+	s := NewStore(f)
+	file, err := s.Upload(ctx, "org", "caller", "in", stringsReader(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 1000 {
+		if _, err := s.Submit(ctx, submission(file, fmt.Sprint(i))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	x := NewIndexReader(f)
+	measure := func(what string, jobs, maxReads int) {
+		reads, rows, bytes := f.reads, f.rowsRead, f.bytesRead
+		list, err := x.Refresh(ctx)
+		if err != nil || len(list) != jobs {
+			t.Fatalf("%s: %d jobs, %v", what, len(list), err)
+		}
+		t.Logf("%s: %d reads, %d rows, %d bytes", what, f.reads-reads, f.rowsRead-rows, f.bytesRead-bytes)
+		if f.reads-reads > maxReads {
+			t.Errorf("%s: %d reads, want at most %d", what, f.reads-reads, maxReads)
+		}
+	}
+	measure("first refresh, 1,000 jobs", 1000, 1+buckets)
+	measure("refresh without a change", 1000, 1)
+	if _, err := s.Cancel(ctx, keyedID("caller", "7")); err != nil {
+		t.Fatal(err)
+	}
+	measure("refresh after one job ended", 999, 2)
+}
--- a/job/store.go
+++ b/job/store.go
@@ -137,7 +137,7 @@
 func newJob(sub Submission, file *File, now time.Time) *Job {
 	j := &Job{
 		Organisation: sub.Organisation, Caller: sub.Caller, FileID: file.ID, InputDigest: file.Digest,
-		Endpoint: sub.Endpoint, Service: sub.Service, Window: sub.Window.String(), Metadata: sub.Metadata,
+		Endpoint: sub.Endpoint, Service: sub.Service, Window: windowText(sub.Window), Metadata: sub.Metadata,
 		Items: file.Items, Status: StatusRunning, Created: now, Deadline: now.Add(sub.Window),
 	}
 	if sub.IdempotencyKey != "" {
@@ -148,6 +148,18 @@
 	return j
 }
 
+// windowText gives 24h rather than 24h0m0s.
+func windowText(d time.Duration) string {
+	text := d.String()
+	if strings.HasSuffix(text, "m0s") {
+		text = strings.TrimSuffix(text, "0s")
+	}
+	if strings.HasSuffix(text, "h0m") {
+		text = strings.TrimSuffix(text, "0m")
+	}
+	return text
+}
+
 // earlier looks for the job of an earlier send. Without a key it compares the
 // neighbouring periods too, and returns conditions that keep their rows as
 // read: entries whose clocks differ by less than a period create one job.
@@ -209,7 +221,7 @@
 	if j.Status.Final() {
 		return true, nil
 	}
-	chunks, err := s.DoneChunks(ctx, id)
+	chunks, err := s.DoneChunks(ctx, j)
 	if err != nil || len(chunks) < j.Chunks() {
 		return false, trace.Wrap(err)
 	}
