--- a/job/execute.go
+++ b/job/execute.go
@@ -56,7 +56,7 @@
 		Fingerprint: fingerprint, Suspect: r.cfg.Suspects.Status(fingerprint, now) != Clear,
 		ConfigVersion: r.cfg.Contract.Version(), Method: it.Method, Path: h.path,
 		Headers: []*rpc.Header{{Name: "Content-Type", Value: "application/json"}}, Body: it.Body,
-		PromptTokens: uint32(len(it.Body) / bytesPerToken), OutputTokens: outputTokens(it.Body),
+		PromptTokens: uint32(len(it.Body) / bytesPerToken), OutputTokens: it.output,
 		DeliveredTokens: uint32(it.tokens), DeliveredText: string(it.text), JobId: h.job.ID,
 	}
 }
--- a/job/input.go
+++ b/job/input.go
@@ -57,6 +57,7 @@
 		if err := json.Unmarshal(raw, &it.line); err != nil {
 			return trace.Wrap(err)
 		}
+		it.output = outputTokens(it.Body)
 		items = append(items, it)
 		return nil
 	})
--- a/job/item.go
+++ b/job/item.go
@@ -15,6 +15,7 @@
 	line
 	index      int
 	repeatable bool
+	output     uint32 // bound or estimate of output tokens
 	running    bool
 	done       bool
 
