--- a/job/execute.go
+++ b/job/execute.go
@@ -56,7 +56,7 @@
 		Fingerprint: fingerprint, Suspect: r.cfg.Suspects.Status(fingerprint, now) != Clear,
 		ConfigVersion: r.cfg.Contract.Version(), Method: it.Method, Path: h.path,
 		Headers: []*rpc.Header{{Name: "Content-Type", Value: "application/json"}}, Body: it.Body,
-		PromptTokens: uint32(len(it.Body) / bytesPerToken), OutputTokens: outputTokens(it.Body),
+		PromptTokens: uint32(len(it.Body) / bytesPerToken), OutputTokens: it.output,
 		DeliveredTokens: uint32(it.tokens), DeliveredText: string(it.text), JobId: h.job.ID,
 	}
 }
@@ -220,8 +220,10 @@
 	case v.again:
 		metric.Retried(h.service, string(contract.ClassBatch), retryReason(o.kind))
 	case v.code != "":
+		countItem(h.service, v.code)
 		r.finishItem(h, it, errorLine(it.CustomID, string(o.attempt), v.code, finalMessage(v.code, o.reason)), true)
 	default:
+		countItem(h.service, "answered")
 		r.finishItem(h, it, responseLine(it.CustomID, string(o.attempt), o.status, o.body), !succeeded(o.status))
 	}
 }
