Let suspects wait for an upstream without another suspect

Cause: with a poison request resent through three entries, an innocent request that was in progress at a crash failed with suspect_already_running after six attempts: each of the remaining agents ran another suspect. Ruled out: blame by the poison rule (the request was a suspect once, not blocked). Change: such a refusal pauses the request for 25 to 75 ms and counts neither as an attempt nor against the retry budget; its deadline ends the wait.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -46,6 +46,10 @@
 	budget.Request()
 	for n := 1; ; n++ {
 		c, fail := e.choose(rq)
+		if fail != nil && c.tally.SuspectBusy > 0 && waitForTurn(ctx, rq) {
+			n--
+			continue
+		}
 		if fail != nil {
 			return nil, fail
 		}
@@ -59,6 +63,10 @@
 		if res.ending == endEngineError {
 			return nil, nil
 		}
+		if res.suspectBusy() && waitForTurn(ctx, rq) {
+			n--
+			continue
+		}
 		if fail := e.afterAttempt(rq, &c, res, n, budget, out); fail != nil {
 			return nil, fail
 		}
--- a/entry/suspects.go
+++ b/entry/suspects.go
@@ -1,9 +1,42 @@
 package entry
 
 import (
+	"context"
+	"math/rand/v2"
 	"sync"
+	"time"
+
+	"github.com/magnoliausher/magnoliausher/admission"
 )
 
+// suspectPause is the mean pause of a suspect before it asks again for an
+// upstream without another suspect.
+const suspectPause = 50 * time.Millisecond
+
+// suspectBusy reports a refusal because another suspect runs on the upstream.
+func (r *result) suspectBusy() bool {
+	return r.ending == endRefused && r.reason == string(admission.ReasonSuspectRunning)
+}
+
+// waitForTurn pauses a request that found every upstream busy with another
+// suspect. Such a turn counts neither as an attempt nor against the retry
+// budget, since nothing was handed over; the deadline ends the wait. It reports
+// false when the request cannot wait.
+func waitForTurn(ctx context.Context, rq *request) bool {
+	pause := suspectPause/2 + rand.N(suspectPause)
+	if !rq.repeatable || time.Now().Add(pause).After(rq.deadline) {
+		return false
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
 // suspectTracker knows which agents run a suspect of this entry, so that two
 // suspects do not share an upstream. The agent enforces it for all entries.
 type suspectTracker struct {
