Test a platform outage with processes

Cause: the outage was tested in the packages only. Change: online requests, non-repeatable calls, an upload and a running batch through 5 s of outage, with 30% of the answers lost after their write.

--- /dev/null
+++ b/e2e/platform_test.go
@@ -0,0 +1,69 @@
+package e2e
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/magnoliausher/magnoliausher/apierror"
+	"github.com/magnoliausher/magnoliausher/attempt"
+	"github.com/magnoliausher/magnoliausher/job/client"
+)
+
+const outage = 5 * time.Second
+
+// Guards against online work that waits for the platform, a refusal that is not
+// true, and batch items lost or doubled by an outage with lost answers.
+func TestPlatformOutage(t *testing.T) {
+	f := newFleet(t, 2, 2)
+	c := &client.Client{BaseURL: "http://" + f.entries[0].address, Key: key}
+	batch := createBatch(t, c, batchItems)
+	time.Sleep(time.Second) // chunks are claimed and items run
+	f.platform.LoseProbability(0.3)
+	f.platform.SetOutage(true)
+	began := time.Now()
+	var l load
+	for i := range requests {
+		l.send(t.Context(), f.entries[i%2].address, fmt.Sprintf("question %d", i), tokens)
+		time.Sleep(sendPause)
+	}
+	l.inFlight.Wait()
+	for i := range 5 {
+		f.refuseInvoice(t, f.entries[i%2], i)
+	}
+	if _, err := c.Upload(t.Context(), "input.jsonl", bytes.NewReader(batchInput(1))); err == nil {
+		t.Error("an upload was acknowledged without the platform")
+	}
+	time.Sleep(outage - time.Since(began))
+	f.platform.SetOutage(false)
+	l.report(t)
+	if l.ok.Load() != requests {
+		t.Errorf("%d of %d answers are whole", l.ok.Load(), requests)
+	}
+	f.awaitBatch(t, c, batch, batchItems)
+}
+
+// refuseInvoice sends a call that must be refused and must not have run.
+func (f *fleet) refuseInvoice(t *testing.T, entry *process, i int) {
+	t.Helper()
+	body := []byte(fmt.Sprintf(`{"refused":%d}`, i))
+	resp, err := post(t.Context(), entry.address, "/services/portal/invoices", fmt.Sprintf("refused-%d", i), body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	executed := resp.Header.Get(apierror.ExecutedHeader)
+	if resp.StatusCode != http.StatusServiceUnavailable || executed != string(attempt.ExecutedNo) {
+		t.Errorf("status %d, executed %q: %s", resp.StatusCode, executed, text)
+	}
+	if n := f.portal.ByBody(body); n != 0 {
+		t.Errorf("a call that was refused as not run ran %d times", n)
+	}
+}
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -1,9 +1,6 @@
 package e2e
 
 import (
-	"bufio"
-	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -13,7 +10,6 @@
 	"testing"
 	"time"
 
-	"github.com/magnoliausher/magnoliausher/job"
 	"github.com/magnoliausher/magnoliausher/job/client"
 )
 
@@ -148,45 +144,10 @@
 func TestKilledEntryLosesNoItem(t *testing.T) {
 	f := newFleet(t, 3, 2)
 	c := &client.Client{BaseURL: "http://" + f.entries[0].address, Key: key}
-	var input bytes.Buffer
-	for i := range batchItems {
-		fmt.Fprintf(&input, `{"custom_id":"item-%d","method":"POST","url":"/v1/completions","body":{"model":%q,"prompt":"note %d","max_tokens":20}}`+"\n", i, model, i)
-	}
-	file, err := c.Upload(t.Context(), "input.jsonl", &input)
-	if err != nil {
-		t.Fatal(err)
-	}
-	batch, err := c.Create(t.Context(), job.CreateRequest{InputFileID: file.ID, Endpoint: job.EndpointCompletions, CompletionWindow: "24h"}, "")
-	if err != nil {
-		t.Fatal(err)
-	}
+	batch := createBatch(t, c, batchItems)
 	time.Sleep(time.Second) // chunks are claimed and items run
 	f.entries[0].signal(t, syscall.SIGKILL)
 	f.agents[0].signal(t, syscall.SIGKILL)
 	c.BaseURL = "http://" + f.entries[1].address
-	ended, err := c.Wait(t.Context(), batch.ID, pollBatches, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	var output bytes.Buffer
-	if err := c.Download(t.Context(), ended.OutputFileID, &output); err != nil {
-		t.Fatal(err)
-	}
-	seen := make(map[string]int)
-	lines := bufio.NewScanner(&output)
-	lines.Buffer(nil, 1<<20)
-	for lines.Scan() {
-		var line struct {
-			CustomID string `json:"custom_id"`
-		}
-		if err := json.Unmarshal(lines.Bytes(), &line); err != nil {
-			t.Fatal(err)
-		}
-		seen[line.CustomID]++
-	}
-	for i := range batchItems {
-		if n := seen[fmt.Sprintf("item-%d", i)]; n != 1 {
-			t.Errorf("item %d has %d results", i, n)
-		}
-	}
+	f.awaitBatch(t, c, batch, batchItems)
 }
