Replay traces in virtual time on simulated engines

Cause: the decisions of routing, admission, retries, job scheduling and poison isolation could be measured only in real time.

Change: package replay drives them in one event loop against standin/engine.Model; the commands 'replay' and 'trace generate' use it.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -91,6 +91,8 @@
 		devCommand(),
 		checkSettingsCommand(),
 		keysCommand(),
+		replayCommand(),
+		traceCommand(),
 		versionCommand(),
 	}
 }
