--- a/entry/dispatch_test.go
+++ b/entry/dispatch_test.go
@@ -39,16 +39,12 @@
 		}
 		var chunk struct {
 			Choices []struct {
-				Delta struct {
-					Content string `json:"content"`
-				} `json:"delta"`
-				Text         string  `json:"text"`
+				Delta        chatMessage
+				Text         string
 				FinishReason *string `json:"finish_reason"`
-			} `json:"choices"`
-			Usage *usage `json:"usage"`
-			Error *struct {
-				Code string `json:"code"`
-			} `json:"error"`
+			}
+			Usage *usage
+			Error *struct{ Code string }
 		}
 		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
 			t.Fatalf("chunk %q: %v", data, err)
@@ -115,7 +111,7 @@
 // Guards against a stream that ends clean although the answer is not whole,
 // and against a retry of what any engine would reject.
 func TestFaultsThatReachTheCaller(t *testing.T) {
-	crash := scripted{crashes, 2}
+	once := scripted{crashes, 2}
 	cases := []struct {
 		name      string
 		upstreams int
@@ -129,7 +125,7 @@
 		{"all refuse", 2, []scripted{{refused, 0}, {refused, 0}}, 503, codeNoUpstream, "no", 2},
 		{"no link", 1, []scripted{{noLink, 0}}, 503, codeNoUpstream, "no", 1},
 		{"engine rejects", 3, []scripted{{engineRejects, 0}}, 400, "", "no", 1},
-		{"two crashes", 3, []scripted{crash, crash}, 200, codeBlocked, "", 2},
+		{"two crashes", 3, []scripted{once, once}, 200, codeBlocked, "", 2},
 		{"lost too often", 9, repeat(scripted{diesMidStream, 1}, 9), 200, codeUpstreamFailed, "", DefaultMaxAttempts},
 		{"lost before output", 9, repeat(scripted{diesBeforeAcceptance, 1}, 9), 502, codeUpstreamFailed, "unknown", DefaultMaxAttempts},
 	}
@@ -209,7 +205,7 @@
 			f = r.script[i].fault
 		}
 		switch f {
-		case noLink, refused, failedNotRun, engineRejects, engineOverloads:
+		case noLink, noLinkLate, refused, failedNotRun, engineRejects, engineOverloads:
 		default:
 			return false
 		}
@@ -279,3 +275,69 @@
 		}
 	})
 }
+
+// Guards against two suspects on one upstream, and a suspect that its agent
+// cannot tell from other requests.
+func TestSuspectsRunApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRunner(2)
+		r.release = make(chan struct{})
+		e := newTestEntry(r, func(c *Config) { c.Suspects = fixedSuspects{suspect: true} })
+		answers := make(chan int, 2)
+		for range 2 {
+			go func() { answers <- call(e, "POST", pathChat, chatBody).Code }()
+		}
+		synctest.Wait()
+		if len(r.agents) != 2 || r.agents[0] == r.agents[1] || !r.started[0].Suspect {
+			t.Errorf("agents %v", r.agents)
+		}
+		if w := call(e, "POST", pathChat, chatBody); w.Code != 503 {
+			t.Errorf("third suspect: status %d", w.Code)
+		}
+		close(r.release)
+		if first, second := <-answers, <-answers; first != 200 || second != 200 {
+			t.Errorf("status %d and %d", first, second)
+		}
+		if w := call(e, "POST", pathChat, chatBody); w.Code != 200 {
+			t.Errorf("after the others ended: status %d", w.Code)
+		}
+	})
+}
+
+// Guards against a crash that is not noted until the next attempt of the request.
+func TestRetryAfterCrashIsASuspect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRunner(2, scripted{crashes, 3})
+		call(newTestEntry(r), "POST", pathChat, chatBody)
+		second := r.started[1]
+		if r.started[0].Suspect || !second.Suspect || second.DeliveredTokens != 3 || second.DeliveredText != token(0)+token(1)+token(2) {
+			t.Errorf("second attempt %v", second)
+		}
+	})
+}
+
+// Guards against packing that sends request after request to a lost agent,
+// because its last report shows online work.
+func TestLostAgentIsAvoided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRunner(3)
+		r.lost, r.lostAt = "agent-1", time.Now()
+		r.upstreams[1].Load.OnlineActive = 1
+		e := newTestEntry(r)
+		start := time.Now()
+		for range 10 {
+			if w := call(e, "POST", pathChat, chatBody); w.Code != 200 {
+				t.Errorf("status %d", w.Code)
+			}
+		}
+		if waited := time.Since(start); waited != DefaultAcceptTimeout || r.attempts() != 11 {
+			t.Errorf("%v and %d attempts for ten requests", waited, r.attempts())
+		}
+		r.lost = "" // heard of again
+		time.Sleep(time.Second)
+		call(e, "POST", pathChat, chatBody)
+		if last := r.agents[len(r.agents)-1]; last != "agent-1" {
+			t.Errorf("after it was heard of again, the request went to %s", last)
+		}
+	})
+}
--- a/entry/once_test.go
+++ b/entry/once_test.go
@@ -1,10 +1,8 @@
 package entry
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"strings"
 	"sync"
@@ -17,17 +15,16 @@
 	"github.com/magnoliausher/magnoliausher/platform"
 )
 
-// memory is a platform table and object store that can be down.
+// memory is a platform table that can be down.
 type memory struct {
 	mu      sync.Mutex
 	down    bool
 	rows    map[string]platform.Row
-	objects map[string][]byte
 	version uint64
 }
 
 func newMemory() *memory {
-	return &memory{rows: make(map[string]platform.Row), objects: make(map[string][]byte)}
+	return &memory{rows: make(map[string]platform.Row)}
 }
 
 func (m *memory) Get(_ context.Context, key string) (platform.Row, error) {
@@ -43,7 +40,17 @@
 	return row, nil
 }
 
-func (m *memory) Scan(context.Context, string, string, int) ([]platform.Row, error) { return nil, nil }
+func (m *memory) Scan(_ context.Context, prefix, _ string, _ int) ([]platform.Row, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []platform.Row
+	for key, row := range m.rows {
+		if strings.HasPrefix(key, prefix) {
+			list = append(list, row)
+		}
+	}
+	return list, nil
+}
 
 func (m *memory) Commit(_ context.Context, tx platform.Transaction) ([]uint64, error) {
 	m.mu.Lock()
@@ -51,34 +58,27 @@
 	if m.down {
 		return nil, platform.ErrUnavailable
 	}
-	w := tx.Writes[0]
-	if m.rows[w.Key].Version != w.IfVersion {
-		return nil, platform.ErrConflict
+	for _, w := range tx.Writes {
+		if !w.Always && m.rows[w.Key].Version != w.IfVersion {
+			return nil, platform.ErrConflict
+		}
 	}
-	m.version++
-	m.rows[w.Key] = platform.Row{Key: w.Key, Version: m.version, Value: w.Value}
-	return []uint64{m.version}, nil
-}
-
-type memoryObjects struct{ *memory }
-
-func (m memoryObjects) Put(_ context.Context, key string, body io.Reader) error {
-	b, err := io.ReadAll(body)
-	m.objects[key] = b
-	return err
-}
-
-func (m memoryObjects) Get(_ context.Context, key string) (io.ReadCloser, error) {
-	return io.NopCloser(bytes.NewReader(m.objects[key])), nil
-}
-func (m memoryObjects) Delete(context.Context, string) error { return nil }
-func (m memoryObjects) List(context.Context, string, string, int) ([]platform.ObjectInfo, error) {
-	return nil, nil
+	var versions []uint64
+	for _, w := range tx.Writes {
+		m.version++
+		if w.Delete {
+			delete(m.rows, w.Key)
+			continue
+		}
+		m.rows[w.Key] = platform.Row{Key: w.Key, Version: m.version, Value: w.Value}
+		versions = append(versions, m.version)
+	}
+	return versions, nil
 }
 
 func withStore(m *memory) func(*Config) {
 	return func(c *Config) {
-		c.Idempotency = idempotency.New(idempotency.Config{Table: m, Objects: memoryObjects{m}})
+		c.Idempotency = idempotency.New(idempotency.Config{Table: m})
 	}
 }
 
@@ -96,12 +96,14 @@
 		{healthy, 201, "", 201},
 		{crossed, 201, "", 201},
 		{noLink, 201, "", 201},
+		{noLinkLate, 201, "", 201},
 		{refused, 201, "", 201},
 		{failedNotRun, 503, "no", 201},
 		{diesBeforeAcceptance, 502, "unknown", 409},
 		{silentBeforeAcceptance, 502, "unknown", 409},
 		{diesMidStream, 502, "unknown", 409},
 		{truncated, 502, "unknown", 409},
+		{refusedMidStream, 502, "unknown", 409},
 		{crashes, 502, "unknown", 409},
 	}
 	for _, c := range cases {
