--- a/replay/agentloops.go
+++ b/replay/agentloops.go
@@ -14,7 +14,6 @@
 		return
 	}
 	a.report()
-	a.relieve()
 	a.w.after(reportInterval, a.reportLoop)
 }
 
@@ -102,6 +101,7 @@
 	if a.w.done() {
 		return
 	}
+	a.relieve()
 	a.grantRoom()
 	a.w.after(grantInterval, a.grantLoop)
 }
