Judge the actual prompt of a batch item

Cause: beside online work every batch item was judged with a step that computes a full piece of 512 prompt tokens. That step exceeds 55 ms at any number of sequences, so no item fitted. Change: an item may start if the steps that compute its prompt keep the target, or if the budget of lengthened steps allows it. Sequences past their prompt are fitted by the step without a prompt.

--- a/admission/budget.go
+++ b/admission/budget.go
@@ -34,10 +34,13 @@
 	return b
 }
 
-// Spend charges a batch prompt that starts while online sequences run.
+// Spend charges a batch prompt that starts while online sequences run. Prompts
+// that lengthen no step beyond the target start without regard to the budget but
+// are charged too, so the debt is bounded.
 func (b PromptBudget) Spend(promptTokens int) PromptBudget {
 	if b.Online {
-		b.Steps -= float64(pieces(promptTokens))
+		n := float64(pieces(promptTokens))
+		b.Steps = max(b.Steps-n, min(b.Steps, -max(n, maxBudgetSteps)))
 	}
 	return b
 }
--- a/admission/decide.go
+++ b/admission/decide.go
@@ -72,7 +72,7 @@
 	if batchSlots(s) < 1 {
 		return refuse(ReasonNoBatchRoom)
 	}
-	if s.Kind == contract.KindEngine && s.Tally.Online > 0 && !s.Budget.Allows(a.PromptTokens) {
+	if s.Kind == contract.KindEngine && s.Tally.Online > 0 && !promptAllowed(s, a.PromptTokens) {
 		return refuse(ReasonNoBatchRoom)
 	}
 	return Decision{Action: Admit}
@@ -85,13 +85,33 @@
 	}
 	room := batchSlots(s)
 	if s.Kind == contract.KindEngine && s.Tally.Online > 0 {
-		room = min(room, s.Budget.items(max(s.BatchPrompt, 1)))
+		prompt := max(s.BatchPrompt, 1)
+		room = min(room, max(promptsWithin(s, prompt), s.Budget.items(prompt)))
 	}
 	return max(0, room-s.Granted)
 }
 
+// promptAllowed reports whether a batch prompt may start beside online work:
+// no step exceeds the target, or the budget allows a lengthened one.
+func promptAllowed(s *Snapshot, promptTokens int) bool {
+	return promptsWithin(s, promptTokens) > 0 || s.Budget.Allows(promptTokens)
+}
+
+// promptsWithin is the number of batch prompts of that size that can be computed
+// in one step, with the prompts in computation, without exceeding the target.
+func promptsWithin(s *Snapshot, promptTokens int) int {
+	pending := s.Tally.OnlinePrompt + s.Tally.BatchPrompt
+	running := s.Tally.Online + s.Tally.Batch
+	n := 0
+	for n < s.Slots && pending+(n+1)*promptTokens <= PieceTokens &&
+		s.Model.StepWithPrompt(running+n+1, pending+(n+1)*promptTokens) <= StepTarget {
+		n++
+	}
+	return n
+}
+
 // batchSlots is the number of batch sequences that fit beside the running ones,
-// by slots and step time.
+// by slots and the time of a step without prompts.
 func batchSlots(s *Snapshot) int {
 	used := s.Tally.Used()
 	if s.Kind == contract.KindPlain {
@@ -108,7 +128,7 @@
 	if s.FirstToken > FirstTokenTarget && s.Tally.Batch > 0 {
 		return 0
 	}
-	fitting := s.Model.MaxSequences(StepTarget, PieceTokens, s.Slots)
+	fitting := s.Model.MaxSequences(StepTarget, 0, s.Slots)
 	return min(free, fitting-s.Tally.Online-s.Tally.Batch)
 }
 
