Pack online work before following cached prefixes

Cause: an idle upstream with the prompt prefix was preferred to one that already carries online work, so online work spread over all upstreams that had ever seen a popular prefix. Change: a cached prefix is a preference only among upstreams with online work.

--- a/routing/routing.go
+++ b/routing/routing.go
@@ -268,7 +268,7 @@
 	if u.DataCentre != r.DataCentre {
 		z, offset = remote, RemotePrefix
 	}
-	if holds(u, r.Prefix) && have+1 <= max(z.share(w.AffinityBound, n), w.PackBound*n) {
+	if holds(u, r.Prefix) && hasOnline(u) && have+1 <= max(z.share(w.AffinityBound, n), w.PackBound*n) {
 		return offset + LocalPrefix
 	}
 	if have+1 > w.PackBound*n {
