Start no batch work beside more than 4 online sequences

Cause: beside packed online work the steps stayed near 55 ms, so that each online prompt lengthened one beyond it, and batch sequences were cancelled and started again in turn. Change: an agent with more than 4 online sequences grants no batch work; sequences in progress go on while they fit.

--- a/admission/decide.go
+++ b/admission/decide.go
@@ -128,6 +128,9 @@
 	if s.FirstToken > FirstTokenTarget && s.Tally.Batch > 0 {
 		return 0
 	}
+	if s.Tally.Online > lightOnline {
+		return 0 // online prompts alone use up the steps that may be lengthened
+	}
 	fitting := s.Model.MaxSequences(StepTarget, 0, s.Slots)
 	return min(free, fitting-s.Tally.Online-s.Tally.Batch)
 }
--- a/admission/decide_test.go
+++ b/admission/decide_test.go
@@ -195,6 +195,9 @@
 			if room == 0 {
 				return true
 			}
+			if online > lightOnline {
+				return false
+			}
 			n := online + batch + room
 			if online == 0 || n > slots {
 				return n <= slots
--- a/admission/preempt.go
+++ b/admission/preempt.go
@@ -21,10 +21,6 @@
 	firstToken time.Duration
 }
 
-// freePromptSequences is the number of online sequences up to which the prompts
-// of new ones may lengthen a step beyond the target.
-const freePromptSequences = 4
-
 // Preempt returns the batch sequences to cancel so that the queued online
 // attempts and arriving (nil for none) start within the targets: the smallest
 // number, newest first, because the newest lose the least work. Calls of plain
@@ -100,7 +96,7 @@
 	n := online.Online + w.count
 	onlinePrompt := online.OnlinePrompt + w.promptTokens
 	b := bounds{slots: s.Slots, step: StepTarget}
-	b.onlinePart = n > freePromptSequences && s.Model.StepWithPrompt(n, onlinePrompt) <= StepTarget
+	b.onlinePart = n > lightOnline && s.Model.StepWithPrompt(n, onlinePrompt) <= StepTarget
 	b.step = max(b.step, s.Model.Step(n))
 	b.firstToken = max(FirstTokenTarget, s.Model.FirstToken(n+decodingBatch(s), onlinePrompt))
 	return b
--- a/admission/snapshot.go
+++ b/admission/snapshot.go
@@ -19,6 +19,12 @@
 // PieceTokens is the most prompt tokens that an engine computes in one step.
 const PieceTokens = 512
 
+// lightOnline is the most online sequences beside which batch work starts and
+// the prompts of new online work may lengthen a step beyond the target. Every
+// sequence computes its prompt once, so with answers of 100 tokens and more the
+// prompts of 4 sequences lengthen at most 4% of the steps, and 5% may be.
+const lightOnline = 4
+
 // DefaultQueueLimit bounds the online attempts that wait for a slot. Entries
 // try another agent when it is reached.
 const DefaultQueueLimit = 16
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -88,6 +88,7 @@
 	}{
 		{"prefix before packing", []link.Upstream{up("a", local, 2, 0), withPrefix(up("b", local, 3, 0))}, 1, LocalPrefix},
 		{"prefix above 1.25 times the mean", []link.Upstream{up("a", local, 2, 0), withPrefix(up("b", local, 8, 0))}, 0, LocalPacked},
+		{"packing before an idle one with the prefix", []link.Upstream{withPrefix(up("a", local, 0, 0)), up("b", local, 2, 0)}, 1, LocalPacked},
 		{"packing before an idle one", []link.Upstream{up("a", local, 0, 0), up("b", local, 2, 0)}, 1, LocalPacked},
 		{"full pack", []link.Upstream{up("a", local, 0, 0), up("b", local, 5, 0)}, 0, LocalFree},
 		{"slow tokens", []link.Upstream{slow, up("b", local, 0, 0)}, 1, LocalFree},
