Fill up packed upstreams and lower the pack bound

Cause: of two upstreams with online work the one with less was chosen, so that an upstream once used at a peak kept online work and no batch work started there. At a pack bound of half the slots, packing then lets online prompts lengthen too many steps. Change: rules that pack choose the higher load; the pack bound is 0.3 of the slots.

--- a/routing/routing.go
+++ b/routing/routing.go
@@ -23,12 +23,14 @@
 // DefaultWeights returns the weights of production.
 //
 // Batch sequences count little because the agent preempts them for online work.
+// PackBound keeps the online prompts of a packed upstream from lengthening more
+// than 5% of its steps beyond the target between tokens.
 // PackInterval leaves a margin below the target of 55 ms between tokens.
 // SilentAfter covers two reports missed in a row (sent at least every 2 s).
 func DefaultWeights() Weights {
 	return Weights{
 		LoadBound:     0.9,
-		PackBound:     0.5,
+		PackBound:     0.3,
 		AffinityBound: 1.25,
 		BatchWeight:   0.1,
 		PackInterval:  45 * time.Millisecond,
@@ -74,6 +76,16 @@
 	"remote_prefix", "remote_packed", "remote_free", "remote_busy", "overloaded",
 }
 
+// packs reports whether the rule fills up upstreams that carry online work, so
+// that the ones with little of it run empty.
+func (r Rule) packs() bool {
+	switch r {
+	case LocalPrefix, LocalPacked, RemotePrefix, RemotePacked:
+		return true
+	}
+	return false
+}
+
 // String gives the rule's name in logs.
 func (r Rule) String() string { return ruleNames[r] }
 
@@ -100,7 +112,7 @@
 func (d *Decision) Found() bool { return d.Index >= 0 }
 
 // Choose selects an upstream: power of two choices within the best rule that
-// has a candidate.
+// has a candidate. Rules that pack prefer the higher load, the others the lower.
 func Choose(snapshot []link.Upstream, r *Request, w *Weights, rnd Random) Decision {
 	local, remote, tally := survey(snapshot, r, w)
 	if tally.Candidates == 0 {
@@ -118,7 +130,11 @@
 		return Decision{Index: s.picked[0], Rule: s.rule, Load: first, Tally: tally}
 	}
 	second := Load(&snapshot[s.picked[1]], w)
-	if second < first || (second == first && rnd.IntN(2) == 0) {
+	better := second < first
+	if s.rule.packs() {
+		better = second > first
+	}
+	if better || (second == first && rnd.IntN(2) == 0) {
 		return Decision{Index: s.picked[1], Rule: s.rule, Load: second, Tally: tally}
 	}
 	return Decision{Index: s.picked[0], Rule: s.rule, Load: first, Tally: tally}
