Pack online work also beside batch work

Cause: an upstream with one online and many batch sequences takes up to 50 ms between tokens, so it counted as too slow to pack, and each further request went to another upstream without online work. Change: the time between tokens is a reason against packing only without batch work on the upstream.

--- a/routing/routing.go
+++ b/routing/routing.go
@@ -296,9 +296,11 @@
 	return offset + LocalFree
 }
 
+// packable reports whether more online work may join. A long time between
+// tokens beside batch work is no reason against it, because batch work gives way.
 func packable(u *link.Upstream, w *Weights) bool {
 	interval := time.Duration(u.Load.GetTokenIntervalUs()) * time.Microsecond
-	return hasOnline(u) && interval <= w.PackInterval
+	return hasOnline(u) && (interval <= w.PackInterval || u.Load.GetBatchActive() > 0)
 }
 
 func holds(u *link.Upstream, prefix uint64) bool {
