Spread bursts of online requests over more upstreams

Cause: within a burst all requests went to the fullest upstream until its bound, and their prompts waited for each other. Change: an upstream with 6 own attempts since its last report is not packed further.

--- a/routing/routing.go
+++ b/routing/routing.go
@@ -16,6 +16,7 @@
 	PackBound     float64       // an upstream with online work is preferred below it
 	AffinityBound float64       // multiple of the mean load up to which a cached prefix is preferred
 	BatchWeight   float64       // load of a batch sequence relative to an online one
+	PackSends     int           // an upstream with as many own attempts since its report is not packed further
 	PackInterval  time.Duration // an upstream with a longer time between tokens is not packed further
 	SilentAfter   time.Duration // an upstream not heard of for this long is not used
 }
@@ -25,6 +26,8 @@
 // Batch sequences count little because the agent preempts them for online work.
 // PackBound keeps the online prompts of a packed upstream from lengthening more
 // than 5% of its steps beyond the target between tokens.
+// PackSends bounds the prompts that wait for each other on a packed upstream:
+// reports are up to 500 ms apart, and the target of the first token is 310 ms.
 // PackInterval leaves a margin below the target of 55 ms between tokens.
 // SilentAfter covers two reports missed in a row (sent at least every 2 s).
 func DefaultWeights() Weights {
@@ -33,6 +36,7 @@
 		PackBound:     0.3,
 		AffinityBound: 1.25,
 		BatchWeight:   0.1,
+		PackSends:     6,
 		PackInterval:  45 * time.Millisecond,
 		SilentAfter:   5 * time.Second,
 	}
@@ -284,7 +288,7 @@
 	if u.DataCentre != r.DataCentre {
 		z, offset = remote, RemotePrefix
 	}
-	if holds(u, r.Prefix) && hasOnline(u) && have+1 <= max(z.share(w.AffinityBound, n), w.PackBound*n) {
+	if holds(u, r.Prefix) && packable(u, w) && have+1 <= max(z.share(w.AffinityBound, n), w.PackBound*n) {
 		return offset + LocalPrefix
 	}
 	if have+1 > w.PackBound*n {
@@ -296,10 +300,14 @@
 	return offset + LocalFree
 }
 
-// packable reports whether more online work may join. A long time between
+// packable reports whether more online work may join. Many attempts since the
+// report mean a burst, whose prompts would wait for each other. A long time between
 // tokens beside batch work is no reason against it, because batch work gives way.
 func packable(u *link.Upstream, w *Weights) bool {
 	interval := time.Duration(u.Load.GetTokenIntervalUs()) * time.Microsecond
+	if u.SentSince >= w.PackSends {
+		return false
+	}
 	return hasOnline(u) && (interval <= w.PackInterval || u.Load.GetBatchActive() > 0)
 }
 
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -78,6 +78,8 @@
 	}
 	slow := up("a", local, 1, 0)
 	slow.Load.TokenIntervalUs = 50_000
+	burst := withPrefix(up("a", local, 0, 0))
+	burst.Load.Slots, burst.SentSince = 64, 6
 	slowBatch := up("a", local, 1, 6)
 	slowBatch.Load.TokenIntervalUs = 50_000
 	sent := up("a", local, 0, 0)
@@ -96,6 +98,7 @@
 		{"the fuller of two with the prefix", []link.Upstream{withPrefix(up("a", local, 2, 0)), withPrefix(up("b", local, 1, 0))}, 0, LocalPrefix},
 		{"full pack", []link.Upstream{up("a", local, 0, 0), up("b", local, 5, 0)}, 0, LocalFree},
 		{"slow tokens", []link.Upstream{slow, up("b", local, 0, 0)}, 1, LocalFree},
+		{"many sent since the report", []link.Upstream{burst, up("b", local, 0, 0)}, 1, LocalFree},
 		{"slow tokens beside batch", []link.Upstream{slowBatch, up("b", local, 0, 0)}, 0, LocalPacked},
 		{"batch does not count as online", []link.Upstream{up("a", local, 0, 8), up("b", local, 0, 0)}, 1, LocalFree},
 		{"own attempts since the report", []link.Upstream{sent, up("b", local, 8, 0)}, 1, LocalBusy},
