Leave a margin in the time to first token

Cause: batch prompts could take all of the 310 ms that the prediction leaves, while the step in progress and an engine slower than predicted come on top. Change: batch prompts that delay an arriving request by more than half the target are cancelled; they are the newest and have produced nothing.

--- a/admission/preempt.go
+++ b/admission/preempt.go
@@ -21,6 +21,10 @@
 	firstToken time.Duration
 }
 
+// firstTokenMargin is the part of the target that is not left to batch prompts,
+// for the step in progress, the way to the agent and errors of the model.
+const firstTokenMargin = FirstTokenTarget / 2
+
 // Preempt returns the batch sequences to cancel so that the queued online
 // attempts and arriving (nil for none) start within the targets: the smallest
 // number, newest first, because the newest lose the least work. Calls of plain
@@ -98,7 +102,7 @@
 	b := bounds{slots: s.Slots, step: StepTarget}
 	b.onlinePart = n > lightOnline && s.Model.StepWithPrompt(n, onlinePrompt) <= StepTarget
 	b.step = max(b.step, s.Model.Step(n))
-	b.firstToken = max(FirstTokenTarget, s.Model.FirstToken(n+decodingBatch(s), onlinePrompt))
+	b.firstToken = max(FirstTokenTarget-firstTokenMargin, s.Model.FirstToken(n+decodingBatch(s), onlinePrompt))
 	return b
 }
 
