--- a/admission/decide.go
+++ b/admission/decide.go
@@ -73,7 +73,7 @@
 	if batchSlots(s) < 1 {
 		return refuse(ReasonNoBatchRoom)
 	}
-	if s.Kind == contract.KindEngine && s.Tally.Online > 0 && !s.Budget.Allows(a.PromptTokens) {
+	if s.Kind == contract.KindEngine && s.Tally.Online > 0 && !promptAllowed(s, a.PromptTokens) {
 		return refuse(ReasonNoBatchRoom)
 	}
 	return Decision{Action: Admit}
@@ -89,7 +89,8 @@
 		return max(0, room)
 	}
 	if s.Tally.Online > 0 {
-		room = min(room, s.Budget.items(max(s.BatchPrompt, 1))-s.Granted)
+		prompt := max(s.BatchPrompt, 1)
+		room = min(room, max(promptsWithin(s, prompt), s.Budget.items(prompt))-s.Granted)
 	} else {
 		room = min(room, promptRoom(s))
 	}
@@ -108,8 +109,27 @@
 	return int(math.Ceil(free / float64(s.BatchPrompt)))
 }
 
+// promptAllowed reports whether a batch prompt may start beside online work:
+// no step exceeds the target, or the budget allows a lengthened one.
+func promptAllowed(s *Snapshot, promptTokens int) bool {
+	return promptsWithin(s, promptTokens) > 0 || s.Budget.Allows(promptTokens)
+}
+
+// promptsWithin is the number of batch prompts of that size that can be computed
+// in one step, with the prompts in computation, without exceeding the target.
+func promptsWithin(s *Snapshot, promptTokens int) int {
+	pending := s.Tally.OnlinePrompt + s.Tally.BatchPrompt
+	running := s.Tally.Online + s.Tally.Batch
+	n := 0
+	for n < s.Slots && pending+(n+1)*promptTokens <= PieceTokens &&
+		s.Model.StepWithPrompt(running+n+1, pending+(n+1)*promptTokens) <= StepTarget {
+		n++
+	}
+	return n
+}
+
 // batchSlots is the number of batch sequences that fit beside the running ones,
-// by slots and step time.
+// by slots and the time of a step without prompts.
 func batchSlots(s *Snapshot) int {
 	used := s.Tally.Used()
 	if s.Kind == contract.KindPlain {
@@ -126,7 +146,10 @@
 	if s.FirstToken > FirstTokenTarget && s.Tally.Batch > 0 {
 		return 0
 	}
-	fitting := s.Model.MaxSequences(StepTarget, PieceTokens, s.Slots)
+	if s.Tally.Online > lightOnline {
+		return 0 // online prompts alone use up the steps that may be lengthened
+	}
+	fitting := s.Model.MaxSequences(StepTarget, 0, s.Slots)
 	return min(free, fitting-s.Tally.Online-s.Tally.Batch)
 }
 
