Add the operator API to entries

Cause: operators had no way to change the configuration of a running fleet. Change: package operator serves sheet, change, diff, history and status; the entry mounts it. Acceptance goes through contract.Store and the document is offered to the entry's holder. History rows now carry the sheet's date and revision; apierror.Error has machine-readable details for the difference.

--- a/apierror/apierror.go
+++ b/apierror/apierror.go
@@ -26,6 +26,7 @@
 	Executed   attempt.Executed // empty for requests that are never run, such as reads
 	RetryAfter time.Duration    // 0 for none; up to half of it is added as jitter
 	Findings   finding.List
+	Details    any // further facts for programs, encoded as JSON; nil for none
 }
 
 // Error gives code and message.
@@ -42,15 +43,16 @@
 	Param    string       `json:"param,omitempty"`
 	Executed string       `json:"executed,omitempty"`
 	Findings finding.List `json:"findings,omitempty"`
+	Details  any          `json:"details,omitempty"`
 }
 
 // JSON gives the error's body, as it also stands in an error event of a stream.
 func (e *Error) JSON() []byte {
 	b, err := json.Marshal(body{Error: detail{
 		Message: e.Message, Type: e.Type, Code: e.Code, Param: e.Param,
-		Executed: string(e.Executed), Findings: e.Findings,
+		Executed: string(e.Executed), Findings: e.Findings, Details: e.Details,
 	}})
-	if err != nil { // only strings and ints inside
+	if err != nil { // details are plain structures
 		panic(err)
 	}
 	return b
--- a/contract/accept.go
+++ b/contract/accept.go
@@ -272,7 +272,9 @@
 	if err != nil {
 		return platform.Transaction{}, trace.Wrap(err)
 	}
-	history, err := json.Marshal(record{ChangeID: a.doc.ChangeID, Object: a.key})
+	history, err := json.Marshal(record{
+		ChangeID: a.doc.ChangeID, Object: a.key, SheetDate: a.doc.SheetDate, Revision: a.doc.Revision,
+	})
 	if err != nil {
 		return platform.Transaction{}, trace.Wrap(err)
 	}
--- a/contract/store.go
+++ b/contract/store.go
@@ -44,8 +44,10 @@
 
 // record is the value of a history row: the change that became its version.
 type record struct {
-	ChangeID string `json:"change_id"`
-	Object   string `json:"object"`
+	ChangeID  string `json:"change_id"`
+	Object    string `json:"object"`
+	SheetDate string `json:"sheet_date"`
+	Revision  int    `json:"revision"`
 }
 
 // currentRow is the decoded row config/current with its row version. A zero
@@ -150,18 +152,24 @@
 // objectAt returns the body's key of an accepted version, or "" if the version
 // has not been accepted or its history has been removed.
 func (s *Store) objectAt(ctx context.Context, version uint64) (string, error) {
+	r, err := s.record(ctx, version)
+	return r.Object, err
+}
+
+// record reads a history row; a missing one gives the zero value.
+func (s *Store) record(ctx context.Context, version uint64) (record, error) {
 	row, err := s.platform.Get(ctx, historyKey(version))
 	if errors.Is(err, platform.ErrNotFound) {
-		return "", nil
+		return record{}, nil
 	}
 	if err != nil {
-		return "", trace.Wrap(err, "read row %s", historyKey(version))
+		return record{}, trace.Wrap(err, "read row %s", historyKey(version))
 	}
 	var r record
 	if err := json.Unmarshal(row.Value, &r); err != nil {
-		return "", trace.Wrap(err, "decode row %s", row.Key)
+		return record{}, trace.Wrap(err, "decode row %s", row.Key)
 	}
-	return r.Object, nil
+	return r, nil
 }
 
 // removeOldBodies removes some bodies of versions before the history. What
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -17,6 +17,7 @@
 	"github.com/magnoliausher/magnoliausher/instance"
 	"github.com/magnoliausher/magnoliausher/job"
 	"github.com/magnoliausher/magnoliausher/link"
+	"github.com/magnoliausher/magnoliausher/operator"
 	"github.com/magnoliausher/magnoliausher/platform"
 	"github.com/magnoliausher/magnoliausher/poison"
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
@@ -46,6 +47,7 @@
 	fetcher  link.Fetcher
 	runner   *job.Runner
 	sweeper  *job.Sweeper
+	operator *operator.API
 
 	server       *http.Server
 	listener     net.Listener
@@ -91,6 +93,11 @@
 	store := contract.NewStore(limited)
 	d.poller = contract.NewPoller(store, d.holder, contract.PollerConfig{Log: logger})
 	jobs := d.newJobs(suspects)
+	d.operator = operator.New(operator.Config{
+		ID: s.Instance.ID, Store: store, Holder: d.holder, Fleet: d.links,
+		PossiblyStale: func() bool { return time.Since(d.configHeard()) > entry.StaleAfter },
+		Log:           logger,
+	})
 	d.entry = entry.New(entry.Config{
 		ID:             s.Instance.ID,
 		DataCentre:     s.Instance.DataCentre,
@@ -100,6 +107,7 @@
 		Idempotency:    d.intents,
 		Suspects:       entrySuspects{suspects},
 		Jobs:           jobs.Handler(),
+		Operator:       d.operator.Handler(),
 		Prompt:         promptOf,
 		ConfigHeard:    d.configHeard,
 		Logger:         logger,
@@ -230,6 +238,9 @@
 	return false
 }
 
+// ConfigVersion returns the version of the configuration in force here.
+func (d *Entry) ConfigVersion() uint64 { return d.holder.Version() }
+
 // Address returns the IP address and port for callers.
 func (d *Entry) Address() string { return d.listener.Addr().String() }
 
@@ -245,6 +256,7 @@
 	group.Go(func() error { d.fetchConfig(background); return nil })
 	group.Go(func() error { return untilDone(background, d.runner.Run(background)) })
 	group.Go(func() error { d.sweeper.Run(background); return nil })
+	group.Go(func() error { d.operator.Run(background); return nil })
 	group.Go(func() error { return serve(d.server, d.listener) })
 	if d.peerServer != nil {
 		group.Go(func() error { return serve(d.peerServer, d.peerListener) })
--- a/entry/health.go
+++ b/entry/health.go
@@ -9,9 +9,9 @@
 	"github.com/magnoliausher/magnoliausher/metric"
 )
 
-// staleAfter is the time without a confirmation of the configuration after
+// StaleAfter is the time without a confirmation of the configuration after
 // which it may be stale: the bound within which a change is in force everywhere.
-const staleAfter = 6 * time.Second
+const StaleAfter = 6 * time.Second
 
 // readiness is the body of /readyz.
 type readiness struct {
@@ -59,7 +59,7 @@
 
 // possiblyStale reports whether no source has confirmed the configuration lately.
 func (e *Entry) possiblyStale(now time.Time) bool {
-	return e.config.ConfigHeard != nil && now.Sub(e.config.ConfigHeard()) > staleAfter
+	return e.config.ConfigHeard != nil && now.Sub(e.config.ConfigHeard()) > StaleAfter
 }
 
 func (e *Entry) serveReady(w http.ResponseWriter) {
--- /dev/null
+++ b/operator/status.go
@@ -0,0 +1,76 @@
+package operator
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"slices"
+
+	"github.com/magnoliausher/magnoliausher/link"
+)
+
+// Status says how far the configuration has spread, as this entry knows it.
+type Status struct {
+	Newest        uint64         `json:"newest"`         // highest version known to any source
+	Lowest        uint64         `json:"lowest"`         // lowest version of the instances heard from
+	Entry         uint64         `json:"entry"`          // version of the answering entry
+	Confirmed     bool           `json:"confirmed"`      // the platform answered, so newest is the accepted version
+	PossiblyStale bool           `json:"possibly_stale"` // no source has confirmed the entry's version for 6 s
+	Counts        []VersionCount `json:"counts"`         // newest version first
+	Behind        []string       `json:"behind"`         // instances below the newest version
+	NeverHeard    []string       `json:"never_heard"`    // listed instances without any report
+}
+
+// VersionCount is the number of instances that have a version in force.
+type VersionCount struct {
+	Version   uint64 `json:"version"`
+	Instances int    `json:"instances"`
+}
+
+// Everywhere reports whether all instances have the newest version, and at
+// least the given one.
+func (s *Status) Everywhere(version uint64) bool {
+	return s.Newest >= version && s.Newest > 0 && s.Lowest == s.Newest && len(s.NeverHeard) == 0
+}
+
+func (a *API) status(w http.ResponseWriter, r *http.Request) error {
+	ctx, cancel := context.WithTimeout(r.Context(), readTimeout)
+	defer cancel()
+	accepted, err := a.config.Store.Version(ctx)
+	own := a.config.Holder.Version()
+	versions := []link.InstanceVersion{}
+	if a.config.Fleet != nil {
+		versions = a.config.Fleet.Versions()
+	}
+	s := newStatus(max(accepted, own), versions)
+	s.Entry, s.Confirmed = own, err == nil
+	s.PossiblyStale = a.config.PossiblyStale != nil && a.config.PossiblyStale()
+	return writeJSON(w, s)
+}
+
+// newStatus counts the reports. known is the highest version from other sources.
+func newStatus(known uint64, versions []link.InstanceVersion) *Status {
+	s := &Status{Newest: known, Counts: []VersionCount{}, Behind: []string{}, NeverHeard: []string{}}
+	counts := make(map[uint64]int)
+	for _, v := range versions {
+		if v.HeardAt.IsZero() {
+			s.NeverHeard = append(s.NeverHeard, v.InstanceID)
+			continue
+		}
+		counts[v.Version]++
+		s.Newest = max(s.Newest, v.Version)
+	}
+	for _, v := range versions {
+		if !v.HeardAt.IsZero() && v.Version < s.Newest {
+			s.Behind = append(s.Behind, v.InstanceID)
+		}
+	}
+	for version, instances := range counts {
+		s.Counts = append(s.Counts, VersionCount{Version: version, Instances: instances})
+	}
+	slices.SortFunc(s.Counts, func(a, b VersionCount) int { return cmp.Compare(b.Version, a.Version) })
+	if len(s.Counts) > 0 {
+		s.Lowest = s.Counts[len(s.Counts)-1].Version
+	}
+	return s
+}
