--- a/cli/cli.go
+++ b/cli/cli.go
@@ -32,7 +32,9 @@
   magnoliausher demo
   magnoliausher dev --listen 127.0.0.1:8080
   magnoliausher check-settings entry.ini
-  magnoliausher entry entry.ini`
+  magnoliausher entry entry.ini
+  magnoliausher sheet apply today.csv --entry 10.0.0.1:8080
+  magnoliausher jobs create items.jsonl --wait --entry 10.0.0.1:8080`
 
 // Main runs the command line and returns the exit code.
 func Main(args []string) int {
@@ -91,6 +93,8 @@
 		devCommand(),
 		checkSettingsCommand(),
 		keysCommand(),
+		sheetCommand(),
+		jobsCommand(),
 		versionCommand(),
 	}
 }
--- a/cli/demo.go
+++ b/cli/demo.go
@@ -15,19 +15,29 @@
 
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/demo"
+	"github.com/magnoliausher/magnoliausher/examples"
 	"github.com/magnoliausher/magnoliausher/keys"
 )
 
 const devReadyTimeout = 30 * time.Second
 
+// demoDocument is the configuration of the embedded example sheet.
+func demoDocument() (*contract.Document, error) {
+	return examples.Document("ferreira.csv", examples.Ferreira)
+}
+
 func demoCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "demo",
 		Usage: "run the whole path on embedded stand-ins",
-		Description: "Runs online requests, a batch job, a burst and an upstream loss, checks every answer,\n" +
+		Description: "Runs online requests, a batch job, a burst, a configuration change and an upstream loss, checks every answer,\n" +
 			"and prints one line of JSON at the end. Exits 1 if a guarantee was broken.",
 		Action: func(ctx context.Context, c *cli.Command) error {
-			result, err := demo.Run(ctx, demoDocument(), c.Root().Writer)
+			doc, err := demoDocument()
+			if err != nil {
+				return err
+			}
+			result, err := demo.Run(ctx, doc, c.Root().Writer)
 			if err != nil {
 				return err
 			}
@@ -64,7 +74,10 @@
 	if key == "" {
 		key = keys.NewCallerKey()
 	}
-	doc := demoDocument()
+	doc, err := demoDocument()
+	if err != nil {
+		return err
+	}
 	fleet, err := demo.Start(ctx, demo.FleetConfig{
 		Document: demo.WithCaller(doc, key),
 		Listen:   c.String("listen"),
@@ -106,6 +119,9 @@
 curl -s http://%[1]s/v1/files -H 'Authorization: Bearer %[2]s' -F purpose=batch -F file=@items.jsonl
 curl -s http://%[1]s/v1/batches -H 'Authorization: Bearer %[2]s' -d '{"input_file_id":"FILE_ID","endpoint":"/v1/chat/completions","completion_window":"24h"}'
 
+curl -s http://%[1]s/operator/v1/sheet -H 'Authorization: Bearer %[2]s' -H 'Accept: text/csv' > sheet.csv  # raise its revision, then:
+MAGNOLIAUSHER_KEY=%[2]s magnoliausher sheet apply sheet.csv --entry %[1]s && MAGNOLIAUSHER_KEY=%[2]s magnoliausher sheet status --wait --entry %[1]s
+
 Stop with Ctrl-C or SIGTERM.
 `
 
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -22,6 +22,7 @@
 type Agent struct {
 	settings *settings.Agent
 	logger   zerolog.Logger
+	holder   *contract.Holder
 	agent    *agent.Agent
 	server   *http.Server
 	listener net.Listener
@@ -62,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Agent{settings: s, logger: logger, agent: a, server: server, listener: l}, nil
+	return &Agent{settings: s, logger: logger, holder: holder, agent: a, server: server, listener: l}, nil
 }
 
 func newControl(s *settings.Agent, holder *contract.Holder, suspects *poison.Table, logger zerolog.Logger) func(agent.ControlDeps) agent.Control {
@@ -80,6 +81,9 @@
 	}
 }
 
+// ConfigVersion returns the version of the configuration in force here.
+func (d *Agent) ConfigVersion() uint64 { return d.holder.Version() }
+
 // Address returns the agent's IP address and port.
 func (d *Agent) Address() string { return d.listener.Addr().String() }
 
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -48,11 +49,15 @@
 	TTFTP95MS          float64 `json:"ttft_p95_ms"`
 	ITLP95MS           float64 `json:"itl_p95_ms"`
 	OnceOK             int     `json:"once_ok"` // non-repeatable calls, each sent twice, that ran once
+	// ConfigInForceMS is the time from sending a small change to one entry until
+	// all entries and agents had it; 0 when they did not get it.
+	ConfigInForceMS float64 `json:"config_in_force_ms"`
 }
 
 // Kept reports whether every guarantee held.
 func (r Result) Kept() bool {
-	return r.OnlineFailed == 0 && r.BatchCompletedOnce == r.BatchItems && r.OnceOK == onceCalls
+	configKept := r.ConfigInForceMS > 0 && r.ConfigInForceMS <= float64(configBound.Milliseconds())
+	return r.OnlineFailed == 0 && r.BatchCompletedOnce == r.BatchItems && r.OnceOK == onceCalls && configKept
 }
 
 // WithCaller returns a copy of the document with one more caller that holds the
@@ -103,6 +108,7 @@
 
 type run struct {
 	fleet         *Fleet
+	sayMu         sync.Mutex // guards out
 	out           io.Writer
 	key           string
 	start         time.Time
@@ -119,6 +125,8 @@
 }
 
 func (d *run) say(format string, args ...any) {
+	d.sayMu.Lock()
+	defer d.sayMu.Unlock()
 	fmt.Fprintf(d.out, "%5.1fs  %s\n", time.Since(d.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
@@ -133,6 +141,8 @@
 		return Result{}, err
 	}
 	c := newCaller(addresses, d.key)
+	changed := make(chan time.Duration, 1)
+	go func() { changed <- d.changeConfig(ctx, addresses[1]) }()
 	d.online(ctx, c)
 	onceOK := d.once(ctx, c, doc)
 	c.inFlight.Wait()
@@ -150,7 +160,8 @@
 		BatchItems: batchItems, BatchCompletedOnce: completed,
 		Preemptions: metric.Sum(metric.PreemptedName),
 		TTFTP95MS:   percentile(c.firstMS, 0.95), ITLP95MS: percentile(c.gapsMS, 0.95),
-		OnceOK: onceOK,
+		OnceOK:          onceOK,
+		ConfigInForceMS: float64((<-changed).Microseconds()) / 1000,
 	}, nil
 }
 
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -30,6 +30,7 @@
 	restartDelay   = 3 * time.Second
 	plainSlots     = 64
 	healthInterval = 250 * time.Millisecond
+	versionPause   = 2 * time.Millisecond // between two looks at the instances' versions
 )
 
 // FleetConfig describes a fleet on loopback.
@@ -55,6 +56,7 @@
 	Engines  []EngineNode
 	Services []*service.Server
 	Entries  []*daemon.Entry
+	Agents   []*daemon.Agent
 
 	config      FleetConfig
 	group       *errgroup.Group
@@ -175,6 +177,7 @@
 		ID: id, Role: platform.RoleAgent, DataCentre: g.DataCentre,
 		Address: a.Address(), Service: svc.Name, State: platform.InstanceLive,
 	})
+	f.Agents = append(f.Agents, a)
 	ctx, cancel := context.WithCancel(ctx)
 	f.group.Go(func() error { return a.Run(ctx) })
 	return cancel, nil
@@ -222,6 +225,40 @@
 	return l.Addr().String(), nil
 }
 
+// WaitVersion returns when all entries and agents have at least the version in
+// force.
+func (f *Fleet) WaitVersion(ctx context.Context, version uint64) error {
+	tick := time.NewTicker(versionPause)
+	defer tick.Stop()
+	for {
+		behind := f.below(version)
+		if behind == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return trace.Wrap(ctx.Err(), "%d instances are below version %d", behind, version)
+		case <-tick.C:
+		}
+	}
+}
+
+// below counts the entries and agents below a version.
+func (f *Fleet) below(version uint64) int {
+	behind := 0
+	for _, e := range f.Entries {
+		if e.ConfigVersion() < version {
+			behind++
+		}
+	}
+	for _, a := range f.Agents {
+		if a.ConfigVersion() < version {
+			behind++
+		}
+	}
+	return behind
+}
+
 // WaitReady returns when all entries are ready and have a link to an upstream
 // of each service.
 func (f *Fleet) WaitReady(ctx context.Context) error {
--- /dev/null
+++ b/operator/client/client.go
@@ -0,0 +1,187 @@
+// Package client calls the operator API of an entry.
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/google/uuid"
+	"github.com/gravitational/trace"
+
+	"github.com/magnoliausher/magnoliausher/contract"
+	"github.com/magnoliausher/magnoliausher/finding"
+	"github.com/magnoliausher/magnoliausher/operator"
+)
+
+// Client calls one entry or the load balancer before several.
+type Client struct {
+	BaseURL string // e.g. http://10.0.0.1:8080
+	Key     string // of an operator
+	HTTP    *http.Client
+}
+
+// maxTries bounds the sends of one request. Every request may be repeated:
+// reads change nothing and acceptances carry a change id.
+const maxTries = 5
+
+// Bounds of the parts of an answer that are read.
+const (
+	maxErrorBytes  = 8 << 20
+	maxAnswerBytes = 64 << 20
+)
+
+// Error is an answer with an error status.
+type Error struct {
+	Status   int                   `json:"-"`
+	Code     string                `json:"code"`
+	Message  string                `json:"message"`
+	Executed string                `json:"executed"`
+	Findings finding.List          `json:"findings"`
+	Details  operator.ErrorDetails `json:"details"`
+}
+
+// Error gives code and message, then one finding or difference per line.
+func (e *Error) Error() string {
+	lines := []string{fmt.Sprintf("%s: %s", e.Code, e.Message)}
+	for _, f := range e.Findings {
+		lines = append(lines, f.String())
+	}
+	lines = appendChanges(lines, "From the version in force to the refused one:", e.Details.Difference)
+	lines = appendChanges(lines, "From the base to the version in force:", e.Details.SinceBase)
+	if e.Code == operator.CodeOutcomeUnknown {
+		lines = append(lines, fmt.Sprintf("change id %s, base %d", e.Details.ChangeID, e.Details.Base))
+	}
+	return strings.Join(lines, "\n")
+}
+
+func appendChanges(lines []string, title string, changes []contract.Change) []string {
+	if len(changes) == 0 {
+		return lines
+	}
+	lines = append(lines, title)
+	for _, c := range changes {
+		lines = append(lines, "  "+c.String())
+	}
+	return lines
+}
+
+// Acceptance names a change and its base.
+type Acceptance struct {
+	Base     uint64 // used when HasBase is set, else the version in force is
+	HasBase  bool
+	ChangeID string // made up when empty
+}
+
+// Apply sends a sheet.
+func (c *Client) Apply(ctx context.Context, sheet []byte, a Acceptance) (*operator.AcceptAnswer, error) {
+	path := operator.PathSheet
+	if a.HasBase {
+		path += "?base=" + strconv.FormatUint(a.Base, 10)
+	}
+	if a.ChangeID == "" {
+		a.ChangeID = uuid.NewString()
+	}
+	return call[operator.AcceptAnswer](ctx, c, http.MethodPost, path, sheet, a.ChangeID)
+}
+
+// Change sends a small change. An empty change id is replaced by a random one.
+func (c *Client) Change(ctx context.Context, change operator.Change, changeID string) (*operator.AcceptAnswer, error) {
+	body, err := json.Marshal(change)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if changeID == "" {
+		changeID = uuid.NewString()
+	}
+	return call[operator.AcceptAnswer](ctx, c, http.MethodPost, operator.PathChange, body, changeID)
+}
+
+// Diff compares a sheet with the configuration in force.
+func (c *Client) Diff(ctx context.Context, sheet []byte) (*operator.DiffAnswer, error) {
+	return call[operator.DiffAnswer](ctx, c, http.MethodPost, operator.PathDiff, sheet, "")
+}
+
+// Document returns the configuration in force.
+func (c *Client) Document(ctx context.Context) (*contract.Document, error) {
+	return call[contract.Document](ctx, c, http.MethodGet, operator.PathSheet, nil, "")
+}
+
+// History returns the last accepted versions, the newest first.
+func (c *Client) History(ctx context.Context, limit int) (*operator.HistoryAnswer, error) {
+	query := url.Values{"limit": {strconv.Itoa(limit)}}
+	return call[operator.HistoryAnswer](ctx, c, http.MethodGet, operator.PathHistory+"?"+query.Encode(), nil, "")
+}
+
+// Status returns how far the configuration has spread.
+func (c *Client) Status(ctx context.Context) (*operator.Status, error) {
+	return call[operator.Status](ctx, c, http.MethodGet, operator.PathStatus, nil, "")
+}
+
+// call sends a request until it gets an answer that another try can't better.
+func call[T any](ctx context.Context, c *Client, method, path string, body []byte, changeID string) (*T, error) {
+	return backoff.Retry(ctx, func() (*T, error) {
+		answer := new(T)
+		err := c.send(ctx, method, path, body, changeID, answer)
+		var refused *Error
+		if errors.As(err, &refused) && refused.Status < http.StatusInternalServerError {
+			return nil, backoff.Permanent(err)
+		}
+		if err != nil {
+			return nil, err
+		}
+		return answer, nil
+	}, backoff.WithMaxTries(maxTries))
+}
+
+func (c *Client) send(ctx context.Context, method, path string, body []byte, changeID string, answer any) error {
+	req, err := http.NewRequestWithContext(ctx, method, strings.TrimSuffix(c.BaseURL, "/")+path, bytes.NewReader(body))
+	if err != nil {
+		return backoff.Permanent(err)
+	}
+	if c.Key != "" {
+		req.Header.Set("Authorization", "Bearer "+c.Key)
+	}
+	if changeID != "" {
+		req.Header.Set("Idempotency-Key", changeID)
+	}
+	resp, err := c.client().Do(req)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return readError(resp)
+	}
+	return trace.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(answer))
+}
+
+func (c *Client) client() *http.Client {
+	if c.HTTP != nil {
+		return c.HTTP
+	}
+	return http.DefaultClient
+}
+
+func readError(resp *http.Response) error {
+	var body struct {
+		Error Error `json:"error"`
+	}
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	if err == nil {
+		err = json.Unmarshal(raw, &body)
+	}
+	if err != nil || body.Error.Code == "" {
+		body.Error = Error{Code: "http_status", Message: resp.Status}
+	}
+	body.Error.Status = resp.StatusCode
+	return &body.Error
+}
