Test acceptance, lost responses and races of operators

Cause: the API had no tests. Writing them found that a sheet without a key was accepted by an entry that had not yet loaded the configuration, because its base was read from the platform. Change: such a sheet always has base 0. Tests cover refusals, authorisation, lost responses, racing operators, small changes, and a fleet whose platform is down from the commit on. FuzzChange covers the body of a small change. Wrong flags and missing ones now exit 2, as the help says.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -55,6 +55,7 @@
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 		Commands:              commands(),
 	}
+	reportUsage(root)
 	err := root.Run(ctx, args)
 	if err == nil {
 		return ExitOK
@@ -63,6 +64,16 @@
 	return exitCode(err)
 }
 
+// reportUsage makes wrong flags of the command and those below it usage errors.
+func reportUsage(c *cli.Command) {
+	c.OnUsageError = func(_ context.Context, c *cli.Command, err error, _ bool) error {
+		return usageError{fmt.Sprintf("%v; see %s --help", err, c.FullName())}
+	}
+	for _, below := range c.Commands {
+		reportUsage(below)
+	}
+}
+
 // usageError marks a wrong command line.
 type usageError struct{ reason string }
 
--- a/cli/remote.go
+++ b/cli/remote.go
@@ -50,7 +50,7 @@
 		}
 		entries = append(entries, u)
 	}
-	if len(entries) == 0 {
+	if len(entries) == 0 { // an empty value
 		return nil, "", usageError{"--entry is required"}
 	}
 	return &http.Client{Transport: &failover{entries: entries, next: http.DefaultTransport}}, entries[0].String(), nil
--- /dev/null
+++ b/demo/config_test.go
@@ -0,0 +1,144 @@
+package demo
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/magnoliausher/magnoliausher/contract"
+	"github.com/magnoliausher/magnoliausher/operator"
+	"github.com/magnoliausher/magnoliausher/operator/client"
+)
+
+const testKey = "test-key"
+
+// configFleet is a small fleet with a client of each entry.
+func configFleet(t *testing.T) (*Fleet, []*client.Client) {
+	t.Helper()
+	doc := WithCaller(&contract.Document{
+		SheetDate: "2026-03-02", Revision: 1,
+		Services: []contract.Service{
+			{Name: "assistant", Kind: contract.KindEngine, Model: "assistant"},
+			{Name: "portal", Kind: contract.KindPlain},
+		},
+		Groups: []contract.UpstreamGroup{
+			{Name: "assistant-a", Service: "assistant", DataCentre: "a", Role: "serve", Count: 2},
+			{Name: "assistant-b", Service: "assistant", DataCentre: "b", Role: "serve", Count: 2},
+			{Name: "portal-a", Service: "portal", DataCentre: "a", Count: 1},
+		},
+	}, testKey)
+	ctx, stop := context.WithCancel(context.Background())
+	f, err := Start(ctx, FleetConfig{Document: doc, Entries: 3, Logger: zerolog.Nop()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		stop()
+		if err := f.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+	if err := f.WaitReady(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	var clients []*client.Client
+	for _, e := range f.Entries {
+		clients = append(clients, &client.Client{BaseURL: "http://" + e.Address(), Key: testKey})
+	}
+	return f, clients
+}
+
+// deadlineChange sets the deadline of the portal.
+func deadlineChange(base uint64, deadline int) operator.Change {
+	c := operator.Change{Base: base}
+	c.Put.Services = []contract.Service{{Name: "portal", Kind: contract.KindPlain, DeadlineMS: deadline}}
+	return c
+}
+
+// Guards against a change that stays on the entry that accepted it, or that
+// needs the platform to reach the other instances. The platform's polls come
+// every 15 s at the soonest, and it is down from the commit on.
+func TestChangeSpreadsWithoutPlatform(t *testing.T) {
+	f, clients := configFleet(t)
+	for i, c := range clients {
+		base := uint64(i) + 1
+		outage := make(chan error, 1)
+		go func() { outage <- cutAfter(t.Context(), f, base) }()
+		answer, err := c.Change(t.Context(), deadlineChange(base, 1000+i), "")
+		if err != nil || answer.Version != base+1 {
+			t.Fatalf("entry %d: %+v, %v", i, answer, err)
+		}
+		if err := <-outage; err != nil {
+			t.Fatal(err)
+		}
+		if err := f.WaitVersion(t.Context(), base+1); err != nil {
+			t.Fatal(err)
+		}
+		f.Platform.SetOutage(false)
+	}
+	for status, err := clients[0].Status(t.Context()); ; status, err = clients[0].Status(t.Context()) {
+		if err != nil {
+			t.Fatal(err)
+		}
+		if status.Everywhere(uint64(len(clients)) + 1) {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// cutAfter starts an outage of the platform once a newer version than base is
+// accepted.
+func cutAfter(ctx context.Context, f *Fleet, base uint64) error {
+	store := contract.NewStore(f.Platform)
+	for {
+		version, err := store.Version(ctx)
+		if err != nil {
+			return err
+		}
+		if version > base {
+			f.Platform.SetOutage(true)
+			return nil
+		}
+		time.Sleep(100 * time.Microsecond)
+	}
+}
+
+// Guards against two operators on two entries who both win, and against a
+// loser who is not told the difference or a fleet that ends on another version.
+func TestRacingOperatorsOnTwoEntries(t *testing.T) {
+	const rounds = 3
+	f, clients := configFleet(t)
+	for round := range rounds {
+		base := uint64(round) + 1
+		var errs [2]error
+		var racing sync.WaitGroup
+		for i := range errs {
+			racing.Go(func() {
+				_, errs[i] = clients[i].Change(t.Context(), deadlineChange(base, 1000*(round+1)+i), "")
+			})
+		}
+		racing.Wait()
+		loser := errs[0]
+		if loser == nil {
+			loser = errs[1]
+		}
+		var refused *client.Error
+		if !errors.As(loser, &refused) || errs[0] != nil && errs[1] != nil {
+			t.Fatalf("round %d: %v; %v", round, errs[0], errs[1])
+		}
+		if refused.Status != 409 || refused.Executed != "no" || len(refused.Details.Difference) != 1 {
+			t.Fatalf("round %d: %+v", round, refused)
+		}
+		if err := f.WaitVersion(t.Context(), base+1); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if doc, err := contract.NewStore(f.Platform).Load(t.Context()); err != nil || doc.Version != rounds+1 {
+		t.Fatalf("%+v, %v", doc, err)
+	}
+}
--- a/operator/accept.go
+++ b/operator/accept.go
@@ -63,6 +63,9 @@
 	}
 	p := newProposal(r, doc)
 	p.base, p.fixed = base, fixed
+	if contract.CallerFrom(r.Context()) == nil { // may only set the first configuration
+		p.base, p.fixed = 0, true
+	}
 	return a.answerAccept(w, r, p)
 }
 
--- /dev/null
+++ b/operator/api_test.go
@@ -0,0 +1,366 @@
+package operator_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/magnoliausher/magnoliausher/apierror"
+	"github.com/magnoliausher/magnoliausher/contract"
+	"github.com/magnoliausher/magnoliausher/finding"
+	"github.com/magnoliausher/magnoliausher/operator"
+	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/sheet"
+	standin "github.com/magnoliausher/magnoliausher/standin/platform"
+)
+
+var anOperator = &contract.Caller{ID: "operator", Operator: true}
+
+// node is the operator API of one entry.
+type node struct {
+	t      *testing.T
+	holder *contract.Holder
+	api    *operator.API
+}
+
+func newNode(t *testing.T, p platform.Platform) *node {
+	holder := new(contract.Holder)
+	return &node{t: t, holder: holder, api: operator.New(operator.Config{
+		ID: "entry", Store: contract.NewStore(p), Holder: holder,
+	})}
+}
+
+// answer is the parts of all answers that tests look at.
+type answer struct {
+	method   string
+	status   int
+	executed string
+	raw      []byte
+
+	Version    uint64
+	Base       uint64
+	Newer      bool
+	Difference []contract.Change
+	Versions   []contract.Accepted
+	Error      struct {
+		Code     string
+		Findings finding.List
+		Details  operator.ErrorDetails
+	}
+}
+
+func (n *node) send(caller *contract.Caller, method, path, changeID, body string) answer {
+	n.t.Helper()
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	if caller != nil {
+		r = r.WithContext(contract.WithCaller(r.Context(), caller))
+	}
+	if changeID != "" {
+		r.Header.Set("Idempotency-Key", changeID)
+	}
+	w := httptest.NewRecorder()
+	n.api.Handler().ServeHTTP(w, r)
+	a := answer{method: method, status: w.Code, executed: w.Header().Get(apierror.ExecutedHeader), raw: w.Body.Bytes()}
+	if err := json.Unmarshal(a.raw, &a); err != nil {
+		n.t.Fatalf("%s %s: status %d, body %q: %v", method, path, a.status, a.raw, err)
+	}
+	return a
+}
+
+func (n *node) apply(query, changeID, body string) answer {
+	n.t.Helper()
+	return n.send(anOperator, http.MethodPost, operator.PathSheet+query, changeID, body)
+}
+
+func document(revision, deadline int) *contract.Document {
+	return &contract.Document{
+		SheetDate: "2026-03-02", Revision: revision,
+		Services: []contract.Service{{Name: "portal", Kind: contract.KindPlain, DeadlineMS: deadline}},
+		Callers:  []contract.Caller{{ID: "operator", Organisation: "o", KeySHA256: contract.HashKey("k"), Operator: true}},
+	}
+}
+
+func sheetOf(t *testing.T, revision, deadline int) string {
+	t.Helper()
+	var text bytes.Buffer
+	if err := sheet.Write(&text, document(revision, deadline), sheet.Format{}); err != nil {
+		t.Fatal(err)
+	}
+	return text.String()
+}
+
+func (a answer) expect(t *testing.T, status int, code string) {
+	t.Helper()
+	if a.status != status || a.Error.Code != code {
+		t.Fatalf("status %d, code %q, want %d %q: %s", a.status, a.Error.Code, status, code, a.raw)
+	}
+	executed := "no"
+	if status == http.StatusOK || a.method == http.MethodGet {
+		executed = ""
+	}
+	if a.executed != executed {
+		t.Fatalf("executed %q, want %q: %s", a.executed, executed, a.raw)
+	}
+}
+
+// Guards against sheets that come into force although they have findings, are
+// not newer or have an old base, and against refusals that do not say why.
+func TestSheetAcceptance(t *testing.T) {
+	n := newNode(t, standin.New(standin.Config{}))
+	first := n.apply("", "", sheetOf(t, 1, 0))
+	first.expect(t, http.StatusOK, "")
+	if first.Version != 1 || n.holder.Version() != 1 {
+		t.Fatalf("version %d, in the holder %d", first.Version, n.holder.Version())
+	}
+	second := n.apply("?base=1", "", sheetOf(t, 2, 5))
+	second.expect(t, http.StatusOK, "")
+	if second.Version != 2 || len(second.Difference) != 2 {
+		t.Fatalf("second: %s", second.raw)
+	}
+
+	bad := strings.Replace(strings.Replace(sheetOf(t, 3, 0), "plain", "plane", 1), "2026-03-02", "today", 1)
+	a := n.apply("", "", bad)
+	a.expect(t, http.StatusUnprocessableEntity, operator.CodeFindings)
+	if len(a.Error.Findings) != 2 || a.Error.Findings[0].Line == 0 || a.Error.Findings[0].Column == "" {
+		t.Errorf("findings: %s", a.raw)
+	}
+
+	a = n.apply("", "", sheetOf(t, 2, 7))
+	a.expect(t, http.StatusConflict, operator.CodeStaleSheet)
+	if d := a.Error.Details; d.Version != 2 || len(d.Difference) != 1 || d.Difference[0].Field != "deadline_ms" {
+		t.Errorf("stale sheet: %s", a.raw)
+	}
+
+	a = n.apply("?base=1", "", sheetOf(t, 3, 7))
+	a.expect(t, http.StatusConflict, operator.CodeConflict)
+	if d := a.Error.Details; d.Version != 2 || len(d.Difference) != 2 || len(d.SinceBase) != 2 {
+		t.Errorf("conflict: %s", a.raw)
+	}
+	n.apply("?base=x", "", sheetOf(t, 3, 7)).expect(t, http.StatusBadRequest, "invalid_parameter")
+	n.apply("", "not an id", sheetOf(t, 3, 7)).expect(t, http.StatusUnprocessableEntity, operator.CodeFindings)
+	if v := n.holder.Version(); v != 2 {
+		t.Errorf("version %d after refusals", v)
+	}
+
+	a = n.send(anOperator, http.MethodPost, operator.PathDiff, "", sheetOf(t, 2, 9))
+	if a.status != http.StatusOK || a.Newer || len(a.Difference) != 1 {
+		t.Errorf("diff: %s", a.raw)
+	}
+	a = n.send(anOperator, http.MethodGet, operator.PathHistory+"?limit=1", "", "")
+	if len(a.Versions) != 1 || a.Versions[0].Version != 2 || a.Versions[0].SheetDate != "2026-03-02" || a.Versions[0].Revision != 2 {
+		t.Errorf("history: %s", a.raw)
+	}
+}
+
+// Guards against a caller without the right to operate, and against a first
+// sheet without a key that replaces or shows an accepted configuration.
+func TestAuthorisation(t *testing.T) {
+	p := standin.New(standin.Config{})
+	n, late := newNode(t, p), newNode(t, p)
+	n.send(nil, http.MethodGet, operator.PathSheet, "", "").expect(t, http.StatusServiceUnavailable, "not_ready")
+	n.send(nil, http.MethodPost, operator.PathSheet, "", sheetOf(t, 1, 0)).expect(t, http.StatusOK, "")
+	a := late.send(nil, http.MethodPost, operator.PathSheet, "", sheetOf(t, 2, 0))
+	if a.status == http.StatusOK || len(a.Error.Details.Difference) > 0 {
+		t.Errorf("sheet without a key on an entry that has not loaded the configuration: %s", a.raw)
+	}
+	n.send(nil, http.MethodPost, operator.PathSheet, "", sheetOf(t, 2, 0)).expect(t, http.StatusUnauthorized, "invalid_api_key")
+	n.send(&contract.Caller{ID: "c"}, http.MethodGet, operator.PathStatus, "", "").expect(t, http.StatusForbidden, "not_an_operator")
+}
+
+// losingPlatform fails every call after a commit that took effect.
+type losingPlatform struct {
+	platform.Platform
+	mu   sync.Mutex
+	lose bool // the next commit is applied and then the platform is down
+	down bool
+}
+
+func (p *losingPlatform) set(lose, down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lose, p.down = lose, down
+}
+
+func (p *losingPlatform) check() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down {
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+func (p *losingPlatform) Get(ctx context.Context, key string) (platform.Row, error) {
+	if err := p.check(); err != nil {
+		return platform.Row{}, err
+	}
+	return p.Platform.Get(ctx, key)
+}
+
+func (p *losingPlatform) Commit(ctx context.Context, tx platform.Transaction) ([]uint64, error) {
+	if err := p.check(); err != nil {
+		return nil, err
+	}
+	versions, err := p.Platform.Commit(ctx, tx)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.lose {
+		p.lose, p.down = false, true
+		return nil, platform.ErrUnavailable
+	}
+	return versions, err
+}
+
+// Guards against a change whose response was lost that is reported as refused,
+// accepted twice when it is sent again, or not put in force without a resend.
+func TestLostResponse(t *testing.T) {
+	for _, query := range []string{"", "?base=1"} {
+		synctest.Test(t, func(t *testing.T) {
+			p := &losingPlatform{Platform: standin.New(standin.Config{})}
+			n, other := newNode(t, p), newNode(t, p)
+			n.apply("", "", sheetOf(t, 1, 0)).expect(t, http.StatusOK, "")
+			p.set(true, false)
+			a := n.apply(query, "change-a", sheetOf(t, 2, 5))
+			if a.status != http.StatusServiceUnavailable || a.executed != "unknown" || a.Error.Details.ChangeID != "change-a" {
+				t.Fatalf("lost response: executed %q: %s", a.executed, a.raw)
+			}
+			if a = other.apply("?base=1", "change-a", sheetOf(t, 2, 5)); a.executed != "unknown" {
+				t.Fatalf("resend while the platform is down: executed %q: %s", a.executed, a.raw)
+			}
+			p.set(false, false)
+			for range 2 {
+				a = other.apply(query, "change-a", sheetOf(t, 2, 5))
+				a.expect(t, http.StatusOK, "")
+				if a.Version != 2 {
+					t.Fatalf("resend: %s", a.raw)
+				}
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			var running sync.WaitGroup
+			running.Go(func() { n.api.Run(ctx) })
+			time.Sleep(time.Minute) // of the bubble's clock
+			if n.holder.Version() != 2 {
+				t.Errorf("the first entry has version %d", n.holder.Version())
+			}
+			cancel()
+			running.Wait()
+		})
+	}
+}
+
+// Guards against two winners, or none, among operators who change the same
+// version on two entries, and against a loser who is not shown the difference.
+func TestRacingOperators(t *testing.T) {
+	p := standin.New(standin.Config{})
+	nodes := []*node{newNode(t, p), newNode(t, p)}
+	nodes[0].apply("", "", sheetOf(t, 1, 0)).expect(t, http.StatusOK, "")
+	for round := range 50 {
+		base := round + 1
+		var answers [2]answer
+		var racing sync.WaitGroup
+		for i, n := range nodes {
+			text := sheetOf(t, base+1, 10*base+i)
+			racing.Go(func() { answers[i] = n.apply(fmt.Sprintf("?base=%d", base), "", text) })
+		}
+		racing.Wait()
+		winner := 0
+		if answers[1].status == http.StatusOK {
+			winner = 1
+		}
+		answers[winner].expect(t, http.StatusOK, "")
+		loser := answers[1-winner]
+		loser.expect(t, http.StatusConflict, operator.CodeConflict)
+		if d := loser.Error.Details; len(d.Difference) != 1 || d.Difference[0].Field != "deadline_ms" {
+			t.Fatalf("loser: %s", loser.raw)
+		}
+	}
+}
+
+// Guards against small changes that touch other elements, come from an old
+// version, or whose findings do not name the element.
+func TestSmallChange(t *testing.T) {
+	n := newNode(t, standin.New(standin.Config{}))
+	n.apply("", "", sheetOf(t, 1, 0)).expect(t, http.StatusOK, "")
+	change := func(changeID, body string) answer {
+		return n.send(anOperator, http.MethodPost, operator.PathChange, changeID, body)
+	}
+	raise := `{"base":1,"put":{"services":[{"name":"portal","kind":"plain","deadline_ms":9}]}}`
+	for range 2 { // the resend gets the same outcome
+		a := change("id-1", raise)
+		a.expect(t, http.StatusOK, "")
+		if a.Version != 2 || len(a.Difference) != 1 {
+			t.Fatalf("change: %s", a.raw)
+		}
+	}
+	a := change("", strings.Replace(raise, ":9", ":8", 1))
+	a.expect(t, http.StatusConflict, operator.CodeConflict)
+	if len(a.Error.Details.Difference) != 1 || len(a.Error.Details.SinceBase) != 1 {
+		t.Errorf("old base: %s", a.raw)
+	}
+	change("", strings.Replace(raise, `"base":1`, `"base":9`, 1)).expect(t, http.StatusConflict, operator.CodeConflict)
+	cases := []struct {
+		body string
+		keys []string
+	}{
+		{`{"base":2,"put":{"services":[{"name":"portal","kind":"plain","deadline_ms":-1},{"name":"x","kind":"y"}]}}`,
+			[]string{"services[portal].deadline_ms", "services[x].kind"}},
+		{`{"base":2,"remove":{"groups":["g"],"callers":["operator"]}}`, []string{"remove.groups[0]", "callers"}},
+		{`{"base":2,"put":{"services":[{"name":"portal","kind":"plain"}]},"remove":{"services":["portal"]}}`, []string{"put.services[0]"}},
+		{`{}`, []string{"base", ""}},
+		{`{"base":2,"puts":{}}`, []string{""}},
+		{`{"base":2,"put":{"services":[{"deadline_ms":"x"}]}}`, []string{"put.services.deadline_ms"}},
+		{`{"base":2`, []string{""}},
+	}
+	for _, c := range cases {
+		a := change("", c.body)
+		a.expect(t, http.StatusUnprocessableEntity, operator.CodeFindings)
+		var keys []string
+		for _, f := range a.Error.Findings {
+			keys = append(keys, f.Key)
+		}
+		if strings.Join(keys, " ") != strings.Join(c.keys, " ") {
+			t.Errorf("%s: findings %s", c.body, a.raw)
+		}
+	}
+}
+
+// FuzzChange guards against bodies that panic, change the base, or give a
+// document that breaks a rule without a finding.
+func FuzzChange(f *testing.F) {
+	f.Add([]byte(`{"base":1,"put":{"services":[{"name":"portal","kind":"plain","deadline_ms":9}]}}`))
+	f.Add([]byte(`{"base":1,"remove":{"services":["portal"],"callers":["operator"]}}`))
+	f.Add([]byte(`{"base":1,"put":{"callers":[{"id":"operator"},{"id":"operator"}]}}{}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		var list finding.List
+		change, err := operator.ParseChange(body)
+		if err != nil {
+			if !errors.As(err, &list) {
+				t.Fatalf("error without findings: %v", err)
+			}
+			return
+		}
+		base := document(1, 5)
+		out, err := change.Apply(base)
+		if len(contract.Diff(base, document(1, 5))) > 0 {
+			t.Fatal("the base was changed")
+		}
+		if err != nil {
+			if !errors.As(err, &list) {
+				t.Fatalf("error without findings: %v", err)
+			}
+			return
+		}
+		if problems := contract.Check(out); len(problems) > 0 {
+			t.Fatalf("problems without findings: %+v", problems)
+		}
+	})
+}
