--- a/operator/accept.go
+++ b/operator/accept.go
@@ -42,16 +42,20 @@
 }
 
 // newProposal takes the change id of the request or makes one.
-func newProposal(r *http.Request, doc *contract.Document) *proposal {
-	p := &proposal{changeID: r.Header.Get(idempotencyHeader), doc: *doc}
+func newProposal(r *http.Request, base uint64) *proposal {
+	p := &proposal{base: base, fixed: true, changeID: r.Header.Get(idempotencyHeader)}
 	p.repeated = p.changeID != ""
 	if !p.repeated {
 		p.changeID = uuid.NewString()
 	}
-	p.doc.ChangeID = p.changeID
 	return p
 }
 
+func (p *proposal) setDocument(doc *contract.Document) {
+	p.doc = *doc
+	p.doc.ChangeID = p.changeID
+}
+
 func (a *API) putSheet(w http.ResponseWriter, r *http.Request) error {
 	base, fixed, err := baseOf(r)
 	if err != nil {
@@ -61,8 +65,9 @@
 	if err != nil {
 		return bodyError(err)
 	}
-	p := newProposal(r, doc)
-	p.base, p.fixed = base, fixed
+	p := newProposal(r, base)
+	p.setDocument(doc)
+	p.fixed = fixed
 	if contract.CallerFrom(r.Context()) == nil { // may only set the first configuration
 		p.base, p.fixed = 0, true
 	}
--- a/operator/api_test.go
+++ b/operator/api_test.go
@@ -236,6 +236,10 @@
 			if a = other.apply("?base=1", "change-a", sheetOf(t, 2, 5)); a.executed != "unknown" {
 				t.Fatalf("resend while the platform is down: executed %q: %s", a.executed, a.raw)
 			}
+			small := `{"base":1,"remove":{"services":["portal"]}}`
+			if a = other.send(anOperator, http.MethodPost, operator.PathChange, "change-a", small); a.executed != "unknown" {
+				t.Fatalf("small change while the platform is down: executed %q: %s", a.executed, a.raw)
+			}
 			p.set(false, false)
 			for range 2 {
 				a = other.apply(query, "change-a", sheetOf(t, 2, 5))
--- a/operator/change.go
+++ b/operator/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -190,28 +191,30 @@
 	if err != nil {
 		return err
 	}
-	base, err := a.config.Store.LoadVersion(r.Context(), change.Base)
-	if err != nil {
-		return err
-	}
-	if base == nil {
-		return a.unknownBase(r, change.Base)
+	ctx, cancel := context.WithTimeout(r.Context(), readTimeout)
+	defer cancel()
+	base, err := a.config.Store.LoadVersion(ctx, change.Base)
+	p := newProposal(r, change.Base)
+	switch {
+	case err != nil:
+		return a.explain(ctx, r, p, err)
+	case base == nil:
+		return a.unknownBase(ctx, change.Base)
 	}
 	doc, err := change.Apply(base)
 	if err != nil {
 		return err
 	}
-	p := newProposal(r, doc)
-	p.base, p.fixed = change.Base, true
+	p.setDocument(doc)
 	p.options = []contract.AcceptOption{contract.SmallChange()}
 	return a.answerAccept(w, r, p)
 }
 
 // unknownBase refuses a change to a version that is not yet accepted or no
 // longer in the history.
-func (a *API) unknownBase(r *http.Request, base uint64) error {
+func (a *API) unknownBase(ctx context.Context, base uint64) error {
 	conflict := &contract.ConflictError{Base: base}
-	inForce, err := a.refresh(r.Context())
+	inForce, err := a.refresh(ctx)
 	if err != nil {
 		return err
 	}
