--- a/operator/accept.go
+++ b/operator/accept.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net/http"
@@ -9,7 +10,6 @@
 
 	"github.com/google/uuid"
 
-	"github.com/magnoliausher/magnoliausher/apierror"
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/sheet"
 )
@@ -61,9 +61,9 @@
 	if err != nil {
 		return err
 	}
-	doc, err := sheet.Parse(sheetName, http.MaxBytesReader(w, r.Body, sheet.MaxBytes+1))
+	doc, err := readSheet(w, r)
 	if err != nil {
-		return bodyError(err)
+		return err
 	}
 	p := newProposal(r, base)
 	p.setDocument(doc)
@@ -89,14 +89,13 @@
 	return base, true, nil
 }
 
-// bodyError leaves errors that already say what is wrong with the body.
-func bodyError(err error) error {
-	var tooLarge *http.MaxBytesError
-	var known *apierror.Error
-	if isFindings(err) || errors.As(err, &tooLarge) || errors.As(err, &known) {
-		return err
+// readSheet reads the body as a sheet.
+func readSheet(w http.ResponseWriter, r *http.Request) (*contract.Document, error) {
+	body, err := readBody(w, r, sheet.MaxBytes)
+	if err != nil {
+		return nil, err
 	}
-	return refusal(http.StatusBadRequest, typeInvalid, codeBodyRead, "The body did not arrive whole.")
+	return sheet.Parse(sheetName, bytes.NewReader(body))
 }
 
 // answerAccept makes the proposal the configuration in force. It goes on when
--- a/operator/api.go
+++ b/operator/api.go
@@ -6,7 +6,13 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"io"
+	"maps"
 	"net/http"
+	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -36,6 +42,8 @@
 	acceptTimeout = 10 * time.Second
 	// readTimeout bounds reads that can fall back to the entry's own configuration.
 	readTimeout = 2 * time.Second
+	// bodyTimeout bounds the arrival of a body; the largest sheet takes it at 0.6 MB/s.
+	bodyTimeout = 30 * time.Second
 )
 
 // Config of an API.
@@ -64,31 +72,42 @@
 
 type handler func(w http.ResponseWriter, r *http.Request) error
 
+// methods are the handlers of one path.
+type methods map[string]handler
+
 // Handler returns the routes under /operator/v1.
 func (a *API) Handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("POST "+PathSheet, a.serve(a.putSheet))
-	mux.Handle("GET "+PathSheet, a.serve(a.getSheet))
-	mux.Handle("POST "+PathChange, a.serve(a.putChange))
-	mux.Handle("POST "+PathDiff, a.serve(a.diff))
-	mux.Handle("GET "+PathHistory, a.serve(a.history))
-	mux.Handle("GET "+PathStatus, a.serve(a.status))
-	return mux
-}
-
-// serve checks the caller and writes errors.
-func (a *API) serve(h handler) http.Handler {
+	routes := map[string]methods{
+		PathSheet:   {http.MethodPost: a.putSheet, http.MethodGet: a.getSheet},
+		PathChange:  {http.MethodPost: a.putChange},
+		PathDiff:    {http.MethodPost: a.diff},
+		PathHistory: {http.MethodGet: a.history},
+		PathStatus:  {http.MethodGet: a.status},
+	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		err := a.authorise(r)
-		if err == nil {
-			err = h(w, r)
-		}
-		if err != nil {
+		if err := a.serve(w, r, routes[r.URL.Path]); err != nil {
 			a.refuse(w, r, err)
 		}
 	})
 }
 
+// serve checks path, method and caller.
+func (a *API) serve(w http.ResponseWriter, r *http.Request, path methods) error {
+	if path == nil {
+		return refusal(http.StatusNotFound, typeNotFound, codeUnknownPath, "The path is not known.")
+	}
+	h := path[r.Method]
+	if h == nil {
+		allowed := strings.Join(slices.Sorted(maps.Keys(path)), ", ")
+		w.Header().Set("Allow", allowed)
+		return refusal(http.StatusMethodNotAllowed, typeInvalid, codeMethod, "The path allows only "+allowed+".")
+	}
+	if err := a.authorise(r); err != nil {
+		return err
+	}
+	return h(w, r)
+}
+
 // authorise admits operators. While the entry has no configuration there are
 // no callers, so a sheet is admitted without one: it can only become version 1,
 // and the store refuses it when any configuration has been accepted.
@@ -109,7 +128,7 @@
 
 // refuse writes an error. Details of the platform's errors are only logged.
 func (a *API) refuse(w http.ResponseWriter, r *http.Request, err error) {
-	e := a.errorOf(err)
+	e := errorOf(err)
 	if e.Status >= http.StatusInternalServerError {
 		a.config.Log.Warn().Err(err).Str("path", r.URL.Path).Msg("operator request failed")
 	}
@@ -172,6 +191,24 @@
 	return nil, err
 }
 
+// readBody reads a whole body within bodyTimeout.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout)) // not supported by every writer
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	// Without the reset the server would take the deadline for a lost connection.
+	_ = rc.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, refusal(http.StatusRequestEntityTooLarge, typeInvalid, codeTooLarge,
+			"The body is larger than "+strconv.FormatInt(limit, 10)+" bytes.")
+	case err != nil:
+		return nil, refusal(http.StatusBadRequest, typeInvalid, codeBodyRead, "The body did not arrive whole.")
+	}
+	return body, nil
+}
+
 func writeJSON(w http.ResponseWriter, v any) error {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v) // the operator may be gone
--- a/operator/api_test.go
+++ b/operator/api_test.go
@@ -173,6 +173,8 @@
 		t.Errorf("sheet without a key on an entry that has not loaded the configuration: %s", a.raw)
 	}
 	n.send(nil, http.MethodPost, operator.PathSheet, "", sheetOf(t, 2, 0)).expect(t, http.StatusUnauthorized, "invalid_api_key")
+	n.send(anOperator, http.MethodPost, operator.PathStatus, "", "").expect(t, http.StatusMethodNotAllowed, "method_not_allowed")
+	n.send(anOperator, http.MethodPost, operator.PathStatus+"/x", "", "").expect(t, http.StatusNotFound, "path_not_found")
 	n.send(&contract.Caller{ID: "c"}, http.MethodGet, operator.PathStatus, "", "").expect(t, http.StatusForbidden, "not_an_operator")
 }
 
--- a/operator/change.go
+++ b/operator/change.go
@@ -183,9 +183,9 @@
 }
 
 func (a *API) putChange(w http.ResponseWriter, r *http.Request) error {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxChangeBytes))
+	body, err := readBody(w, r, maxChangeBytes)
 	if err != nil {
-		return bodyError(err)
+		return err
 	}
 	change, err := ParseChange(body)
 	if err != nil {
--- a/operator/problem.go
+++ b/operator/problem.go
@@ -21,6 +21,8 @@
 	codeNotReady       = "not_ready"
 	codeNoOperator     = "not_an_operator"
 	codeUnknownKey     = "invalid_api_key"
+	codeUnknownPath    = "path_not_found"
+	codeMethod         = "method_not_allowed"
 	codeParameter      = "invalid_parameter"
 	codeTooLarge       = "body_too_large"
 	codeBodyRead       = "body_read_failed"
@@ -30,6 +32,7 @@
 const (
 	typeInvalid        = "invalid_request_error"
 	typeAuthentication = "authentication_error"
+	typeNotFound       = "not_found_error"
 	typePermission     = "permission_error"
 	typeServer         = "server_error"
 )
@@ -72,18 +75,15 @@
 }
 
 // errorOf gives the answer to an error of a handler.
-func (a *API) errorOf(err error) *apierror.Error {
+func errorOf(err error) *apierror.Error {
 	var ready *apierror.Error
 	var findings finding.List
-	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &ready):
 		copied := *ready
 		return &copied
 	case errors.As(err, &findings):
 		return withFindings(findings)
-	case errors.As(err, &tooLarge):
-		return refusal(http.StatusRequestEntityTooLarge, typeInvalid, codeTooLarge, "The body is too large.")
 	}
 	return acceptanceErrorOf(err)
 }
--- a/operator/read.go
+++ b/operator/read.go
@@ -50,9 +50,9 @@
 }
 
 func (a *API) diff(w http.ResponseWriter, r *http.Request) error {
-	doc, err := sheet.Parse(sheetName, http.MaxBytesReader(w, r.Body, sheet.MaxBytes+1))
+	doc, err := readSheet(w, r)
 	if err != nil {
-		return bodyError(err)
+		return err
 	}
 	inForce, err := a.refresh(r.Context())
 	if inForce == nil {
