--- a/cli/remote.go
+++ b/cli/remote.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -53,7 +54,21 @@
 	if len(entries) == 0 { // an empty value
 		return nil, "", usageError{"--entry is required"}
 	}
-	return &http.Client{Transport: &failover{entries: entries, next: http.DefaultTransport}}, entries[0].String(), nil
+	return &http.Client{Transport: &failover{entries: entries, next: newTransport()}}, entries[0].String(), nil
+}
+
+// Limits of a call, after which the next entry is tried. An entry answers an
+// acceptance within 13 s even when the platform is down.
+const (
+	dialTimeout   = 5 * time.Second
+	answerTimeout = 30 * time.Second // from the end of the request to the first byte of the answer
+)
+
+func newTransport() *http.Transport {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.DialContext = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	t.ResponseHeaderTimeout = answerTimeout
+	return t
 }
 
 func entryURL(text string) (*url.URL, error) {
--- a/cli/sheet.go
+++ b/cli/sheet.go
@@ -103,6 +103,9 @@
 	}
 	out := c.Root().Writer
 	printChanges(out, answer.Difference)
+	if answer.ConfirmedBy == 0 {
+		fmt.Fprintln(c.Root().ErrWriter, "no other instance has reported the version yet; see sheet status --wait")
+	}
 	_, err = fmt.Fprintf(out, "version %d accepted (change %s); %d other instances have confirmed it\n",
 		answer.Version, answer.ChangeID, answer.ConfirmedBy)
 	return err
