Send the orders that the configuration asks for

Cause: an agent had a seam for orders to its engine but nothing behind it, so a change of a service's model, version, adapter or role reached no engine.

The agent closes the engine to work while weights load, reports it as not ready, and also does so when the engine itself reports that it is loading. Agents get an optional [platform] section; without it orders are off. Engine.State and Load.Loading are part of the upstream interface. The demo's engines start with the state that the configuration asks for. The signature of alive changed, so two agent tests pass the new argument; nothing else in them changed.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -60,8 +60,8 @@
 }
 
 // OrderLoop sends the orders that the configuration in force asks for, each
-// with a fencing number, until ctx ends.
-type OrderLoop func(ctx context.Context, engine upstream.Engine, holder *contract.Holder) error
+// with a fencing number, until ctx ends. It closes the gate while weights load.
+type OrderLoop func(ctx context.Context, engine upstream.Engine, holder *contract.Holder, gate Gate) error
 
 // Agent serves the attempts of one upstream.
 type Agent struct {
@@ -88,7 +88,8 @@
 	bootID        string        // of the engine at the last successful probe
 	epoch         uint64        // number of upstream crashes noticed
 	broken        []uint64      // fingerprints of plain calls with a broken connection since the last good probe
-	idle          chan struct{} // closed when nothing runs; nil until someone waits
+	idle          chan struct{} // closed when nothing runs; nil while no one waits
+	gated         bool          // closed to work for an order
 }
 
 // New returns an agent that accepts work once Run has probed the upstream.
@@ -175,7 +176,7 @@
 	if a.cfg.Kind == contract.KindEngine {
 		g.Go(func() error { return a.cacheLoop(ctx) })
 		if a.cfg.Orders != nil {
-			g.Go(func() error { return a.cfg.Orders(ctx, a.cfg.Engine, a.cfg.Holder) })
+			g.Go(func() error { return a.cfg.Orders(ctx, a.cfg.Engine, a.cfg.Holder, Gate{a}) })
 		}
 	}
 	err := g.Wait()
@@ -193,11 +194,7 @@
 	a.mu.Lock()
 	a.snap.Leaving = true
 	a.refuseQueued(admission.ReasonLeaving)
-	for _, q := range a.snap.Running {
-		if q.Class == contract.ClassBatch && !q.Ending && a.mayCancel(q) {
-			a.end(q, errPreempted)
-		}
-	}
+	a.preemptBatch()
 	idle := a.whenIdle()
 	a.mu.Unlock()
 	if a.control != nil {
@@ -221,14 +218,25 @@
 	return a.cfg.Kind == contract.KindEngine || a.running[q].req.Repeatable
 }
 
-// whenIdle returns a channel that is closed when nothing runs. Only used after
-// Leaving is set. Needs mu.
+// preemptBatch ends the batch attempts that can run again elsewhere. Needs mu.
+func (a *Agent) preemptBatch() {
+	for _, q := range a.snap.Running {
+		if q.Class == contract.ClassBatch && !q.Ending && a.mayCancel(q) {
+			a.end(q, errPreempted)
+		}
+	}
+}
+
+// whenIdle returns a channel that is closed when nothing runs. Only used while
+// no attempt is admitted. Needs mu.
 func (a *Agent) whenIdle() <-chan struct{} {
+	if len(a.running) == 0 {
+		idle := make(chan struct{})
+		close(idle)
+		return idle
+	}
 	if a.idle == nil {
 		a.idle = make(chan struct{})
-		if len(a.running) == 0 {
-			close(a.idle)
-		}
 	}
 	return a.idle
 }
--- a/agent/fake_test.go
+++ b/agent/fake_test.go
@@ -122,6 +122,10 @@
 
 func (e *fakeEngine) Load(context.Context) (upstream.Load, error) { return upstream.Load{}, nil }
 
+func (e *fakeEngine) State(context.Context) (upstream.EngineState, error) {
+	return upstream.EngineState{}, nil
+}
+
 func (e *fakeEngine) CacheEvents(_ context.Context, after uint64) ([]upstream.CacheEvent, bool, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/agent/fault_test.go
+++ b/agent/fault_test.go
@@ -251,7 +251,7 @@
 	inBubble(t, 2, func(t *testing.T, r *rig) {
 		r.engine.set(func() { r.engine.length = 0 })
 		r.crashed(0, "test")
-		r.alive("2")
+		r.alive("2", false)
 		r.crashed(0, "the same crash")
 		o := r.submit(t, r.request(online))
 		r.engine.set(func() { r.engine.healthy = upstream.ErrNotSent })
--- a/agent/health.go
+++ b/agent/health.go
@@ -35,8 +35,9 @@
 		}
 		if err == nil {
 			failures = 0
-			a.alive(boot)
-			a.readSlots(ctx)
+			load := a.readLoad(ctx)
+			a.alive(boot, load.Loading)
+			a.followSlots(load.Slots)
 		} else {
 			failures++
 			a.probeFailed(err, failures, failedAt)
@@ -64,8 +65,9 @@
 	return a.cfg.Engine.Healthy(ctx)
 }
 
-// alive notes a successful probe.
-func (a *Agent) alive(boot string) {
+// alive notes a successful probe. An engine that is loading a model, perhaps on
+// an order of an earlier agent, refuses work and is not ready.
+func (a *Agent) alive(boot string, loading bool) {
 	a.mu.Lock()
 	changed := a.probed && boot != a.bootID
 	unnoticed := changed && a.snap.Ready
@@ -82,26 +84,38 @@
 	a.bootID = boot
 	a.probed = true
 	a.broken = nil
-	if !a.snap.Ready {
+	if loading {
+		a.notReady("upstream loads a model")
+		return
+	}
+	if !a.snap.Ready && !a.gated {
 		a.snap.Ready = true
 		a.cfg.Logger.Info().Str("agent", a.cfg.ID).Str("boot_id", boot).Msg("upstream is ready")
 		a.notify()
 	}
 }
 
-// readSlots follows an engine that runs fewer sequences than configured, for
-// example after a change of its role.
-func (a *Agent) readSlots(ctx context.Context) {
+// readLoad returns the engine's own report; a report that can't be had says nothing.
+func (a *Agent) readLoad(ctx context.Context) upstream.Load {
 	if a.cfg.Kind != contract.KindEngine {
-		return
+		return upstream.Load{}
 	}
 	ctx, cancel := context.WithTimeout(ctx, a.cfg.ProbeTimeout)
 	defer cancel()
 	load, err := a.cfg.Engine.Load(ctx)
-	if err != nil || load.Slots <= 0 {
+	if err != nil {
+		return upstream.Load{}
+	}
+	return load
+}
+
+// followSlots follows an engine that runs fewer sequences than configured, for
+// example after a change of its role.
+func (a *Agent) followSlots(reported int) {
+	if reported <= 0 {
 		return // an engine need not report its slots
 	}
-	slots := min(a.cfg.Slots, load.Slots)
+	slots := min(a.cfg.Slots, reported)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if slots == a.snap.Slots {
@@ -157,12 +171,17 @@
 func (a *Agent) down() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.notReady("upstream does not answer probes")
+}
+
+// notReady stops new work. Needs mu.
+func (a *Agent) notReady(why string) {
 	if !a.snap.Ready {
 		return
 	}
 	a.snap.Ready = false
 	a.refuseQueued(admission.ReasonUpstreamDown)
-	a.cfg.Logger.Warn().Str("agent", a.cfg.ID).Msg("upstream does not answer probes")
+	a.cfg.Logger.Warn().Str("agent", a.cfg.ID).Msg(why)
 	a.notify()
 }
 
--- a/agent/http_test.go
+++ b/agent/http_test.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	a.alive("")
+	a.alive("", false)
 	s := httptest.NewUnstartedServer(a.Handler())
 	s.EnableHTTP2 = true
 	s.StartTLS()
--- a/agent/report.go
+++ b/agent/report.go
@@ -38,7 +38,7 @@
 		return rpc.UpstreamState_UPSTREAM_STATE_LEAVING
 	case a.snap.Ready:
 		return rpc.UpstreamState_UPSTREAM_STATE_READY
-	case !a.probed:
+	case !a.probed, a.gated:
 		return rpc.UpstreamState_UPSTREAM_STATE_STARTING
 	}
 	return rpc.UpstreamState_UPSTREAM_STATE_DOWN
--- a/agent/scheduler.go
+++ b/agent/scheduler.go
@@ -221,7 +221,8 @@
 	}
 	a.dispatch(now)
 	if a.idle != nil && len(a.running) == 0 {
-		closeOnce(a.idle)
+		close(a.idle)
+		a.idle = nil
 	}
 	a.notify()
 }
@@ -280,11 +281,3 @@
 	a.notify()
 	return true
 }
-
-func closeOnce(c chan struct{}) {
-	select {
-	case <-c:
-	default:
-		close(c)
-	}
-}
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -13,6 +13,8 @@
 	"github.com/magnoliausher/magnoliausher/agent"
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/link"
+	"github.com/magnoliausher/magnoliausher/order"
+	"github.com/magnoliausher/magnoliausher/platform"
 	"github.com/magnoliausher/magnoliausher/poison"
 	"github.com/magnoliausher/magnoliausher/settings"
 	"github.com/magnoliausher/magnoliausher/upstream"
@@ -35,6 +37,10 @@
 	}
 	holder := &contract.Holder{}
 	suspects := poison.NewTable(poison.Config{})
+	orders, err := newOrders(s, logger)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
 	a, err := agent.New(agent.Config{
 		ID:              s.Instance.ID,
 		DataCentre:      s.Instance.DataCentre,
@@ -47,6 +53,7 @@
 		Logger:          logger,
 		NewControl:      newControl(s, holder, suspects, logger),
 		Suspects:        agentSuspects{suspects},
+		Orders:          orders,
 		QueueLimit:      s.QueueLength,
 		ProgressTimeout: s.ProgressTimeout,
 		ProbeInterval:   s.HealthInterval,
@@ -80,6 +87,37 @@
 	}
 }
 
+// Limits of one agent's calls of the platform, which are only for orders.
+const (
+	orderReadsPerSecond  = 5
+	orderWritesPerSecond = 5
+)
+
+// newOrders returns the loop of orders, or nil without an address of the
+// platform or an engine.
+func newOrders(s *settings.Agent, logger zerolog.Logger) (agent.OrderLoop, error) {
+	if s.Platform.Address == "" || contract.Kind(s.Kind) != contract.KindEngine {
+		return nil, nil
+	}
+	client, err := platform.NewClient(platform.ClientConfig{
+		BaseURL: "http://" + s.Platform.Address, Timeout: s.Platform.Timeout, Connections: 2,
+	})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	loop := order.NewLoop(order.Config{
+		Place: order.Place{AgentID: s.Instance.ID, Service: s.Service, DataCentre: s.Instance.DataCentre},
+		Table: platform.NewLimited(client, platform.LimitConfig{
+			ReadsPerSecond: orderReadsPerSecond, WritesPerSecond: orderWritesPerSecond,
+		}),
+		Logger: logger,
+	})
+	return func(ctx context.Context, engine upstream.Engine, holder *contract.Holder, gate agent.Gate) error {
+		defer client.Close()
+		return loop.Run(ctx, engine, holder, gate)
+	}, nil
+}
+
 // Address returns the agent's IP address and port.
 func (d *Agent) Address() string { return d.listener.Addr().String() }
 
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -23,13 +23,14 @@
 )
 
 const (
-	loopback       = "127.0.0.1:0"
-	instanceLag    = 2 * time.Second // of the platform's list
-	drainTimeout   = 10 * time.Second
-	poisonMarker   = "crash-the-engine"
-	restartDelay   = 3 * time.Second
-	plainSlots     = 64
-	healthInterval = 250 * time.Millisecond
+	loopback        = "127.0.0.1:0"
+	instanceLag     = 2 * time.Second // of the platform's list
+	drainTimeout    = 10 * time.Second
+	poisonMarker    = "crash-the-engine"
+	restartDelay    = 3 * time.Second
+	plainSlots      = 64
+	healthInterval  = 250 * time.Millisecond
+	platformTimeout = 2 * time.Second
 )
 
 // FleetConfig describes a fleet on loopback.
@@ -143,6 +144,9 @@
 		PoisonMarker: poisonMarker,
 		RestartDelay: restartDelay,
 		CheckFencing: g.ChecksFencing,
+		State: engine.State{ // as configured, so that no order is due at the start
+			Model: svc.Model, Version: svc.ModelVersion, Adapter: svc.Adapter, Role: g.Role,
+		},
 	})
 	f.group.Go(func() error { return trace.Wrap(e.Serve(ctx, l)) })
 	cancel, err := f.startAgent(ctx, id, g, svc, l.Addr().String(), engine.Slots)
@@ -158,6 +162,7 @@
 func (f *Fleet) startAgent(ctx context.Context, id string, g contract.UpstreamGroup, svc *contract.Service, address string, slots int) (context.CancelFunc, error) {
 	s := &settings.Agent{
 		Instance:        settings.Instance{Role: settings.RoleAgent, ID: id, DataCentre: g.DataCentre, Listen: loopback},
+		Platform:        settings.Platform{Address: f.platformAt, Timeout: platformTimeout},
 		Upstream:        address,
 		Service:         svc.Name,
 		Kind:            string(svc.Kind),
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -64,3 +64,9 @@
 
 // PreemptedName is the counter of batch attempts that gave way to online work.
 const PreemptedName = "magnoliausher_preempted_total"
+
+// Ordered counts orders to engines with what became of them.
+func Ordered(service, kind, outcome string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(
+		`magnoliausher_orders_total{service=%q,kind=%q,outcome=%q}`, service, kind, outcome)).Inc()
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -62,6 +62,7 @@
 // Agent is the settings file of an agent.
 type Agent struct {
 	Instance Instance
+	Platform Platform // only address and timeout; without an address no orders are sent
 	TLS      TLS
 	Log      Log
 
@@ -163,6 +164,10 @@
 		DrainTimeout:    r.duration("timeouts", "drain", 60*time.Second, minTimeout, maxTimeout),
 		ProgressTimeout: r.duration("timeouts", "progress", 5*time.Second, minTimeout, maxTimeout),
 		HealthInterval:  r.duration("timeouts", "health_interval", time.Second, minTimeout, maxTimeout),
+		Platform: Platform{
+			Address: r.address("platform", "address", false),
+			Timeout: r.duration("platform", "timeout", 2*time.Second, minTimeout, maxTimeout),
+		},
 	}
 	return a, r.finish()
 }
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -166,6 +166,7 @@
 		Active:             answer.Active,
 		Waiting:            answer.Waiting,
 		PromptTokensQueued: answer.PromptTokensQueued,
+		Loading:            answer.State.Loading,
 		At:                 time.Now(),
 	}, nil
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -63,6 +63,7 @@
 	Active             int
 	Waiting            int
 	PromptTokensQueued int
+	Loading            bool      // a model is loading; new completions are refused
 	At                 time.Time // arrival of the report
 }
 
@@ -99,6 +100,8 @@
 	// engine did no work for it.
 	Generate(ctx context.Context, req GenerateRequest) (TokenStream, error)
 	Load(ctx context.Context) (Load, error)
+	// State returns what the engine serves.
+	State(ctx context.Context) (EngineState, error)
 	// CacheEvents returns the events after a sequence number. complete is set
 	// when the list is the whole content of the cache instead.
 	CacheEvents(ctx context.Context, after uint64) (events []CacheEvent, complete bool, err error)
