--- a/agent/fake_test.go
+++ b/agent/fake_test.go
@@ -127,6 +127,10 @@
 
 func (e *fakeEngine) Load(context.Context) (upstream.Load, error) { return upstream.Load{}, nil }
 
+func (e *fakeEngine) State(context.Context) (upstream.EngineState, error) {
+	return upstream.EngineState{}, nil
+}
+
 func (e *fakeEngine) CacheEvents(_ context.Context, after uint64) ([]upstream.CacheEvent, bool, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
