Leave a part of the lengthened steps to online prompts

Cause: batch prompts alone could lengthen 5% of the steps beside online work, and the prompts of up to 4 online sequences lengthen steps as well. Change: batch prompts get 3%.

--- a/admission/budget.go
+++ b/admission/budget.go
@@ -2,9 +2,10 @@
 
 import "time"
 
-// PromptShare is the share of steps that batch prompts may lengthen while
-// online sequences run. It is the part of the steps beyond the 95th percentile.
-const PromptShare = 0.05
+// PromptShare is the share of steps that batch prompts may lengthen while online
+// sequences run. Up to 5% of the steps may be lengthened without an effect on
+// the 95th percentile; prompts of online work take the rest.
+const PromptShare = 0.03
 
 // maxBudgetSteps bounds the saved budget, so that a quiet period does not allow
 // a long burst of lengthened steps.
