Bound the batch prompts in computation

Cause: an engine without online work was granted all its slots at once, so that up to 64 prompts, about 2 s of computation, lay before an arriving online request and most of them were cancelled for it. Change: Room grants until 8 pieces of prompts, or 200 ms of computation, are pending.

--- a/admission/decide.go
+++ b/admission/decide.go
@@ -88,9 +88,28 @@
 		prompt := max(s.BatchPrompt, 1)
 		room = min(room, max(promptsWithin(s, prompt), s.Budget.items(prompt)))
 	}
+	if s.Kind == contract.KindEngine {
+		room = min(room, pendingRoom(s))
+	}
 	return max(0, room-s.Granted)
 }
 
+// Bounds of the batch prompts in computation, the larger one applies. They keep
+// an engine busy between two looks for room. More would only make an arriving
+// online request wait, or be cancelled for it.
+const (
+	pendingPieces = 8
+	pendingTime   = 200 * time.Millisecond
+)
+
+// pendingRoom is the number of batch prompts of the usual size that may join
+// those in computation.
+func pendingRoom(s *Snapshot) int {
+	limit := max(pendingPieces*PieceTokens, int(s.Model.PromptRate*pendingTime.Seconds()))
+	prompt := max(s.BatchPrompt, 1)
+	return max(0, (limit-s.Tally.BatchPrompt+prompt-1)/prompt)
+}
+
 // promptAllowed reports whether a batch prompt may start beside online work:
 // no step exceeds the target, or the budget allows a lengthened one.
 func promptAllowed(s *Snapshot, promptTokens int) bool {
--- a/admission/decide_test.go
+++ b/admission/decide_test.go
@@ -213,6 +213,23 @@
 	properties.TestingRun(t)
 }
 
+// Guards against batch prompts that pile up before an arriving online request,
+// and against an engine without room although its prompts are nearly computed.
+func TestRoomBoundsPendingPrompts(t *testing.T) {
+	const limit = pendingPieces * PieceTokens
+	for _, c := range []struct{ prompt, pending, want int }{
+		{limit / 4, 0, 4}, {limit / 4, limit / 2, 2}, {limit / 4, limit, 0}, {3 * limit, 0, 1}, {limit / 4, 9 * limit, 0},
+	} {
+		s := newSimulation(1, contract.KindEngine, 64).s
+		s.Model.PromptRate = minPromptRate
+		s.BatchPrompt = c.prompt
+		s.Tally.BatchPrompt = c.pending
+		if got := Room(s); got != c.want {
+			t.Errorf("%+v: room for %d", c, got)
+		}
+	}
+}
+
 // Guards against batch prompts that lengthen more than 5% of the steps beside
 // online work, or that never start.
 func TestPromptBudgetKeepsShare(t *testing.T) {
