--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -102,7 +102,6 @@
 		ID:             s.Instance.ID,
 		DataCentre:     s.Instance.DataCentre,
 		Runner:         d.links,
-		Fleet:          d.links,
 		Holder:         d.holder,
 		Idempotency:    d.intents,
 		Suspects:       entrySuspects{suspects},
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -32,7 +32,6 @@
 	ID          string
 	DataCentre  string
 	Runner      link.Runner
-	Fleet       link.Fleet // may be nil
 	Holder      *contract.Holder
 	Idempotency *idempotency.Store // nil refuses calls with an Idempotency-Key
 	Suspects    Suspects           // nil knows none
