--- a/job/store_test.go
+++ b/job/store_test.go
@@ -130,6 +130,18 @@
 	}
 }
 
+// claimed gives a job of one chunk that is claimed.
+func claimed(t *testing.T) (*fake, *Store, *Job, *Claim) {
+	f := newFake()
+	s := NewStore(f)
+	j := submit(t, s, 100, "")
+	c, err := s.Claim(t.Context(), j, Chunk{}, "a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f, s, j, c
+}
+
 // TestFencing guards against results of a holder that was paused past its
 // claim's expiry, and against commits after a cancel.
 func TestFencing(t *testing.T) {
@@ -179,13 +191,7 @@
 	for _, kind := range []fault{faultDown, faultLost, faultThrottled, faultLate} {
 		synctest.Test(t, func(t *testing.T) {
 			ctx := t.Context()
-			f := newFake()
-			s := NewStore(f)
-			j := submit(t, s, 100, "")
-			c, err := s.Claim(ctx, j, Chunk{}, "a")
-			if err != nil {
-				t.Fatal(err)
-			}
+			f, s, j, c := claimed(t)
 			steps := []func() error{
 				func() error { return s.Renew(ctx, c) },
 				func() error { return s.Intend(ctx, c, []int{1, 2}) },
@@ -226,10 +232,7 @@
 func TestDoneChunkStays(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx := t.Context()
-		f := newFake()
-		s := NewStore(f)
-		j := submit(t, s, 100, "")
-		c, _ := s.Claim(ctx, j, Chunk{}, "a")
+		f, s, j, c := claimed(t)
 		f.setFault(func(op, _ string) fault {
 			if op == "commit" {
 				return faultLost
@@ -264,10 +267,7 @@
 	for seed := range uint64(300) {
 		synctest.Test(t, func(t *testing.T) {
 			ctx := t.Context()
-			f := newFake()
-			s := NewStore(f)
-			j := submit(t, s, 100, "")
-			c, _ := s.Claim(ctx, j, Chunk{}, "a")
+			f, s, j, c := claimed(t)
 			if err := s.Commit(ctx, c, testResults(c)); err != nil {
 				t.Fatal(err)
 			}
