Share the suspect status and the backoff of the platform in package job

Cause: package job had a copy of poison.Status with an adapter, and a second exponential backoff with full jitter. Change: both are used from their packages; the adapter is gone.

--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -152,7 +152,7 @@
 		Links:       d.links,
 		Port:        d.links,
 		Contract:    d.holder,
-		Suspects:    jobSuspects{suspects},
+		Suspects:    suspects,
 		InstanceID:  d.settings.Instance.ID,
 		Rank:        d.rank,
 		MemoryBytes: d.settings.BatchBytes,
@@ -346,18 +346,3 @@
 		return false, 0, ""
 	}
 }
-
-// jobSuspects adapts the table of suspects to the batch runner.
-type jobSuspects struct{ *poison.Table }
-
-// Status converts the status of the table.
-func (s jobSuspects) Status(fingerprint uint64, now time.Time) job.Suspicion {
-	switch s.Table.Status(fingerprint, now) {
-	case poison.Blocked:
-		return job.Blocked
-	case poison.Suspect:
-		return job.Suspect
-	default:
-		return job.Clear
-	}
-}
--- a/job/execute.go
+++ b/job/execute.go
@@ -15,6 +15,7 @@
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/link"
 	"github.com/magnoliausher/magnoliausher/metric"
+	"github.com/magnoliausher/magnoliausher/poison"
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
 )
 
@@ -53,7 +54,7 @@
 		},
 		Caller: h.job.Caller, Service: h.service, Class: rpc.Class_CLASS_BATCH,
 		Repeatable: it.repeatable, DeadlineMs: remainingMS(h.job.Deadline.Sub(now)),
-		Fingerprint: fingerprint, Suspect: r.cfg.Suspects.Status(fingerprint, now) != Clear,
+		Fingerprint: fingerprint, Suspect: r.cfg.Suspects.Status(fingerprint, now) != poison.Clear,
 		ConfigVersion: r.cfg.Contract.Version(), Method: it.Method, Path: h.path,
 		Headers: []*rpc.Header{{Name: "Content-Type", Value: "application/json"}}, Body: it.Body,
 		PromptTokens: uint32(len(it.Body) / bytesPerToken), OutputTokens: it.output,
--- a/job/fleet_test.go
+++ b/job/fleet_test.go
@@ -14,6 +14,7 @@
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/link"
 	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/poison"
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
 )
 
@@ -159,7 +160,7 @@
 // noSuspects clears everything.
 type noSuspects struct{}
 
-func (noSuspects) Status(uint64, time.Time) Suspicion { return Clear }
+func (noSuspects) Status(uint64, time.Time) poison.Status { return poison.Clear }
 
 func testContract() *contract.Holder {
 	h := &contract.Holder{}
--- a/job/held.go
+++ b/job/held.go
@@ -6,6 +6,7 @@
 
 	"github.com/magnoliausher/magnoliausher/attempt"
 	"github.com/magnoliausher/magnoliausher/contract"
+	"github.com/magnoliausher/magnoliausher/poison"
 )
 
 // held is a chunk in the memory of its holder. Fields are guarded by Runner.mu
@@ -113,7 +114,7 @@
 		if it == nil {
 			return nil, nil, nil
 		}
-		if r.cfg.Suspects.Status(r.fingerprint(h, it), now) != Blocked {
+		if r.cfg.Suspects.Status(r.fingerprint(h, it), now) != poison.Blocked {
 			ctx := h.ctx
 			if it.repeatable {
 				ctx = h.yield
--- a/job/retry.go
+++ b/job/retry.go
@@ -3,32 +3,28 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"github.com/magnoliausher/magnoliausher/platform"
 )
 
-// Bounds of the pause between calls to a failing platform.
-const (
-	backoffBase = 100 * time.Millisecond
-	backoffCap  = 10 * time.Second
-)
+// pauses between calls to a failing platform.
+var pauses = platform.Backoff{Base: 100 * time.Millisecond, Max: 10 * time.Second}
 
-// backoff gives pauses with exponential growth and full jitter.
-type backoff struct{ tries int }
+// backoff counts the failures of one operation.
+type backoff struct{ failed int }
 
-// wait sleeps, or returns the context's error.
+// wait sleeps, or returns an error when the context ends or would end first.
 func (b *backoff) wait(ctx context.Context) error {
-	limit := min(backoffCap, backoffBase<<min(b.tries, 10))
-	b.tries++
-	t := time.NewTimer(rand.N(limit) + 1)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
+	slept := pauses.Wait(ctx, b.failed)
+	b.failed++
+	switch {
+	case slept:
 		return nil
+	case ctx.Err() != nil:
+		return ctx.Err()
+	default:
+		return context.DeadlineExceeded
 	}
 }
 
--- a/job/runner.go
+++ b/job/runner.go
@@ -13,21 +13,12 @@
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/link"
 	"github.com/magnoliausher/magnoliausher/platform"
-)
-
-// Suspicion is the state of a request's fingerprint after upstream crashes.
-type Suspicion int
-
-// Values of Suspicion.
-const (
-	Clear   Suspicion = iota
-	Suspect           // one crash: runs only alone among suspects
-	Blocked           // two crashes: is not run
+	"github.com/magnoliausher/magnoliausher/poison"
 )
 
 // Suspects tells which requests were in progress at upstream crashes.
 type Suspects interface {
-	Status(fingerprint uint64, now time.Time) Suspicion
+	Status(fingerprint uint64, now time.Time) poison.Status
 }
 
 // RunnerConfig is what a Runner works with.
