Test mutual TLS between processes

Cause: TLS was tested in the packages only, not from the settings files. Change: an entry and an agent with certificates of package keys; a peer without one is refused.

--- /dev/null
+++ b/e2e/tls_test.go
@@ -0,0 +1,79 @@
+package e2e
+
+import (
+	"crypto/tls"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/magnoliausher/magnoliausher/contract"
+	"github.com/magnoliausher/magnoliausher/keys"
+	"github.com/magnoliausher/magnoliausher/platform"
+	standin "github.com/magnoliausher/magnoliausher/standin/platform"
+)
+
+// tlsSettings writes the certificates of an instance and returns its section [tls].
+func tlsSettings(t *testing.T, authority keys.Pair, id string) string {
+	t.Helper()
+	pair, err := keys.NewInstance(authority, id, []net.IP{net.IPv4(127, 0, 0, 1)}, time.Now(), time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	directory := t.TempDir()
+	files := map[string][]byte{"instance.crt": pair.Certificate, "instance.key": pair.Key, "authority.crt": authority.Certificate}
+	for name, content := range files {
+		if err := os.WriteFile(filepath.Join(directory, name), content, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return fmt.Sprintf("[tls]\ncertificate=%[1]s/instance.crt\nkey=%[1]s/instance.key\nauthority=%[1]s/authority.crt\n", directory)
+}
+
+// Guards against links that do not work with TLS from settings, and against an
+// agent that serves a peer without a certificate of the authority.
+func TestMutualTLS(t *testing.T) {
+	authority, err := keys.NewAuthority(time.Now(), time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fleet{t: t, platform: standin.New(standin.Config{})}
+	doc := &contract.Document{
+		Version: 1, ChangeID: "tls", SheetDate: "2026-01-02", Revision: 1,
+		Services: []contract.Service{{Name: model, Kind: contract.KindEngine, Model: model}},
+		Groups:   []contract.UpstreamGroup{{Name: "engines", Service: model, DataCentre: dataCentre, Role: "serve", Count: 1}},
+		Callers: []contract.Caller{{ID: "c", Organisation: "o", KeySHA256: contract.HashKey(key), RatePerSecond: 100, Burst: 100,
+			MaxInProgress: 100, Classes: []contract.Class{contract.ClassOnline}, Operator: true}},
+	}
+	if _, err := contract.NewStore(f.platform).Accept(t.Context(), 0, doc); err != nil {
+		t.Fatal(err)
+	}
+	at := serve(t, f.platform.Handler())
+	agent := f.start("agent-tls", "agent", fmt.Sprintf(
+		"[instance]\nrole=agent\nid=agent-tls\ndata_centre=%s\nlisten=127.0.0.1:0\n[upstream]\naddress=%s\nservice=%s\n%s",
+		dataCentre, f.startEngine(), model, tlsSettings(t, authority, "agent-tls")))
+	f.platform.SetInstance(platform.Instance{ID: "agent-tls", Role: platform.RoleAgent, DataCentre: dataCentre,
+		Address: agent.address, Service: model, State: platform.InstanceLive})
+	entry := f.start("entry-tls", "entry", fmt.Sprintf(
+		"[instance]\nrole=entry\nid=entry-tls\ndata_centre=%s\nlisten=127.0.0.1:0\n[platform]\naddress=%s\n%s",
+		dataCentre, at, tlsSettings(t, authority, "entry-tls")))
+	for chat(t.Context(), entry.address, "a question", tokens) != nil {
+		select {
+		case <-entry.done:
+			t.Fatalf("entry ended: %v", entry.err)
+		case <-agent.done:
+			t.Fatalf("agent ended: %v", agent.err)
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	conn, err := tls.Dial("tcp", agent.address, &tls.Config{InsecureSkipVerify: true, MinVersion: tls.VersionTLS13, NextProtos: []string{"h2"}}) // the test is the intruder
+	if err == nil {
+		_, err = conn.Read(make([]byte, 1)) // TLS 1.3 reports a refused client at the first read
+		_ = conn.Close()
+	}
+	if err == nil {
+		t.Error("the agent serves a peer without a certificate")
+	}
+}
