Expand a refused subset; count links in readiness and metrics

Cause: link.EntrySide.SubsetRefused had no caller, so only lost links doubled a subset, never links whose agents refuse. Readiness did not tell how many links an entry has.

Ruled out: a call per refusal, because one full agent of a subset is ordinary; a call when only suspects are in the way, because more links would not help.

Change: link.SubsetReporter, optional for a Runner; the entry calls it when no upstream of a service is left for a request. /readyz lists linked and connected agents per service; magnoliausher_links_connected gives the sum.

Conclusion: go test -race ./entry -run 'Subset|ReadinessCounts' passes.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -89,11 +89,22 @@
 		e.selectFrom(rq, &c, nil, now)
 	}
 	if !c.found {
+		e.reportSubset(rq, &c)
 		return c, e.noUpstream(rq, &c)
 	}
 	return c, nil
 }
 
+// reportSubset asks for more links when every linked upstream of the service
+// refused the request or is lost. An upstream that only has another suspect is
+// neither.
+func (e *Entry) reportSubset(rq *request, c *choice) {
+	subset, ok := e.config.Runner.(link.SubsetReporter)
+	if ok && c.tally.SuspectBusy == 0 {
+		subset.SubsetRefused(rq.service.Name)
+	}
+}
+
 // suspicion reports whether the request must run apart from other suspects, or
 // why it is refused.
 func (e *Entry) suspicion(rq *request, now time.Time) (suspect bool, fail *apierror.Error) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -153,6 +153,7 @@
 	if c.ConfigHeard != nil {
 		registerStale(c.ID, e.possiblyStale)
 	}
+	registerLinks(c.ID, e.connectedLinks)
 	return e
 }
 
--- a/entry/health.go
+++ b/entry/health.go
@@ -19,6 +19,38 @@
 	Reasons       []string `json:"reasons,omitempty"` // why it is not ready
 	Details       []string `json:"details,omitempty"` // problems that do not make it unready
 	ConfigVersion uint64   `json:"config_version"`
+	Links         []links  `json:"links,omitempty"` // in the order of the configuration's services
+}
+
+// links counts the agents of a service that the entry links to.
+type links struct {
+	Service   string `json:"service"`
+	Linked    int    `json:"linked"`
+	Connected int    `json:"connected"` // of Linked, those heard of lately
+}
+
+func (e *Entry) countLinks(service string) links {
+	upstreams := e.config.Runner.Upstreams(service)
+	n := links{Service: service, Linked: len(upstreams)}
+	for i := range upstreams {
+		if upstreams[i].Connected {
+			n.Connected++
+		}
+	}
+	return n
+}
+
+// connectedLinks counts the connected links of all services.
+func (e *Entry) connectedLinks() int {
+	ix := e.config.Holder.Current()
+	if ix == nil {
+		return 0
+	}
+	connected := 0
+	for i := range ix.Document.Services {
+		connected += e.countLinks(ix.Document.Services[i].Name).Connected
+	}
+	return connected
 }
 
 // readiness reports whether callers should be sent here.
@@ -46,7 +78,9 @@
 func (e *Entry) addLinks(r *readiness, services []contract.Service) {
 	for i := range services {
 		name := services[i].Name
-		if len(e.config.Runner.Upstreams(name)) > 0 {
+		n := e.countLinks(name)
+		r.Links = append(r.Links, n)
+		if n.Linked > 0 {
 			e.linked.Store(true)
 			continue
 		}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -35,3 +35,10 @@
 		return 0
 	})
 }
+
+// registerLinks exports the number of agents that the instance is connected to.
+func registerLinks(instance string, connected func() int) {
+	metrics.GetOrCreateGauge(fmt.Sprintf(`magnoliausher_links_connected{instance=%q}`, instance), func() float64 {
+		return float64(connected())
+	})
+}
--- a/link/entryside.go
+++ b/link/entryside.go
@@ -65,9 +65,10 @@
 }
 
 var (
-	_ Runner    = (*EntrySide)(nil)
-	_ BatchPort = (*EntrySide)(nil)
-	_ Fleet     = (*EntrySide)(nil)
+	_ Runner         = (*EntrySide)(nil)
+	_ SubsetReporter = (*EntrySide)(nil)
+	_ BatchPort      = (*EntrySide)(nil)
+	_ Fleet          = (*EntrySide)(nil)
 )
 
 // NewEntrySide returns the entry's end of its links. Serve opens them.
--- a/link/link.go
+++ b/link/link.go
@@ -62,6 +62,13 @@
 	Probe(ctx context.Context, agentID string) error
 }
 
+// SubsetReporter is implemented by a Runner that links to a part of the agents
+// and can link to more.
+type SubsetReporter interface {
+	// SubsetRefused tells that all linked agents of a service refuse work or are lost.
+	SubsetRefused(service string)
+}
+
 // Grant is an agent's permission to start batch attempts.
 type Grant struct {
 	AgentID string
