--- a/cli/cli.go
+++ b/cli/cli.go
@@ -32,7 +32,9 @@
   magnoliausher demo
   magnoliausher dev --listen 127.0.0.1:8080
   magnoliausher check-settings entry.ini
-  magnoliausher entry entry.ini`
+  magnoliausher entry entry.ini
+  magnoliausher trace generate --fleet ferreira --day burst --output burst.jsonl
+  magnoliausher replay --trace burst.jsonl --fleet ferreira --report burst.html`
 
 // Main runs the command line and returns the exit code.
 func Main(args []string) int {
