--- a/agent/control.go
+++ b/agent/control.go
@@ -12,7 +12,7 @@
 // ControlDeps is what the control streams need from the agent.
 type ControlDeps struct {
 	Incarnation uint64
-	Load        func() *rpc.LoadReport // must not be called from within LoadChanged's caller lock; it never blocks
+	Load        func() *rpc.LoadReport // safe for concurrent use; holds no lock of the control side
 }
 
 // Control is the agent's end of the control streams.
@@ -28,11 +28,19 @@
 	CancelledJobs() <-chan string
 }
 
+// ridingLoader is implemented by control sides that know when an entry last
+// got a report. Without it, each stream of attempts gets its own.
+type ridingLoader interface {
+	// RidingLoad returns the report for the next event to an entry, or nil when
+	// none is due.
+	RidingLoad(entryID string) *rpc.LoadReport
+}
+
 // EntryDemand is the batch work that one entry holds for the service.
 type EntryDemand struct {
 	EntryID     string
 	Items       int
-	EarliestDue time.Time
+	EarliestDue time.Time // zero: not urgent
 }
 
 // SuspectStatus is what the fleet knows of a request's fingerprint.
--- a/agent/fake_test.go
+++ b/agent/fake_test.go
@@ -26,11 +26,12 @@
 	healthy error
 	genErr  error
 	silent  bool
+	stuck   bool // new streams ignore their context
 	streams map[*fakeStream]struct{}
 	handed  map[string]int // attempt id to number of hand-overs
 	peak    int
-	events  []upstream.CacheEvent
-	resyncs int
+	cached  []upstream.CacheEvent // complete list
+	events  []upstream.CacheEvent // answer to any other request
 }
 
 func newFakeEngine() *fakeEngine {
@@ -46,6 +47,7 @@
 	crash   chan struct{}
 	left    int
 	endless bool
+	stuck   bool
 }
 
 func (e *fakeEngine) Generate(ctx context.Context, req upstream.GenerateRequest) (upstream.TokenStream, error) {
@@ -55,7 +57,10 @@
 		return nil, e.genErr
 	}
 	e.handed[req.AttemptID]++
-	s := &fakeStream{e: e, ctx: ctx, crash: make(chan struct{}), left: e.length, endless: e.length == 0}
+	if e.stuck {
+		ctx = context.WithoutCancel(ctx)
+	}
+	s := &fakeStream{e: e, ctx: ctx, crash: make(chan struct{}), left: e.length, endless: e.length == 0 || e.stuck, stuck: e.stuck}
 	e.streams[s] = struct{}{}
 	e.peak = max(e.peak, len(e.streams))
 	return s, nil
@@ -70,7 +75,7 @@
 	}
 	s.left--
 	var timer <-chan time.Time
-	if !silent {
+	if !silent && !s.stuck {
 		timer = time.After(step)
 	}
 	select {
@@ -86,21 +91,19 @@
 func (s *fakeStream) Usage() upstream.Usage { return upstream.Usage{FinishReason: "stop"} }
 
 func (s *fakeStream) Close() error {
-	s.e.mu.Lock()
-	defer s.e.mu.Unlock()
-	delete(s.e.streams, s)
+	s.e.set(func() { delete(s.e.streams, s) })
 	return nil
 }
 
 // crash breaks every stream and restarts the engine under a new boot id.
 func (e *fakeEngine) crash(boot string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for s := range e.streams {
-		close(s.crash)
-		delete(e.streams, s)
-	}
-	e.boot = boot
+	e.set(func() {
+		for s := range e.streams {
+			close(s.crash)
+			delete(e.streams, s)
+		}
+		e.boot = boot
+	})
 }
 
 func (e *fakeEngine) set(change func()) {
@@ -109,21 +112,32 @@
 	change()
 }
 
-func (e *fakeEngine) count(id string) int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.handed[id]
+// locked returns f's value, computed under mu.
+func locked[T any](mu *sync.Mutex, f func() T) T {
+	mu.Lock()
+	defer mu.Unlock()
+	return f()
 }
 
+// count is how often the attempt was handed over.
+func (e *fakeEngine) count(id string) int { return locked(&e.mu, func() int { return e.handed[id] }) }
+
+// open is the number of streams that the engine runs.
+func (e *fakeEngine) open() int { return locked(&e.mu, func() int { return len(e.streams) }) }
+
 func (e *fakeEngine) Load(context.Context) (upstream.Load, error) { return upstream.Load{}, nil }
 
+func (e *fakeEngine) State(context.Context) (upstream.EngineState, error) {
+	return upstream.EngineState{}, nil
+}
+
 func (e *fakeEngine) CacheEvents(_ context.Context, after uint64) ([]upstream.CacheEvent, bool, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if after == 0 {
-		e.resyncs++
+		return e.cached, true, nil
 	}
-	return e.events, after == 0, nil
+	return e.events, false, nil
 }
 
 func (e *fakeEngine) Order(context.Context, upstream.Order) error { return nil }
@@ -148,9 +162,7 @@
 }
 
 func (f *fakeSuspects) Status(fp uint64, _ time.Time) SuspectStatus {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.status[fp]
+	return locked(&f.mu, func() SuspectStatus { return f.status[fp] })
 }
 
 // rig is a running agent in a synctest bubble.
@@ -215,7 +227,7 @@
 	o := &outcome{done: make(chan struct{}), cancel: cancel}
 	go func() {
 		defer close(o.done)
-		_ = r.serve(ctx, req, func(e *rpc.RunEvent) error {
+		_ = r.serve(ctx, "", req, func(e *rpc.RunEvent) error {
 			o.events = append(o.events, e)
 			return nil
 		})
@@ -224,16 +236,40 @@
 	return o
 }
 
-// open is the number of streams that the engine runs.
-func (e *fakeEngine) open() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return len(e.streams)
-}
-
 // list prints the fingerprints of each crash.
 func (f *fakeSuspects) list() string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return fmt.Sprint(f.crashes)
+	return locked(&f.mu, func() string { return fmt.Sprint(f.crashes) })
+}
+
+func (f *fakeSuspects) want(t *testing.T, crashes string) {
+	t.Helper()
+	if got := f.list(); got != crashes {
+		t.Errorf("suspects %s, want %s", got, crashes)
+	}
+}
+
+// refused fails the test unless the attempt ended as refused for the reason.
+func (o *outcome) refused(t *testing.T, reason string) {
+	t.Helper()
+	if got := o.last().GetRefused().GetReason(); got != reason {
+		t.Errorf("ended with %v, want refusal %s", o.last(), reason)
+	}
+}
+
+// ended fails the test unless the answer was complete.
+func (o *outcome) ended(t *testing.T) {
+	t.Helper()
+	if o.last().GetEnd() == nil {
+		t.Errorf("ended with %v", o.last())
+	}
+}
+
+// failed fails the test unless the attempt ended as failed that way.
+func (o *outcome) failed(t *testing.T, reason string, executed rpc.Executed) {
+	t.Helper()
+	f := o.last().GetFailed()
+	flags := f.GetUpstreamCrashed() == (reason == FailedCrashed) && f.GetPreempted() == (reason == FailedPreempted)
+	if f.GetReason() != reason || f.GetExecuted() != executed || !flags {
+		t.Errorf("ended with %v, want failure %s, executed %v", o.last(), reason, executed)
+	}
 }
--- a/agent/health.go
+++ b/agent/health.go
@@ -35,8 +35,9 @@
 		}
 		if err == nil {
 			failures = 0
-			a.alive(boot)
-			a.readSlots(ctx)
+			load := a.readLoad(ctx)
+			a.alive(boot, load.Loading)
+			a.followSlots(load.Slots)
 		} else {
 			failures++
 			a.probeFailed(err, failures, failedAt)
@@ -64,8 +65,9 @@
 	return a.cfg.Engine.Healthy(ctx)
 }
 
-// alive notes a successful probe.
-func (a *Agent) alive(boot string) {
+// alive notes a successful probe. An engine that is loading a model, perhaps on
+// an order of an earlier agent, refuses work and is not ready.
+func (a *Agent) alive(boot string, loading bool) {
 	a.mu.Lock()
 	changed := a.probed && boot != a.bootID
 	unnoticed := changed && a.snap.Ready
@@ -81,26 +83,39 @@
 	defer a.mu.Unlock()
 	a.bootID = boot
 	a.probed = true
-	if !a.snap.Ready {
+	a.broken = nil
+	if loading {
+		a.notReady("upstream loads a model")
+		return
+	}
+	if !a.snap.Ready && !a.gated {
 		a.snap.Ready = true
 		a.cfg.Logger.Info().Str("agent", a.cfg.ID).Str("boot_id", boot).Msg("upstream is ready")
 		a.notify()
 	}
 }
 
-// readSlots follows an engine that runs fewer sequences than configured, for
-// example after a change of its role.
-func (a *Agent) readSlots(ctx context.Context) {
+// readLoad returns the engine's own report; a report that can't be had says nothing.
+func (a *Agent) readLoad(ctx context.Context) upstream.Load {
 	if a.cfg.Kind != contract.KindEngine {
-		return
+		return upstream.Load{}
 	}
 	ctx, cancel := context.WithTimeout(ctx, a.cfg.ProbeTimeout)
 	defer cancel()
 	load, err := a.cfg.Engine.Load(ctx)
-	if err != nil || load.Slots <= 0 {
+	if err != nil {
+		return upstream.Load{}
+	}
+	return load
+}
+
+// followSlots follows an engine that runs fewer sequences than configured, for
+// example after a change of its role.
+func (a *Agent) followSlots(reported int) {
+	if reported <= 0 {
 		return // an engine need not report its slots
 	}
-	slots := min(a.cfg.Slots, load.Slots)
+	slots := min(a.cfg.Slots, reported)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if slots == a.snap.Slots {
@@ -113,18 +128,24 @@
 }
 
 func (a *Agent) probeFailed(err error, failures int, since time.Duration) {
-	if failures < probeFailures {
-		return
-	}
 	a.mu.Lock()
 	epoch := a.epoch
-	progress := a.progressSince(since - downProbeInterval)
+	broken := len(a.broken) > 0
+	if failures >= probeFailures {
+		since -= downProbeInterval
+	}
+	progress := a.progressSince(since)
 	a.mu.Unlock()
+	if failures < probeFailures && !broken {
+		return
+	}
 	if refusesConnections(err) && !progress {
 		a.crashed(epoch, "upstream refuses connections")
 		return
 	}
-	a.down()
+	if failures >= probeFailures {
+		a.down()
+	}
 }
 
 // refusesConnections tells a process that is gone from one that is silent.
@@ -150,12 +171,17 @@
 func (a *Agent) down() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.notReady("upstream does not answer probes")
+}
+
+// notReady stops new work. Needs mu.
+func (a *Agent) notReady(why string) {
 	if !a.snap.Ready {
 		return
 	}
 	a.snap.Ready = false
 	a.refuseQueued(admission.ReasonUpstreamDown)
-	a.cfg.Logger.Warn().Str("agent", a.cfg.ID).Msg("upstream does not answer probes")
+	a.cfg.Logger.Warn().Str("agent", a.cfg.ID).Msg(why)
 	a.notify()
 }
 
@@ -166,16 +192,30 @@
 		return
 	}
 	if errors.Is(err, upstream.ErrCrashed) {
-		a.mu.Lock()
-		epoch := t.epoch
-		a.mu.Unlock()
-		a.crashed(epoch, "an attempt's connection ended")
+		a.connectionBroke(t)
 	}
 	if errors.Is(err, upstream.ErrCrashed) || errors.Is(err, upstream.ErrNotSent) || errors.Is(err, upstream.ErrTruncated) {
 		signal(a.probeNow)
 	}
 }
 
+// connectionBroke judges a broken connection. Engines hold their streams open
+// until the end, so it means a crash. A plain service may close one connection
+// alone; it has crashed when the next probe finds that it refuses connections.
+func (a *Agent) connectionBroke(t *task) {
+	a.mu.Lock()
+	epoch := t.epoch
+	if a.cfg.Kind == contract.KindPlain {
+		if t.req.Fingerprint != 0 && epoch == a.epoch {
+			a.broken = append(a.broken, t.req.Fingerprint)
+		}
+		a.mu.Unlock()
+		return
+	}
+	a.mu.Unlock()
+	a.crashed(epoch, "an attempt's connection ended")
+}
+
 // crashed ends every attempt that the upstream may have had and records their
 // fingerprints as suspects. epoch is the number of crashes noticed when the
 // evidence arose, so that one crash with many broken streams is one crash.
@@ -185,16 +225,22 @@
 		a.mu.Unlock()
 		return
 	}
-	a.epoch++
-	a.snap.Ready = false
-	var fingerprints []uint64
+	fingerprints := a.broken
+	a.broken = nil
 	for _, q := range a.snap.Running {
 		t := a.running[q]
-		if t.handed && t.req.Fingerprint != 0 {
+		if t.handed && !t.crashed && t.req.Fingerprint != 0 {
 			fingerprints = append(fingerprints, t.req.Fingerprint)
 		}
+		t.crashed = true // its call may take a while to return
 		a.end(q, errCrashed)
 	}
+	if !a.snap.Ready && len(fingerprints) == 0 {
+		a.mu.Unlock()
+		return // still the same outage
+	}
+	a.epoch++
+	a.snap.Ready = false
 	a.refuseQueued(admission.ReasonUpstreamDown)
 	a.mu.Unlock()
 	if len(fingerprints) > 0 {
--- a/agent/report.go
+++ b/agent/report.go
@@ -9,7 +9,7 @@
 // Load is the report for the control streams, with the engine's cached prefixes.
 func (a *Agent) Load() *rpc.LoadReport {
 	r := a.loadSummary()
-	a.cache.fill(r, a.now())
+	a.cache.fill(r)
 	return r
 }
 
@@ -38,7 +38,7 @@
 		return rpc.UpstreamState_UPSTREAM_STATE_LEAVING
 	case a.snap.Ready:
 		return rpc.UpstreamState_UPSTREAM_STATE_READY
-	case !a.probed:
+	case !a.probed, a.gated:
 		return rpc.UpstreamState_UPSTREAM_STATE_STARTING
 	}
 	return rpc.UpstreamState_UPSTREAM_STATE_DOWN
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -33,6 +33,8 @@
   magnoliausher dev --listen 127.0.0.1:8080
   magnoliausher check-settings entry.ini
   magnoliausher entry entry.ini
+  magnoliausher sheet apply today.csv --entry 10.0.0.1:8080
+  magnoliausher jobs create items.jsonl --wait --entry 10.0.0.1:8080
   magnoliausher trace generate --fleet ferreira --day burst --output burst.jsonl
   magnoliausher replay --trace burst.jsonl --fleet ferreira --report burst.html`
 
@@ -55,6 +57,7 @@
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 		Commands:              commands(),
 	}
+	reportUsage(root)
 	err := root.Run(ctx, args)
 	if err == nil {
 		return ExitOK
@@ -63,6 +66,16 @@
 	return exitCode(err)
 }
 
+// reportUsage makes wrong flags of the command and those below it usage errors.
+func reportUsage(c *cli.Command) {
+	c.OnUsageError = func(_ context.Context, c *cli.Command, err error, _ bool) error {
+		return usageError{fmt.Sprintf("%v; see %s --help", err, c.FullName())}
+	}
+	for _, below := range c.Commands {
+		reportUsage(below)
+	}
+}
+
 // usageError marks a wrong command line.
 type usageError struct{ reason string }
 
@@ -95,6 +108,8 @@
 		keysCommand(),
 		replayCommand(),
 		traceCommand(),
+		sheetCommand(),
+		jobsCommand(),
 		versionCommand(),
 	}
 }
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -17,11 +17,13 @@
 	"github.com/magnoliausher/magnoliausher/instance"
 	"github.com/magnoliausher/magnoliausher/job"
 	"github.com/magnoliausher/magnoliausher/link"
+	"github.com/magnoliausher/magnoliausher/operator"
 	"github.com/magnoliausher/magnoliausher/platform"
 	"github.com/magnoliausher/magnoliausher/poison"
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
 	"github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1/magnoliausherv1connect"
 	"github.com/magnoliausher/magnoliausher/settings"
+	"github.com/magnoliausher/magnoliausher/upstream"
 )
 
 // Peers asked for the configuration at start, and the pause between rounds.
@@ -45,6 +47,7 @@
 	fetcher  link.Fetcher
 	runner   *job.Runner
 	sweeper  *job.Sweeper
+	operator *operator.API
 
 	server       *http.Server
 	listener     net.Listener
@@ -90,15 +93,22 @@
 	store := contract.NewStore(limited)
 	d.poller = contract.NewPoller(store, d.holder, contract.PollerConfig{Log: logger})
 	jobs := d.newJobs(suspects)
+	d.operator = operator.New(operator.Config{
+		ID: s.Instance.ID, Store: store, Holder: d.holder, Fleet: d.links,
+		PossiblyStale: func() bool { return time.Since(d.configHeard()) > entry.StaleAfter },
+		Log:           logger,
+	})
 	d.entry = entry.New(entry.Config{
 		ID:             s.Instance.ID,
 		DataCentre:     s.Instance.DataCentre,
 		Runner:         d.links,
-		Fleet:          d.links,
 		Holder:         d.holder,
 		Idempotency:    d.intents,
 		Suspects:       entrySuspects{suspects},
 		Jobs:           jobs.Handler(),
+		Operator:       d.operator.Handler(),
+		Prompt:         promptOf,
+		ConfigHeard:    d.configHeard,
 		Logger:         logger,
 		MaxBodyBytes:   s.MaxBodyBytes,
 		AcceptTimeout:  s.AcceptTimeout,
@@ -108,6 +118,33 @@
 	return d, d.open()
 }
 
+// promptOf gives the prefix hash and the size of a request that the engines
+// also see, so that routing finds the engine that has the prefix cached.
+func promptOf(body []byte) (prefix uint64, tokens int) {
+	p, err := upstream.ParsePrompt(body)
+	if err != nil {
+		return 0, 0
+	}
+	return p.Prefix, p.Tokens
+}
+
+// configHeard is the last time at which an agent confirmed the configuration.
+func (d *Entry) configHeard() time.Time {
+	var last time.Time
+	ix := d.holder.Current()
+	if ix == nil {
+		return last
+	}
+	for i := range ix.Document.Services {
+		for _, u := range d.links.Upstreams(ix.Document.Services[i].Name) {
+			if u.LastHeard.After(last) {
+				last = u.LastHeard
+			}
+		}
+	}
+	return last
+}
+
 // newJobs makes the batch runner and returns the batch API.
 func (d *Entry) newJobs(suspects *poison.Table) *job.API {
 	d.runner = job.NewRunner(job.RunnerConfig{
@@ -115,7 +152,7 @@
 		Links:       d.links,
 		Port:        d.links,
 		Contract:    d.holder,
-		Suspects:    jobSuspects{suspects},
+		Suspects:    suspects,
 		InstanceID:  d.settings.Instance.ID,
 		Rank:        d.rank,
 		MemoryBytes: d.settings.BatchBytes,
@@ -200,6 +237,9 @@
 	return false
 }
 
+// ConfigVersion returns the version of the configuration in force here.
+func (d *Entry) ConfigVersion() uint64 { return d.holder.Version() }
+
 // Address returns the IP address and port for callers.
 func (d *Entry) Address() string { return d.listener.Addr().String() }
 
@@ -215,6 +255,7 @@
 	group.Go(func() error { d.fetchConfig(background); return nil })
 	group.Go(func() error { return untilDone(background, d.runner.Run(background)) })
 	group.Go(func() error { d.sweeper.Run(background); return nil })
+	group.Go(func() error { d.operator.Run(background); return nil })
 	group.Go(func() error { return serve(d.server, d.listener) })
 	if d.peerServer != nil {
 		group.Go(func() error { return serve(d.peerServer, d.peerListener) })
@@ -305,18 +346,3 @@
 		return false, 0, ""
 	}
 }
-
-// jobSuspects adapts the table of suspects to the batch runner.
-type jobSuspects struct{ *poison.Table }
-
-// Status converts the status of the table.
-func (s jobSuspects) Status(fingerprint uint64, now time.Time) job.Suspicion {
-	switch s.Table.Status(fingerprint, now) {
-	case poison.Blocked:
-		return job.Blocked
-	case poison.Suspect:
-		return job.Suspect
-	default:
-		return job.Clear
-	}
-}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -31,7 +32,6 @@
 	ID          string
 	DataCentre  string
 	Runner      link.Runner
-	Fleet       link.Fleet // may be nil
 	Holder      *contract.Holder
 	Idempotency *idempotency.Store // nil refuses calls with an Idempotency-Key
 	Suspects    Suspects           // nil knows none
@@ -129,7 +129,8 @@
 	mu       sync.Mutex // guards services
 	services map[string]*serviceState
 
-	drain *drainState
+	drain  *drainState
+	linked atomic.Bool // an upstream has been linked since the start
 }
 
 // serviceState is what the entry keeps per service.
@@ -151,6 +152,7 @@
 	if c.ConfigHeard != nil {
 		registerStale(c.ID, e.possiblyStale)
 	}
+	registerLinks(c.ID, e.connectedLinks)
 	return e
 }
 
--- a/entry/health.go
+++ b/entry/health.go
@@ -5,12 +5,13 @@
 	"net/http"
 	"time"
 
+	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/metric"
 )
 
-// staleAfter is the time without a confirmation of the configuration after
+// StaleAfter is the time without a confirmation of the configuration after
 // which it may be stale: the bound within which a change is in force everywhere.
-const staleAfter = 6 * time.Second
+const StaleAfter = 6 * time.Second
 
 // readiness is the body of /readyz.
 type readiness struct {
@@ -18,6 +19,38 @@
 	Reasons       []string `json:"reasons,omitempty"` // why it is not ready
 	Details       []string `json:"details,omitempty"` // problems that do not make it unready
 	ConfigVersion uint64   `json:"config_version"`
+	Links         []links  `json:"links,omitempty"` // in the order of the configuration's services
+}
+
+// links counts the agents of a service that the entry links to.
+type links struct {
+	Service   string `json:"service"`
+	Linked    int    `json:"linked"`
+	Connected int    `json:"connected"` // of Linked, those heard of lately
+}
+
+func (e *Entry) countLinks(service string) links {
+	upstreams := e.config.Runner.Upstreams(service)
+	n := links{Service: service, Linked: len(upstreams)}
+	for i := range upstreams {
+		if upstreams[i].Connected {
+			n.Connected++
+		}
+	}
+	return n
+}
+
+// connectedLinks counts the connected links of all services.
+func (e *Entry) connectedLinks() int {
+	ix := e.config.Holder.Current()
+	if ix == nil {
+		return 0
+	}
+	connected := 0
+	for i := range ix.Document.Services {
+		connected += e.countLinks(ix.Document.Services[i].Name).Connected
+	}
+	return connected
 }
 
 // readiness reports whether callers should be sent here.
@@ -34,20 +67,33 @@
 		r.Details = append(r.Details, "configuration is possibly stale")
 	}
 	if ix != nil {
-		for i := range ix.Document.Services {
-			name := ix.Document.Services[i].Name
-			if len(e.config.Runner.Upstreams(name)) == 0 {
-				r.Details = append(r.Details, "no upstream linked for service "+name)
-			}
-		}
+		e.addLinks(&r, ix.Document.Services)
 	}
 	r.Ready = len(r.Reasons) == 0
 	return r
 }
 
+// addLinks reports services without an upstream. An entry that has had a link
+// stays ready without any: if all upstreams are lost, every entry is as bad.
+func (e *Entry) addLinks(r *readiness, services []contract.Service) {
+	for i := range services {
+		name := services[i].Name
+		n := e.countLinks(name)
+		r.Links = append(r.Links, n)
+		if n.Linked > 0 {
+			e.linked.Store(true)
+			continue
+		}
+		r.Details = append(r.Details, "no upstream linked for service "+name)
+	}
+	if !e.linked.Load() && len(services) > 0 {
+		r.Reasons = append(r.Reasons, "no upstream linked yet")
+	}
+}
+
 // possiblyStale reports whether no source has confirmed the configuration lately.
 func (e *Entry) possiblyStale(now time.Time) bool {
-	return e.config.ConfigHeard != nil && now.Sub(e.config.ConfigHeard()) > staleAfter
+	return e.config.ConfigHeard != nil && now.Sub(e.config.ConfigHeard()) > StaleAfter
 }
 
 func (e *Entry) serveReady(w http.ResponseWriter) {
--- a/job/claimloop.go
+++ b/job/claimloop.go
@@ -63,7 +63,7 @@
 	full := r.draining || r.used >= r.cfg.MemoryBytes
 	heldBy := make(map[string]int)
 	for _, h := range r.held {
-		heldBy[h.job.ID]++
+		heldBy[h.job.ID] += h.left
 		v := services[h.service]
 		v.Ready += h.ready
 		services[h.service] = v
@@ -126,12 +126,14 @@
 	claim, err := r.store.Claim(ctx, st.row, seen, r.cfg.InstanceID)
 	if errors.Is(err, ErrLost) {
 		// A faster entry or the end of the job; reading the row again tells.
+		countChunk(chunkCollided)
 		st.free, st.row = nil, nil
 		return nil
 	}
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	countChunk(chunkClaimed)
 	return trace.Wrap(r.load(ctx, st, claim))
 }
 
--- a/job/fleet_test.go
+++ b/job/fleet_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/link"
+	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/poison"
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
 )
 
@@ -23,9 +25,12 @@
 	slots  int // of each entry
 	answer func(ctx context.Context, req *rpc.RunRequest) []*rpc.RunEvent
 	runs   map[string]int // by body
+	poll   time.Duration  // between grants
 }
 
-func newFleet(slots int) *fleet { return &fleet{slots: slots, runs: make(map[string]int)} }
+func newFleet(slots int) *fleet {
+	return &fleet{slots: slots, poll: 10 * time.Millisecond, runs: make(map[string]int)}
+}
 
 // port is one entry's access to the fleet.
 type port struct {
@@ -35,7 +40,6 @@
 	active    int
 	grants    chan link.Grant
 	cancelled chan string
-	notices   []string
 }
 
 func newPort(f *fleet) *port {
@@ -51,12 +55,8 @@
 	p.demand[service] = d
 }
 func (p *port) Grants() <-chan link.Grant { return p.grants }
-func (p *port) AnnounceCancelled(id string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.notices = append(p.notices, id)
-}
-func (p *port) Cancelled() <-chan string { return p.cancelled }
+func (p *port) AnnounceCancelled(string)  {}
+func (p *port) Cancelled() <-chan string  { return p.cancelled }
 
 // grant offers the free slots while there is demand.
 func (p *port) grant(ctx context.Context) {
@@ -75,7 +75,7 @@
 			case <-ctx.Done():
 			}
 		}
-		time.Sleep(10 * time.Millisecond)
+		time.Sleep(p.fleet.poll)
 	}
 }
 
@@ -160,7 +160,7 @@
 // noSuspects clears everything.
 type noSuspects struct{}
 
-func (noSuspects) Status(uint64, time.Time) Suspicion { return Clear }
+func (noSuspects) Status(uint64, time.Time) poison.Status { return poison.Clear }
 
 func testContract() *contract.Holder {
 	h := &contract.Holder{}
@@ -180,7 +180,7 @@
 	over chan struct{} // the grants have ended
 }
 
-func startEntry(t testing.TB, f *fake, fl *fleet, rank, entries int) *entry {
+func startEntry(t testing.TB, f platform.Platform, fl *fleet, rank, entries int) *entry {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	p := newPort(fl)
--- a/job/runner.go
+++ b/job/runner.go
@@ -13,21 +13,12 @@
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/link"
 	"github.com/magnoliausher/magnoliausher/platform"
-)
-
-// Suspicion is the state of a request's fingerprint after upstream crashes.
-type Suspicion int
-
-// Values of Suspicion.
-const (
-	Clear   Suspicion = iota
-	Suspect           // one crash: runs only alone among suspects
-	Blocked           // two crashes: is not run
+	"github.com/magnoliausher/magnoliausher/poison"
 )
 
 // Suspects tells which requests were in progress at upstream crashes.
 type Suspects interface {
-	Status(fingerprint uint64, now time.Time) Suspicion
+	Status(fingerprint uint64, now time.Time) poison.Status
 }
 
 // RunnerConfig is what a Runner works with.
@@ -262,6 +253,9 @@
 	defer r.mu.Unlock()
 	now := make(map[string]link.Demand)
 	for _, h := range r.held {
+		if h.ready == 0 || r.draining {
+			continue
+		}
 		d := now[h.service]
 		d.Items += h.ready
 		if due := h.job.Deadline; d.EarliestDue.IsZero() || due.Before(d.EarliestDue) {
@@ -271,9 +265,6 @@
 	}
 	changed := make(map[string]link.Demand)
 	for service, d := range now {
-		if r.draining {
-			d = link.Demand{}
-		}
 		if r.announced[service] != d {
 			changed[service] = d
 		}
--- a/job/store_test.go
+++ b/job/store_test.go
@@ -5,7 +5,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,8 +22,8 @@
 func inputLines(n int) string {
 	var b strings.Builder
 	for i := range n {
-		fmt.Fprintf(&b, `{"custom_id":"i%d","method":"POST","url":%q,"body":{"model":%q,"messages":[]}}`+"\n",
-			i, EndpointChat, testModel)
+		fmt.Fprintf(&b, `{"custom_id":"i%d","method":"POST","url":%q,"body":{"model":%q,"messages":["i%d"]}}`+"\n",
+			i, EndpointChat, testModel, i)
 	}
 	return b.String()
 }
@@ -53,33 +55,6 @@
 	return Results{Output: bytes.Repeat([]byte(c.Chunk.ClaimID+"\n"), n), Completed: n}
 }
 
-// TestLifecycle guards against losing items between upload and output.
-func TestLifecycle(t *testing.T) {
-	ctx := context.Background()
-	s := NewStore(newFake())
-	j := submit(t, s, 250, "")
-	for i := range j.Chunks() {
-		c, err := s.Claim(ctx, j, Chunk{Index: i}, "a")
-		if err != nil {
-			t.Fatal(err)
-		}
-		if err := s.Commit(ctx, c, testResults(c)); err != nil {
-			t.Fatal(err)
-		}
-	}
-	if ended, err := s.Complete(ctx, j.ID); !ended || err != nil {
-		t.Fatal(ended, err)
-	}
-	got, err := s.Job(ctx, j.ID)
-	if err != nil || got.Status != StatusCompleted || *got.Counts != (Counts{Total: 250, Completed: 250}) {
-		t.Fatalf("%+v %v", got, err)
-	}
-	var out bytes.Buffer
-	if err := s.WriteResults(ctx, got, false, &out); err != nil || bytes.Count(out.Bytes(), []byte("\n")) != 250 {
-		t.Fatal(out.Len(), err)
-	}
-}
-
 // TestResend guards against a resend that creates a second job, with and
 // without a key, also across the edge of a period and after lost answers.
 func TestResend(t *testing.T) {
@@ -155,6 +130,18 @@
 	}
 }
 
+// claimed gives a job of one chunk that is claimed.
+func claimed(t *testing.T) (*fake, *Store, *Job, *Claim) {
+	f := newFake()
+	s := NewStore(f)
+	j := submit(t, s, 100, "")
+	c, err := s.Claim(t.Context(), j, Chunk{}, "a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f, s, j, c
+}
+
 // TestFencing guards against results of a holder that was paused past its
 // claim's expiry, and against commits after a cancel.
 func TestFencing(t *testing.T) {
@@ -192,7 +179,7 @@
 		if err := s.Commit(ctx, late, testResults(late)); !errors.Is(err, ErrLost) {
 			t.Errorf("commit after cancel: %v", err)
 		}
-		if done, _ := s.DoneChunks(ctx, j.ID); len(done) != 1 || done[0].ClaimID != taken.Chunk.ClaimID {
+		if done, _ := s.DoneChunks(ctx, j); len(done) != 1 || done[0].ClaimID != taken.Chunk.ClaimID {
 			t.Errorf("done chunks: %+v", done)
 		}
 	})
@@ -204,26 +191,26 @@
 	for _, kind := range []fault{faultDown, faultLost, faultThrottled, faultLate} {
 		synctest.Test(t, func(t *testing.T) {
 			ctx := t.Context()
-			f := newFake()
-			s := NewStore(f)
-			j := submit(t, s, 100, "")
-			c, err := s.Claim(ctx, j, Chunk{}, "a")
-			if err != nil {
-				t.Fatal(err)
-			}
+			f, s, j, c := claimed(t)
 			steps := []func() error{
 				func() error { return s.Renew(ctx, c) },
 				func() error { return s.Intend(ctx, c, []int{1, 2}) },
 				func() error { return s.Commit(ctx, c, testResults(c)) },
 			}
 			for i, step := range steps {
-				failures := 1
+				commits := 0
 				f.setFault(func(op, _ string) fault {
-					if op != "commit" || failures == 0 {
+					if op != "commit" {
 						return faultNone
 					}
-					failures--
-					return kind
+					commits++
+					if commits == 1 {
+						return kind
+					}
+					if kind == faultLate && commits == 2 {
+						time.Sleep(2 * time.Second) // the late write is first
+					}
+					return faultNone
 				})
 				for step() != nil {
 					if err := step(); err != nil && !transient(err) {
@@ -233,11 +220,100 @@
 				}
 				time.Sleep(2 * time.Second) // a late write arrives
 			}
-			if done, _ := s.DoneChunks(ctx, j.ID); len(done) != 1 || done[0].ClaimID != c.Chunk.ClaimID {
+			if done, _ := s.DoneChunks(ctx, j); len(done) != 1 || done[0].ClaimID != c.Chunk.ClaimID {
 				t.Errorf("fault %d: %+v", kind, done)
 			}
 		})
 	}
 }
 
+// TestDoneChunkStays guards against a holder that undoes its own commit, whose
+// answer was lost, by a renewal or by returning the chunk.
+func TestDoneChunkStays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := t.Context()
+		f, s, j, c := claimed(t)
+		f.setFault(func(op, _ string) fault {
+			if op == "commit" {
+				return faultLost
+			}
+			return faultNone
+		})
+		if err := s.Commit(ctx, c, testResults(c)); !transient(err) {
+			t.Fatal(err)
+		}
+		f.setFault(nil)
+		before, _ := s.AllChunks(ctx, j.ID, j.Chunks())
+		if err := s.Renew(ctx, c); !errors.Is(err, ErrLost) {
+			t.Errorf("renewal: %v", err)
+		}
+		if err := s.Return(ctx, c, nil); !errors.Is(err, ErrLost) {
+			t.Errorf("return: %v", err)
+		}
+		after, _ := s.AllChunks(ctx, j.ID, j.Chunks())
+		if after[0].State != ChunkDone || after[0].Version != before[0].Version {
+			t.Errorf("%+v, was %+v", after[0], before[0])
+		}
+		if err := s.Commit(ctx, c, testResults(c)); err != nil {
+			t.Errorf("repeated commit: %v", err)
+		}
+	})
+}
+
+// TestFinishRace guards against two outcomes of one job when cancel, completion
+// and expiry meet.
+func TestFinishRace(t *testing.T) {
+	outcomes := make(map[Status]int)
+	for seed := range uint64(300) {
+		synctest.Test(t, func(t *testing.T) {
+			ctx := t.Context()
+			f, s, j, c := claimed(t)
+			if err := s.Commit(ctx, c, testResults(c)); err != nil {
+				t.Fatal(err)
+			}
+			faults := newFaults(seed, rand.New(rand.NewPCG(seed, 1)))
+			f.latency = faults.latency
+			f.setFault(faults.meet)
+			seen := make([]Status, 3)
+			var wg sync.WaitGroup
+			complete := func(ctx context.Context, id string) (*Job, error) {
+				if ended, err := s.Complete(ctx, id); err != nil || !ended {
+					return nil, fmt.Errorf("ended %v: %w", ended, err)
+				}
+				return s.Job(ctx, id)
+			}
+			for i, finish := range []func(context.Context, string) (*Job, error){s.Cancel, s.Expire, complete} {
+				wg.Go(func() {
+					got, err := finish(ctx, j.ID)
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					seen[i] = got.Status
+				})
+			}
+			wg.Wait()
+			time.Sleep(2 * time.Second) // late writes arrive
+			end, err := s.Job(ctx, j.ID)
+			if err != nil {
+				t.Fatal(err)
+			}
+			outcomes[end.Status]++
+			for i, status := range seen {
+				if status != end.Status {
+					t.Errorf("seed %d: finisher %d saw %s, the job ended %s", seed, i, status, end.Status)
+				}
+			}
+			if list, err := NewIndexReader(f).Refresh(ctx); err == nil && len(list) != 0 {
+				t.Errorf("seed %d: an ended job is in the index", seed)
+			}
+		})
+	}
+	if len(outcomes) != 3 {
+		t.Errorf("outcomes %v, want all three", outcomes)
+	}
+}
+
 var _ platform.Platform = (*fake)(nil)
+
+func stringsReader(n int) *strings.Reader { return strings.NewReader(inputLines(n)) }
