--- a/order/lease.go
+++ b/order/lease.go
@@ -46,20 +46,21 @@
 func (t Timing) renewal() time.Duration { return t.TTL / 3 }
 
 // Lease is the right of one process to send orders to one upstream. It reads and
-// writes the platform only when a method is called. Safe for concurrent use.
+// writes the platform only when a method is called. Acquire, Renew and Release
+// must not overlap; Current and Forget may be called at any time.
 type Lease struct {
 	table  platform.Table
 	key    string
 	holder string
 	timing Timing
 
-	mu      sync.Mutex
 	version uint64
 	row     leaseRow
 	beats   uint64 // last one written
-	from    time.Time
-	until   time.Time // zero when the lease is not held
 	seen    sighting
+
+	mu      sync.Mutex // not held during calls of the platform
+	current upstream.OrderLease
 }
 
 // sighting is a write of another holder and when this process first saw it.
@@ -95,8 +96,6 @@
 
 // try claims the lease if it is free. A positive wait asks to try again then.
 func (l *Lease) try(ctx context.Context) (wait time.Duration, err error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	before := time.Now()
 	version, row, err := l.read(ctx)
 	if err != nil {
@@ -118,8 +117,8 @@
 	case err != nil:
 		return 0, err
 	}
-	l.hold(written, next, sent)
-	l.from = time.Now()
+	l.version, l.row = written, next
+	l.set(upstream.OrderLease{Fencing: next.Term, From: sent, Until: sent.Add(l.timing.TTL)})
 	return 0, nil
 }
 
@@ -136,18 +135,25 @@
 	return before.Sub(l.seen.since) >= l.timing.expiry()
 }
 
-func (l *Lease) hold(version uint64, row leaseRow, sent time.Time) {
-	l.version = version
-	l.row = row
-	l.until = sent.Add(l.timing.TTL)
+func (l *Lease) set(lease upstream.OrderLease) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.current = lease
+}
+
+// extend prolongs the lease unless it was forgotten during the renewal.
+func (l *Lease) extend(until time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.current.Fencing != 0 {
+		l.current.Until = until
+	}
 }
 
 // Renew extends the lease once. ErrLost means that it is no longer held; after
 // another error it lasts as long as before.
 func (l *Lease) Renew(ctx context.Context) error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.until.IsZero() {
+	if !l.held() {
 		return ErrLost
 	}
 	l.beats++
@@ -161,7 +167,8 @@
 	if err != nil {
 		return err
 	}
-	l.hold(version, next, sent)
+	l.version, l.row = version, next
+	l.extend(sent.Add(l.timing.TTL))
 	return nil
 }
 
@@ -174,10 +181,10 @@
 		return 0, err
 	case row == want:
 		return version, nil
-	case l.until.IsZero():
+	case !l.held():
 		return 0, platform.ErrConflict
 	case row.Claim != want.Claim:
-		l.until = time.Time{}
+		l.Forget()
 		return 0, ErrLost
 	}
 	l.version = version // of an earlier renewal that arrived late
@@ -187,33 +194,26 @@
 // Release lets the next holder claim the lease at once. It must not be called
 // while an order may still be on its way. An error leaves the lease to expire.
 func (l *Lease) Release(ctx context.Context) error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.until.IsZero() {
+	if !l.held() {
 		return nil
 	}
-	l.until = time.Time{}
+	l.Forget()
 	_, err := l.write(ctx, l.version, leaseRow{Term: l.row.Term})
 	return err
 }
 
 // Forget stops using the lease and leaves its row to expire.
-func (l *Lease) Forget() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.until = time.Time{}
-}
+func (l *Lease) Forget() { l.set(upstream.OrderLease{}) }
 
 // Current returns the lease for a FencedSender; it is zero when not held.
 func (l *Lease) Current() upstream.OrderLease {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.until.IsZero() {
-		return upstream.OrderLease{}
-	}
-	return upstream.OrderLease{Fencing: l.row.Term, From: l.from, Until: l.until}
+	return l.current
 }
 
+func (l *Lease) held() bool { return l.Current().Fencing != 0 }
+
 func (l *Lease) read(ctx context.Context) (uint64, leaseRow, error) {
 	row, err := l.table.Get(ctx, l.key)
 	if errors.Is(err, platform.ErrNotFound) {
--- a/order/loop.go
+++ b/order/loop.go
@@ -14,8 +14,11 @@
 
 // Defaults of a Config.
 const (
-	DefaultLeaseTTL      = 30 * time.Second
-	DefaultPermitTTL     = 60 * time.Second
+	DefaultLeaseTTL = 30 * time.Second
+	// DefaultPermitTTL is longer than a load that waits for 20 others at the
+	// weight store, so that the permit of an agent that ends or pauses counts
+	// until its engine has loaded.
+	DefaultPermitTTL     = 10 * time.Minute
 	DefaultMargin        = 3 * time.Second
 	DefaultCheckInterval = 5 * time.Second
 	DefaultLoadPoll      = time.Second
@@ -95,7 +98,7 @@
 	for failed := 0; ; {
 		wait := jitter(l.cfg.CheckInterval)
 		if err := l.pass(ctx, engine, holder, gate); err != nil && ctx.Err() == nil {
-			wait = max(wait, retries.Delay(failed))
+			wait = retryPause(failed)
 			failed++
 		} else {
 			failed = 0
@@ -104,6 +107,7 @@
 		select {
 		case <-ctx.Done():
 		case <-changes:
+			failed = 0
 		case <-timer.C:
 		}
 		timer.Stop()
@@ -113,6 +117,21 @@
 	}
 }
 
+// Pauses after orders that failed. Each try with a weight load empties the
+// engine, so tries become rare.
+const (
+	firstRetryPause   = 10 * time.Second
+	longestRetryPause = 10 * time.Minute
+)
+
+func retryPause(failed int) time.Duration {
+	pause := firstRetryPause
+	for range failed {
+		pause = min(2*pause, longestRetryPause)
+	}
+	return jitter(pause)
+}
+
 // pass sends what is due now, if anything is.
 func (l *Loop) pass(ctx context.Context, engine upstream.Engine, holder *contract.Holder, gate Gate) error {
 	s := &session{loop: l, engine: engine, holder: holder, gate: gate}
--- a/order/permit.go
+++ b/order/permit.go
@@ -14,21 +14,22 @@
 	"github.com/magnoliausher/magnoliausher/platform"
 )
 
-// Permits takes, renews and releases the permit of one engine. Safe for
-// concurrent use.
+// Permits takes, renews and releases the permit of one engine. Acquire, Renew and
+// Release must not overlap; Until and Forget may be called at any time.
 type Permits struct {
 	table  platform.Table
 	key    string
 	agent  string
 	timing Timing
 
-	mu      sync.Mutex
 	seen    Sightings
 	version uint64 // of the row as last read or written
 	row     Rollout
 	held    Permit
-	beats   uint64    // last one written
-	until   time.Time // zero when no permit is held
+	beats   uint64 // last one written
+
+	mu    sync.Mutex // not held during calls of the platform
+	until time.Time  // zero when no permit is held
 }
 
 // NewPermits returns the permits of a service for one agent; none is held.
@@ -64,8 +65,6 @@
 }
 
 func (p *Permits) try(ctx context.Context, engines int) (wait time.Duration, err error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	before := time.Now()
 	if err := p.read(ctx); err != nil {
 		// Holders could not renew either while the platform was down, so what
@@ -93,7 +92,7 @@
 		return 0, err
 	}
 	p.held = want
-	p.until = sent.Add(p.timing.TTL)
+	p.set(sent.Add(p.timing.TTL))
 	return 0, nil
 }
 
@@ -103,11 +102,9 @@
 // Renew extends the permit. ErrLost means that it is no longer held; after
 // another error it lasts as long as before.
 func (p *Permits) Renew(ctx context.Context) error {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	var err error
 	for range renewTries {
-		if p.until.IsZero() {
+		if p.Until().IsZero() {
 			return ErrLost
 		}
 		err = p.renew(ctx)
@@ -130,7 +127,7 @@
 	want.Beat = p.beats
 	next, ok := p.row.Replace(want)
 	if !ok {
-		p.until = time.Time{}
+		p.Forget()
 		return ErrLost
 	}
 	sent := time.Now()
@@ -142,10 +139,25 @@
 		return err
 	}
 	p.held = want
-	p.until = sent.Add(p.timing.TTL)
+	p.extend(sent.Add(p.timing.TTL))
 	return nil
 }
 
+func (p *Permits) set(until time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.until = until
+}
+
+// extend prolongs the permit unless it was forgotten during the renewal.
+func (p *Permits) extend(until time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.until.IsZero() {
+		p.until = until
+	}
+}
+
 // settle reads back a write whose outcome is open. ErrConflict means that it has
 // not taken effect so far.
 func (p *Permits) settle(ctx context.Context, want Permit) error {
@@ -164,12 +176,10 @@
 
 // Release gives the permit back. An error leaves it to expire.
 func (p *Permits) Release(ctx context.Context) error {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.until.IsZero() {
+	if p.Until().IsZero() {
 		return nil
 	}
-	p.until = time.Time{}
+	p.Forget()
 	var err error
 	for range renewTries {
 		err = p.write(ctx, p.row.Without(p.held.Claim))
@@ -184,11 +194,7 @@
 }
 
 // Forget stops using the permit and leaves it to expire.
-func (p *Permits) Forget() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.until = time.Time{}
-}
+func (p *Permits) Forget() { p.set(time.Time{}) }
 
 // Until is the end of the permit for its holder; zero when none is held.
 func (p *Permits) Until() time.Time {
--- a/order/session.go
+++ b/order/session.go
@@ -107,6 +107,9 @@
 // orders sends one order after the other until none is due.
 func (s *session) orders(ctx context.Context) error {
 	for {
+		if err := s.settled(ctx); err != nil {
+			return err
+		}
 		due, err := s.due(ctx)
 		if err != nil || len(due) == 0 {
 			return err
@@ -120,6 +123,20 @@
 	}
 }
 
+// settled waits for the end of a load that an earlier holder ordered. Until then
+// the engine counts as loading, so its permit must not be released.
+func (s *session) settled(ctx context.Context) error {
+	for {
+		state, err := s.state(ctx)
+		if err == nil && !state.Loading {
+			return nil
+		}
+		if err != nil && ctx.Err() != nil || !sleep(ctx, s.loop.cfg.LoadPoll) {
+			return ctx.Err()
+		}
+	}
+}
+
 // order sends one order and waits for its effect.
 func (s *session) order(ctx context.Context, o upstream.Order) error {
 	boot, err := s.boot(ctx)
@@ -229,30 +246,33 @@
 	s.sender.SetLease(lease)
 }
 
-// renew renews lease and permit until ctx ends. A renewal that fails is tried
-// again at the next turn; what ran out stays lost, and the sender sends no more.
+// renew renews lease and permit until ctx ends. What has been
+// lost stays lost, and the sender sends no more.
 func (s *session) renew(ctx context.Context) {
 	l := s.loop
 	var g errgroup.Group
-	g.Go(func() error {
-		for sleep(ctx, l.cfg.Lease.renewal()) {
-			if l.lease.Renew(ctx) == nil {
-				s.cover()
-			}
-		}
-		return nil
-	})
+	g.Go(func() error { return s.keep(ctx, l.cfg.Lease, l.lease.Renew) })
 	if s.permit {
-		g.Go(func() error {
-			for sleep(ctx, l.cfg.Permit.renewal()) {
-				if l.permits.Renew(ctx) == nil {
-					s.cover()
-				}
-			}
-			return nil
-		})
+		g.Go(func() error { return s.keep(ctx, l.cfg.Permit, l.permits.Renew) })
+	}
+	_ = g.Wait() // only the end of ctx
+}
+
+// failedRenewalShare is the part of the usual time after which a renewal that
+// failed is tried again.
+const failedRenewalShare = 4
+
+func (s *session) keep(ctx context.Context, timing Timing, renew func(context.Context) error) error {
+	wait := timing.renewal()
+	for sleep(ctx, wait) {
+		wait = timing.renewal()
+		if err := renew(ctx); err != nil {
+			wait /= failedRenewalShare
+			continue
+		}
+		s.cover()
 	}
-	_ = g.Wait() // the loops return no errors
+	return ctx.Err()
 }
 
 // end releases what is held. While an order may still have effect, lease and
