Keep an inherited permit until it expires; give up an order without effect

Three faults: a new process that replaced its predecessor's permit released it although the predecessor's adapter load, which an engine's state does not show, was still running; an order that a late one of an earlier holder undid was waited for without end; and the fake engine stayed "loading" after an adapter load that ran beside a model load, which the stand-in engine does not.

--- a/order/fake_test.go
+++ b/order/fake_test.go
@@ -27,6 +27,7 @@
 	fencing  uint64
 	taken    uint64 // highest term that any process saw in the lease's row
 	pending  int    // weight loads of this boot
+	models   int    // model loads of this boot
 	arrivals []arrival
 }
 
@@ -50,7 +51,10 @@
 		e.state.Role = o.Role
 		return nil
 	}
-	e.state.Loading = e.state.Loading || o.Kind == upstream.OrderLoadModel
+	if o.Kind == upstream.OrderLoadModel {
+		e.models++
+		e.state.Loading = true
+	}
 	e.setPending(e.pending + 1)
 	boot := e.boot
 	time.AfterFunc(e.loadTime(), func() { e.loaded(o, boot) })
@@ -65,7 +69,8 @@
 	}
 	e.setPending(e.pending - 1)
 	if o.Kind == upstream.OrderLoadModel {
-		e.state.Model, e.state.Version, e.state.Adapter, e.state.Loading = o.Model, o.Version, "", e.pending > 0
+		e.models--
+		e.state.Model, e.state.Version, e.state.Adapter, e.state.Loading = o.Model, o.Version, "", e.models > 0
 		return
 	}
 	e.state.Adapter = o.Adapter
@@ -85,6 +90,7 @@
 	e.boot++
 	e.fencing = 0
 	e.setPending(0)
+	e.models = 0
 	e.state = upstream.EngineState{Model: "m", Version: "0"}
 }
 
--- a/order/permit.go
+++ b/order/permit.go
@@ -27,6 +27,9 @@
 	row     Rollout
 	held    Permit
 	beats   uint64 // last one written
+	// inherited: the permit replaced one that was not released, whose holder's
+	// order may still have effect.
+	inherited bool
 
 	mu    sync.Mutex // not held during calls of the platform
 	until time.Time  // zero when no permit is held
@@ -76,6 +79,7 @@
 	expired := func(x Permit) bool { return p.seen.Expired(x, before, p.timing.expiry()) }
 	p.beats++
 	want := Permit{Agent: p.agent, Claim: uuid.NewString(), Beat: p.beats}
+	inherited := p.row.Has(p.agent)
 	next, ok := Take(p.row, want, Limit(engines), expired)
 	if !ok {
 		return jitter(PollInterval(engines)), nil
@@ -92,6 +96,7 @@
 		return 0, err
 	}
 	p.held = want
+	p.inherited = inherited
 	p.set(sent.Add(p.timing.TTL))
 	return 0, nil
 }
@@ -174,12 +179,16 @@
 	return nil
 }
 
-// Release gives the permit back. An error leaves it to expire.
+// Release gives the permit back, or leaves it to expire if it replaced one that
+// was not released. An error leaves it to expire too.
 func (p *Permits) Release(ctx context.Context) error {
 	if p.Until().IsZero() {
 		return nil
 	}
 	p.Forget()
+	if p.inherited {
+		return nil
+	}
 	var err error
 	for range renewTries {
 		err = p.write(ctx, p.row.Without(p.held.Claim))
--- a/order/rollout.go
+++ b/order/rollout.go
@@ -96,6 +96,16 @@
 	return out
 }
 
+// Has reports whether the row has a permit of an agent, expired or not.
+func (r Rollout) Has(agent string) bool {
+	for _, p := range r.Permits {
+		if p.Agent == agent {
+			return true
+		}
+	}
+	return false
+}
+
 // Find returns the permit of a claim.
 func (r Rollout) Find(claim string) (Permit, bool) {
 	for _, p := range r.Permits {
--- a/order/session.go
+++ b/order/session.go
@@ -207,7 +207,9 @@
 // effect waits until the engine's state shows that an accepted order is
 // complete. An engine that goes on loading stays closed and keeps its permit,
 // so that a version that no engine can load stops the change at the limit of
-// permits instead of taking the whole service out.
+// permits instead of taking the whole service out. An order that shows no effect
+// although the engine does not load, perhaps because a late order of an earlier
+// holder undid it, is given up.
 func (s *session) effect(ctx context.Context, o upstream.Order, boot string) error {
 	accepted := time.Now()
 	reported := false
@@ -220,11 +222,14 @@
 			s.unfinished = false
 			return errEngineRestart
 		}
-		if !reported && time.Since(accepted) >= s.loop.cfg.StuckAfter {
-			reported = true
-			s.count(o, "stuck")
-			s.loop.cfg.Logger.Error().Err(errStuck).Str("agent", s.loop.cfg.Place.AgentID).
-				Str("order", string(o.Kind)).Dur("since", time.Since(accepted)).Msg("order is stuck")
+		if time.Since(accepted) >= s.loop.cfg.StuckAfter {
+			if !reported {
+				s.reportStuck(o)
+				reported = true
+			}
+			if err == nil && !state.Loading {
+				return errStuck
+			}
 		}
 		if !sleep(ctx, s.loop.cfg.LoadPoll) {
 			return ctx.Err()
@@ -232,6 +237,12 @@
 	}
 }
 
+func (s *session) reportStuck(o upstream.Order) {
+	s.count(o, "stuck")
+	s.loop.cfg.Logger.Error().Str("agent", s.loop.cfg.Place.AgentID).Str("order", string(o.Kind)).
+		Dur("since", s.loop.cfg.StuckAfter).Msg("accepted order has no effect")
+}
+
 // cover gives the sender the part of the lease that the permit also covers.
 func (s *session) cover() {
 	lease := s.loop.lease.Current()
