--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -55,11 +55,12 @@
 
 // process is a running entry or agent.
 type process struct {
-	id      string
-	address string
-	cmd     *exec.Cmd
-	done    chan struct{} // closed when it has ended
-	err     error         // of its end
+	id       string
+	address  string
+	settings string
+	cmd      *exec.Cmd
+	done     chan struct{} // closed when it has ended
+	err      error         // of its end
 }
 
 func (p *process) signal(t *testing.T, s syscall.Signal) {
@@ -168,7 +169,7 @@
 	if err := cmd.Start(); err != nil {
 		f.t.Fatal(err)
 	}
-	p := &process{id: id, cmd: cmd, done: make(chan struct{})}
+	p := &process{id: id, settings: settings, cmd: cmd, done: make(chan struct{})}
 	started := make(chan string, 1)
 	go p.watch(stderr, started)
 	f.t.Cleanup(func() {
--- /dev/null
+++ b/e2e/leaving_test.go
@@ -0,0 +1,142 @@
+package e2e
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/magnoliausher/magnoliausher/platform"
+)
+
+// leavingBound is the time after which a leaving upstream gets nothing new.
+const leavingBound = 3 * time.Second
+
+// loadUntil sends requests to all entries in turn.
+func (f *fleet) loadUntil(t *testing.T, l *load, end time.Time) {
+	t.Helper()
+	for i := 0; time.Now().Before(end); i++ {
+		l.send(t.Context(), f.entries[i%len(f.entries)].address, fmt.Sprintf("question %d", i), tokens)
+		time.Sleep(sendPause)
+	}
+}
+
+// Guards against new work at an upstream that the platform's list has shown as
+// leaving for 3 s. Its agent never hears of it.
+func TestListedAsLeavingGetsNothingNew(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3, 2)
+	var l load
+	f.loadUntil(t, &l, time.Now().Add(time.Second))
+	f.platform.SetInstance(platform.Instance{ID: f.agents[0].id, Role: platform.RoleAgent, DataCentre: dataCentre,
+		Address: f.agents[0].address, Service: model, State: platform.InstanceLeaving})
+	f.loadUntil(t, &l, time.Now().Add(leavingBound))
+	before := f.engines[0].Submitted()
+	f.loadUntil(t, &l, time.Now().Add(3*time.Second))
+	l.inFlight.Wait()
+	l.report(t)
+	if n := f.engines[0].Submitted() - before; n != 0 {
+		t.Errorf("%d requests began at the engine after the bound", n)
+	}
+	if before == 0 || l.ok.Load() != l.sent.Load() {
+		t.Errorf("%d requests at the engine before; %d of %d answers are whole", before, l.ok.Load(), l.sent.Load())
+	}
+}
+
+// Guards against new work at an upstream whose agent was told to end 3 s ago,
+// while long streams keep the agent running.
+func TestTerminatedAgentGetsNothingNew(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3, 2)
+	var long load
+	for i := range 30 {
+		long.send(t.Context(), f.entries[i%2].address, fmt.Sprintf("long %d", i), 400)
+	}
+	time.Sleep(200 * time.Millisecond)
+	f.agents[0].signal(t, syscall.SIGTERM)
+	var l load
+	f.loadUntil(t, &l, time.Now().Add(leavingBound))
+	before := f.engines[0].Submitted()
+	f.loadUntil(t, &l, time.Now().Add(3*time.Second))
+	l.inFlight.Wait()
+	long.inFlight.Wait()
+	l.report(t)
+	long.report(t)
+	if n := f.engines[0].Submitted() - before; n != 0 {
+		t.Errorf("%d requests began at the engine after the bound", n)
+	}
+	if before == 0 || l.ok.Load() != l.sent.Load() || long.ok.Load() != long.sent.Load() {
+		t.Errorf("%d requests at the engine before; %d of %d and %d of %d answers are whole",
+			before, l.ok.Load(), l.sent.Load(), long.ok.Load(), long.sent.Load())
+	}
+	<-f.agents[0].done
+}
+
+// Guards against lost answers when an engine crashes while its agent drains.
+func TestEngineCrashDuringDrain(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3, 2)
+	var l load
+	for i := range 60 {
+		l.send(t.Context(), f.entries[i%2].address, fmt.Sprintf("long %d", i), 100)
+	}
+	time.Sleep(200 * time.Millisecond)
+	if f.engines[0].InProgress() == 0 {
+		t.Error("nothing in progress at the engine")
+	}
+	f.agents[0].signal(t, syscall.SIGTERM)
+	time.Sleep(100 * time.Millisecond)
+	f.engines[0].Crash(restartDelay)
+	l.inFlight.Wait()
+	l.report(t)
+	if l.ok.Load() != l.sent.Load() {
+		t.Errorf("%d of %d answers are whole", l.ok.Load(), l.sent.Load())
+	}
+	<-f.agents[0].done
+	if err := f.agents[0].err; err != nil {
+		t.Errorf("the agent ended with %v", err)
+	}
+}
+
+// Guards against a call that runs twice, or whose outcome is told wrongly, when
+// its agent is killed and started again under the same address.
+func TestAgentRestartedUnderSameAddress(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 2)
+	portal := f.agents[1]
+	body := func(i int) []byte { return []byte(fmt.Sprintf(`{"restarted":%d}`, i)) }
+	outcomes := make([]invoiceOutcome, 600)
+	var calls sync.WaitGroup
+	for i := range outcomes {
+		if i == 100 || i == 350 {
+			portal.signal(t, syscall.SIGKILL)
+			<-portal.done
+			portal = f.restartAgent(portal)
+		}
+		idempotencyKey := ""
+		if i%2 == 0 {
+			idempotencyKey = fmt.Sprintf("restarted-%d", i)
+		}
+		calls.Go(func() { outcomes[i] = sendInvoice(t.Context(), f.entries[i/2%2], idempotencyKey, body(i)) })
+		time.Sleep(sendPause)
+	}
+	calls.Wait()
+	count := make(map[invoiceOutcome]int)
+	for i, got := range outcomes {
+		f.checkInvoice(t, body(i), got)
+		count[got]++
+	}
+	t.Logf("calls: %v", count)
+	for _, e := range f.entries {
+		f.awaitServing(e)
+	}
+}
+
+// restartAgent starts an ended agent with its settings and its address.
+func (f *fleet) restartAgent(p *process) *process {
+	f.t.Helper()
+	settings := strings.Replace(p.settings, "listen=127.0.0.1:0", "listen="+p.address, 1)
+	return f.start(p.id, "agent", settings)
+}
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -54,6 +54,7 @@
 	fencing  uint64
 	applied  []Order
 	crashes  int
+	received int // requests to generate, over all boots
 	loads    int // model loads in progress
 }
 
@@ -194,6 +195,7 @@
 func (s *Server) submit(seq Sequence, prompt string) (*request, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.received++
 	if s.state.Loading {
 		return nil, errLoading
 	}
@@ -251,6 +253,14 @@
 	return s.model.Current()
 }
 
+// Submitted returns the number of requests to generate that arrived so far,
+// over all boots and including refused ones.
+func (s *Server) Submitted() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.received
+}
+
 // InProgress returns the number of requests that are waiting or running.
 func (s *Server) InProgress() int {
 	s.mu.Lock()
