Give calls in the order histories a duration and check the senders

Change: engine and platform calls take up to 2 s and a drain up to 40 s in the histories, and a fencing number may have only one sender.

A sender whose lease is not cut to its permit's end still passes; no history pauses for as long as a permit.

Conclusion: the histories cover the lease; the permit's end needs a test of its own.

--- a/order/fake_test.go
+++ b/order/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
@@ -34,19 +35,20 @@
 // arrival is an order that was applied.
 type arrival struct {
 	fencing uint64
+	sender  *process
 	boot    int
 	stale   bool // another holder had taken the lease over
 	late    bool // held back between the sender's check and the engine
 }
 
-func (e *fakeEngine) arrive(o upstream.Order, late bool) error {
+func (e *fakeEngine) arrive(o upstream.Order, sender *process, late bool) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.checks && o.Fencing < e.fencing {
 		return upstream.ErrFenced
 	}
 	e.fencing = max(e.fencing, o.Fencing)
-	e.arrivals = append(e.arrivals, arrival{o.Fencing, e.boot, o.Fencing < e.taken, late})
+	e.arrivals = append(e.arrivals, arrival{o.Fencing, sender, e.boot, o.Fencing < e.taken, late})
 	if !LoadsWeights(o) {
 		e.state.Role = o.Role
 		return nil
@@ -141,8 +143,14 @@
 }
 
 // Close and Open make the process a Gate.
-func (p *process) Close(context.Context) error { p.gates++; return nil }
-func (p *process) Open()                       { p.gates-- }
+func (p *process) Close(ctx context.Context) error {
+	p.gates++
+	sleep(ctx, rand.N(longestDrain))
+	p.wait()
+	return ctx.Err()
+}
+
+func (p *process) Open() { p.gates-- }
 
 func (p *process) start(ctx context.Context, place Place, holder *contract.Holder) {
 	loop := NewLoop(Config{Place: place, Table: processTable{p.table, p}, Logger: zerolog.Nop()})
@@ -197,13 +205,20 @@
 	p *process
 }
 
-func (e processEngine) State(context.Context) (upstream.EngineState, error) {
+// answer takes the time of a call. The process can be paused meanwhile.
+func (e processEngine) answer() {
+	time.Sleep(rand.N(longestAnswer))
 	e.p.wait()
-	return e.serving(), nil
+}
+
+func (e processEngine) State(context.Context) (upstream.EngineState, error) {
+	state := e.serving()
+	e.answer()
+	return state, nil
 }
 
 func (e processEngine) Healthy(context.Context) (string, error) {
-	e.p.wait()
+	e.answer()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return string(rune('a' + e.boot)), nil
@@ -214,11 +229,11 @@
 func (e processEngine) Order(ctx context.Context, o upstream.Order) error {
 	delay := e.p.lateSend()
 	if delay == 0 {
-		err := e.arrive(o, false)
+		err := e.arrive(o, e.p, false)
 		e.p.wait()
 		return err
 	}
-	time.AfterFunc(delay, func() { _ = e.arrive(o, true) }) // its sender no longer waits
+	time.AfterFunc(delay, func() { _ = e.arrive(o, e.p, true) }) // its sender no longer waits
 	<-ctx.Done()
 	e.p.wait()
 	return ctx.Err()
--- a/order/history_test.go
+++ b/order/history_test.go
@@ -23,6 +23,8 @@
 	historySettle = 3 * time.Hour // without faults
 	longestPause  = 3 * time.Minute
 	longestLoad   = 4 * time.Minute
+	longestDrain  = 40 * time.Second
+	longestAnswer = 2 * time.Second // of an engine; the platform takes as long
 )
 
 // world is one history: engines, their agents' processes, and faults.
@@ -93,6 +95,7 @@
 // disturb runs random events for a time, then lets everything settle.
 func (w *world) disturb() {
 	outage, changes := false, 0
+	w.platform.SetLatency(longestAnswer)
 	for begin := time.Now(); time.Since(begin) < historyLength; time.Sleep(time.Second + time.Duration(w.random.Int64N(int64(40*time.Second)))) {
 		i := w.random.IntN(len(w.agents))
 		switch w.random.IntN(7) {
@@ -164,6 +167,7 @@
 		w.disturb()
 		w.finish(seed)
 		var last arrival
+		senders := map[uint64]*process{}
 		for i, a := range w.engines[0].arrivals {
 			applied++
 			if a.late {
@@ -179,6 +183,10 @@
 			if a.stale && !a.late {
 				t.Errorf("seed %d: order %d of a lost lease: %+v", seed, i, a)
 			}
+			if other := senders[a.fencing]; other != nil && other != a.sender {
+				t.Errorf("seed %d: two processes sent orders with number %d", seed, a.fencing)
+			}
+			senders[a.fencing] = a.sender
 			if a.boot != last.boot || a.fencing > last.fencing {
 				last = a
 			}
