--- a/order/history_test.go
+++ b/order/history_test.go
@@ -52,7 +52,7 @@
 	for i := range engines {
 		e := &fakeEngine{checks: checks, loads: w.loads}
 		e.loadTime = func() time.Duration { return time.Second + rand.N(longestLoad) }
-		e.state.Model, e.state.Version = "m", "0"
+		e.state.Model, e.state.Version, e.state.Role = "m", "0", "r0"
 		w.engines = append(w.engines, e)
 		for range agentsPerEngine {
 			w.agents = append(w.agents, &process{engine: e, table: w.platform, lateSend: w.late})
--- a/order/loop.go
+++ b/order/loop.go
@@ -14,7 +14,9 @@
 
 // Defaults of a Config.
 const (
-	DefaultLeaseTTL = 30 * time.Second
+	// DefaultLeaseTTL sets the cost of a load, because the lease is renewed while
+	// an engine loads. A new holder waits as long, but the engine serves meanwhile.
+	DefaultLeaseTTL = 90 * time.Second
 	// DefaultPermitTTL is longer than a load that waits for 20 others at the
 	// weight store, so that the permit of an agent that ends or pauses counts
 	// until its engine has loaded.
