--- a/agent/fake_test.go
+++ b/agent/fake_test.go
@@ -26,6 +26,7 @@
 	healthy error
 	genErr  error
 	silent  bool
+	loading bool
 	stuck   bool // new streams ignore their context
 	streams map[*fakeStream]struct{}
 	handed  map[string]int // attempt id to number of hand-overs
@@ -120,7 +121,11 @@
 	return e.handed[id]
 }
 
-func (e *fakeEngine) Load(context.Context) (upstream.Load, error) { return upstream.Load{}, nil }
+func (e *fakeEngine) Load(context.Context) (upstream.Load, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return upstream.Load{Loading: e.loading}, nil
+}
 
 func (e *fakeEngine) State(context.Context) (upstream.EngineState, error) {
 	return upstream.EngineState{}, nil
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -29,6 +29,19 @@
 	}
 }
 
+// Guards against an agent that needs the platform, or ignores its address.
+func TestPlatformOfAgentIsOptional(t *testing.T) {
+	const agent = "[instance]\nid=a\ndata_centre=d\nlisten=127.0.0.1:1\n[upstream]\naddress=127.0.0.1:2\nservice=s\n"
+	without, err := ParseAgent("agent.ini", []byte(agent))
+	if err != nil || without.Platform.Address != "" {
+		t.Errorf("got %+v, %v", without, err)
+	}
+	with, err := ParseAgent("agent.ini", []byte(agent+"[platform]\naddress=127.0.0.1:3\ntimeout=1s\n"))
+	if err != nil || with.Platform != (Platform{Address: "127.0.0.1:3", Timeout: time.Second}) {
+		t.Errorf("got %+v, %v", with, err)
+	}
+}
+
 // Guards against reporting only the first problem, or a problem without its place.
 func TestAllFindingsAreReportedWithTheirPlace(t *testing.T) {
 	file := "[instance]\n" + // 1
