--- a/agent/gate.go
+++ b/agent/gate.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/gravitational/trace"
+	"github.com/rs/zerolog"
 )
 
 // Gate closes the engine to work while an order loads weights.
@@ -16,7 +17,7 @@
 	a := g.agent
 	a.mu.Lock()
 	a.gated = true
-	a.notReady("engine is closed to work for an order")
+	a.notReady(zerolog.InfoLevel, "engine is closed to work for an order")
 	a.preemptBatch()
 	idle := a.whenIdle()
 	a.mu.Unlock()
--- a/agent/health.go
+++ b/agent/health.go
@@ -7,6 +7,8 @@
 	"net"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/magnoliausher/magnoliausher/admission"
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/upstream"
@@ -85,7 +87,7 @@
 	a.probed = true
 	a.broken = nil
 	if loading {
-		a.notReady("upstream loads a model")
+		a.notReady(zerolog.InfoLevel, "upstream loads a model")
 		return
 	}
 	if !a.snap.Ready && !a.gated {
@@ -171,17 +173,17 @@
 func (a *Agent) down() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.notReady("upstream does not answer probes")
+	a.notReady(zerolog.WarnLevel, "upstream does not answer probes")
 }
 
 // notReady stops new work. Needs mu.
-func (a *Agent) notReady(why string) {
+func (a *Agent) notReady(level zerolog.Level, why string) {
 	if !a.snap.Ready {
 		return
 	}
 	a.snap.Ready = false
 	a.refuseQueued(admission.ReasonUpstreamDown)
-	a.cfg.Logger.Warn().Str("agent", a.cfg.ID).Msg(why)
+	a.cfg.Logger.WithLevel(level).Str("agent", a.cfg.ID).Msg(why)
 	a.notify()
 }
 
