--- a/agent/fake_test.go
+++ b/agent/fake_test.go
@@ -26,6 +26,7 @@
 	healthy error
 	genErr  error
 	silent  bool
+	loading bool
 	stuck   bool // new streams ignore their context
 	streams map[*fakeStream]struct{}
 	handed  map[string]int // attempt id to number of hand-overs
@@ -125,7 +126,9 @@
 // open is the number of streams that the engine runs.
 func (e *fakeEngine) open() int { return locked(&e.mu, func() int { return len(e.streams) }) }
 
-func (e *fakeEngine) Load(context.Context) (upstream.Load, error) { return upstream.Load{}, nil }
+func (e *fakeEngine) Load(context.Context) (upstream.Load, error) {
+	return locked(&e.mu, func() upstream.Load { return upstream.Load{Loading: e.loading} }), nil
+}
 
 func (e *fakeEngine) State(context.Context) (upstream.EngineState, error) {
 	return upstream.EngineState{}, nil
