Test cancel, replaced entries, outage at start and a lost data centre with processes

Cause: no test with processes cancelled a job while one of its entries is frozen, replaced all entries, started an entry during an outage, or lost one of two data centres under load.

Ruled out: nothing.

Change: the tests; the harness starts processes in a second data centre.

--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -72,18 +72,19 @@
 
 // fleet is the system under test.
 type fleet struct {
-	t        *testing.T
-	platform *standin.Platform
-	portal   *service.Server
-	at       string // platform address
-	entries  []*process
-	agents   []*process
-	engines  []*engine.Server
+	t          *testing.T
+	dataCentre string // of the processes started next
+	platform   *standin.Platform
+	portal     *service.Server
+	at         string // platform address
+	entries    []*process
+	agents     []*process
+	engines    []*engine.Server
 }
 
 func newFleet(t *testing.T, engines, entries int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, platform: standin.New(standin.Config{}), portal: service.New()}
+	f := &fleet{t: t, dataCentre: dataCentre, platform: standin.New(standin.Config{}), portal: service.New()}
 	doc := &contract.Document{
 		Version: 1, ChangeID: "e2e", SheetDate: "2026-01-02", Revision: 1,
 		Services: []contract.Service{
@@ -139,16 +140,16 @@
 func (f *fleet) startAgent(id, svc, kind, upstreamAt string) *process {
 	p := f.start(id, "agent", fmt.Sprintf(
 		"[instance]\nrole=agent\nid=%s\ndata_centre=%s\nlisten=127.0.0.1:0\n[upstream]\naddress=%s\nservice=%s\nkind=%s\n",
-		id, dataCentre, upstreamAt, svc, kind))
-	f.platform.SetInstance(platform.Instance{ID: id, Role: platform.RoleAgent, DataCentre: dataCentre,
+		id, f.dataCentre, upstreamAt, svc, kind))
+	f.platform.SetInstance(platform.Instance{ID: id, Role: platform.RoleAgent, DataCentre: f.dataCentre,
 		Address: p.address, Service: svc, State: platform.InstanceLive})
 	return p
 }
 
 func (f *fleet) startEntry(id string) *process {
 	p := f.start(id, "entry", fmt.Sprintf(
-		"[instance]\nrole=entry\nid=%s\ndata_centre=%s\nlisten=127.0.0.1:0\n[platform]\naddress=%s\n", id, dataCentre, f.at))
-	f.platform.SetInstance(platform.Instance{ID: id, Role: platform.RoleEntry, DataCentre: dataCentre,
+		"[instance]\nrole=entry\nid=%s\ndata_centre=%s\nlisten=127.0.0.1:0\n[platform]\naddress=%s\n", id, f.dataCentre, f.at))
+	f.platform.SetInstance(platform.Instance{ID: id, Role: platform.RoleEntry, DataCentre: f.dataCentre,
 		Address: p.address, State: platform.InstanceLive})
 	return p
 }
--- /dev/null
+++ b/e2e/restart_test.go
@@ -0,0 +1,196 @@
+package e2e
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/magnoliausher/magnoliausher/contract"
+	"github.com/magnoliausher/magnoliausher/job"
+	"github.com/magnoliausher/magnoliausher/job/client"
+	"github.com/magnoliausher/magnoliausher/operator"
+	operatorclient "github.com/magnoliausher/magnoliausher/operator/client"
+)
+
+// cancelBound is the time after which no item of a cancelled job starts.
+const cancelBound = 3 * time.Second
+
+func (f *fleet) submitted() int {
+	n := 0
+	for _, e := range f.engines {
+		n += e.Submitted()
+	}
+	return n
+}
+
+func download(t *testing.T, entry *process, fileID string) []byte {
+	t.Helper()
+	var output bytes.Buffer
+	c := &client.Client{BaseURL: "http://" + entry.address, Key: key}
+	if err := c.Download(t.Context(), fileID, &output); err != nil {
+		t.Fatalf("%s: %v", entry.id, err)
+	}
+	return output.Bytes()
+}
+
+// Guards against items that start after a cancel because the entry that holds
+// them was frozen meanwhile, and against an output that changes between reads.
+func TestCancelWhileEntryIsFrozen(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 2)
+	const items = 20_000
+	c := &client.Client{BaseURL: "http://" + f.entries[1].address, Key: key}
+	id := createBatch(t, c, items)
+	began := f.submitted()
+	for f.submitted() < began+300 { // both entries have claimed chunks
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.entries[0].signal(t, syscall.SIGSTOP)
+	time.Sleep(500 * time.Millisecond)
+	batch, err := c.Cancel(t.Context(), id)
+	if err != nil || batch.Status != job.StatusCancelled {
+		t.Fatalf("%+v, %v", batch, err)
+	}
+	time.Sleep(cancelBound)
+	before := f.submitted()
+	first := download(t, f.entries[1], batch.OutputFileID)
+	f.entries[0].signal(t, syscall.SIGCONT)
+	time.Sleep(5 * time.Second)
+	if n := f.submitted() - before; n != 0 {
+		t.Errorf("%d items began more than %s after the cancel", n, cancelBound)
+	}
+	for _, e := range f.entries {
+		if !bytes.Equal(first, download(t, e, batch.OutputFileID)) {
+			t.Errorf("%s gives another output than was read first", e.id)
+		}
+	}
+	t.Logf("%d items began, output of %d bytes", before-began, len(first))
+	if n := f.submitted(); n >= items {
+		t.Error("the job was not cancelled in progress")
+	}
+}
+
+// Guards against jobs that stop and configurations that revert when all entries
+// are killed and new ones start.
+func TestAllEntriesReplaced(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3, 2)
+	c := &client.Client{BaseURL: "http://" + f.entries[0].address, Key: key}
+	id := createBatch(t, c, batchItems)
+	change := operator.Change{Base: 1}
+	change.Put.Services = []contract.Service{{Name: model, Kind: contract.KindEngine, Model: model, DeadlineMS: 30_000}}
+	answer, err := (&operatorclient.Client{BaseURL: c.BaseURL, Key: key}).Change(t.Context(), change, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, e := range f.entries {
+		e.signal(t, syscall.SIGKILL)
+		<-e.done
+		f.platform.RemoveInstance(e.id)
+	}
+	f.entries = []*process{f.startEntry("entry-new-0"), f.startEntry("entry-new-1")}
+	for _, e := range f.entries {
+		f.awaitServing(e)
+		if v := configVersion(t, e); v != answer.Version {
+			t.Errorf("%s serves with version %d, want %d", e.id, v, answer.Version)
+		}
+	}
+	c.BaseURL = "http://" + f.entries[1].address
+	f.awaitBatch(t, c, id, batchItems)
+}
+
+func ready(t *testing.T, p *process) bool {
+	t.Helper()
+	resp, err := http.Get("http://" + p.address + "/readyz")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Guards against a new entry that cannot start without the platform although
+// its peers have the configuration, and against one that is ready without any.
+func TestEntryStartsWithoutPlatform(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 1)
+	f.platform.SetOutage(true)
+	peers := ""
+	for i, a := range f.agents {
+		if i > 0 {
+			peers += ","
+		}
+		peers += a.address
+	}
+	lone := f.startEntry("entry-lone")
+	peered := f.start("entry-peered", "entry", fmt.Sprintf(
+		"[instance]\nrole=entry\nid=entry-peered\ndata_centre=%s\nlisten=127.0.0.1:0\npeers=%s\n[platform]\naddress=%s\n",
+		dataCentre, peers, f.at))
+	for configVersion(t, peered) != 1 {
+		time.Sleep(20 * time.Millisecond)
+	}
+	time.Sleep(3 * time.Second)
+	t.Logf("peered entry ready without the list: %v", ready(t, peered))
+	if ready(t, lone) || configVersion(t, lone) != 0 {
+		t.Error("an entry without any source is ready")
+	}
+	f.platform.SetOutage(false)
+	f.awaitServing(lone)
+	f.awaitServing(peered)
+}
+
+// Guards against wrong answers, doubled calls and lost jobs when a data centre
+// with half of the entries and agents is lost under load.
+func TestDataCentreLost(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 1)
+	f.dataCentre = "dc-2"
+	for i := range 2 {
+		f.agents = append(f.agents, f.startAgent(fmt.Sprintf("other-%d", i), model, "engine", f.startEngine()))
+	}
+	portal := f.startAgent("other-portal", "portal", "plain", serve(t, f.portal.Handler()))
+	f.agents = append(f.agents, portal)
+	other := f.startEntry("other-entry")
+	f.awaitServing(other)
+	c := &client.Client{BaseURL: "http://" + other.address, Key: key}
+	id := createBatch(t, c, batchItems)
+	var l load
+	var calls sync.WaitGroup
+	outcomes := make([]invoiceOutcome, 2*requests)
+	body := func(i int) []byte { return []byte(fmt.Sprintf(`{"lost":%d}`, i)) }
+	for i := range outcomes {
+		if i == faultAt {
+			for _, p := range []*process{other, portal, f.agents[3], f.agents[4]} {
+				p.signal(t, syscall.SIGKILL)
+			}
+		}
+		entry := f.entries[0]
+		if i < faultAt && i%2 == 0 {
+			entry = other
+		}
+		l.send(t.Context(), entry.address, fmt.Sprintf("question %d", i), tokens)
+		calls.Go(func() { outcomes[i] = sendInvoice(t.Context(), entry, "", body(i)) })
+		time.Sleep(sendPause)
+	}
+	l.inFlight.Wait()
+	calls.Wait()
+	l.report(t)
+	if l.ok.Load()+l.broken.Load() != l.sent.Load() {
+		t.Errorf("%d of %d answers are neither whole nor visibly broken off", l.sent.Load()-l.ok.Load()-l.broken.Load(), l.sent.Load())
+	}
+	if most := int64(faultAt / 2); l.broken.Load() > most {
+		t.Errorf("%d answers broke off, more than the lost entry had", l.broken.Load())
+	}
+	count := make(map[invoiceOutcome]int)
+	for i, got := range outcomes {
+		f.checkInvoice(t, body(i), got)
+		count[got]++
+	}
+	t.Logf("calls: %v", count)
+	c.BaseURL = "http://" + f.entries[0].address
+	f.awaitBatch(t, c, id, batchItems)
+}
