Let an entry that starts during an outage learn the instances from its peers

Cause: a new entry took the configuration from its peers, but the instances only from the platform's list, so it had no links and stayed unready until the platform came back.

Ruled out: reading the address and service from the control stream's hello, which needs a link and a link needs the agent's id; a wait for the list, because an outage can be long.

Change: Peer.FetchConfig returns instances on request. Entries return what their list shows, agents themselves. They stand in until the platform's list is first read; the entry then asks no more. The subset plan follows the count of lists taken, because the platform's revision has no value for peers' lists. The cancel test creates its job at the entry that is then frozen and checks that this entry holds a chunk.

--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -26,10 +26,13 @@
 	"github.com/magnoliausher/magnoliausher/upstream"
 )
 
-// Peers asked for the configuration at start, and the pause between rounds.
+// Peers asked for the configuration at start, and the pause between rounds. A
+// list of all instances is about 200 KB at the target size, so the pause grows
+// once the process can serve.
 const (
 	configPeers      = 3
 	configRetryPause = 500 * time.Millisecond
+	configRetryMax   = time.Minute
 )
 
 // Entry is the process that callers and operators talk to.
@@ -275,21 +278,36 @@
 	return trace.Wrap(group.Wait())
 }
 
-// fetchConfig asks peers for the configuration until the process has one, so
-// that it becomes ready while the platform is down.
+// fetchConfig asks peers for the configuration until the process has one, and
+// for the instances until the platform's list has been read, so that it serves
+// while the platform is down.
 func (d *Entry) fetchConfig(ctx context.Context) {
+	wait := configRetryPause
 	for ctx.Err() == nil {
-		addresses := append([]string(nil), d.settings.Peers...)
-		for _, m := range d.members.Members(platform.RoleAgent, time.Now()) {
-			addresses = append(addresses, m.Address)
+		if d.holder.Version() == 0 {
+			d.fetchBody(ctx)
 		}
-		if doc, err := d.fetcher.Highest(ctx, addresses, configPeers); err == nil {
-			d.holder.Offer(doc)
+		if !d.members.Loaded() {
+			d.members.ApplyPeers(d.fetcher.Instances(ctx, d.settings.Peers), time.Now())
 		}
-		if d.holder.Version() > 0 {
+		complete := d.holder.Version() > 0 && len(d.members.Members(platform.RoleAgent, time.Now())) > 0
+		if complete && d.members.Loaded() {
 			return
 		}
-		pause(ctx, configRetryPause)
+		pause(ctx, wait)
+		if complete {
+			wait = min(2*wait, configRetryMax)
+		}
+	}
+}
+
+func (d *Entry) fetchBody(ctx context.Context) {
+	addresses := append([]string(nil), d.settings.Peers...)
+	for _, m := range d.members.Members(platform.RoleAgent, time.Now()) {
+		addresses = append(addresses, m.Address)
+	}
+	if doc, err := d.fetcher.Highest(ctx, addresses, configPeers); err == nil {
+		d.holder.Offer(doc)
 	}
 }
 
--- a/e2e/restart_test.go
+++ b/e2e/restart_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -27,6 +29,26 @@
 	return n
 }
 
+// chunksHeldBy counts the chunks that an entry has claimed.
+func (f *fleet) chunksHeldBy(t *testing.T, entry *process) int {
+	t.Helper()
+	rows, err := f.platform.Scan(t.Context(), "chunk/", "", 1000)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := 0
+	for _, row := range rows {
+		var chunk job.Chunk
+		if err := json.Unmarshal(row.Value, &chunk); err != nil {
+			t.Fatal(err)
+		}
+		if chunk.State == job.ChunkClaimed && strings.HasPrefix(chunk.Holder, entry.id) {
+			n++
+		}
+	}
+	return n
+}
+
 func download(t *testing.T, entry *process, fileID string) []byte {
 	t.Helper()
 	var output bytes.Buffer
@@ -43,13 +65,14 @@
 	t.Parallel()
 	f := newFleet(t, 2, 2)
 	const items = 20_000
-	c := &client.Client{BaseURL: "http://" + f.entries[1].address, Key: key}
-	id := createBatch(t, c, items)
+	c := &client.Client{BaseURL: "http://" + f.entries[0].address, Key: key}
 	began := f.submitted()
-	for f.submitted() < began+300 { // both entries have claimed chunks
+	id := createBatch(t, c, items)
+	for f.submitted() < began+300 || f.chunksHeldBy(t, f.entries[0]) == 0 {
 		time.Sleep(20 * time.Millisecond)
 	}
 	f.entries[0].signal(t, syscall.SIGSTOP)
+	c.BaseURL = "http://" + f.entries[1].address
 	time.Sleep(500 * time.Millisecond)
 	batch, err := c.Cancel(t.Context(), id)
 	if err != nil || batch.Status != job.StatusCancelled {
@@ -130,11 +153,10 @@
 	peered := f.start("entry-peered", "entry", fmt.Sprintf(
 		"[instance]\nrole=entry\nid=entry-peered\ndata_centre=%s\nlisten=127.0.0.1:0\npeers=%s\n[platform]\naddress=%s\n",
 		dataCentre, peers, f.at))
-	for configVersion(t, peered) != 1 {
-		time.Sleep(20 * time.Millisecond)
+	f.awaitServing(peered)
+	if !ready(t, peered) || configVersion(t, peered) != 1 {
+		t.Errorf("the entry with peers serves with version %d and is not ready", configVersion(t, peered))
 	}
-	time.Sleep(3 * time.Second)
-	t.Logf("peered entry ready without the list: %v", ready(t, peered))
 	if ready(t, lone) || configVersion(t, lone) != 0 {
 		t.Error("an entry without any source is ready")
 	}
--- a/instance/table.go
+++ b/instance/table.go
@@ -65,6 +65,7 @@
 	records  map[string]*record // by instance id
 	revision uint64
 	loaded   bool
+	lists    uint64        // lists taken so far
 	changed  chan struct{} // closed at the next change
 }
 
@@ -111,10 +112,41 @@
 	}
 	t.revision = revision
 	t.loaded = true
+	t.lists++
 	t.removeGone(now)
 	t.notify()
 }
 
+// ApplyPeers takes instances that peers know. They stand in for the platform's
+// list until it is first read.
+func (t *Table) ApplyPeers(list []platform.Instance, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.loaded || len(list) == 0 {
+		return
+	}
+	for _, in := range list {
+		t.list(in, now)
+	}
+	t.lists++
+	t.notify()
+}
+
+// Loaded reports whether the platform's list has been read.
+func (t *Table) Loaded() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.loaded
+}
+
+// Lists counts the lists taken, from the platform or from peers, so that a
+// change of the count shows a new list.
+func (t *Table) Lists() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lists
+}
+
 // list takes one line of the platform's list.
 func (t *Table) list(in platform.Instance, now time.Time) {
 	r := t.records[in.ID]
--- a/instance/table_test.go
+++ b/instance/table_test.go
@@ -131,3 +131,25 @@
 		}
 	})
 }
+
+// Guards against an entry that starts during an outage and knows no instance,
+// and against lines of peers that outlive the platform's list.
+func TestPeersStandInForTheList(t *testing.T) {
+	table := NewTable(Config{})
+	table.ApplyPeers(nil, start)
+	if table.Lists() != 0 {
+		t.Error("an empty answer counts as a list")
+	}
+	table.ApplyPeers([]platform.Instance{agent("a", platform.InstanceLive), agent("old", platform.InstanceLive)}, start)
+	if m := member(t, table, "old", start); !m.Listed || !m.Usable || table.Loaded() || table.Revision() != 0 {
+		t.Errorf("%+v, loaded %v, revision %d", m, table.Loaded(), table.Revision())
+	}
+	table.ApplyList([]platform.Instance{agent("a", platform.InstanceLeaving)}, 7, start)
+	if _, ok := table.Member("old", start); ok || !table.Loaded() {
+		t.Error("an instance that the list does not show has stayed")
+	}
+	table.ApplyPeers([]platform.Instance{agent("a", platform.InstanceLive)}, start)
+	if m := member(t, table, "a", start); !m.Leaving || table.Lists() != 2 {
+		t.Errorf("peers replaced the platform's list: %+v", m)
+	}
+}
--- a/link/agentside.go
+++ b/link/agentside.go
@@ -70,13 +70,15 @@
 // NewAgentSide returns the agent's end of its links.
 func NewAgentSide(cfg AgentSideConfig) *AgentSide {
 	s := newSpread(cfg.ID, cfg.DataCentre, cfg.Incarnation, cfg.Holder, cfg.Suspects, cfg.Logger)
-	return &AgentSide{
+	a := &AgentSide{
 		PeerHandler:   &PeerHandler{bodies: s.bodies},
 		cfg:           cfg,
 		spread:        s,
 		demandChanged: make(chan struct{}, 1),
 		sessions:      make(map[string]*agentSession),
 	}
+	a.instances = a.ownInstance
+	return a
 }
 
 // Control serves one control stream until it fails or a newer one of the same
--- a/link/entryside.go
+++ b/link/entryside.go
@@ -14,6 +14,7 @@
 	"github.com/magnoliausher/magnoliausher/instance"
 	"github.com/magnoliausher/magnoliausher/platform"
 	"github.com/magnoliausher/magnoliausher/poison"
+	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
 )
 
 // DefaultLinksPerService is the number of agents of each service that an entry
@@ -84,14 +85,17 @@
 	}
 	s := newSpread(cfg.ID, cfg.DataCentre, cfg.Incarnation, cfg.Holder, cfg.Suspects, cfg.Logger)
 	return &EntrySide{
-		PeerHandler: &PeerHandler{bodies: s.bodies},
-		cfg:         cfg,
-		spread:      s,
-		grants:      make(chan Grant, grantBuffer),
-		links:       make(map[string]*entryLink),
-		byService:   make(map[string][]*entryLink),
-		demands:     make(map[string]Demand),
-		expanded:    make(map[string]time.Time),
+		PeerHandler: &PeerHandler{
+			bodies:    s.bodies,
+			instances: func() []*rpc.PeerInstance { return listedInstances(cfg.Members) },
+		},
+		cfg:       cfg,
+		spread:    s,
+		grants:    make(chan Grant, grantBuffer),
+		links:     make(map[string]*entryLink),
+		byService: make(map[string][]*entryLink),
+		demands:   make(map[string]Demand),
+		expanded:  make(map[string]time.Time),
 	}
 }
 
--- a/link/fetch.go
+++ b/link/fetch.go
@@ -24,7 +24,8 @@
 
 // PeerHandler serves the process's configuration to other instances.
 type PeerHandler struct {
-	bodies *bodies
+	bodies    *bodies
+	instances func() []*rpc.PeerInstance // nil for none
 }
 
 // NewPeerHandler returns the handler for a holder. AgentSide and EntrySide
@@ -36,6 +37,9 @@
 // FetchConfig returns the body if its version is at least the requested one.
 func (h *PeerHandler) FetchConfig(_ context.Context, req *connect.Request[rpc.FetchConfigRequest]) (*connect.Response[rpc.FetchConfigResponse], error) {
 	res := new(rpc.FetchConfigResponse)
+	if req.Msg.GetInstances() && h.instances != nil {
+		res.Instances = h.instances()
+	}
 	if h.bodies.holder.Version() < req.Msg.GetMinVersion() {
 		return connect.NewResponse(res), nil
 	}
@@ -103,15 +107,23 @@
 
 // fetch returns the configuration of one peer, nil when it has none.
 func (f Fetcher) fetch(ctx context.Context, address string) (*contract.Document, error) {
+	res, err := f.ask(ctx, address, &rpc.FetchConfigRequest{})
+	if err != nil || res.GetConfig() == nil {
+		return nil, err
+	}
+	b := &bodies{holder: new(contract.Holder)}
+	return b.decode(res.GetConfig())
+}
+
+func (f Fetcher) ask(ctx context.Context, address string, req *rpc.FetchConfigRequest) (*rpc.FetchConfigResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	client := newHTTPClient(classControl, f.TLS, defaultDialer(), new(traffic))
 	defer client.CloseIdleConnections()
 	peer := magnoliausherv1connect.NewPeerClient(client, baseURL(address, f.TLS), clientOptions()...)
-	res, err := peer.FetchConfig(ctx, connect.NewRequest(&rpc.FetchConfigRequest{}))
-	if err != nil || res.Msg.GetConfig() == nil {
+	res, err := peer.FetchConfig(ctx, connect.NewRequest(req))
+	if err != nil {
 		return nil, err
 	}
-	b := &bodies{holder: new(contract.Holder)}
-	return b.decode(res.Msg.GetConfig())
+	return res.Msg, nil
 }
--- /dev/null
+++ b/link/instances.go
@@ -0,0 +1,81 @@
+package link
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/magnoliausher/magnoliausher/instance"
+	"github.com/magnoliausher/magnoliausher/platform"
+	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
+)
+
+// Instances asks all peers at once for the instances that they know, so that an
+// entry can start while the platform is down. A peer that fails counts as
+// empty; of several lines about one instance the last answer's stays.
+func (f Fetcher) Instances(ctx context.Context, addresses []string) []platform.Instance {
+	var mu sync.Mutex
+	known := make(map[string]platform.Instance)
+	var group errgroup.Group
+	for _, address := range addresses {
+		group.Go(func() error {
+			// No version is that high, so the body is left out.
+			res, err := f.ask(ctx, address, &rpc.FetchConfigRequest{MinVersion: math.MaxUint64, Instances: true})
+			if err != nil {
+				return nil
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			for _, in := range res.GetInstances() {
+				known[in.GetId()] = instanceOf(in, address)
+			}
+			return nil
+		})
+	}
+	_ = group.Wait() // the functions return no error
+	list := make([]platform.Instance, 0, len(known))
+	for _, in := range known {
+		list = append(list, in)
+	}
+	return list
+}
+
+func instanceOf(in *rpc.PeerInstance, asked string) platform.Instance {
+	address := in.GetAddress()
+	if address == "" {
+		address = asked
+	}
+	return platform.Instance{
+		ID: in.GetId(), Role: platform.Role(in.GetRole()), DataCentre: in.GetDataCentre(), Address: address,
+		Service: in.GetService(), State: platform.InstanceState(in.GetState()),
+	}
+}
+
+// listedInstances returns what an entry knows from the platform's list.
+func listedInstances(members *instance.Table) []*rpc.PeerInstance {
+	now := time.Now()
+	var list []*rpc.PeerInstance
+	for _, role := range []platform.Role{platform.RoleEntry, platform.RoleAgent} {
+		for _, m := range members.Members(role, now) {
+			list = append(list, &rpc.PeerInstance{
+				Id: m.ID, Role: string(m.Role), DataCentre: m.DataCentre, Address: m.Address,
+				Service: m.Service, State: string(m.State),
+			})
+		}
+	}
+	return list
+}
+
+// ownInstance describes the agent itself; the peer knows its address.
+func (a *AgentSide) ownInstance() []*rpc.PeerInstance {
+	state := platform.InstanceLive
+	if a.spread.leaving.Load() {
+		state = platform.InstanceLeaving
+	}
+	return []*rpc.PeerInstance{{
+		Id: a.cfg.ID, Role: string(platform.RoleAgent), DataCentre: a.cfg.DataCentre, Service: a.cfg.Service, State: string(state),
+	}}
+}
--- a/link/reconcile.go
+++ b/link/reconcile.go
@@ -22,13 +22,13 @@
 	drainLimit = 10 * time.Minute
 )
 
-// plan is the subset for one revision of the platform's list.
+// plan is the subset for one list of the instances.
 type plan struct {
-	valid    bool
-	revision uint64
-	agents   map[string][]platform.Instance // listed and not leaving, by service
-	subset   map[string][]platform.Instance // by service
-	cache    instance.SubsetCache
+	valid  bool
+	lists  uint64                         // of the membership
+	agents map[string][]platform.Instance // listed and not leaving, by service
+	subset map[string][]platform.Instance // by service
+	cache  instance.SubsetCache
 }
 
 // reconcile opens and closes links.
@@ -103,8 +103,8 @@
 
 // updatePlan computes the subset when the platform's list changed.
 func (e *EntrySide) updatePlan(now time.Time) {
-	revision := e.cfg.Members.Revision()
-	if e.plan.valid && revision == e.plan.revision {
+	lists := e.cfg.Members.Lists()
+	if e.plan.valid && lists == e.plan.lists {
 		return
 	}
 	members := e.cfg.Members.Members(platform.RoleAgent, now)
@@ -117,7 +117,7 @@
 	subset := e.plan.cache.Subset(e.entries(now), agents, e.cfg.ID, e.cfg.LinksPerService)
 	e.plan.agents = groupByService(agents)
 	e.plan.subset = groupByService(subset)
-	e.plan.revision = revision
+	e.plan.lists = lists
 	e.plan.valid = true
 }
 
--- a/link/subset_test.go
+++ b/link/subset_test.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"cmp"
 	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
@@ -11,6 +12,8 @@
 	"fmt"
 	"math/big"
 	"net"
+	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -19,6 +22,7 @@
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/platform"
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
+	"github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1/magnoliausherv1connect"
 )
 
 // mutualTLS returns the configurations of both ends with one self-signed
@@ -104,6 +108,35 @@
 	}
 }
 
+// Guards against an entry that starts while the platform is down and finds no
+// agent: entries tell what the list shows, agents tell of themselves.
+func TestInstancesOfPeers(t *testing.T) {
+	a := startAgent(t, "agent-1", "chat", nil)
+	listed := platform.Instance{ID: "agent-2", Role: platform.RoleAgent, DataCentre: "mvd-b", Address: "192.0.2.1:80",
+		Service: "rooms", State: platform.InstanceLeaving}
+	e := startEntryWith(t, EntrySideConfig{ID: "entry-1"}, []platform.Instance{listed})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle(magnoliausherv1connect.NewPeerHandler(e, HandlerOptions()...))
+	server, err := NewServer(mux, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = Serve(server, listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	dead := "127.0.0.1:1"
+	got := Fetcher{}.Instances(t.Context(), []string{a.instance.Address, listener.Addr().String(), dead})
+	slices.SortFunc(got, func(x, y platform.Instance) int { return cmp.Compare(x.ID, y.ID) })
+	self := platform.Instance{ID: "entry-1", Role: platform.RoleEntry, DataCentre: "mvd-a", Address: listener.Addr().String(),
+		State: platform.InstanceLive}
+	if want := []platform.Instance{a.instance, listed, self}; !slices.Equal(got, want) {
+		t.Errorf("instances\n%+v, want\n%+v", got, want)
+	}
+}
+
 // Guards against an entry that keeps to a lost subset while other agents of the
 // service work, and against links that stay open outside the subset.
 func TestSubsetExpandsWhenLost(t *testing.T) {
