Test paused entries, resends with lost answers and late answers with processes

Cause: no test with processes paused an entry longer than its chunk leases, resent calls while the platform loses answers, or made answers arrive late after a reroute.

Ruled out: nothing.

Change: the tests. TestKilledEntryLosesNoItem runs beside them, because it waits for a lease most of the time.

--- /dev/null
+++ b/e2e/paused_test.go
@@ -0,0 +1,137 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/magnoliausher/magnoliausher/job/client"
+	"github.com/magnoliausher/magnoliausher/standin/service"
+)
+
+// Guards against a call that runs twice, or whose outcome is told wrongly, when
+// its entry is frozen, the caller resends it through another entry, and the
+// platform loses answers to writes that took effect.
+func TestResendWhilePlatformLosesAnswers(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 2)
+	f.portal.SetFault(service.FaultSlow, -1, 50*time.Millisecond)
+	f.platform.LoseProbability(0.3)
+	body := func(i int) []byte { return []byte(fmt.Sprintf(`{"resent":%d}`, i)) }
+	idempotencyKey := func(i int) string { return fmt.Sprintf("resent-%d", i) }
+	const calls, resends = 60, 3
+	first := make([]invoiceOutcome, calls)
+	var sending sync.WaitGroup
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	for i := range calls {
+		sending.Go(func() { first[i] = sendInvoice(ctx, f.entries[0], idempotencyKey(i), body(i)) })
+		time.Sleep(sendPause)
+		if i == calls/2 {
+			f.entries[0].signal(t, syscall.SIGSTOP)
+		}
+	}
+	var again [calls][resends]invoiceOutcome
+	var resending sync.WaitGroup
+	for i := range calls {
+		resending.Go(func() {
+			for n := range resends {
+				again[i][n] = sendInvoice(ctx, f.entries[1], idempotencyKey(i), body(i))
+			}
+		})
+	}
+	resending.Wait()
+	f.entries[0].signal(t, syscall.SIGCONT)
+	sending.Wait()
+	f.platform.ClearFaults()
+	count := make(map[invoiceOutcome]int)
+	for i := range calls {
+		// A refusal as not run concerns its own send, and another send may run
+		// the call, so only runs and whole answers are compared.
+		n := f.portal.ByBody(body(i))
+		if n > 1 {
+			t.Errorf("%s ran %d times", body(i), n)
+		}
+		for _, got := range append(again[i][:], first[i]) {
+			count[got]++
+			if got.whole && n != 1 {
+				t.Errorf("%s was answered and ran %d times", body(i), n)
+			}
+		}
+	}
+	t.Logf("outcomes: %v, %d calls ran", count, f.portal.Total())
+}
+
+// Guards against items that complete twice, and an output that changes, when an
+// entry was paused for longer than its chunk leases and wakes up.
+func TestEntryPausedLongerThanLeases(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 2)
+	c := &client.Client{BaseURL: "http://" + f.entries[0].address, Key: key}
+	const items = 2000
+	before := f.submitted()
+	id := createBatch(t, c, items)
+	for f.submitted() < before+100 || f.chunksHeldBy(t, f.entries[0]) == 0 {
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.entries[0].signal(t, syscall.SIGSTOP)
+	t.Logf("%d chunks held by the paused entry", f.chunksHeldBy(t, f.entries[0]))
+	c.BaseURL = "http://" + f.entries[1].address
+	f.awaitBatch(t, c, id, items) // after the leases expired
+	ended, err := c.Get(t.Context(), id)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first := download(t, f.entries[1], ended.OutputFileID)
+	f.entries[0].signal(t, syscall.SIGCONT)
+	time.Sleep(5 * time.Second)
+	for _, e := range f.entries {
+		if !bytes.Equal(first, download(t, e, ended.OutputFileID)) {
+			t.Errorf("%s gives another output than was read first", e.id)
+		}
+	}
+	after, err := c.Get(t.Context(), id)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if after.RequestCounts != ended.RequestCounts || after.RequestCounts.Completed != items {
+		t.Errorf("counts %+v, then %+v, want %d completed", ended.RequestCounts, after.RequestCounts, items)
+	}
+}
+
+// Guards against answers to another request, gaps and repeats when an agent
+// stops for longer than the acceptance timeout again and again: its attempts
+// move, and their late events arrive when it goes on.
+func TestLateAnswersAfterReroute(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3, 2)
+	const pause = 400 * time.Millisecond // above the acceptance timeout of 250 ms
+	stop := make(chan struct{})
+	var pausing sync.WaitGroup
+	pausing.Go(func() {
+		for {
+			for _, s := range []syscall.Signal{syscall.SIGSTOP, syscall.SIGCONT} {
+				_ = f.agents[0].cmd.Process.Signal(s) // the process lives until the cleanup
+				select {
+				case <-stop:
+					_ = f.agents[0].cmd.Process.Signal(syscall.SIGCONT)
+					return
+				case <-time.After(pause):
+				}
+			}
+		}
+	})
+	var l load
+	f.loadUntil(t, &l, time.Now().Add(5*time.Second))
+	l.inFlight.Wait()
+	close(stop)
+	pausing.Wait()
+	l.report(t)
+	if l.ok.Load() != l.sent.Load() {
+		t.Errorf("%d of %d answers are whole", l.ok.Load(), l.sent.Load())
+	}
+}
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -142,6 +142,7 @@
 // Guards against items lost or completed twice when the entry that accepted the
 // job is killed at once after the acknowledgement, and an agent with it.
 func TestKilledEntryLosesNoItem(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 3, 2)
 	c := &client.Client{BaseURL: "http://" + f.entries[0].address, Key: key}
 	batch := createBatch(t, c, batchItems)
