--- a/admission/decide.go
+++ b/admission/decide.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"math"
 	"time"
 
 	"github.com/magnoliausher/magnoliausher/contract"
@@ -84,29 +83,31 @@
 	if s.Leaving || !s.Ready || len(s.Queued) > 0 {
 		return 0
 	}
-	room := batchSlots(s) - s.Granted
-	if s.Kind == contract.KindPlain {
-		return max(0, room)
-	}
-	if s.Tally.Online > 0 {
+	room := batchSlots(s)
+	if s.Kind == contract.KindEngine && s.Tally.Online > 0 {
 		prompt := max(s.BatchPrompt, 1)
-		room = min(room, max(promptsWithin(s, prompt), s.Budget.items(prompt))-s.Granted)
-	} else {
-		room = min(room, promptRoom(s))
+		room = min(room, max(promptsWithin(s, prompt), s.Budget.items(prompt)))
+	}
+	if s.Kind == contract.KindEngine {
+		room = min(room, pendingRoom(s))
 	}
-	return max(0, room)
+	return max(0, room-s.Granted)
 }
 
-// promptRoom is the number of batch items whose prompts the engine computes
-// within the first-token target. More would not run faster, and their prompts
-// would be in the way of the next online attempt.
-func promptRoom(s *Snapshot) int {
-	if s.BatchPrompt == 0 {
-		return s.Slots // no item has been seen yet
-	}
-	pending := s.Tally.BatchPrompt + s.Granted*s.BatchPrompt
-	free := FirstTokenTarget.Seconds()*s.Model.PromptRate - float64(pending)
-	return int(math.Ceil(free / float64(s.BatchPrompt)))
+// Bounds of the batch prompts in computation, the larger one applies. They keep
+// an engine busy between two looks for room. More would only make an arriving
+// online request wait, or be cancelled for it.
+const (
+	pendingPieces = 8
+	pendingTime   = 200 * time.Millisecond
+)
+
+// pendingRoom is the number of batch prompts of the usual size that may join
+// those in computation.
+func pendingRoom(s *Snapshot) int {
+	limit := max(pendingPieces*PieceTokens, int(s.Model.PromptRate*pendingTime.Seconds()))
+	prompt := max(s.BatchPrompt, 1)
+	return max(0, (limit-s.Tally.BatchPrompt+prompt-1)/prompt)
 }
 
 // promptAllowed reports whether a batch prompt may start beside online work:
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -34,7 +34,9 @@
   magnoliausher check-settings entry.ini
   magnoliausher entry entry.ini
   magnoliausher sheet apply today.csv --entry 10.0.0.1:8080
-  magnoliausher jobs create items.jsonl --wait --entry 10.0.0.1:8080`
+  magnoliausher jobs create items.jsonl --wait --entry 10.0.0.1:8080
+  magnoliausher trace generate --fleet ferreira --day burst --output burst.jsonl
+  magnoliausher replay --trace burst.jsonl --fleet ferreira --report burst.html`
 
 // Main runs the command line and returns the exit code.
 func Main(args []string) int {
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -105,7 +105,6 @@
 		ID:             s.Instance.ID,
 		DataCentre:     s.Instance.DataCentre,
 		Runner:         d.links,
-		Fleet:          d.links,
 		Holder:         d.holder,
 		Idempotency:    d.intents,
 		Suspects:       entrySuspects{suspects},
@@ -156,7 +155,7 @@
 		Links:       d.links,
 		Port:        d.links,
 		Contract:    d.holder,
-		Suspects:    jobSuspects{suspects},
+		Suspects:    suspects,
 		InstanceID:  d.settings.Instance.ID,
 		Rank:        d.rank,
 		MemoryBytes: d.settings.BatchBytes,
@@ -365,18 +364,3 @@
 		return false, 0, ""
 	}
 }
-
-// jobSuspects adapts the table of suspects to the batch runner.
-type jobSuspects struct{ *poison.Table }
-
-// Status converts the status of the table.
-func (s jobSuspects) Status(fingerprint uint64, now time.Time) job.Suspicion {
-	switch s.Table.Status(fingerprint, now) {
-	case poison.Blocked:
-		return job.Blocked
-	case poison.Suspect:
-		return job.Suspect
-	default:
-		return job.Clear
-	}
-}
