Start items in the order of package job in the replay

Cause: package job now chooses the chunk whose item starts next and counts unfinished items for fair shares. Change: the replay asks job.NextItem and passes unfinished items.

--- a/replay/item.go
+++ b/replay/item.go
@@ -77,8 +77,7 @@
 }
 
 func (it *item) makeReady() {
-	it.h.ready++
-	it.h.r.ready = append(it.h.r.ready, it)
+	it.h.ready = append(it.h.ready, it)
 }
 
 // fail ends the item with a recorded error.
--- a/replay/runner.go
+++ b/replay/runner.go
@@ -41,15 +41,15 @@
 	claim   uint64
 	version uint64
 	items   []*item
-	left    int
-	ready   int
+	left    int     // unfinished items
+	ready   []*item // items that can start
+	running int
 	lost    bool
 }
 
 // knownJob is what an entry remembers of a job.
 type knownJob struct {
 	row      *jobRow
-	held     int
 	position int
 	lookAt   time.Duration
 	seen     map[int]observed // claims of others by chunk; never iterated
@@ -65,7 +65,6 @@
 	e        *entry
 	jobs     []*knownJob
 	held     []*held
-	ready    []*item
 	running  map[string]int // by service; never iterated
 	claiming bool
 	sentAt   time.Duration
@@ -128,7 +127,7 @@
 		s.Jobs = append(s.Jobs, job.JobView{
 			ID: k.row.id, Organisation: k.row.in.Caller, Service: k.row.in.Service,
 			Created: epoch.Add(k.row.created), Deadline: k.row.deadline(w),
-			Held: k.held, Exhausted: w.now < k.lookAt,
+			Held: r.unfinished(k.row), Exhausted: w.now < k.lookAt,
 		})
 		s.Services[k.row.in.Service] = r.serviceView(k.row.in.Service)
 	}
@@ -155,7 +154,7 @@
 	n := 0
 	for _, h := range r.held {
 		if h.job.in.Service == service {
-			n += h.ready
+			n += len(h.ready)
 		}
 	}
 	return n
@@ -214,7 +213,6 @@
 		r.claiming = false
 		if ok && k.row.state == jobRunning {
 			h.version = row.version
-			k.held++
 			r.hold(h)
 		}
 		r.claim()
@@ -236,9 +234,8 @@
 		h.items = append(h.items, it)
 	}
 	h.left = len(h.items)
-	h.ready = len(h.items)
+	h.ready = slices.Clone(h.items)
 	r.held = append(r.held, h)
-	r.ready = append(r.ready, h.items...)
 	r.e.w.after(job.RenewInterval, func() { r.renew(h) })
 	if r.e.w.cfg.Policy == FIFO {
 		r.sendAll()
@@ -282,12 +279,7 @@
 	}
 	h.lost = true
 	r.held = slices.DeleteFunc(r.held, func(x *held) bool { return x == h })
-	r.ready = slices.DeleteFunc(r.ready, func(it *item) bool { return it.h == h })
-	for _, k := range r.jobs {
-		if k.row == h.job {
-			k.held--
-		}
-	}
+	h.ready = nil
 	for _, it := range h.items {
 		if t := it.current; t != nil {
 			it.leave()
@@ -328,7 +320,7 @@
 	for _, service := range w.services {
 		d := demand{items: r.readyOf(service)}
 		for _, h := range r.held {
-			if due := h.job.deadline(w).Sub(epoch); h.ready > 0 && h.job.in.Service == service && (d.due == 0 || due < d.due) {
+			if due := h.job.deadline(w).Sub(epoch); len(h.ready) > 0 && h.job.in.Service == service && (d.due == 0 || due < d.due) {
 				d.due = due
 			}
 		}
@@ -360,22 +352,53 @@
 	r.claim()
 }
 
-// take removes the first ready item of the service. Blocked ones end.
+// take removes the next item of the service from the ready ones. Blocked items end.
 func (r *runner) take(service string) *item {
-	for i := 0; i < len(r.ready); i++ {
-		it := r.ready[i]
-		if it.h.job.in.Service != service {
-			continue
+	for {
+		h := r.nextChunk(service)
+		if h == nil {
+			return nil
 		}
-		r.ready = slices.Delete(r.ready, i, i+1)
-		it.h.ready--
+		it := h.ready[0]
+		h.ready = h.ready[1:]
 		if r.e.suspects.Status(it.fingerprint, r.e.w.wall()) != poison.Blocked {
 			return it
 		}
 		it.fail()
-		i--
 	}
-	return nil
+}
+
+// nextChunk asks the scheduler whose item starts next.
+func (r *runner) nextChunk(service string) *held {
+	var views []job.ChunkView
+	var chunks []*held
+	for _, h := range r.held {
+		if h.job.in.Service != service || len(h.ready) == 0 && h.running == 0 {
+			continue
+		}
+		chunks = append(chunks, h)
+		views = append(views, job.ChunkView{
+			Key: fmt.Sprintf("%s/%06d", h.job.id, h.chunk), Organisation: h.job.in.Caller,
+			Created: epoch.Add(h.job.created), Deadline: h.job.deadline(r.e.w),
+			Ready: len(h.ready), Running: h.running,
+		})
+	}
+	i := job.NextItem(views, r.e.w.wall())
+	if i < 0 {
+		return nil
+	}
+	return chunks[i]
+}
+
+// unfinished counts the items of the job that the entry holds.
+func (r *runner) unfinished(j *jobRow) int {
+	n := 0
+	for _, h := range r.held {
+		if h.job == j {
+			n += h.left
+		}
+	}
+	return n
 }
 
 // sendAll starts every ready item at once, spread evenly over the engines.
@@ -403,11 +426,13 @@
 		ID: attempt.ID(t.id), Caller: t.caller, Class: t.class, PromptTokens: t.prompt, Suspect: suspect,
 	}
 	it.current = t
+	it.h.running++
 	r.running[in.Service]++
 	r.e.send(a, t)
 }
 
 func (it *item) leave() {
 	it.current = nil
+	it.h.running--
 	it.h.r.running[it.h.job.in.Service]--
 }
