--- /dev/null
+++ b/instance/bench_test.go
@@ -0,0 +1,80 @@
+package instance
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/magnoliausher/magnoliausher/platform"
+)
+
+// benchFleet has the target's proportion of entries to agents and its 32 models.
+func benchFleet(n int) (entries, agents []platform.Instance) {
+	count := max(1, n*330/3030)
+	entries, agents = makeInstances("entry", count, 1), makeInstances("agent", n-count, 32)
+	for i := range entries {
+		complete(&entries[i], platform.RoleEntry, i)
+	}
+	for i := range agents {
+		complete(&agents[i], platform.RoleAgent, i)
+	}
+	return entries, agents
+}
+
+func complete(in *platform.Instance, role platform.Role, i int) {
+	in.Role, in.State = role, platform.InstanceLive
+	in.Address = fmt.Sprintf("10.%d.%d.20:9443", i/250, i%250)
+}
+
+// BenchmarkApplyList measures a changed list of the platform, the read of the
+// members that follows it, the memory of the table and the list's length in JSON.
+func BenchmarkApplyList(b *testing.B) {
+	for _, n := range []int{100, 300, 1000, 3000} {
+		b.Run(fmt.Sprintf("instances=%d", n), func(b *testing.B) {
+			entries, agents := benchFleet(n)
+			list := append(append([]platform.Instance{}, entries...), agents...)
+			before := heapBytes()
+			t := NewTable(Config{})
+			revision := uint64(0)
+			b.ReportAllocs()
+			for b.Loop() {
+				revision++
+				now := time.Now()
+				t.ApplyList(list, revision, now)
+				t.Members(platform.RoleEntry, now)
+				t.Members(platform.RoleAgent, now)
+			}
+			b.ReportMetric((heapBytes()-before)/1024, "KiB")
+			body, err := json.Marshal(list)
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportMetric(float64(len(body)), "list-B")
+			runtime.KeepAlive(t)
+			runtime.KeepAlive(list)
+		})
+	}
+}
+
+// BenchmarkSubset measures the subset of one entry from lists without a cache.
+func BenchmarkSubset(b *testing.B) {
+	for _, n := range []int{100, 300, 1000, 3000} {
+		b.Run(fmt.Sprintf("instances=%d", n), func(b *testing.B) {
+			entries, agents := benchFleet(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				Subset(entries, agents, entries[0].ID, 3)
+			}
+		})
+	}
+}
+
+func heapBytes() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC() // the first leaves what a finalizer or pool holds
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
--- a/job/bench_test.go
+++ b/job/bench_test.go
@@ -110,9 +110,14 @@
 	}
 }
 
-// BenchmarkMemory measures the heap of one entry with 10,000 items in progress.
+// BenchmarkMemory measures the heap and stacks of one entry with items in progress.
 func BenchmarkMemory(b *testing.B) {
-	const items = 10_000
+	for _, items := range []int{1000, 3000, 10_000, 30_000} {
+		b.Run(fmt.Sprintf("items=%d", items), func(b *testing.B) { benchmarkMemory(b, items) })
+	}
+}
+
+func benchmarkMemory(b *testing.B, items int) {
 	f := newFake()
 	s := NewStore(f)
 	fl := newFleet(items)
@@ -127,8 +132,8 @@
 	for b.Loop() {
 		runtime.KeepAlive(e)
 	}
-	b.ReportMetric(float64(after-before)/(1<<20), "MB/10k-items")
-	b.ReportMetric(float64(stacks)/(1<<20), "MB-stacks/10k-items")
+	b.ReportMetric(float64(after-before)/1024, "KiB")
+	b.ReportMetric(float64(stacks)/1024, "KiB-stacks")
 	e.stop(b)
 }
 
@@ -139,18 +144,3 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapInuse + m.StackInuse, m.StackInuse
 }
-
-// BenchmarkNext measures one scheduling decision over 1,000 running jobs.
-func BenchmarkNext(b *testing.B) {
-	now := time.Now()
-	s := Snapshot{Services: map[string]ServiceView{"m": {Reachable: true}}}
-	for i := range 1000 {
-		s.Jobs = append(s.Jobs, JobView{
-			ID: fmt.Sprint(i), Organisation: fmt.Sprint(i % 100), Service: "m",
-			Created: now, Deadline: now.Add(time.Duration(i+60) * time.Minute),
-		})
-	}
-	for b.Loop() {
-		Next(s, now)
-	}
-}
