Count segments and the agents' time in BenchmarkLinks

Cause: the payload's count omits TCP/IP headers and acknowledgements, which were only estimated, and the agents' processor time was not measured.

Change: the benchmark reads the segments of each connection from TCP_INFO and adds 52 bytes for each, reads the agents' processor time from /proc, and prints r squared. -link.window shortens it for make bench.

--- a/link/capacity_test.go
+++ b/link/capacity_test.go
@@ -4,13 +4,13 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
 	"os/exec"
 	"runtime"
 	"runtime/debug"
-	"syscall"
 	"testing"
 	"time"
 
@@ -30,8 +30,8 @@
 )
 
 // capacityWindow is the length of one measurement; a configuration change
-// falls into each busy one, three times the target's rate.
-const capacityWindow = 20 * time.Second
+// falls into each busy one, with the default at three times the target's rate.
+var capacityWindow = flag.Duration("link.window", 20*time.Second, "length of one measurement of BenchmarkLinks")
 
 // Serves agents for BenchmarkLinks in the child process; otherwise does nothing.
 func TestCapacityChild(t *testing.T) {
@@ -85,12 +85,12 @@
 
 // sample is the state of the entry's process at one time.
 type sample struct {
-	bytes, messages int64
-	cpu             time.Duration
+	bytes, messages, segments int64
+	cpu, agentCPU             time.Duration
 }
 
-func takeSample(tb testing.TB, e *testEntry) sample {
-	var s sample
+func takeSample(tb testing.TB, e *testEntry, segments *segmentCounter, agents int) sample {
+	s := sample{segments: segments.total(tb), agentCPU: processTime(tb, agents)}
 	for _, l := range e.linksOf("chat") {
 		l.mu.Lock()
 		count := l.clients[classControl].traffic
@@ -101,11 +101,7 @@
 		s.messages += int64(p.inSequence + p.outSequence)
 		p.mu.Unlock()
 	}
-	var usage syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		tb.Fatal(err)
-	}
-	s.cpu = time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+	s.cpu = ownTime(tb)
 	return s
 }
 
@@ -119,8 +115,8 @@
 	return int64(m.HeapAlloc + m.StackInuse)
 }
 
-// startChild starts the agents and returns their instances.
-func startChild(b *testing.B, n int, busy bool) []platform.Instance {
+// startChild starts the agents and returns their instances and process id.
+func startChild(b *testing.B, n int, busy bool) ([]platform.Instance, int) {
 	command := exec.Command(os.Args[0], "-test.run=^TestCapacityChild$", "-test.timeout=0")
 	command.Env = append(os.Environ(), fmt.Sprintf("%s=%d", childAgents, n))
 	if busy {
@@ -149,18 +145,19 @@
 	if err := json.Unmarshal(line, &list); err != nil {
 		b.Fatal(err)
 	}
-	return list
+	return list, command.Process.Pid
 }
 
 func measureLinks(b *testing.B, n int, busy bool) measurement {
-	list := startChild(b, n, busy)
+	list, agents := startChild(b, n, busy)
+	segments := new(segmentCounter)
 	e := &testEntry{holder: new(contract.Holder), suspects: poison.NewTable(poison.Config{}), members: instance.NewTable(instance.Config{})}
 	e.holder.Offer(largeDocument(1, 3800))
 	e.members.ApplyList(list, 1, time.Now())
 	before := liveMemory()
 	e.EntrySide = NewEntrySide(EntrySideConfig{
 		ID: "entry-mvd-a-0001", DataCentre: "mvd-a", Incarnation: 9, Holder: e.holder,
-		Suspects: e.suspects, Members: e.members, Logger: zerolog.Nop(), LinksPerService: n,
+		Suspects: e.suspects, Members: e.members, Logger: zerolog.Nop(), LinksPerService: n, dial: segments.dial,
 	})
 	ctx, cancel := context.WithCancel(b.Context())
 	done := make(chan struct{})
@@ -174,20 +171,22 @@
 	}()
 	eventually(b, "links open", func() bool { return connectedCount(e, "chat") == n })
 	time.Sleep(3 * time.Second)
-	first := takeSample(b, e)
+	first := takeSample(b, e, segments, agents)
 	start := time.Now()
-	time.Sleep(capacityWindow / 2)
+	time.Sleep(*capacityWindow / 2)
 	if busy {
 		e.holder.Offer(largeDocument(2, 3800))
 		e.SetDemand("chat", Demand{Items: 100, EarliestDue: time.Now().Add(time.Hour)})
 	}
-	time.Sleep(capacityWindow / 2)
+	time.Sleep(*capacityWindow / 2)
 	seconds := time.Since(start).Seconds()
-	last := takeSample(b, e)
+	last := takeSample(b, e, segments, agents)
 	m := measurement{
 		links:      float64(n),
 		bytes:      float64(last.bytes-first.bytes) / seconds,
+		segments:   float64(last.segments-first.segments) / seconds,
 		cpuMicros:  float64((last.cpu - first.cpu).Microseconds()) / seconds,
+		agentCPU:   float64((last.agentCPU - first.agentCPU).Microseconds()) / seconds,
 		controlKiB: float64(liveMemory()-before) / 1024,
 	}
 	messages := float64(last.messages-first.messages) / seconds
@@ -198,7 +197,10 @@
 	}
 	m.onlineKiB = float64(liveMemory()-before) / 1024
 	b.ReportMetric(m.bytes/m.links, "B/s/link")
+	b.ReportMetric(m.wire()/m.links, "wire-B/s/link")
+	b.ReportMetric(m.segments/m.links, "seg/s/link")
 	b.ReportMetric(messages/m.links, "msg/s/link")
+	b.ReportMetric(m.agentCPU/m.links, "agent-cpu-us/s/link")
 	b.ReportMetric(m.cpuMicros/messages, "cpu-us/msg")
 	b.ReportMetric(m.cpuMicros/1e4, "core-%")
 	b.ReportMetric(m.controlKiB/m.links, "KiB/link")
@@ -210,12 +212,17 @@
 type measurement struct {
 	links                 float64
 	bytes, cpuMicros      float64 // per second
+	segments, agentCPU    float64 // per second, the latter in us of all agents
 	controlKiB, onlineKiB float64 // with the control streams; also with online connections
 }
 
-// fit returns the least-squares line of a cost over the number of links.
-func fit(list []measurement, cost func(measurement) float64) (base, slope float64) {
-	var n, sumX, sumY, sumXX, sumXY float64
+// wire is the bytes per second with headers.
+func (m measurement) wire() float64 { return m.bytes + headerBytes*m.segments }
+
+// fit returns the least-squares line of a cost over the number of links, and
+// the share of the variance that it explains.
+func fit(list []measurement, cost func(measurement) float64) (base, slope, r2 float64) {
+	var n, sumX, sumY, sumXX, sumXY, sumYY float64
 	for _, m := range list {
 		x, y := m.links, cost(m)
 		n++
@@ -223,13 +230,16 @@
 		sumY += y
 		sumXX += x * x
 		sumXY += x * y
+		sumYY += y * y
 	}
-	slope = (n*sumXY - sumX*sumY) / (n*sumXX - sumX*sumX)
-	return (sumY - slope*sumX) / n, slope
+	varianceX, covariance, varianceY := n*sumXX-sumX*sumX, n*sumXY-sumX*sumY, n*sumYY-sumY*sumY
+	slope = covariance / varianceX
+	return (sumY - slope*sumX) / n, slope, covariance * covariance / (varianceX * varianceY)
 }
 
 // The cost of control streams per link, for docs/CAPACITY.md. Bytes are those
-// of the TCP payload in both directions, measured at the entry.
+// of the TCP payload in both directions, measured at the entry; those on the
+// wire add the headers of all segments, also of pure acknowledgements.
 func BenchmarkLinks(b *testing.B) {
 	for _, busy := range []bool{false, true} {
 		var list []measurement
@@ -238,7 +248,9 @@
 				list = append(list, measureLinks(b, n, busy))
 			})
 		}
-		printSlopes(busy, list)
+		if len(list) > 1 {
+			printSlopes(busy, list)
+		}
 	}
 }
 
@@ -248,12 +260,15 @@
 		of   func(measurement) float64
 	}{
 		{"bytes/s", func(m measurement) float64 { return m.bytes }},
+		{"segments/s", func(m measurement) float64 { return m.segments }},
+		{"bytes/s with headers", measurement.wire},
+		{"agents' cpu us/s", func(m measurement) float64 { return m.agentCPU }},
 		{"cpu us/s", func(m measurement) float64 { return m.cpuMicros }},
 		{"KiB control", func(m measurement) float64 { return m.controlKiB }},
 		{"KiB control and online", func(m measurement) float64 { return m.onlineKiB }},
 	}
 	for _, c := range costs {
-		base, slope := fit(list, c.of)
-		fmt.Printf("slope busy=%v %s: %.1f + %.2f per link; at 96 links %.0f\n", busy, c.name, base, slope, base+96*slope)
+		base, slope, r2 := fit(list, c.of)
+		fmt.Printf("slope busy=%v %s: %.1f + %.2f per link, r2 %.4f; at 96 links %.0f\n", busy, c.name, base, slope, r2, base+96*slope)
 	}
 }
