Benchmark entry, agent and routing over four sizes

Cause: three sizes give no slope with a useful fit, and their names did not say what was counted.

Change: four sizes each, named for what they count.

--- a/agent/bench_test.go
+++ b/agent/bench_test.go
@@ -78,7 +78,7 @@
 }
 
 func BenchmarkAgent(b *testing.B) {
-	for _, n := range []int{1, 100, 10000} {
+	for _, n := range []int{1, 100, 1000, 10_000} {
 		b.Run(fmt.Sprintf("request/in-progress=%d", n), func(b *testing.B) { benchmarkServe(b, n, 1) })
 		b.Run(fmt.Sprintf("tokens/in-progress=%d", n), func(b *testing.B) { benchmarkServe(b, n, 1000) })
 	}
--- a/entry/bench_test.go
+++ b/entry/bench_test.go
@@ -74,8 +74,8 @@
 func BenchmarkTokens(b *testing.B) { benchmark(b, benchTokens) }
 
 func benchmark(b *testing.B, tokens int) {
-	for _, inProgress := range []int{1, 100, 10_000} {
-		b.Run(fmt.Sprint(inProgress), func(b *testing.B) {
+	for _, inProgress := range []int{1, 100, 1000, 10_000} {
+		b.Run(fmt.Sprintf("in-progress=%d", inProgress), func(b *testing.B) {
 			r := &benchRunner{upstreams: newRunner(12).Upstreams(""), hold: make(chan struct{}), held: make(chan struct{}), tokens: tokens}
 			e := newTestEntry(r, func(c *Config) {
 				c.EngineProgress = DefaultMaxDeadline
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -183,8 +183,8 @@
 }
 
 func BenchmarkChoose(b *testing.B) {
-	for _, n := range []int{20, 100, 1000} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
+	for _, n := range []int{3, 20, 100, 1000} {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
 			rnd := rand.New(rand.NewPCG(1, 1))
 			list := randomSnapshot(rnd, n)
 			for i := range list {
