--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,7 @@
 test:
 	go test -race ./...
 	cd e2e/openaiclient && go test -race ./...
+	cd tools && go test -race ./slope
 
 lint:
 	@unformatted=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
@@ -20,8 +21,20 @@
 	cd tools && go build -o ../bin/staticcheck honnef.co/go/tools/cmd/staticcheck
 	bin/staticcheck ./...
 
+# The benchmarks of docs/CAPACITY.md in one short set-up of about two minutes.
+# Each runs 4 times, the least number for which benchstat can tell a change from
+# noise; -alpha 1 prints the ratio of all of them, with its p value.
+BENCH_PACKAGES = ./limit ./contract ./instance ./poison ./job ./platform ./link ./entry ./agent ./routing
+BENCH_NAMES = ^Benchmark(Callers|CallersMemory|Decode|ApplyList|Subset|Merge|IndexFirst|IndexUnchanged|IndexChanged|Schedule|Scan|Instances|Run|Request|Tokens|Agent|Choose)$$
+
 bench:
-	go test -run '^$$' -bench . -benchmem ./...
+	mkdir -p bin
+	cd tools && go build -o ../bin/benchstat golang.org/x/perf/cmd/benchstat
+	cd tools && go build -o ../bin/slope ./slope
+	go test -p 1 -cpu 2 -run '^$$' -bench '$(BENCH_NAMES)' -benchtime 100ms -count 4 $(BENCH_PACKAGES) > bin/bench.txt
+	go test -cpu 2 -run '^$$' -bench '^BenchmarkLinks$$/busy=false/links=100$$' -benchtime 1x -count 4 ./link -link.window 2s >> bin/bench.txt
+	bin/slope < bin/bench.txt
+	bin/benchstat -alpha 1 docs/bench.txt bin/bench.txt
 
 generate:
 	tools/generate.sh
