Use the status of poison and the demand of link in package agent

Cause: package agent had copies of poison.Status and link.EntryDemand, and the daemon an adapter for each. Change: the types of the owning packages are used; both adapters are gone. Figures: go test -race ./agent passes. Conclusion: no change in behaviour.

--- a/agent/control.go
+++ b/agent/control.go
@@ -6,6 +6,8 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/magnoliausher/magnoliausher/link"
+	"github.com/magnoliausher/magnoliausher/poison"
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
 )
 
@@ -22,7 +24,7 @@
 	LoadChanged()
 	SetLeaving()
 	DemandChanged() <-chan struct{}
-	Demands() []EntryDemand
+	Demands() []link.EntryDemand
 	// Grant reports whether the entry is still connected.
 	Grant(entryID string, items int, valid time.Duration) bool
 	CancelledJobs() <-chan string
@@ -36,30 +38,13 @@
 	RidingLoad(entryID string) *rpc.LoadReport
 }
 
-// EntryDemand is the batch work that one entry holds for the service.
-type EntryDemand struct {
-	EntryID     string
-	Items       int
-	EarliestDue time.Time // zero: not urgent
-}
-
-// SuspectStatus is what the fleet knows of a request's fingerprint.
-type SuspectStatus int
-
-// Statuses of a fingerprint.
-const (
-	Clear   SuspectStatus = iota
-	Suspect               // in progress at one crash: runs alone among suspects
-	Blocked               // in progress at two crashes: refused
-)
-
 // SuspectTable is the merged knowledge of crashes.
 type SuspectTable interface {
 	Crash(crashID uint64, fingerprints []uint64, now time.Time)
-	Status(fingerprint uint64, now time.Time) SuspectStatus
+	Status(fingerprint uint64, now time.Time) poison.Status
 }
 
 type noSuspects struct{}
 
 func (noSuspects) Crash(uint64, []uint64, time.Time)      {}
-func (noSuspects) Status(uint64, time.Time) SuspectStatus { return Clear }
+func (noSuspects) Status(uint64, time.Time) poison.Status { return poison.Clear }
--- a/agent/control_test.go
+++ b/agent/control_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/magnoliausher/magnoliausher/link"
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
 	"github.com/magnoliausher/magnoliausher/upstream"
 )
@@ -19,7 +20,7 @@
 	rpcMethods
 
 	mu      sync.Mutex
-	demands []EntryDemand
+	demands []link.EntryDemand
 	granted map[string]int
 	gone    bool // no entry takes grants
 	leaving bool
@@ -37,8 +38,8 @@
 
 func (c *fakeControl) SetLeaving() { locked(&c.mu, func() bool { c.leaving = true; return true }) }
 
-func (c *fakeControl) Demands() []EntryDemand {
-	return locked(&c.mu, func() []EntryDemand { return c.demands })
+func (c *fakeControl) Demands() []link.EntryDemand {
+	return locked(&c.mu, func() []link.EntryDemand { return c.demands })
 }
 
 func (c *fakeControl) Grant(entryID string, items int, _ time.Duration) bool {
@@ -68,7 +69,7 @@
 	}
 }
 
-func (c *fakeControl) demand(d ...EntryDemand) {
+func (c *fakeControl) demand(d ...link.EntryDemand) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.demands = d
@@ -80,7 +81,7 @@
 func TestGrants(t *testing.T) {
 	inBubble(t, 3, func(t *testing.T, r *rig) {
 		due := time.Now().Add(time.Hour)
-		r.control.demand(EntryDemand{"a", 9, due}, EntryDemand{"b", 1, due})
+		r.control.demand(link.EntryDemand{EntryID: "a", Items: 9, EarliestDue: due}, link.EntryDemand{EntryID: "b", Items: 1, EarliestDue: due})
 		r.control.want(t, "map[a:2 b:1]", "")
 		var items []*outcome
 		for range 3 {
@@ -122,7 +123,7 @@
 		r.engine.set(func() { r.engine.length = 0 })
 		first := r.submit(t, r.request(online))
 		waiting := r.submit(t, r.request(online))
-		r.control.demand(EntryDemand{"a", 9, time.Now().Add(time.Hour)})
+		r.control.demand(link.EntryDemand{EntryID: "a", Items: 9, EarliestDue: time.Now().Add(time.Hour)})
 		time.Sleep(time.Second)
 		r.control.want(t, "map[]", "")
 		drained := make(chan error, 1)
--- a/agent/fake_test.go
+++ b/agent/fake_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/magnoliausher/magnoliausher/attempt"
 	"github.com/magnoliausher/magnoliausher/contract"
+	"github.com/magnoliausher/magnoliausher/poison"
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
 	"github.com/magnoliausher/magnoliausher/upstream"
 )
@@ -152,7 +153,7 @@
 type fakeSuspects struct {
 	mu      sync.Mutex
 	crashes [][]uint64
-	status  map[uint64]SuspectStatus
+	status  map[uint64]poison.Status
 }
 
 func (f *fakeSuspects) Crash(_ uint64, fingerprints []uint64, _ time.Time) {
@@ -161,8 +162,8 @@
 	f.crashes = append(f.crashes, fingerprints)
 }
 
-func (f *fakeSuspects) Status(fp uint64, _ time.Time) SuspectStatus {
-	return locked(&f.mu, func() SuspectStatus { return f.status[fp] })
+func (f *fakeSuspects) Status(fp uint64, _ time.Time) poison.Status {
+	return locked(&f.mu, func() poison.Status { return f.status[fp] })
 }
 
 // rig is a running agent in a synctest bubble.
@@ -177,7 +178,7 @@
 func inBubble(t *testing.T, slots int, test func(t *testing.T, r *rig)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		r := &rig{engine: newFakeEngine(), suspects: &fakeSuspects{status: map[uint64]SuspectStatus{}}, control: newFakeControl()}
+		r := &rig{engine: newFakeEngine(), suspects: &fakeSuspects{status: map[uint64]poison.Status{}}, control: newFakeControl()}
 		a, err := New(Config{
 			ID: "a1", Service: "chat", Kind: contract.KindEngine, Slots: slots,
 			Engine: r.engine, Suspects: r.suspects, Logger: zerolog.Nop(),
--- a/agent/fault_test.go
+++ b/agent/fault_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/magnoliausher/magnoliausher/poison"
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
 	"github.com/magnoliausher/magnoliausher/upstream"
 )
@@ -138,7 +139,7 @@
 // Guards against two suspects at once and against running a blocked request.
 func TestSuspectsRunAloneAndBlockedNever(t *testing.T) {
 	inBubble(t, 3, func(t *testing.T, r *rig) {
-		r.suspects.status[1], r.suspects.status[2], r.suspects.status[3] = Suspect, Suspect, Blocked
+		r.suspects.status[1], r.suspects.status[2], r.suspects.status[3] = poison.Suspect, poison.Suspect, poison.Blocked
 		want := map[uint64]string{1: "", 2: "suspect_already_running", 3: "blocked"}
 		for fp := uint64(1); fp <= 3; fp++ {
 			req := r.request(online)
--- a/agent/grants.go
+++ b/agent/grants.go
@@ -7,6 +7,7 @@
 
 	"github.com/magnoliausher/magnoliausher/admission"
 	"github.com/magnoliausher/magnoliausher/contract"
+	"github.com/magnoliausher/magnoliausher/link"
 )
 
 const (
@@ -58,7 +59,7 @@
 }
 
 // planGrants divides the room and counts the grants as outstanding.
-func (a *Agent) planGrants(demands []EntryDemand, wall time.Time) []admission.EntryGrant {
+func (a *Agent) planGrants(demands []link.EntryDemand, wall time.Time) []admission.EntryGrant {
 	if len(demands) == 0 {
 		return nil
 	}
--- a/agent/queue_test.go
+++ b/agent/queue_test.go
@@ -4,12 +4,15 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/magnoliausher/magnoliausher/link"
+	"github.com/magnoliausher/magnoliausher/poison"
 )
 
 // Guards against an entry that is granted more items than it holds.
 func TestGrantsAreBoundedByDemand(t *testing.T) {
 	inBubble(t, 3, func(t *testing.T, r *rig) {
-		r.control.demand(EntryDemand{"a", 1, time.Now()})
+		r.control.demand(link.EntryDemand{EntryID: "a", Items: 1, EarliestDue: time.Now()})
 		r.control.want(t, "map[a:1]", "")
 		time.Sleep(3 * grantInterval)
 		r.control.want(t, "map[]", "beyond the demand")
@@ -31,7 +34,7 @@
 // Guards against two suspects at once when one became a suspect in the queue.
 func TestBecomesSuspectWhileQueued(t *testing.T) {
 	inBubble(t, 2, func(t *testing.T, r *rig) {
-		r.suspects.status[1] = Suspect
+		r.suspects.status[1] = poison.Suspect
 		first := r.request(online)
 		first.Fingerprint = 1
 		short := r.submit(t, r.request(online))
@@ -41,7 +44,7 @@
 		queued.Fingerprint = 2
 		o := r.submit(t, queued)
 		r.suspects.mu.Lock()
-		r.suspects.status[2] = Suspect
+		r.suspects.status[2] = poison.Suspect
 		r.suspects.mu.Unlock()
 		short.last()
 		o.refused(t, "suspect_already_running")
--- a/agent/scheduler.go
+++ b/agent/scheduler.go
@@ -10,6 +10,7 @@
 	"github.com/magnoliausher/magnoliausher/attempt"
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/metric"
+	"github.com/magnoliausher/magnoliausher/poison"
 )
 
 // batchPromptSmoothing is the weight of a new batch item in the smoothed size.
@@ -61,9 +62,9 @@
 		return ticketReason(err)
 	}
 	switch a.suspicion(t) {
-	case Blocked:
+	case poison.Blocked:
 		return admission.ReasonBlocked
-	case Suspect:
+	case poison.Suspect:
 		t.ask.Suspect = true
 	}
 	return admission.ReasonNone
@@ -72,7 +73,7 @@
 // handOver makes the last checks before the request is passed to the upstream.
 func (a *Agent) handOver(t *task) admission.Reason {
 	suspicion := a.suspicion(t)
-	if suspicion == Blocked {
+	if suspicion == poison.Blocked {
 		return admission.ReasonBlocked
 	}
 	a.mu.Lock()
@@ -80,7 +81,7 @@
 	if !a.snap.Ready {
 		return admission.ReasonUpstreamDown
 	}
-	if suspicion == Suspect && !a.markSuspect(t.seq) {
+	if suspicion == poison.Suspect && !a.markSuspect(t.seq) {
 		return admission.ReasonSuspectRunning
 	}
 	now := a.now()
@@ -102,9 +103,9 @@
 
 // suspicion looks the request up among the suspects. A request without
 // a fingerprint is never one.
-func (a *Agent) suspicion(t *task) SuspectStatus {
+func (a *Agent) suspicion(t *task) poison.Status {
 	if t.req.Fingerprint == 0 {
-		return Clear
+		return poison.Clear
 	}
 	return a.cfg.Suspects.Status(t.req.Fingerprint, time.Now())
 }
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -53,7 +53,7 @@
 		Holder:          holder,
 		Logger:          logger,
 		NewControl:      newControl(s, holder, suspects, logger),
-		Suspects:        agentSuspects{suspects},
+		Suspects:        suspects,
 		Orders:          orders,
 		QueueLimit:      s.QueueLength,
 		ProgressTimeout: s.ProgressTimeout,
@@ -75,7 +75,7 @@
 
 func newControl(s *settings.Agent, holder *contract.Holder, suspects *poison.Table, logger zerolog.Logger) func(agent.ControlDeps) agent.Control {
 	return func(d agent.ControlDeps) agent.Control {
-		return control{link.NewAgentSide(link.AgentSideConfig{
+		return link.NewAgentSide(link.AgentSideConfig{
 			ID:          s.Instance.ID,
 			DataCentre:  s.Instance.DataCentre,
 			Service:     s.Service,
@@ -84,7 +84,7 @@
 			Holder:      holder,
 			Suspects:    suspects,
 			Logger:      logger,
-		})}
+		})
 	}
 }
 
@@ -153,31 +153,3 @@
 	err := d.agent.Drain(ctx)
 	d.logger.Info().Err(err).Dur("took", time.Since(start)).Msg("agent drained")
 }
-
-// control adapts the links to the agent's view of them.
-type control struct{ *link.AgentSide }
-
-// Demands converts the demands of the links.
-func (c control) Demands() []agent.EntryDemand {
-	demands := c.AgentSide.Demands()
-	out := make([]agent.EntryDemand, 0, len(demands))
-	for _, d := range demands {
-		out = append(out, agent.EntryDemand(d))
-	}
-	return out
-}
-
-// agentSuspects adapts the table of suspects to the agent.
-type agentSuspects struct{ *poison.Table }
-
-// Status converts the status of the table.
-func (s agentSuspects) Status(fingerprint uint64, now time.Time) agent.SuspectStatus {
-	switch s.Table.Status(fingerprint, now) {
-	case poison.Blocked:
-		return agent.Blocked
-	case poison.Suspect:
-		return agent.Suspect
-	default:
-		return agent.Clear
-	}
-}
