--- a/order/history_test.go
+++ b/order/history_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,7 +37,7 @@
 	places   []Place
 	engines  []*fakeEngine
 	agents   []*process
-	lateSend bool
+	lateSend atomic.Bool
 
 	mu      sync.Mutex // guards the fields below
 	loading int
@@ -74,7 +75,7 @@
 }
 
 func (w *world) late() time.Duration {
-	if !w.lateSend || rand.IntN(4) > 0 {
+	if !w.lateSend.Load() || rand.IntN(4) > 0 {
 		return 0
 	}
 	return rand.N(2 * time.Minute)
@@ -163,7 +164,7 @@
 	forSeeds(t, func(t *testing.T, seed uint64) {
 		checks := seed%2 == 0
 		w := newWorld(t, seed, 1, 2, checks)
-		w.lateSend = seed%4 < 2
+		w.lateSend.Store(seed%4 < 2)
 		w.disturb()
 		w.finish(seed)
 		var last arrival
