--- a/admission/budget.go
+++ b/admission/budget.go
@@ -2,9 +2,10 @@
 
 import "time"
 
-// PromptShare is the share of steps that batch prompts may lengthen while
-// online sequences run. It is the part of the steps beyond the 95th percentile.
-const PromptShare = 0.05
+// PromptShare is the share of steps that batch prompts may lengthen while online
+// sequences run. Up to 5% of the steps may be lengthened without an effect on
+// the 95th percentile; prompts of online work take the rest.
+const PromptShare = 0.03
 
 // maxBudgetSteps bounds the saved budget, so that a quiet period does not allow
 // a long burst of lengthened steps.
@@ -34,10 +35,13 @@
 	return b
 }
 
-// Spend charges a batch prompt that starts while online sequences run.
+// Spend charges a batch prompt that starts while online sequences run. Prompts
+// that lengthen no step beyond the target start without regard to the budget but
+// are charged too, so the debt is bounded.
 func (b PromptBudget) Spend(promptTokens int) PromptBudget {
 	if b.Online {
-		b.Steps -= float64(pieces(promptTokens))
+		n := float64(pieces(promptTokens))
+		b.Steps = max(b.Steps-n, min(b.Steps, -max(n, maxBudgetSteps)))
 	}
 	return b
 }
--- a/admission/snapshot.go
+++ b/admission/snapshot.go
@@ -19,6 +19,12 @@
 // PieceTokens is the most prompt tokens that an engine computes in one step.
 const PieceTokens = 512
 
+// lightOnline is the most online sequences beside which batch work starts and
+// the prompts of new online work may lengthen a step beyond the target. Every
+// sequence computes its prompt once, so with answers of 50 tokens and more the
+// prompts of 2 sequences lengthen at most 4% of the steps, and 5% may be.
+const lightOnline = 2
+
 // DefaultQueueLimit bounds the online attempts that wait for a slot. Entries
 // try another agent when it is reached.
 const DefaultQueueLimit = 16
@@ -47,6 +53,27 @@
 	ReasonJobCancelled     Reason = "job_cancelled"
 )
 
+// Waits before another attempt at the same agent makes sense.
+const (
+	retryAfterQueue = 100 * time.Millisecond // a few slots turn over
+	retryAfterBatch = 500 * time.Millisecond // the next grant usually comes first
+	retryAfterDown  = time.Second            // the next probe
+)
+
+// RetryAfter is the least wait before the same agent may decide otherwise,
+// 0 when waiting doesn't help or the entry should choose another agent.
+func (r Reason) RetryAfter() time.Duration {
+	switch r {
+	case ReasonQueueFull, ReasonSuspectRunning:
+		return retryAfterQueue
+	case ReasonOnlineWaiting, ReasonNoBatchRoom, ReasonSeenSetFull:
+		return retryAfterBatch
+	case ReasonUpstreamDown:
+		return retryAfterDown
+	}
+	return 0
+}
+
 // Sequence is one attempt that occupies a slot of the upstream.
 type Sequence struct {
 	ID           attempt.ID
--- a/agent/task.go
+++ b/agent/task.go
@@ -42,6 +42,7 @@
 
 // task is one attempt at this agent.
 type task struct {
+	entryID string // "" when unknown
 	req     *rpc.RunRequest
 	class   contract.Class
 	ask     *admission.Queued
@@ -55,24 +56,25 @@
 	answered atomic.Bool  // the upstream has answered
 
 	// Guarded by Agent.mu.
-	seq        *admission.Sequence
-	handed     bool // the upstream may have the request
-	released   bool
-	crashed    bool          // was running when a crash was noticed
-	endedAt    time.Duration // when Ending was set
-	epoch      uint64        // crashes noticed before the hand-over
-	besideSeqs int           // sequences at the hand-over
-	aheadOfIt  int           // prompt tokens at the hand-over, own included
-	handedAt   time.Duration
+	seq           *admission.Sequence
+	handed        bool // the upstream may have the request
+	released      bool
+	crashed       bool          // was running when a crash was noticed
+	endedAt       time.Duration // when Ending was set
+	epoch         uint64        // crashes noticed before the hand-over
+	besideSeqs    int           // sequences at the hand-over
+	pendingPrompt int           // prompt tokens of all at the hand-over, own included
+	handedAt      time.Duration
 
 	// Used by the worker only.
 	lastToken time.Duration
 	produced  int
 }
 
-func (a *Agent) newTask(ctx context.Context, req *rpc.RunRequest) *task {
+func (a *Agent) newTask(ctx context.Context, entryID string, req *rpc.RunRequest) *task {
 	now := a.now()
 	t := &task{
+		entryID: entryID,
 		req:     req,
 		class:   contract.ClassOnline,
 		out:     newOutbox(a.cfg.BufferBytes),
@@ -116,7 +118,10 @@
 
 func (t *task) refused(r admission.Reason) *rpc.RunEvent {
 	e := t.event()
-	e.Event = &rpc.RunEvent_Refused{Refused: &rpc.Refused{Reason: string(r)}}
+	e.Event = &rpc.RunEvent_Refused{Refused: &rpc.Refused{
+		Reason:       string(r),
+		RetryAfterMs: uint32(r.RetryAfter() / time.Millisecond),
+	}}
 	return e
 }
 
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -17,6 +17,7 @@
 	"github.com/magnoliausher/magnoliausher/instance"
 	"github.com/magnoliausher/magnoliausher/job"
 	"github.com/magnoliausher/magnoliausher/link"
+	"github.com/magnoliausher/magnoliausher/operator"
 	"github.com/magnoliausher/magnoliausher/platform"
 	"github.com/magnoliausher/magnoliausher/poison"
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
@@ -46,6 +47,7 @@
 	fetcher  link.Fetcher
 	runner   *job.Runner
 	sweeper  *job.Sweeper
+	operator *operator.API
 
 	server       *http.Server
 	listener     net.Listener
@@ -91,15 +93,20 @@
 	store := contract.NewStore(limited)
 	d.poller = contract.NewPoller(store, d.holder, contract.PollerConfig{Log: logger})
 	jobs := d.newJobs(suspects)
+	d.operator = operator.New(operator.Config{
+		ID: s.Instance.ID, Store: store, Holder: d.holder, Fleet: d.links,
+		PossiblyStale: func() bool { return time.Since(d.configHeard()) > entry.StaleAfter },
+		Log:           logger,
+	})
 	d.entry = entry.New(entry.Config{
 		ID:             s.Instance.ID,
 		DataCentre:     s.Instance.DataCentre,
 		Runner:         d.links,
-		Fleet:          d.links,
 		Holder:         d.holder,
 		Idempotency:    d.intents,
 		Suspects:       entrySuspects{suspects},
 		Jobs:           jobs.Handler(),
+		Operator:       d.operator.Handler(),
 		Prompt:         promptOf,
 		ConfigHeard:    d.configHeard,
 		Logger:         logger,
@@ -145,7 +152,7 @@
 		Links:       d.links,
 		Port:        d.links,
 		Contract:    d.holder,
-		Suspects:    jobSuspects{suspects},
+		Suspects:    suspects,
 		InstanceID:  d.settings.Instance.ID,
 		Rank:        d.rank,
 		MemoryBytes: d.settings.BatchBytes,
@@ -230,6 +237,9 @@
 	return false
 }
 
+// ConfigVersion returns the version of the configuration in force here.
+func (d *Entry) ConfigVersion() uint64 { return d.holder.Version() }
+
 // Address returns the IP address and port for callers.
 func (d *Entry) Address() string { return d.listener.Addr().String() }
 
@@ -245,6 +255,7 @@
 	group.Go(func() error { d.fetchConfig(background); return nil })
 	group.Go(func() error { return untilDone(background, d.runner.Run(background)) })
 	group.Go(func() error { d.sweeper.Run(background); return nil })
+	group.Go(func() error { d.operator.Run(background); return nil })
 	group.Go(func() error { return serve(d.server, d.listener) })
 	if d.peerServer != nil {
 		group.Go(func() error { return serve(d.peerServer, d.peerListener) })
@@ -335,18 +346,3 @@
 		return false, 0, ""
 	}
 }
-
-// jobSuspects adapts the table of suspects to the batch runner.
-type jobSuspects struct{ *poison.Table }
-
-// Status converts the status of the table.
-func (s jobSuspects) Status(fingerprint uint64, now time.Time) job.Suspicion {
-	switch s.Table.Status(fingerprint, now) {
-	case poison.Blocked:
-		return job.Blocked
-	case poison.Suspect:
-		return job.Suspect
-	default:
-		return job.Clear
-	}
-}
--- a/job/store.go
+++ b/job/store.go
@@ -4,10 +4,12 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/magnoliausher/magnoliausher/platform"
 )
@@ -137,7 +139,7 @@
 func newJob(sub Submission, file *File, now time.Time) *Job {
 	j := &Job{
 		Organisation: sub.Organisation, Caller: sub.Caller, FileID: file.ID, InputDigest: file.Digest,
-		Endpoint: sub.Endpoint, Service: sub.Service, Window: sub.Window.String(), Metadata: sub.Metadata,
+		Endpoint: sub.Endpoint, Service: sub.Service, Window: windowText(sub.Window), Metadata: sub.Metadata,
 		Items: file.Items, Status: StatusRunning, Created: now, Deadline: now.Add(sub.Window),
 	}
 	if sub.IdempotencyKey != "" {
@@ -148,6 +150,18 @@
 	return j
 }
 
+// windowText gives 24h rather than 24h0m0s.
+func windowText(d time.Duration) string {
+	text := d.String()
+	if strings.HasSuffix(text, "m0s") {
+		text = strings.TrimSuffix(text, "0s")
+	}
+	if strings.HasSuffix(text, "h0m") {
+		text = strings.TrimSuffix(text, "0m")
+	}
+	return text
+}
+
 // earlier looks for the job of an earlier send. Without a key it compares the
 // neighbouring periods too, and returns conditions that keep their rows as
 // read: entries whose clocks differ by less than a period create one job.
@@ -209,7 +223,7 @@
 	if j.Status.Final() {
 		return true, nil
 	}
-	chunks, err := s.DoneChunks(ctx, id)
+	chunks, err := s.DoneChunks(ctx, j)
 	if err != nil || len(chunks) < j.Chunks() {
 		return false, trace.Wrap(err)
 	}
@@ -280,18 +294,25 @@
 		return nil, false, trace.Wrap(err)
 	}
 	more := len(rows) > limit
-	jobs := make([]*Job, 0, limit)
-	for _, row := range rows[:min(limit, len(rows))] {
-		j, err := s.Job(ctx, row.Key[strings.LastIndexByte(row.Key, '/')+1:])
-		if errors.Is(err, platform.ErrNotFound) { // removed meanwhile
-			continue
-		}
-		if err != nil {
-			return nil, false, trace.Wrap(err)
-		}
-		jobs = append(jobs, j)
+	jobs, err := s.jobs(ctx, rows[:min(limit, len(rows))])
+	return jobs, more, trace.Wrap(err)
+}
+
+// jobs reads the jobs of an organisation's rows, leaving out those that were
+// removed meanwhile.
+func (s *Store) jobs(ctx context.Context, rows []platform.Row) ([]*Job, error) {
+	found := make([]*Job, len(rows))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(pageReaders)
+	for i, row := range rows {
+		group.Go(func() error {
+			j, err := s.Job(ctx, row.Key[strings.LastIndexByte(row.Key, '/')+1:])
+			found[i] = j
+			return ignoreNotFound(err)
+		})
 	}
-	return jobs, more, nil
+	err := group.Wait()
+	return slices.DeleteFunc(found, func(j *Job) bool { return j == nil }), trace.Wrap(err)
 }
 
 // mustJSON encodes a value that has only strings, numbers, times and lists.
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -16,6 +16,7 @@
 	PackBound     float64       // an upstream with online work is preferred below it
 	AffinityBound float64       // multiple of the mean load up to which a cached prefix is preferred
 	BatchWeight   float64       // load of a batch sequence relative to an online one
+	PackSends     int           // an upstream with as many own attempts since its report is not packed further
 	PackInterval  time.Duration // an upstream with a longer time between tokens is not packed further
 	SilentAfter   time.Duration // an upstream not heard of for this long is not used
 }
@@ -23,14 +24,19 @@
 // DefaultWeights returns the weights of production.
 //
 // Batch sequences count little because the agent preempts them for online work.
+// PackBound keeps the online prompts of a packed upstream from lengthening more
+// than 5% of its steps beyond the target between tokens.
+// PackSends bounds the prompts that wait for each other on a packed upstream:
+// reports are up to 500 ms apart, and the target of the first token is 310 ms.
 // PackInterval leaves a margin below the target of 55 ms between tokens.
 // SilentAfter covers two reports missed in a row (sent at least every 2 s).
 func DefaultWeights() Weights {
 	return Weights{
 		LoadBound:     0.9,
-		PackBound:     0.5,
+		PackBound:     0.3,
 		AffinityBound: 1.25,
 		BatchWeight:   0.1,
+		PackSends:     6,
 		PackInterval:  45 * time.Millisecond,
 		SilentAfter:   5 * time.Second,
 	}
@@ -74,6 +80,16 @@
 	"remote_prefix", "remote_packed", "remote_free", "remote_busy", "overloaded",
 }
 
+// packs reports whether the rule fills up upstreams that carry online work, so
+// that the ones with little of it run empty.
+func (r Rule) packs() bool {
+	switch r {
+	case LocalPrefix, LocalPacked, RemotePrefix, RemotePacked:
+		return true
+	}
+	return false
+}
+
 // String gives the rule's name in logs.
 func (r Rule) String() string { return ruleNames[r] }
 
@@ -100,7 +116,7 @@
 func (d *Decision) Found() bool { return d.Index >= 0 }
 
 // Choose selects an upstream: power of two choices within the best rule that
-// has a candidate.
+// has a candidate. Rules that pack prefer the higher load, the others the lower.
 func Choose(snapshot []link.Upstream, r *Request, w *Weights, rnd Random) Decision {
 	local, remote, tally := survey(snapshot, r, w)
 	if tally.Candidates == 0 {
@@ -118,7 +134,11 @@
 		return Decision{Index: s.picked[0], Rule: s.rule, Load: first, Tally: tally}
 	}
 	second := Load(&snapshot[s.picked[1]], w)
-	if second < first || (second == first && rnd.IntN(2) == 0) {
+	better := second < first
+	if s.rule.packs() {
+		better = second > first
+	}
+	if better || (second == first && rnd.IntN(2) == 0) {
 		return Decision{Index: s.picked[1], Rule: s.rule, Load: second, Tally: tally}
 	}
 	return Decision{Index: s.picked[0], Rule: s.rule, Load: first, Tally: tally}
@@ -268,7 +288,7 @@
 	if u.DataCentre != r.DataCentre {
 		z, offset = remote, RemotePrefix
 	}
-	if holds(u, r.Prefix) && have+1 <= max(z.share(w.AffinityBound, n), w.PackBound*n) {
+	if holds(u, r.Prefix) && packable(u, w) && have+1 <= max(z.share(w.AffinityBound, n), w.PackBound*n) {
 		return offset + LocalPrefix
 	}
 	if have+1 > w.PackBound*n {
@@ -280,9 +300,15 @@
 	return offset + LocalFree
 }
 
+// packable reports whether more online work may join. Many attempts since the
+// report mean a burst, whose prompts would wait for each other. A long time between
+// tokens beside batch work is no reason against it, because batch work gives way.
 func packable(u *link.Upstream, w *Weights) bool {
 	interval := time.Duration(u.Load.GetTokenIntervalUs()) * time.Microsecond
-	return hasOnline(u) && interval <= w.PackInterval
+	if u.SentSince >= w.PackSends {
+		return false
+	}
+	return hasOnline(u) && (interval <= w.PackInterval || u.Load.GetBatchActive() > 0)
 }
 
 func holds(u *link.Upstream, prefix uint64) bool {
