Split the assembly of the entry; remove a setting that nothing read

Cause: NewEntry had grown to one long function, and limits.max_in_progress was checked but never used (the sheet limits each service and caller). Change: one function per part, batch in its own file; the setting is gone, so that a file that sets it gets a finding. Conclusion: no change in behaviour.

--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -82,18 +83,8 @@
 		fetcher:  link.Fetcher{TLS: config},
 	}
 	suspects := poison.NewTable(poison.Config{})
-	d.links = link.NewEntrySide(link.EntrySideConfig{
-		ID:              s.Instance.ID,
-		DataCentre:      s.Instance.DataCentre,
-		Incarnation:     newIncarnation(),
-		Holder:          d.holder,
-		Suspects:        suspects,
-		Members:         d.members,
-		TLS:             config,
-		Logger:          logger,
-		LinksPerService: s.LinksPerService,
-	})
 	store := contract.NewStore(limited)
+	d.links = d.newLinks(config, suspects)
 	d.poller = contract.NewPoller(store, d.holder, contract.PollerConfig{Log: logger})
 	jobs := d.newJobs(suspects)
 	d.operator = operator.New(operator.Config{
@@ -101,24 +92,42 @@
 		PossiblyStale: func() bool { return time.Since(d.configHeard()) > entry.StaleAfter },
 		Log:           logger,
 	})
-	d.entry = entry.New(entry.Config{
-		ID:             s.Instance.ID,
-		DataCentre:     s.Instance.DataCentre,
+	d.entry = d.newEntry(jobs.Handler(), suspects)
+	d.server = &http.Server{Handler: d.entry.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	return d, d.open()
+}
+
+func (d *Entry) newLinks(config *tls.Config, suspects *poison.Table) *link.EntrySide {
+	return link.NewEntrySide(link.EntrySideConfig{
+		ID:              d.settings.Instance.ID,
+		DataCentre:      d.settings.Instance.DataCentre,
+		Incarnation:     newIncarnation(),
+		Holder:          d.holder,
+		Suspects:        suspects,
+		Members:         d.members,
+		TLS:             config,
+		Logger:          d.logger,
+		LinksPerService: d.settings.LinksPerService,
+	})
+}
+
+func (d *Entry) newEntry(jobs http.Handler, suspects *poison.Table) *entry.Entry {
+	return entry.New(entry.Config{
+		ID:             d.settings.Instance.ID,
+		DataCentre:     d.settings.Instance.DataCentre,
 		Runner:         d.links,
 		Holder:         d.holder,
 		Idempotency:    d.intents,
 		Suspects:       entrySuspects{suspects},
-		Jobs:           jobs.Handler(),
+		Jobs:           jobs,
 		Operator:       d.operator.Handler(),
 		Prompt:         promptOf,
 		ConfigHeard:    d.configHeard,
-		Logger:         logger,
-		MaxBodyBytes:   s.MaxBodyBytes,
-		AcceptTimeout:  s.AcceptTimeout,
-		EngineProgress: s.ProgressTimeout,
+		Logger:         d.logger,
+		MaxBodyBytes:   d.settings.MaxBodyBytes,
+		AcceptTimeout:  d.settings.AcceptTimeout,
+		EngineProgress: d.settings.ProgressTimeout,
 	})
-	d.server = &http.Server{Handler: d.entry.Handler(), ReadHeaderTimeout: readHeaderTimeout}
-	return d, d.open()
 }
 
 // promptOf gives the prefix hash and the size of a request that the engines
@@ -148,44 +157,6 @@
 	return last
 }
 
-// newJobs makes the batch runner and returns the batch API.
-func (d *Entry) newJobs(suspects *poison.Table) *job.API {
-	d.runner = job.NewRunner(job.RunnerConfig{
-		Platform:    d.platform,
-		Links:       d.links,
-		Port:        d.links,
-		Contract:    d.holder,
-		Suspects:    suspects,
-		InstanceID:  d.settings.Instance.ID,
-		Rank:        d.rank,
-		MemoryBytes: d.settings.BatchBytes,
-		Log:         d.logger,
-	})
-	store := job.NewStore(d.platform)
-	d.sweeper = &job.Sweeper{Store: store, Rank: d.rank, Log: d.logger}
-	return &job.API{Store: store, Contract: d.holder, Announce: d.links.AnnounceCancelled,
-		Accepted: d.runner.LookForJobs, Log: d.logger}
-}
-
-// rank is this entry's position among all entries by id. An entry that the
-// list does not show yet counts as the last one.
-func (d *Entry) rank() (rank, entries int) {
-	members := d.members.Members(platform.RoleEntry, time.Now())
-	listed := false
-	for _, m := range members {
-		switch {
-		case m.ID == d.settings.Instance.ID:
-			listed = true
-		case m.ID < d.settings.Instance.ID:
-			rank++
-		}
-	}
-	if listed {
-		return rank, len(members)
-	}
-	return len(members), len(members) + 1
-}
-
 func (d *Entry) open() error {
 	var err error
 	if d.listener, err = listen(d.settings.Instance.Listen); err != nil {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -50,7 +50,6 @@
 	Log      Log
 
 	MaxBodyBytes    int64
-	MaxInProgress   int   // online requests of this process
 	BatchBytes      int64 // bound of batch items and results held in memory
 	LinksPerService int   // agents of one service that the entry links to
 	DrainTimeout    time.Duration
@@ -121,7 +120,6 @@
 		TLS:             r.tls(),
 		Log:             r.log(),
 		MaxBodyBytes:    int64(r.integer("limits", "max_body_bytes", 4<<20, 1<<10, 1<<30)),
-		MaxInProgress:   r.integer("limits", "max_in_progress", 10000, 1, 1_000_000),
 		BatchBytes:      int64(r.integer("limits", "batch_bytes", 64<<20, 1<<20, 8<<30)),
 		LinksPerService: r.integer("limits", "links_per_service", 32, 2, 1000),
 		DrainTimeout:    r.duration("timeouts", "drain", 60*time.Second, minTimeout, maxTimeout),
