--- a/replay/agent.go
+++ b/replay/agent.go
@@ -47,8 +47,8 @@
 	ask       *admission.Queued
 	seq       *admission.Sequence
 	agent     *agent
-	beside    int // sequences at the start
-	pending   int // prompt tokens of all at the start, own included
+	beside    int
+	ahead     int
 	handedAt  time.Duration
 	lastToken time.Duration
 	produced  int
@@ -222,7 +222,7 @@
 	a.tasks[t.id] = t
 	s.Running = append(s.Running, t.seq)
 	s.Tally.Add(t.seq)
-	t.pending = s.Tally.OnlinePrompt + s.Tally.BatchPrompt
+	t.ahead = s.Tally.OnlinePrompt + s.Tally.BatchPrompt
 	t.handedAt = a.w.now
 	if t.class == contract.ClassBatch {
 		a.useGrant()
--- a/replay/agentsteps.go
+++ b/replay/agentsteps.go
@@ -102,12 +102,8 @@
 			t.seq.Produced = t.produced
 			s.Tally.Add(t.seq)
 		}
-		if t.pending == t.ask.PromptTokens { // no other prompt was before it
-			s.Model = s.Model.ObserveFirstToken(t.beside, t.pending, now-t.handedAt)
-		}
-			if t.pending == t.ask.PromptTokens { // no other prompt was before it
-				s.Model = s.Model.ObserveFirstToken(t.beside, t.pending, now-t.handedAt)
-			}
+		if t.ahead == t.ask.PromptTokens { // no other prompt was before it
+			s.Model = s.Model.ObserveFirstToken(t.beside, t.ahead, now-t.handedAt)
 		}
 		if t.class == contract.ClassOnline {
 			s.FirstToken = smooth(s.FirstToken, now-t.ask.Arrival)
