Share the sending of requests between the clients

Cause: the clients of batch and operators each had retries, bounds and the reading of errors. Change: package apiclient; both clients keep their types and calls. The operator client now tries a 429 again, as the batch client does.

--- a/job/client/client.go
+++ b/job/client/client.go
@@ -2,24 +2,19 @@
 package client
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
-	"fmt"
 	"io"
 	"mime/multipart"
 	"net/http"
 	"net/url"
 	"strconv"
-	"strings"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/google/uuid"
 	"github.com/gravitational/trace"
 
-	"github.com/magnoliausher/magnoliausher/finding"
+	"github.com/magnoliausher/magnoliausher/apiclient"
 	"github.com/magnoliausher/magnoliausher/job"
 )
 
@@ -30,45 +25,25 @@
 	HTTP    *http.Client
 }
 
-// maxTries bounds the sends of a request that may be repeated.
-const maxTries = 5
+// Error is an answer with an error status.
+type Error = apiclient.StatusError
 
 // pollInterval is the default interval of Wait.
 const pollInterval = 5 * time.Second
 
-// maxErrorBytes bounds the part of an error's body that is read; it holds all findings.
-const maxErrorBytes = 8 << 20
-
-// Error is an answer with an error status.
-type Error struct {
-	Status   int
-	Code     string       `json:"code"`
-	Message  string       `json:"message"`
-	Findings finding.List `json:"findings"`
-}
-
-// Error gives code, message and one finding per line.
-func (e *Error) Error() string {
-	lines := []string{fmt.Sprintf("%s: %s", e.Code, e.Message)}
-	for _, f := range e.Findings {
-		lines = append(lines, f.String())
-	}
-	return strings.Join(lines, "\n")
-}
-
 // Upload streams a file. It is sent once, because the body cannot be read again.
 func (c *Client) Upload(ctx context.Context, name string, body io.Reader) (*job.FileObject, error) {
 	r, w := io.Pipe()
 	form := multipart.NewWriter(w)
 	go func() { _ = w.CloseWithError(writeForm(form, name, body)) }()
 	defer r.Close()
-	req, err := c.request(ctx, http.MethodPost, "/v1/files", r)
+	req, err := c.api().Request(ctx, http.MethodPost, "/v1/files", r)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
 	req.Header.Set("Content-Type", form.FormDataContentType())
 	var f job.FileObject
-	return &f, c.do(req, &f)
+	return &f, c.api().Do(req, &f)
 }
 
 func writeForm(form *multipart.Writer, name string, body io.Reader) error {
@@ -153,88 +128,24 @@
 // Download copies a file's content. An answer that breaks off is an error;
 // the bytes are the same on every call, so the caller starts again.
 func (c *Client) Download(ctx context.Context, fileID string, w io.Writer) error {
-	req, err := c.request(ctx, http.MethodGet, "/v1/files/"+url.PathEscape(fileID)+"/content", nil)
+	req, err := c.api().Request(ctx, http.MethodGet, "/v1/files/"+url.PathEscape(fileID)+"/content", nil)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	resp, err := c.client().Do(req)
+	resp, err := c.api().Send(req)
 	if err != nil {
-		return trace.Wrap(err)
+		return err
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return readError(resp)
-	}
 	_, err = io.Copy(w, resp.Body)
 	return trace.Wrap(err)
 }
 
 // call sends a request that may be repeated until it gets an answer.
 func call[T any](ctx context.Context, c *Client, method, path string, body []byte, key string) (*T, error) {
-	return backoff.Retry(ctx, func() (*T, error) {
-		req, err := c.request(ctx, method, path, bytes.NewReader(body))
-		if err != nil {
-			return nil, backoff.Permanent(err)
-		}
-		if body != nil {
-			req.Header.Set("Content-Type", "application/json")
-		}
-		if key != "" {
-			req.Header.Set("Idempotency-Key", key)
-		}
-		v := new(T)
-		err = c.do(req, v)
-		var answer *Error
-		if errors.As(err, &answer) && answer.Status < http.StatusInternalServerError &&
-			answer.Status != http.StatusTooManyRequests {
-			return nil, backoff.Permanent(err)
-		}
-		if err != nil {
-			return nil, err
-		}
-		return v, nil
-	}, backoff.WithMaxTries(maxTries))
+	return apiclient.Call[T](ctx, c.api(), method, path, "application/json", body, key)
 }
 
-func (c *Client) request(ctx context.Context, method, path string, body io.Reader) (*http.Request, error) {
-	req, err := http.NewRequestWithContext(ctx, method, strings.TrimSuffix(c.BaseURL, "/")+path, body)
-	if err != nil {
-		return nil, err
-	}
-	req.Header.Set("Authorization", "Bearer "+c.Key)
-	return req, nil
-}
-
-func (c *Client) client() *http.Client {
-	if c.HTTP != nil {
-		return c.HTTP
-	}
-	return http.DefaultClient
-}
-
-func (c *Client) do(req *http.Request, v any) error {
-	resp, err := c.client().Do(req)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return readError(resp)
-	}
-	return trace.Wrap(json.NewDecoder(resp.Body).Decode(v))
-}
-
-func readError(resp *http.Response) error {
-	var body struct {
-		Error Error `json:"error"`
-	}
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
-	if err == nil {
-		err = json.Unmarshal(raw, &body)
-	}
-	if err != nil || body.Error.Code == "" {
-		body.Error = Error{Code: "http_status", Message: resp.Status}
-	}
-	body.Error.Status = resp.StatusCode
-	return &body.Error
+func (c *Client) api() *apiclient.Client {
+	return &apiclient.Client{BaseURL: c.BaseURL, Key: c.Key, HTTP: c.HTTP}
 }
--- a/operator/client/client.go
+++ b/operator/client/client.go
@@ -2,23 +2,20 @@
 package client
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 	"strings"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/google/uuid"
 	"github.com/gravitational/trace"
 
+	"github.com/magnoliausher/magnoliausher/apiclient"
 	"github.com/magnoliausher/magnoliausher/contract"
-	"github.com/magnoliausher/magnoliausher/finding"
 	"github.com/magnoliausher/magnoliausher/operator"
 )
 
@@ -29,32 +26,15 @@
 	HTTP    *http.Client
 }
 
-// maxTries bounds the sends of one request. Every request may be repeated:
-// reads change nothing and acceptances carry a change id.
-const maxTries = 5
-
-// Bounds of the parts of an answer that are read.
-const (
-	maxErrorBytes  = 8 << 20
-	maxAnswerBytes = 64 << 20
-)
-
 // Error is an answer with an error status.
 type Error struct {
-	Status   int                   `json:"-"`
-	Code     string                `json:"code"`
-	Message  string                `json:"message"`
-	Executed string                `json:"executed"`
-	Findings finding.List          `json:"findings"`
-	Details  operator.ErrorDetails `json:"details"`
+	*apiclient.StatusError
+	Details operator.ErrorDetails
 }
 
 // Error gives code and message, then one finding or difference per line.
 func (e *Error) Error() string {
-	lines := []string{fmt.Sprintf("%s: %s", e.Code, e.Message)}
-	for _, f := range e.Findings {
-		lines = append(lines, f.String())
-	}
+	lines := []string{e.StatusError.Error()}
 	lines = appendChanges(lines, "From the version in force to the refused one:", e.Details.Difference)
 	lines = appendChanges(lines, "From the base to the version in force:", e.Details.SinceBase)
 	if e.Code == operator.CodeOutcomeUnknown {
@@ -127,61 +107,18 @@
 }
 
 // call sends a request until it gets an answer that another try can't better.
+// Every request may be repeated: reads change nothing and acceptances carry a
+// change id.
 func call[T any](ctx context.Context, c *Client, method, path string, body []byte, changeID string) (*T, error) {
-	return backoff.Retry(ctx, func() (*T, error) {
-		answer := new(T)
-		err := c.send(ctx, method, path, body, changeID, answer)
-		var refused *Error
-		if errors.As(err, &refused) && refused.Status < http.StatusInternalServerError {
-			return nil, backoff.Permanent(err)
-		}
-		if err != nil {
-			return nil, err
-		}
-		return answer, nil
-	}, backoff.WithMaxTries(maxTries))
-}
-
-func (c *Client) send(ctx context.Context, method, path string, body []byte, changeID string, answer any) error {
-	req, err := http.NewRequestWithContext(ctx, method, strings.TrimSuffix(c.BaseURL, "/")+path, bytes.NewReader(body))
-	if err != nil {
-		return backoff.Permanent(err)
-	}
-	if c.Key != "" {
-		req.Header.Set("Authorization", "Bearer "+c.Key)
-	}
-	if changeID != "" {
-		req.Header.Set("Idempotency-Key", changeID)
-	}
-	resp, err := c.client().Do(req)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return readError(resp)
-	}
-	return trace.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(answer))
-}
-
-func (c *Client) client() *http.Client {
-	if c.HTTP != nil {
-		return c.HTTP
-	}
-	return http.DefaultClient
-}
-
-func readError(resp *http.Response) error {
-	var body struct {
-		Error Error `json:"error"`
-	}
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
-	if err == nil {
-		err = json.Unmarshal(raw, &body)
+	api := &apiclient.Client{BaseURL: c.BaseURL, Key: c.Key, HTTP: c.HTTP}
+	answer, err := apiclient.Call[T](ctx, api, method, path, "", body, changeID)
+	var refused *apiclient.StatusError
+	if !errors.As(err, &refused) {
+		return answer, err
 	}
-	if err != nil || body.Error.Code == "" {
-		body.Error = Error{Code: "http_status", Message: resp.Status}
+	e := &Error{StatusError: refused}
+	if len(refused.Details) > 0 {
+		_ = json.Unmarshal(refused.Details, &e.Details) // of another form: the code and message stand
 	}
-	body.Error.Status = resp.StatusCode
-	return &body.Error
+	return nil, e
 }
