Use usual names in the replay and the links

Cause: two names needed explaining (hush, toldVersion). Change: silence and announcedVersion. Conclusion: no change in behaviour.

--- a/link/spread.go
+++ b/link/spread.go
@@ -133,16 +133,16 @@
 	version     uint64 // configuration in force at the peer
 	leaving     bool
 
-	outSequence   uint64
-	leavingSent   bool
-	sentVersion   uint64 // of the last body sent
-	toldVersion   uint64 // own version in the last message
-	peerWantsFull bool   // the peer could not apply a delta
-	wantFull      bool   // this process could not apply a delta
-	suspectsSent  uint64 // sequence numbers of the tables
-	cancelledSent uint64
-	versionsSent  uint64
-	versionsAt    time.Time // of the last message with versions
+	outSequence      uint64
+	leavingSent      bool
+	sentVersion      uint64 // of the last body sent
+	announcedVersion uint64 // own version in the last message sent
+	peerWantsFull    bool   // the peer could not apply a delta
+	wantFull         bool   // this process could not apply a delta
+	suspectsSent     uint64 // sequence numbers of the tables
+	cancelledSent    uint64
+	versionsSent     uint64
+	versionsAt       time.Time // of the last message with versions
 }
 
 func (p *peer) wakeUp() {
@@ -272,9 +272,9 @@
 	known := p.inSequence > 0
 	behind := max(p.version, p.sentVersion)
 	base, full := p.version, p.peerWantsFull
-	// A new version is told at once, so that an operator's confirmation does not
+	// A new version is announced at once, so that an operator's confirmation does not
 	// wait for a heartbeat.
-	urgent = p.wantFull || p.spread.bodies.holder.Version() > p.toldVersion
+	urgent = p.wantFull || p.spread.bodies.holder.Version() > p.announcedVersion
 	p.mu.Unlock()
 	if !known || p.spread.bodies.holder.Version() <= behind {
 		return urgent
@@ -300,7 +300,7 @@
 	p.outSequence++
 	msg.Sequence = p.outSequence
 	msg.ConfigVersion = p.spread.bodies.holder.Version()
-	p.toldVersion = msg.ConfigVersion
+	p.announcedVersion = msg.ConfigVersion
 	if p.wantFull && p.outSequence > 1 {
 		msg.ConfigVersion = 0
 		p.wantFull = false
--- a/replay/fault.go
+++ b/replay/fault.go
@@ -51,7 +51,7 @@
 	case workload.FaultUpstreamCrash:
 		a.crash(f.For, nil)
 	case workload.FaultUpstreamSilent:
-		a.hush(f.For)
+		a.silence(f.For)
 	case workload.FaultUpstreamLeaving:
 		a.leave(f.For)
 	}
@@ -116,9 +116,9 @@
 	a.samples = 0
 }
 
-// hush makes the upstream give no output. Probes find it down after downAfter,
+// silence makes the upstream give no output. Probes find it down after downAfter,
 // attempts in progress fail after progressTimeout.
-func (a *agent) hush(length time.Duration) {
+func (a *agent) silence(length time.Duration) {
 	if a.silent || !a.snap.Ready {
 		return
 	}
