Give plain services the attempt id

Cause: a plain service could not tell attempts apart; its answer in dev showed an empty attempt id. Change: the agent sets X-Attempt-Id on every call. Conclusion: a test checks the header.

--- a/agent/http_test.go
+++ b/agent/http_test.go
@@ -25,12 +25,12 @@
 // fakePlain answers each path with its body or error.
 type fakePlain map[string]func() (io.Reader, error)
 
-func (p fakePlain) Call(_ context.Context, _, path string, _ http.Header, _ io.Reader) (*http.Response, error) {
+func (p fakePlain) Call(_ context.Context, _, path string, header http.Header, _ io.Reader) (*http.Response, error) {
 	body, err := p[path]()
 	if err != nil {
 		return nil, err
 	}
-	h := http.Header{"X-Kept": {"1"}, "Connection": {"close"}}
+	h := http.Header{"X-Kept": {"1"}, "Connection": {"close"}, "X-Seen": {header.Get(attemptHeader)}}
 	return &http.Response{StatusCode: 201, Header: h, Body: io.NopCloser(body)}, nil
 }
 
@@ -83,6 +83,9 @@
 			if h.Name == "Connection" {
 				t.Error("a header of the connection was passed on")
 			}
+			if h.Name == "X-Seen" && h.Value != req.AttemptId {
+				t.Errorf("the service saw attempt %q, want %q", h.Value, req.AttemptId)
+			}
 		}
 	}
 	if err := stream.Err(); err != nil {
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -30,6 +30,10 @@
 // EntryHeader names the entry that runs an attempt, for its grants and reports.
 const EntryHeader = "Magnoliausher-Entry"
 
+// attemptHeader names the attempt to a plain service, for its log and to find a
+// call that it has seen before.
+const attemptHeader = "X-Attempt-Id"
+
 type controllerKey struct{}
 
 // Handler serves the RPCs of the agent, /healthz, /readyz and /metrics. The
@@ -290,6 +294,7 @@
 			header.Add(h.Name, h.Value)
 		}
 	}
+	header.Set(attemptHeader, t.req.AttemptId)
 	resp, err := a.cfg.Plain.Call(t.ctx, t.req.Method, t.req.Path, header, strings.NewReader(string(t.req.Body)))
 	if err != nil {
 		return nil, err
