--- a/demo/config_test.go
+++ b/demo/config_test.go
@@ -12,12 +12,18 @@
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/operator"
 	"github.com/magnoliausher/magnoliausher/operator/client"
+	"github.com/magnoliausher/magnoliausher/standin/engine"
 )
 
 const testKey = "test-key"
 
 // configFleet is a small fleet with a client of each entry.
 func configFleet(t *testing.T) (*Fleet, []*client.Client) {
+	t.Helper()
+	return startFleet(t, nil)
+}
+
+func startFleet(t *testing.T, weights *engine.WeightStore) (*Fleet, []*client.Client) {
 	t.Helper()
 	doc := WithCaller(&contract.Document{
 		SheetDate: "2026-03-02", Revision: 1,
@@ -32,7 +38,7 @@
 		},
 	}, testKey)
 	ctx, stop := context.WithCancel(context.Background())
-	f, err := Start(ctx, FleetConfig{Document: doc, Entries: 3, Logger: zerolog.Nop()})
+	f, err := Start(ctx, FleetConfig{Document: doc, Entries: 3, Weights: weights, Logger: zerolog.Nop()})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -60,8 +66,8 @@
 }
 
 // Guards against a change that stays on the entry that accepted it, or that
-// needs the platform to reach the other instances. The platform's polls come
-// every 15 s at the soonest, and it is down from the commit on.
+// needs the platform to reach the other instances, which is down from the commit
+// on.
 func TestChangeSpreadsWithoutPlatform(t *testing.T) {
 	f, clients := configFleet(t)
 	for i, c := range clients {
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -36,9 +36,10 @@
 
 // FleetConfig describes a fleet on loopback.
 type FleetConfig struct {
-	Document *contract.Document // groups name the upstreams; must hold the callers
-	Listen   string             // address of the first entry; empty for any port
-	Entries  int                // spread over the data centres in turn
+	Document *contract.Document  // groups name the upstreams; must hold the callers
+	Listen   string              // address of the first entry; empty for any port
+	Entries  int                 // spread over the data centres in turn
+	Weights  *engine.WeightStore // shared by the engines; nil makes loads immediate
 	Logger   zerolog.Logger
 }
 
@@ -146,6 +147,7 @@
 		PoisonMarker: poisonMarker,
 		RestartDelay: restartDelay,
 		CheckFencing: g.ChecksFencing,
+		Weights:      f.config.Weights,
 		State: engine.State{ // as configured, so that no order is due at the start
 			Model: svc.Model, Version: svc.ModelVersion, Adapter: svc.Adapter, Role: g.Role,
 		},
