Use the platform stand-in in the tests of package entry

Cause: the tests had a table of their own beside standin/platform. Change: the stand-in is used; the checks are unchanged. Conclusion: one fake less.

--- a/entry/once_test.go
+++ b/entry/once_test.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"errors"
 	"math/rand/v2"
 	"strings"
@@ -12,79 +11,14 @@
 
 	"github.com/magnoliausher/magnoliausher/apierror"
 	"github.com/magnoliausher/magnoliausher/idempotency"
-	"github.com/magnoliausher/magnoliausher/platform"
+	standin "github.com/magnoliausher/magnoliausher/standin/platform"
 )
 
-// memory is a platform table that can be down.
-type memory struct {
-	mu      sync.Mutex
-	down    bool
-	rows    map[string]platform.Row
-	version uint64
-}
-
-func (m *memory) count() int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return len(m.rows)
-}
-
-func newMemory() *memory {
-	return &memory{rows: make(map[string]platform.Row)}
-}
-
-func (m *memory) Get(_ context.Context, key string) (platform.Row, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.down {
-		return platform.Row{}, platform.ErrUnavailable
-	}
-	row, ok := m.rows[key]
-	if !ok {
-		return row, platform.ErrNotFound
-	}
-	return row, nil
-}
-
-func (m *memory) Scan(_ context.Context, prefix, _ string, _ int) ([]platform.Row, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var list []platform.Row
-	for key, row := range m.rows {
-		if strings.HasPrefix(key, prefix) {
-			list = append(list, row)
-		}
-	}
-	return list, nil
-}
-
-func (m *memory) Commit(_ context.Context, tx platform.Transaction) ([]uint64, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.down {
-		return nil, platform.ErrUnavailable
-	}
-	for _, w := range tx.Writes {
-		if !w.Always && m.rows[w.Key].Version != w.IfVersion {
-			return nil, platform.ErrConflict
-		}
-	}
-	var versions []uint64
-	for _, w := range tx.Writes {
-		m.version++
-		if w.Delete {
-			delete(m.rows, w.Key)
-			continue
-		}
-		m.rows[w.Key] = platform.Row{Key: w.Key, Version: m.version, Value: w.Value}
-		versions = append(versions, m.version)
-	}
-	return versions, nil
-}
+func newMemory() *standin.Platform { return standin.New(standin.Config{}) }
 
-func withStore(m *memory) func(*Config) {
+func withStore(p *standin.Platform) func(*Config) {
 	return func(c *Config) {
-		c.Idempotency = idempotency.New(idempotency.Config{Table: m})
+		c.Idempotency = idempotency.New(idempotency.Config{Table: p, Objects: p.Objects()})
 	}
 }
 
@@ -173,16 +107,14 @@
 func TestTableDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := newMemory()
-		m.down = true
+		m.SetOutage(true)
 		r := newRunner(1)
 		e := newTestEntry(r, withStore(m))
 		w := call(e, "POST", invoicePath, "body", idempotencyHeader, "k")
 		if w.Code != 503 || w.Header().Get(apierror.ExecutedHeader) != "no" || r.attempts() != 0 {
 			t.Errorf("status %d, %d attempts", w.Code, r.attempts())
 		}
-		m.mu.Lock()
-		m.down = false
-		m.mu.Unlock()
+		m.SetOutage(false)
 		time.Sleep(time.Minute)
 		if w := call(e, "POST", invoicePath, "body", idempotencyHeader, "k"); w.Code != 201 || r.attempts() != 1 {
 			t.Errorf("after the outage: status %d, %d attempts", w.Code, r.attempts())
--- a/entry/server_test.go
+++ b/entry/server_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/magnoliausher/magnoliausher/apierror"
 	"github.com/magnoliausher/magnoliausher/contract"
+	standin "github.com/magnoliausher/magnoliausher/standin/platform"
 )
 
 // fixedSuspects blocks or suspects every request.
@@ -335,6 +336,15 @@
 	}
 }
 
+func intentRows(t *testing.T, p *standin.Platform) int {
+	t.Helper()
+	rows, err := p.Scan(t.Context(), "intent", "", 10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(rows)
+}
+
 // Guards against states of idle callers and old intents that are never removed.
 func TestRunRemovesOldState(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -349,12 +359,12 @@
 		if left := e.callers.RemoveIdle(time.Now().Add(-time.Hour)); left != 0 {
 			t.Errorf("%d callers kept", left)
 		}
-		if n := m.count(); n != 2 {
+		if n := intentRows(t, m); n != 2 {
 			t.Errorf("%d rows after a minute", n)
 		}
 		time.Sleep(25 * time.Hour)
 		synctest.Wait() // a sweep may begin at this instant
-		if n := m.count(); n != 0 {
+		if n := intentRows(t, m); n != 0 {
 			t.Errorf("%d rows after a day", n)
 		}
 	})
