Share the load generator, the relay and the in-memory connections

Change: package loadgen for callers, standin/network for the relay and the pipe; one loop for the tests that send through a fault.

--- a/demo/demo.go
+++ b/demo/demo.go
@@ -18,6 +18,7 @@
 	"github.com/magnoliausher/magnoliausher/job"
 	"github.com/magnoliausher/magnoliausher/job/client"
 	"github.com/magnoliausher/magnoliausher/keys"
+	"github.com/magnoliausher/magnoliausher/loadgen"
 	"github.com/magnoliausher/magnoliausher/metric"
 )
 
@@ -140,26 +141,27 @@
 	if err != nil {
 		return Result{}, err
 	}
-	c := newCaller(addresses, d.key)
+	c := newCaller(addresses, d.key, d.engineService.Model)
 	changed := make(chan time.Duration, 1)
 	go func() { changed <- d.changeConfig(ctx, addresses[1]) }()
 	d.online(ctx, c)
 	onceOK := d.once(ctx, c, doc)
-	c.inFlight.Wait()
-	ok, failed := c.counts()
-	d.say("online done: %d answered, %d failed", ok, failed)
-	for _, f := range c.failures {
+	c.load.Wait()
+	online := c.load.Counts()
+	d.say("online done: %s", online)
+	for _, f := range c.load.Failures() {
 		d.say("failure: %s", f)
 	}
 	completed, err := d.finishBatch(ctx, batch, batchID)
 	if err != nil {
 		return Result{}, err
 	}
+	firstMS, gapMS := c.load.P95()
 	return Result{
-		OnlineOK: ok, OnlineFailed: failed,
+		OnlineOK: online.Whole, OnlineFailed: online.Failed(),
 		BatchItems: batchItems, BatchCompletedOnce: completed,
 		Preemptions: metric.Sum(metric.PreemptedName),
-		TTFTP95MS:   percentile(c.firstMS, 0.95), ITLP95MS: percentile(c.gapsMS, 0.95),
+		TTFTP95MS:   firstMS, ITLP95MS: gapMS,
 		OnceOK:          onceOK,
 		ConfigInForceMS: float64((<-changed).Microseconds()) / 1000,
 	}, nil
@@ -167,7 +169,6 @@
 
 // online sends requests at a steady rate with a burst and the loss of an engine.
 func (d *run) online(ctx context.Context, c *caller) {
-	model := d.engineService.Model
 	tick := time.NewTicker(onlineInterval)
 	defer tick.Stop()
 	begin := time.Now()
@@ -178,12 +179,12 @@
 			return
 		case <-tick.C:
 		}
-		c.start(ctx, model, prompt("question", n), onlineTokens)
+		c.start(ctx, prompt("question", n), onlineTokens)
 		if !burst && time.Since(begin) > burstAt {
 			burst = true
 			d.say("burst of %d online requests", burstRequests)
 			for i := range burstRequests {
-				c.start(ctx, model, prompt("burst", i), onlineTokens)
+				c.start(ctx, prompt("burst", i), onlineTokens)
 			}
 		}
 		if !crash && time.Since(begin) > crashAt {
@@ -252,8 +253,8 @@
 	return batch.ID, nil
 }
 
-func (d *run) itemBody(n int) chatRequest {
-	return newChatRequest(d.engineService.Model, prompt("item", n), batchTokens)
+func (d *run) itemBody(n int) loadgen.ChatRequest {
+	return loadgen.NewChatRequest(d.engineService.Model, prompt("item", n), batchTokens)
 }
 
 func itemID(n int) string { return fmt.Sprintf("item-%d", n) }
@@ -299,7 +300,7 @@
 		if err != nil {
 			return 0, trace.Wrap(err)
 		}
-		if want[itemID(n)], err = expectedText(body); err != nil {
+		if want[itemID(n)], err = loadgen.ExpectedText(body); err != nil {
 			return 0, err
 		}
 	}
--- a/demo/order_test.go
+++ b/demo/order_test.go
@@ -1,7 +1,6 @@
 package demo
 
 import (
-	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -39,7 +38,7 @@
 	for _, e := range f.Entries {
 		addresses = append(addresses, e.Address())
 	}
-	c := newCaller(addresses, testKey)
+	c := newCaller(addresses, testKey, "assistant")
 	done := make(chan struct{})
 	var sending sync.WaitGroup
 	sending.Go(func() {
@@ -50,7 +49,7 @@
 			case <-done:
 				return
 			case <-tick.C:
-				c.start(t.Context(), "assistant", prompt("during the change", n), 20)
+				c.start(t.Context(), prompt("during the change", n), 20)
 			}
 		}
 	})
@@ -74,13 +73,13 @@
 	}
 	close(done)
 	sending.Wait()
-	c.inFlight.Wait()
+	c.load.Wait()
 	if mostLoading != loadLimit {
 		t.Errorf("%d engines loaded at once, want %d", mostLoading, loadLimit)
 	}
-	ok, failed := c.counts()
-	if failed > 0 || ok == 0 {
-		t.Errorf("%d answers whole, %d failed: %s", ok, failed, fmt.Sprint(c.failures))
+	counts := c.load.Counts()
+	if counts.Failed() > 0 || counts.Whole == 0 {
+		t.Errorf("%s: %q", counts, c.load.Failures())
 	}
-	t.Logf("%d answers whole, at most %d engines loading at once", ok, mostLoading)
+	t.Logf("%s, at most %d engines loading at once", counts, mostLoading)
 }
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -4,10 +4,8 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -18,20 +16,17 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
-	"github.com/magnoliausher/magnoliausher/apierror"
-	"github.com/magnoliausher/magnoliausher/attempt"
 	"github.com/magnoliausher/magnoliausher/cli"
 	"github.com/magnoliausher/magnoliausher/contract"
+	"github.com/magnoliausher/magnoliausher/loadgen"
 	"github.com/magnoliausher/magnoliausher/platform"
 	"github.com/magnoliausher/magnoliausher/standin/engine"
 	standin "github.com/magnoliausher/magnoliausher/standin/platform"
 	"github.com/magnoliausher/magnoliausher/standin/service"
-	"github.com/magnoliausher/magnoliausher/upstream"
 )
 
 // runEnvironment makes the test binary run the command line instead of the tests.
@@ -218,143 +213,28 @@
 	}
 }
 
-// refusedError is an explicit failure that a caller was told of.
-type refusedError struct {
-	status   int
-	executed string
-	body     string
-}
-
-func (e *refusedError) Error() string {
-	return fmt.Sprintf("status %d, executed %q: %s", e.status, e.executed, e.body)
-}
+// caller sends requests with the test's key.
+var caller = &loadgen.Client{Key: key}
 
-// errWrong marks an answer that a caller would take for whole although it is not right.
-var errWrong = errors.New("wrong answer")
-
-// errBroken marks an answer whose connection broke; the caller knows that it is not whole.
-var errBroken = errors.New("answer broken off")
-
-func post(ctx context.Context, address, path, idempotencyKey string, body []byte) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
-	if err != nil {
-		return nil, err
-	}
-	req.Header.Set("Authorization", "Bearer "+key)
-	if idempotencyKey != "" {
-		req.Header.Set("Idempotency-Key", idempotencyKey)
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", errBroken, err)
-	}
-	return resp, nil
-}
+func newLoad() *loadgen.Load { return &loadgen.Load{Client: caller, Model: model} }
 
 // chat sends one streamed request and checks the whole answer.
 func chat(ctx context.Context, address, prompt string, tokens int) error {
-	body, err := json.Marshal(map[string]any{"model": model, "stream": true, "max_tokens": tokens,
-		"messages": []map[string]string{{"role": "user", "content": prompt}}})
-	if err != nil {
-		return err
-	}
-	resp, err := post(ctx, address, "/v1/chat/completions", "", body)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		text, _ := io.ReadAll(resp.Body)
-		return &refusedError{resp.StatusCode, resp.Header.Get(apierror.ExecutedHeader), string(text)}
-	}
-	parsed, err := upstream.ParsePrompt(body)
-	if err != nil {
-		return err
-	}
-	return readStream(resp.Body, engine.ExpectedText(parsed.Text, 0, tokens))
+	return caller.Chat(ctx, address, loadgen.NewChatRequest(model, prompt, tokens), nil)
 }
 
-func readStream(r io.Reader, want string) error {
-	var text strings.Builder
-	lines := bufio.NewScanner(r)
-	for lines.Scan() {
-		data, ok := strings.CutPrefix(lines.Text(), "data: ")
-		if !ok {
-			continue
-		}
-		if data == "[DONE]" {
-			if text.String() != want {
-				return fmt.Errorf("%w: %q", errWrong, text.String())
-			}
-			return nil
-		}
-		var chunk struct {
-			Choices []struct{ Delta struct{ Content string } }
-			Error   *struct{ Message string }
-		}
-		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
-			return fmt.Errorf("%w: %w", errWrong, err)
-		}
-		if chunk.Error != nil {
-			return &refusedError{status: http.StatusOK, body: chunk.Error.Message}
-		}
-		if len(chunk.Choices) > 0 {
-			text.WriteString(chunk.Choices[0].Delta.Content)
-		}
-	}
-	return errBroken
-}
-
-// load sends requests at a rate until stop and counts how they end.
-type load struct {
-	sent, resent, ok, refused, broken, wrong atomic.Int64
-	inFlight                                 sync.WaitGroup
-	firstWrong, firstRefused                 atomic.Value
-}
-
-func (l *load) send(ctx context.Context, address, prompt string, tokens int) {
-	l.sent.Add(1)
-	l.inFlight.Go(func() { l.count(chat(ctx, address, prompt, tokens)) })
-}
-
-// sendOnce is like send, but a refusal that says that the request was not run is
-// followed by one more try at another entry, as a caller behind a balancer does.
-func (l *load) sendOnce(ctx context.Context, address, other, prompt string, tokens int) {
-	l.sent.Add(1)
-	l.inFlight.Go(func() {
-		err := chat(ctx, address, prompt, tokens)
-		var refused *refusedError
-		if errors.As(err, &refused) && refused.executed == string(attempt.ExecutedNo) {
-			l.resent.Add(1)
-			err = chat(ctx, other, prompt, tokens)
-		}
-		l.count(err)
-	})
-}
-
-func (l *load) count(err error) {
-	var refused *refusedError
-	switch {
-	case err == nil:
-		l.ok.Add(1)
-	case errors.As(err, &refused):
-		l.refused.Add(1)
-		l.firstRefused.Store(err.Error())
-	case errors.Is(err, errBroken):
-		l.broken.Add(1)
-	default:
-		l.wrong.Add(1)
-		l.firstWrong.Store(err.Error())
-	}
+func post(ctx context.Context, address, path, idempotencyKey string, body []byte) (*http.Response, error) {
+	return caller.Post(ctx, address, path, idempotencyKey, body)
 }
 
-func (l *load) report(t *testing.T) {
-	t.Logf("sent %d, resent %d, whole %d, refused %d, broken off %d, wrong %d",
-		l.sent.Load(), l.resent.Load(), l.ok.Load(), l.refused.Load(), l.broken.Load(), l.wrong.Load())
-	if l.refused.Load() > 0 {
-		t.Logf("a refusal: %v", l.firstRefused.Load())
+// report logs how the requests of a load ended; a wrong answer fails the test.
+func report(t *testing.T, l *loadgen.Load) {
+	t.Helper()
+	t.Logf("%s", l.Counts())
+	for _, f := range l.Failures() {
+		t.Logf("failure: %s", f)
 	}
-	if l.wrong.Load() > 0 {
-		t.Errorf("first wrong answer: %v", l.firstWrong.Load())
+	if l.Counts().Wrong > 0 {
+		t.Error("an answer looked whole and was wrong")
 	}
 }
--- a/e2e/leaving_test.go
+++ b/e2e/leaving_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/magnoliausher/magnoliausher/loadgen"
 	"github.com/magnoliausher/magnoliausher/platform"
 )
 
@@ -15,10 +16,10 @@
 const leavingBound = 3 * time.Second
 
 // loadUntil sends requests to all entries in turn.
-func (f *fleet) loadUntil(t *testing.T, l *load, end time.Time) {
+func (f *fleet) loadUntil(t *testing.T, l *loadgen.Load, end time.Time) {
 	t.Helper()
 	for i := 0; time.Now().Before(end); i++ {
-		l.send(t.Context(), f.entries[i%len(f.entries)].address, fmt.Sprintf("question %d", i), tokens)
+		l.Send(t.Context(), f.entries[i%len(f.entries)].address, fmt.Sprintf("question %d", i), tokens)
 		time.Sleep(sendPause)
 	}
 }
@@ -28,20 +29,20 @@
 func TestListedAsLeavingGetsNothingNew(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 3, 2)
-	var l load
-	f.loadUntil(t, &l, time.Now().Add(time.Second))
+	l := newLoad()
+	f.loadUntil(t, l, time.Now().Add(time.Second))
 	f.platform.SetInstance(platform.Instance{ID: f.agents[0].id, Role: platform.RoleAgent, DataCentre: dataCentre,
 		Address: f.agents[0].address, Service: model, State: platform.InstanceLeaving})
-	f.loadUntil(t, &l, time.Now().Add(leavingBound))
+	f.loadUntil(t, l, time.Now().Add(leavingBound))
 	before := f.engines[0].Submitted()
-	f.loadUntil(t, &l, time.Now().Add(3*time.Second))
-	l.inFlight.Wait()
-	l.report(t)
+	f.loadUntil(t, l, time.Now().Add(3*time.Second))
+	l.Wait()
+	report(t, l)
 	if n := f.engines[0].Submitted() - before; n != 0 {
 		t.Errorf("%d requests began at the engine after the bound", n)
 	}
-	if before == 0 || l.ok.Load() != l.sent.Load() {
-		t.Errorf("%d requests at the engine before; %d of %d answers are whole", before, l.ok.Load(), l.sent.Load())
+	if before == 0 || l.Counts().Whole != l.Counts().Sent {
+		t.Errorf("%d requests at the engine before; %d of %d answers are whole", before, l.Counts().Whole, l.Counts().Sent)
 	}
 }
 
@@ -50,26 +51,26 @@
 func TestTerminatedAgentGetsNothingNew(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 3, 2)
-	var long load
+	long := newLoad()
 	for i := range 30 {
-		long.send(t.Context(), f.entries[i%2].address, fmt.Sprintf("long %d", i), 400)
+		long.Send(t.Context(), f.entries[i%2].address, fmt.Sprintf("long %d", i), 400)
 	}
 	time.Sleep(200 * time.Millisecond)
 	f.agents[0].signal(t, syscall.SIGTERM)
-	var l load
-	f.loadUntil(t, &l, time.Now().Add(leavingBound))
+	l := newLoad()
+	f.loadUntil(t, l, time.Now().Add(leavingBound))
 	before := f.engines[0].Submitted()
-	f.loadUntil(t, &l, time.Now().Add(3*time.Second))
-	l.inFlight.Wait()
-	long.inFlight.Wait()
-	l.report(t)
-	long.report(t)
+	f.loadUntil(t, l, time.Now().Add(3*time.Second))
+	l.Wait()
+	long.Wait()
+	report(t, l)
+	report(t, long)
 	if n := f.engines[0].Submitted() - before; n != 0 {
 		t.Errorf("%d requests began at the engine after the bound", n)
 	}
-	if before == 0 || l.ok.Load() != l.sent.Load() || long.ok.Load() != long.sent.Load() {
+	if before == 0 || l.Counts().Whole != l.Counts().Sent || long.Counts().Whole != long.Counts().Sent {
 		t.Errorf("%d requests at the engine before; %d of %d and %d of %d answers are whole",
-			before, l.ok.Load(), l.sent.Load(), long.ok.Load(), long.sent.Load())
+			before, l.Counts().Whole, l.Counts().Sent, long.Counts().Whole, long.Counts().Sent)
 	}
 	<-f.agents[0].done
 }
@@ -78,9 +79,9 @@
 func TestEngineCrashDuringDrain(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 3, 2)
-	var l load
+	l := newLoad()
 	for i := range 60 {
-		l.send(t.Context(), f.entries[i%2].address, fmt.Sprintf("long %d", i), 100)
+		l.Send(t.Context(), f.entries[i%2].address, fmt.Sprintf("long %d", i), 100)
 	}
 	time.Sleep(200 * time.Millisecond)
 	if f.engines[0].InProgress() == 0 {
@@ -89,10 +90,10 @@
 	f.agents[0].signal(t, syscall.SIGTERM)
 	time.Sleep(100 * time.Millisecond)
 	f.engines[0].Crash(restartDelay)
-	l.inFlight.Wait()
-	l.report(t)
-	if l.ok.Load() != l.sent.Load() {
-		t.Errorf("%d of %d answers are whole", l.ok.Load(), l.sent.Load())
+	l.Wait()
+	report(t, l)
+	if l.Counts().Whole != l.Counts().Sent {
+		t.Errorf("%d of %d answers are whole", l.Counts().Whole, l.Counts().Sent)
 	}
 	<-f.agents[0].done
 	if err := f.agents[0].err; err != nil {
--- a/e2e/paused_test.go
+++ b/e2e/paused_test.go
@@ -125,13 +125,13 @@
 			}
 		}
 	})
-	var l load
-	f.loadUntil(t, &l, time.Now().Add(5*time.Second))
-	l.inFlight.Wait()
+	l := newLoad()
+	f.loadUntil(t, l, time.Now().Add(5*time.Second))
+	l.Wait()
 	close(stop)
 	pausing.Wait()
-	l.report(t)
-	if l.ok.Load() != l.sent.Load() {
-		t.Errorf("%d of %d answers are whole", l.ok.Load(), l.sent.Load())
+	report(t, l)
+	if l.Counts().Whole != l.Counts().Sent {
+		t.Errorf("%d of %d answers are whole", l.Counts().Whole, l.Counts().Sent)
 	}
 }
--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -25,12 +25,12 @@
 	f.platform.LoseProbability(0.3)
 	f.platform.SetOutage(true)
 	began := time.Now()
-	var l load
+	l := newLoad()
 	for i := range requests {
-		l.send(t.Context(), f.entries[i%2].address, fmt.Sprintf("question %d", i), tokens)
+		l.Send(t.Context(), f.entries[i%2].address, fmt.Sprintf("question %d", i), tokens)
 		time.Sleep(sendPause)
 	}
-	l.inFlight.Wait()
+	l.Wait()
 	for i := range 5 {
 		f.refuseInvoice(t, f.entries[i%2], i)
 	}
@@ -39,9 +39,9 @@
 	}
 	time.Sleep(outage - time.Since(began))
 	f.platform.SetOutage(false)
-	l.report(t)
-	if l.ok.Load() != requests {
-		t.Errorf("%d of %d answers are whole", l.ok.Load(), requests)
+	report(t, l)
+	if l.Counts().Whole != requests {
+		t.Errorf("%d of %d answers are whole", l.Counts().Whole, requests)
 	}
 	f.awaitBatch(t, c, batch, batchItems)
 }
--- a/e2e/poison_test.go
+++ b/e2e/poison_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"sync"
 	"testing"
+
+	"github.com/magnoliausher/magnoliausher/loadgen"
 )
 
 const (
@@ -19,7 +21,7 @@
 // no request beside it may be blamed or lose its answer.
 func TestPoisonRequestCrashesTwoUpstreams(t *testing.T) {
 	f := newFleet(t, 4, 3)
-	var innocent load
+	innocent := newLoad()
 	stop := make(chan struct{})
 	var sending sync.WaitGroup
 	sending.Go(func() {
@@ -29,28 +31,28 @@
 				return
 			default:
 			}
-			innocent.send(t.Context(), f.entries[i%3].address, fmt.Sprintf("question %d", i), tokens)
+			innocent.Send(t.Context(), f.entries[i%3].address, fmt.Sprintf("question %d", i), tokens)
 			if i%3 == 2 {
-				innocent.inFlight.Wait() // a few at a time
+				innocent.Wait() // a few at a time
 			}
 		}
 	})
 	blocked := 0
 	for i := range poisonResends {
 		err := chat(t.Context(), f.entries[i%3].address, poisonMarker, tokens)
-		var refused *refusedError
+		var refused *loadgen.RefusedError
 		if !errors.As(err, &refused) {
 			t.Errorf("resend %d: %v, want a refusal", i, err)
 			continue
 		}
-		if strings.Contains(refused.body, "blocked") {
+		if strings.Contains(refused.Body, "blocked") {
 			blocked++
 		}
 	}
 	close(stop)
 	sending.Wait()
-	innocent.inFlight.Wait()
-	innocent.report(t)
+	innocent.Wait()
+	report(t, innocent)
 	crashes := 0
 	for _, e := range f.engines {
 		crashes += e.Crashes()
@@ -59,7 +61,7 @@
 	if crashes > maxPoisonCrashes {
 		t.Errorf("%d crashes, want at most %d", crashes, maxPoisonCrashes)
 	}
-	if innocent.ok.Load() != innocent.sent.Load() {
-		t.Errorf("%d of %d answers beside it are whole", innocent.ok.Load(), innocent.sent.Load())
+	if innocent.Counts().Whole != innocent.Counts().Sent {
+		t.Errorf("%d of %d answers beside it are whole", innocent.Counts().Whole, innocent.Counts().Sent)
 	}
 }
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/magnoliausher/magnoliausher/job/client"
+	"github.com/magnoliausher/magnoliausher/loadgen"
 )
 
 const (
@@ -23,50 +24,45 @@
 	pollBatches = 200 * time.Millisecond
 )
 
-// Guards against wrong, truncated or lost answers when an agent is killed with
-// streams in progress: all of them must resume elsewhere.
-func TestKilledAgentLosesNoAnswer(t *testing.T) {
-	f := newFleet(t, 4, 2)
-	var l load
+// sendThrough sends requests over both entries, with a fault on the way, and
+// requires every answer to be whole.
+func (f *fleet) sendThrough(t *testing.T, fault func()) {
+	t.Helper()
+	l := newLoad()
 	for i := range requests {
 		if i == faultAt {
-			f.agents[0].signal(t, syscall.SIGKILL)
+			fault()
 		}
-		l.send(t.Context(), f.entries[i%2].address, fmt.Sprintf("question %d", i), tokens)
+		l.Send(t.Context(), f.entries[i%2].address, fmt.Sprintf("question %d", i), tokens)
 		time.Sleep(sendPause)
 	}
-	l.inFlight.Wait()
-	l.report(t)
-	if l.ok.Load() != requests {
-		t.Errorf("%d of %d answers are whole", l.ok.Load(), requests)
+	l.Wait()
+	report(t, l)
+	if l.Counts().Whole != requests {
+		t.Errorf("%d of %d answers are whole", l.Counts().Whole, requests)
 	}
 }
 
+// Guards against wrong, truncated or lost answers when an agent is killed with
+// streams in progress: all of them must resume elsewhere.
+func TestKilledAgentLosesNoAnswer(t *testing.T) {
+	f := newFleet(t, 4, 2)
+	f.sendThrough(t, func() { f.agents[0].signal(t, syscall.SIGKILL) })
+}
+
 // Guards against an agent that is frozen, so that its connections stay open
 // without a byte: streams must move and none may end as whole when it is not.
 func TestFrozenAgentLosesNoAnswer(t *testing.T) {
 	f := newFleet(t, 4, 2)
-	var l load
-	for i := range requests {
-		if i == faultAt {
-			f.agents[0].signal(t, syscall.SIGSTOP)
-		}
-		l.send(t.Context(), f.entries[i%2].address, fmt.Sprintf("question %d", i), tokens)
-		time.Sleep(sendPause)
-	}
-	l.inFlight.Wait()
+	f.sendThrough(t, func() { f.agents[0].signal(t, syscall.SIGSTOP) })
 	f.agents[0].signal(t, syscall.SIGCONT)
-	l.report(t)
-	if l.ok.Load() != requests {
-		t.Errorf("%d of %d answers are whole", l.ok.Load(), requests)
-	}
 }
 
 // Guards against a graceful shutdown that cuts off a request in progress, and
 // against refusals that do not say that the request was not run.
 func TestGracefulShutdownCutsOffNothing(t *testing.T) {
 	f := newFleet(t, 3, 2)
-	var l load
+	l := newLoad()
 	for i := range requests {
 		if i == faultAt {
 			f.agents[0].signal(t, syscall.SIGTERM)
@@ -76,13 +72,13 @@
 		if i >= faultAt {
 			entry = f.entries[1] // as the balancer does once the entry is not ready
 		}
-		l.sendOnce(t.Context(), entry.address, f.entries[1].address, fmt.Sprintf("question %d", i), tokens)
+		l.SendOrResend(t.Context(), entry.address, f.entries[1].address, fmt.Sprintf("question %d", i), tokens)
 		time.Sleep(sendPause)
 	}
-	l.inFlight.Wait()
-	l.report(t)
-	if l.ok.Load() != requests {
-		t.Errorf("%d of %d answers are whole", l.ok.Load(), requests)
+	l.Wait()
+	report(t, l)
+	if l.Counts().Whole != requests {
+		t.Errorf("%d of %d answers are whole", l.Counts().Whole, requests)
 	}
 	for _, p := range []*process{f.agents[0], f.entries[0]} {
 		<-p.done
@@ -108,7 +104,7 @@
 			return err
 		}
 		if resp.StatusCode != http.StatusOK {
-			return &refusedError{status: resp.StatusCode, body: string(text)}
+			return &loadgen.RefusedError{Status: resp.StatusCode, Body: string(text)}
 		}
 		return nil
 	}
@@ -121,10 +117,10 @@
 	}
 	refused := 0
 	for i := range invoices {
-		var r *refusedError
+		var r *loadgen.RefusedError
 		if errors.As(send(f.entries[1], i), &r) {
 			refused++
-			if r.status != http.StatusConflict {
+			if r.Status != http.StatusConflict {
 				t.Errorf("invoice %d: %v", i, r)
 			}
 		}
--- a/e2e/restart_test.go
+++ b/e2e/restart_test.go
@@ -180,7 +180,7 @@
 	f.awaitServing(other)
 	c := &client.Client{BaseURL: "http://" + other.address, Key: key}
 	id := createBatch(t, c, batchItems)
-	var l load
+	l := newLoad()
 	var calls sync.WaitGroup
 	outcomes := make([]invoiceOutcome, 2*requests)
 	body := func(i int) []byte { return []byte(fmt.Sprintf(`{"lost":%d}`, i)) }
@@ -194,18 +194,18 @@
 		if i < faultAt && i%2 == 0 {
 			entry = other
 		}
-		l.send(t.Context(), entry.address, fmt.Sprintf("question %d", i), tokens)
+		l.Send(t.Context(), entry.address, fmt.Sprintf("question %d", i), tokens)
 		calls.Go(func() { outcomes[i] = sendInvoice(t.Context(), entry, "", body(i)) })
 		time.Sleep(sendPause)
 	}
-	l.inFlight.Wait()
+	l.Wait()
 	calls.Wait()
-	l.report(t)
-	if l.ok.Load()+l.broken.Load() != l.sent.Load() {
-		t.Errorf("%d of %d answers are neither whole nor visibly broken off", l.sent.Load()-l.ok.Load()-l.broken.Load(), l.sent.Load())
+	report(t, l)
+	if l.Counts().Whole+l.Counts().Broken != l.Counts().Sent {
+		t.Errorf("%d of %d answers are neither whole nor visibly broken off", l.Counts().Sent-l.Counts().Whole-l.Counts().Broken, l.Counts().Sent)
 	}
-	if most := int64(faultAt / 2); l.broken.Load() > most {
-		t.Errorf("%d answers broke off, more than the lost entry had", l.broken.Load())
+	if most := faultAt / 2; l.Counts().Broken > most {
+		t.Errorf("%d answers broke off, more than the lost entry had", l.Counts().Broken)
 	}
 	count := make(map[invoiceOutcome]int)
 	for i, got := range outcomes {
--- a/e2e/silence_test.go
+++ b/e2e/silence_test.go
@@ -15,14 +15,19 @@
 	"github.com/magnoliausher/magnoliausher/operator"
 	"github.com/magnoliausher/magnoliausher/operator/client"
 	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/standin/network"
 	"github.com/magnoliausher/magnoliausher/standin/service"
 )
 
 // relayAgent makes entries reach an agent through a relay.
-func (f *fleet) relayAgent(p *process, svc string) *relay {
-	r, at := startRelay(f.t, p.address)
+func (f *fleet) relayAgent(p *process, svc string) *network.Relay {
+	r, err := network.StartRelay(p.address)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(r.Close)
 	f.platform.SetInstance(platform.Instance{ID: p.id, Role: platform.RoleAgent, DataCentre: dataCentre,
-		Address: at, Service: svc, State: platform.InstanceLive})
+		Address: r.Address(), Service: svc, State: platform.InstanceLive})
 	return r
 }
 
@@ -71,24 +76,24 @@
 	for _, e := range f.entries {
 		f.awaitServing(e)
 	}
-	var l load
+	l := newLoad()
 	var calls sync.WaitGroup
 	outcomes := make([]invoiceOutcome, requests)
 	body := func(i int) []byte { return []byte(fmt.Sprintf(`{"silent":%d}`, i)) }
 	for i := range requests {
 		if i == faultAt {
-			engineRelay.silence()
-			portalRelay.silence()
+			engineRelay.Silence()
+			portalRelay.Silence()
 		}
-		l.send(t.Context(), f.entries[i%2].address, fmt.Sprintf("question %d", i), tokens)
+		l.Send(t.Context(), f.entries[i%2].address, fmt.Sprintf("question %d", i), tokens)
 		calls.Go(func() { outcomes[i] = sendInvoice(t.Context(), f.entries[i%2], "", body(i)) })
 		time.Sleep(sendPause)
 	}
-	l.inFlight.Wait()
+	l.Wait()
 	calls.Wait()
-	l.report(t)
-	if l.ok.Load() != requests {
-		t.Errorf("%d of %d answers are whole", l.ok.Load(), requests)
+	report(t, l)
+	if l.Counts().Whole != requests {
+		t.Errorf("%d of %d answers are whole", l.Counts().Whole, requests)
 	}
 	count := make(map[invoiceOutcome]int)
 	for i, got := range outcomes {
@@ -126,17 +131,5 @@
 func TestSilentConnectionsToEngine(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 3, 2)
-	var l load
-	for i := range requests {
-		if i == faultAt {
-			f.engines[0].SilenceOpen()
-		}
-		l.send(t.Context(), f.entries[i%2].address, fmt.Sprintf("question %d", i), tokens)
-		time.Sleep(sendPause)
-	}
-	l.inFlight.Wait()
-	l.report(t)
-	if l.ok.Load() != requests {
-		t.Errorf("%d of %d answers are whole", l.ok.Load(), requests)
-	}
+	f.sendThrough(t, f.engines[0].SilenceOpen)
 }
--- a/upstream/pipe_test.go
+++ b/standin/network/pipe.go
@@ -1,16 +1,14 @@
-package upstream
+package network
 
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"sync"
-	"time"
 )
 
-// PipeNetwork joins clients and one server in memory, for tests in a synctest bubble.
-type PipeNetwork struct {
+// Pipe joins clients and one server in memory, so that they run in a synctest bubble.
+type Pipe struct {
 	mu       sync.Mutex
 	listener *pipeListener
 }
@@ -18,7 +16,7 @@
 var errRefused = errors.New("connection refused")
 
 // Dial connects to the present listener.
-func (n *PipeNetwork) Dial(context.Context, string, string) (net.Conn, error) {
+func (n *Pipe) Dial(context.Context, string, string) (net.Conn, error) {
 	n.mu.Lock()
 	l := n.listener
 	n.mu.Unlock()
@@ -35,7 +33,7 @@
 }
 
 // Listen replaces the listener.
-func (n *PipeNetwork) Listen(context.Context) (net.Listener, error) {
+func (n *Pipe) Listen(context.Context) (net.Listener, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.listener = &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
@@ -63,19 +61,3 @@
 }
 
 func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
-// slowReader gives single bytes with a pause before each.
-type slowReader struct {
-	left  int
-	pause time.Duration
-}
-
-func (r *slowReader) Read(p []byte) (int, error) {
-	if r.left == 0 {
-		return 0, io.EOF
-	}
-	time.Sleep(r.pause)
-	r.left--
-	p[0] = 'x'
-	return 1, nil
-}
--- a/e2e/relay_test.go
+++ b/standin/network/relay.go
@@ -1,44 +1,50 @@
-package e2e
+// Package network is a stand-in for what lies between two processes: a relay
+// whose connections can go silent, and connections in memory.
+package network
 
 import (
 	"io"
 	"net"
 	"sync"
-	"testing"
 )
 
-// relay forwards TCP connections and can stop forwarding those that are open,
+// Relay forwards TCP connections and can stop forwarding those that are open,
 // without closing them. New connections work.
-type relay struct {
-	target string
+type Relay struct {
+	target   string
+	listener net.Listener
+	running  sync.WaitGroup
 
 	mu    sync.Mutex
 	quiet chan struct{} // closed to silence the connections that are open now
 	conns []net.Conn
 }
 
-// startRelay returns a relay and its address.
-func startRelay(t *testing.T, target string) (*relay, string) {
-	t.Helper()
+// StartRelay listens on a free loopback port and forwards to the target.
+func StartRelay(target string) (*Relay, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		t.Fatal(err)
+		return nil, err
 	}
-	r := &relay{target: target, quiet: make(chan struct{})}
-	var running sync.WaitGroup
-	running.Go(func() { r.serve(l, &running) })
-	t.Cleanup(func() {
-		_ = l.Close()
-		r.silence()
-		r.closeAll()
-		running.Wait()
-	})
-	return r, l.Addr().String()
+	r := &Relay{target: target, listener: l, quiet: make(chan struct{})}
+	r.running.Go(r.serve)
+	return r, nil
 }
 
-func (r *relay) serve(l net.Listener, running *sync.WaitGroup) {
+// Address is where the relay listens.
+func (r *Relay) Address() string { return r.listener.Addr().String() }
+
+// Close ends the relay and all its connections.
+func (r *Relay) Close() {
+	_ = r.listener.Close()
+	r.Silence()
+	r.closeAll()
+	r.running.Wait()
+}
+
+func (r *Relay) serve() {
 	for {
-		in, err := l.Accept()
+		in, err := r.listener.Accept()
 		if err != nil {
 			return
 		}
@@ -51,20 +57,20 @@
 		quiet := r.quiet
 		r.conns = append(r.conns, in, out)
 		r.mu.Unlock()
-		running.Go(func() { forward(in, out, quiet) })
-		running.Go(func() { forward(out, in, quiet) })
+		r.running.Go(func() { forward(in, out, quiet) })
+		r.running.Go(func() { forward(out, in, quiet) })
 	}
 }
 
-// silence stops forwarding on all open connections for good.
-func (r *relay) silence() {
+// Silence stops forwarding on all open connections for good.
+func (r *Relay) Silence() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	close(r.quiet)
 	r.quiet = make(chan struct{})
 }
 
-func (r *relay) closeAll() {
+func (r *Relay) closeAll() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, c := range r.conns {
--- a/upstream/engine_test.go
+++ b/upstream/engine_test.go
@@ -14,15 +14,16 @@
 	"time"
 
 	"github.com/magnoliausher/magnoliausher/standin/engine"
+	"github.com/magnoliausher/magnoliausher/standin/network"
 	"github.com/magnoliausher/magnoliausher/upstream"
 )
 
 // startEngine serves a stand-in engine in memory until the test ends.
 func startEngine(t *testing.T, cfg engine.Config) (*engine.Server, *upstream.EngineClient) {
 	t.Helper()
-	var network upstream.PipeNetwork
-	listener, _ := network.Listen(t.Context()) // never fails
-	cfg.Listen = network.Listen
+	var pipe network.Pipe
+	listener, _ := pipe.Listen(t.Context()) // never fails
+	cfg.Listen = pipe.Listen
 	s := engine.New(cfg)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
@@ -33,7 +34,7 @@
 			t.Errorf("Serve: %v", err)
 		}
 	})
-	return s, upstream.NewEngine(upstream.EngineConfig{BaseURL: "http://engine", Dial: network.Dial})
+	return s, upstream.NewEngine(upstream.EngineConfig{BaseURL: "http://engine", Dial: pipe.Dial})
 }
 
 // bubble runs a test case in virtual time.
@@ -344,10 +345,10 @@
 // serve runs a handler in memory until the test ends.
 func serve(t *testing.T, handler http.HandlerFunc) upstream.DialFunc {
 	t.Helper()
-	var network upstream.PipeNetwork
-	listener, _ := network.Listen(t.Context()) // never fails
+	var pipe network.Pipe
+	listener, _ := pipe.Listen(t.Context()) // never fails
 	server := &http.Server{Handler: handler}
 	go func() { _ = server.Serve(listener) }() // ends with Close
 	t.Cleanup(func() { _ = server.Close() })
-	return network.Dial
+	return pipe.Dial
 }
--- a/upstream/fenced_test.go
+++ b/upstream/fenced_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/magnoliausher/magnoliausher/standin/network"
 )
 
 // orders is an engine that only records orders.
@@ -89,8 +91,8 @@
 // and is taken for a silent upstream.
 func TestSlowCallerIsNotSilence(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var network PipeNetwork
-		listener, _ := network.Listen(t.Context())
+		var pipe network.Pipe
+		listener, _ := pipe.Listen(t.Context())
 		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			buffer := make([]byte, 16)
 			for {
@@ -103,7 +105,7 @@
 		})}
 		go func() { _ = server.Serve(listener) }() // ends with Close
 		defer func() { _ = server.Close() }()
-		client := NewPlain(PlainConfig{BaseURL: "http://service", ProgressTimeout: time.Second, Dial: network.Dial})
+		client := NewPlain(PlainConfig{BaseURL: "http://service", ProgressTimeout: time.Second, Dial: pipe.Dial})
 		resp, err := client.Call(t.Context(), http.MethodPost, "/", nil, &slowReader{left: 3, pause: 5 * time.Second})
 		if err != nil {
 			t.Fatal(err)
@@ -117,3 +119,19 @@
 		}
 	})
 }
+
+// slowReader gives single bytes with a pause before each.
+type slowReader struct {
+	left  int
+	pause time.Duration
+}
+
+func (r *slowReader) Read(p []byte) (int, error) {
+	if r.left == 0 {
+		return 0, io.EOF
+	}
+	time.Sleep(r.pause)
+	r.left--
+	p[0] = 'x'
+	return 1, nil
+}
