--- a/loadgen/client_test.go
+++ b/loadgen/client_test.go
@@ -17,7 +17,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	delta := func(text string) string { return fmt.Sprintf("data: {\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", text) }
+	delta := func(text string) string {
+		return fmt.Sprintf("data: {\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", text)
+	}
 	var refused *RefusedError
 	isRefused := func(err error) bool { return errors.As(err, &refused) }
 	cases := []struct {
