Share the wait that a context can cut short

Cause: six packages had the same function, one with a stricter end: it reports false when the context has ended, also if the timer fires at that moment. Change: package pause with that rule. Conclusion: a loop can no longer start one more pass after its context's end.

--- a/contract/poller.go
+++ b/contract/poller.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"github.com/magnoliausher/magnoliausher/pause"
 )
 
 // DefaultPollInterval is the mean time between polls. Polling is the fallback
@@ -47,7 +49,7 @@
 		if _, err := p.Poll(ctx); err != nil && ctx.Err() == nil {
 			p.config.Log.Warn().Err(err).Uint64("version", p.holder.Version()).Msg("configuration poll failed")
 		}
-		if !sleep(ctx, jitter(p.config.Interval)) {
+		if !pause.For(ctx, jitter(p.config.Interval)) {
 			return
 		}
 	}
@@ -68,14 +70,3 @@
 func jitter(mean time.Duration) time.Duration {
 	return mean/2 + rand.N(mean)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -19,6 +19,7 @@
 	"github.com/magnoliausher/magnoliausher/job"
 	"github.com/magnoliausher/magnoliausher/link"
 	"github.com/magnoliausher/magnoliausher/operator"
+	"github.com/magnoliausher/magnoliausher/pause"
 	"github.com/magnoliausher/magnoliausher/platform"
 	"github.com/magnoliausher/magnoliausher/poison"
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
@@ -282,7 +283,7 @@
 		if complete && d.members.Loaded() {
 			return
 		}
-		pause(ctx, wait)
+		pause.For(ctx, wait)
 		if complete {
 			wait = min(2*wait, configRetryMax)
 		}
@@ -328,15 +329,6 @@
 	return trace.Wrap(err)
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // entrySuspects adapts the table of suspects to the entry.
 type entrySuspects struct{ *poison.Table }
 
--- a/entry/suspects.go
+++ b/entry/suspects.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/magnoliausher/magnoliausher/admission"
+	"github.com/magnoliausher/magnoliausher/pause"
 )
 
 // suspectPause is the mean pause of a suspect before it asks again for an
@@ -23,18 +24,11 @@
 // budget, since nothing was handed over; the deadline ends the wait. It reports
 // false when the request cannot wait.
 func waitForTurn(ctx context.Context, rq *request) bool {
-	pause := suspectPause/2 + rand.N(suspectPause)
-	if !rq.repeatable || time.Now().Add(pause).After(rq.deadline) {
+	wait := suspectPause/2 + rand.N(suspectPause)
+	if !rq.repeatable || time.Now().Add(wait).After(rq.deadline) {
 		return false
 	}
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return pause.For(ctx, wait)
 }
 
 // suspectTracker knows which agents run a suspect of this entry, so that two
--- a/idempotency/settle.go
+++ b/idempotency/settle.go
@@ -7,6 +7,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/magnoliausher/magnoliausher/pause"
 	"github.com/magnoliausher/magnoliausher/platform"
 )
 
@@ -39,7 +40,7 @@
 		if s.settleOnce(ctx, key, &record) {
 			return
 		}
-		if !sleep(ctx, retry.NextBackOff()) {
+		if !pause.For(ctx, retry.NextBackOff()) {
 			return
 		}
 	}
--- a/idempotency/store.go
+++ b/idempotency/store.go
@@ -11,6 +11,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/gravitational/trace"
 
+	"github.com/magnoliausher/magnoliausher/pause"
 	"github.com/magnoliausher/magnoliausher/platform"
 )
 
@@ -136,7 +137,7 @@
 		if errors.Is(err, platform.ErrConflict) {
 			continue // the row just read shows what to write instead
 		}
-		if !sleep(ctx, retry.NextBackOff()) {
+		if !pause.For(ctx, retry.NextBackOff()) {
 			if written {
 				s.pursue(in, StateNotRun)
 			}
@@ -208,18 +209,6 @@
 	return b
 }
 
-// sleep waits for d, or returns false when ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Finish records the whole answer. On an error the answer is still the
 // caller's; the row is pursued in the background.
 func (in *Intent) Finish(ctx context.Context, a Answer) error {
--- a/link/capacity_test.go
+++ b/link/capacity_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/instance"
+	"github.com/magnoliausher/magnoliausher/pause"
 	"github.com/magnoliausher/magnoliausher/platform"
 	"github.com/magnoliausher/magnoliausher/poison"
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
@@ -63,7 +64,7 @@
 	random := rand.New(rand.NewPCG(uint64(len(a.instance.ID)), rand.Uint64()))
 	began := time.Now()
 	for step := uint64(1); ctx.Err() == nil; step++ {
-		sleep(ctx, 100*time.Millisecond)
+		pause.For(ctx, 100*time.Millisecond)
 		a.setLoad(func(l *rpc.LoadReport) {
 			l.AgentTimeMs = uint64(time.Since(began).Milliseconds()) + 80_000_000
 			l.OnlineActive = uint32(min(60, max(0, int(l.OnlineActive)+random.IntN(5)-2)))
--- a/link/entrylink.go
+++ b/link/entrylink.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/magnoliausher/magnoliausher/instance"
+	"github.com/magnoliausher/magnoliausher/pause"
 	"github.com/magnoliausher/magnoliausher/platform"
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
 	"github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1/magnoliausherv1connect"
@@ -82,21 +83,11 @@
 		if time.Since(started) > reconnectMax {
 			wait = reconnectMin
 		}
-		sleep(ctx, jitter(wait))
+		pause.For(ctx, jitter(wait))
 		wait = min(2*wait, reconnectMax)
 	}
 }
 
-// sleep waits for d or the end of ctx.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // stream runs one control stream on a new TCP connection.
 func (l *entryLink) stream(ctx context.Context) error {
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/link/entryside.go
+++ b/link/entryside.go
@@ -12,6 +12,7 @@
 
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/instance"
+	"github.com/magnoliausher/magnoliausher/pause"
 	"github.com/magnoliausher/magnoliausher/platform"
 	"github.com/magnoliausher/magnoliausher/poison"
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
@@ -210,7 +211,7 @@
 		changed := e.cfg.Members.Changed()
 		e.reconcile(ctx, time.Now())
 		// Bursts of changes, such as a list after an outage, are handled together.
-		sleep(ctx, reconcileMin)
+		pause.For(ctx, reconcileMin)
 		timer := time.NewTimer(reconcileMax)
 		select {
 		case <-ctx.Done():
--- a/order/fake_test.go
+++ b/order/fake_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/magnoliausher/magnoliausher/contract"
+	"github.com/magnoliausher/magnoliausher/pause"
 	"github.com/magnoliausher/magnoliausher/platform"
 	"github.com/magnoliausher/magnoliausher/upstream"
 )
@@ -145,7 +146,7 @@
 // Close and Open make the process a Gate.
 func (p *process) Close(ctx context.Context) error {
 	p.gates++
-	sleep(ctx, rand.N(longestDrain))
+	pause.For(ctx, rand.N(longestDrain))
 	p.wait()
 	return ctx.Err()
 }
--- a/order/lease.go
+++ b/order/lease.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/magnoliausher/magnoliausher/pause"
 	"github.com/magnoliausher/magnoliausher/platform"
 	"github.com/magnoliausher/magnoliausher/upstream"
 )
@@ -88,7 +89,7 @@
 		default:
 			failed = 0
 		}
-		if !sleep(ctx, wait) {
+		if !pause.For(ctx, wait) {
 			return errors.Join(ctx.Err(), err)
 		}
 	}
@@ -257,15 +258,3 @@
 func jitter(d time.Duration) time.Duration {
 	return d/2 + rand.N(d+1)
 }
-
-// sleep reports false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/order/permit.go
+++ b/order/permit.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/magnoliausher/magnoliausher/pause"
 	"github.com/magnoliausher/magnoliausher/platform"
 )
 
@@ -48,7 +49,7 @@
 		if !ok {
 			return false, ctx.Err()
 		}
-		if first && !sleep(ctx, rand.N(FirstTrySpread(engines)+1)) {
+		if first && !pause.For(ctx, rand.N(FirstTrySpread(engines)+1)) {
 			return false, ctx.Err()
 		}
 		wait, err := p.try(ctx, engines)
@@ -61,7 +62,7 @@
 		default:
 			failed = 0
 		}
-		if !sleep(ctx, wait) {
+		if !pause.For(ctx, wait) {
 			return false, errors.Join(ctx.Err(), err)
 		}
 	}
@@ -116,7 +117,7 @@
 		if !errors.Is(err, platform.ErrConflict) {
 			return err
 		}
-		if !sleep(ctx, jitter(conflictPause)) {
+		if !pause.For(ctx, jitter(conflictPause)) {
 			return err
 		}
 		if err := p.read(ctx); err != nil {
@@ -192,7 +193,7 @@
 	var err error
 	for range renewTries {
 		err = p.write(ctx, p.row.Without(p.held.Claim))
-		if !errors.Is(err, platform.ErrConflict) || !sleep(ctx, jitter(conflictPause)) {
+		if !errors.Is(err, platform.ErrConflict) || !pause.For(ctx, jitter(conflictPause)) {
 			return err
 		}
 		if err := p.read(ctx); err != nil {
--- a/order/session.go
+++ b/order/session.go
@@ -10,6 +10,7 @@
 
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/metric"
+	"github.com/magnoliausher/magnoliausher/pause"
 	"github.com/magnoliausher/magnoliausher/upstream"
 )
 
@@ -131,7 +132,7 @@
 		if err == nil && !state.Loading {
 			return nil
 		}
-		if err != nil && ctx.Err() != nil || !sleep(ctx, s.loop.cfg.LoadPoll) {
+		if err != nil && ctx.Err() != nil || !pause.For(ctx, s.loop.cfg.LoadPoll) {
 			return ctx.Err()
 		}
 	}
@@ -231,7 +232,7 @@
 				return errStuck
 			}
 		}
-		if !sleep(ctx, s.loop.cfg.LoadPoll) {
+		if !pause.For(ctx, s.loop.cfg.LoadPoll) {
 			return ctx.Err()
 		}
 	}
@@ -275,7 +276,7 @@
 
 func (s *session) keep(ctx context.Context, timing Timing, renew func(context.Context) error) error {
 	wait := timing.renewal()
-	for sleep(ctx, wait) {
+	for pause.For(ctx, wait) {
 		wait = timing.renewal()
 		if err := renew(ctx); err != nil {
 			wait /= failedRenewalShare
