--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 # The benchmarks of docs/CAPACITY.md in one short set-up of about two minutes.
 # Each runs 4 times, the least number for which benchstat can tell a change from
 # noise; -alpha 1 prints the ratio of all of them, with its p value.
-BENCH_PACKAGES = ./limit ./contract ./instance ./poison ./job ./platform ./link ./entry ./agent ./routing
+BENCH_PACKAGES = ./limit ./contract ./instance ./poison ./job ./storage ./link ./entry ./agent ./routing
 BENCH_NAMES = ^Benchmark(Callers|CallersMemory|Decode|ApplyList|Subset|Merge|IndexFirst|IndexUnchanged|IndexChanged|Schedule|Scan|Instances|Run|Request|Tokens|Agent|Choose)$$
 
 bench:
--- a/contract/accept.go
+++ b/contract/accept.go
@@ -12,7 +12,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/magnoliausher/magnoliausher/finding"
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // ConflictError refuses a change that is based on a version that is no longer
@@ -223,11 +223,11 @@
 		case err == nil:
 			a.store.removeOldBodies(ctx, a.doc.Version)
 			return a.doc.Version, nil
-		case errors.Is(err, platform.ErrConflict):
+		case errors.Is(err, storage.ErrConflict):
 			return a.settle(ctx)
-		case errors.Is(err, platform.ErrUnavailable):
+		case errors.Is(err, storage.ErrUnavailable):
 			open = true
-		case !errors.Is(err, platform.ErrThrottled):
+		case !errors.Is(err, storage.ErrThrottled):
 			return 0, a.unsettled(open, err)
 		}
 		if !a.store.backoff.Wait(ctx, failed) {
@@ -266,26 +266,26 @@
 
 // transaction moves config/current on and records the change id of the new
 // version, so that the id can be looked up after later changes too.
-func (a *acceptance) transaction(current currentRow) (platform.Transaction, error) {
+func (a *acceptance) transaction(current currentRow) (storage.Transaction, error) {
 	next, err := json.Marshal(head{
 		Version: a.doc.Version, ChangeID: a.doc.ChangeID, Object: a.key,
 		SheetDate: a.doc.SheetDate, Revision: a.doc.Revision,
 	})
 	if err != nil {
-		return platform.Transaction{}, trace.Wrap(err)
+		return storage.Transaction{}, trace.Wrap(err)
 	}
 	history, err := json.Marshal(record{
 		ChangeID: a.doc.ChangeID, Object: a.key, SheetDate: a.doc.SheetDate, Revision: a.doc.Revision,
 	})
 	if err != nil {
-		return platform.Transaction{}, trace.Wrap(err)
+		return storage.Transaction{}, trace.Wrap(err)
 	}
-	tx := platform.Transaction{Writes: []platform.Write{
+	tx := storage.Transaction{Writes: []storage.Write{
 		{Key: currentKey, Value: next, IfVersion: current.row},
 		{Key: historyKey(a.doc.Version), Value: history},
 	}}
 	if a.doc.Version > historyLength {
-		tx.Writes = append(tx.Writes, platform.Write{Key: historyKey(a.doc.Version - historyLength), Always: true, Delete: true})
+		tx.Writes = append(tx.Writes, storage.Write{Key: historyKey(a.doc.Version - historyLength), Always: true, Delete: true})
 	}
 	return tx, nil
 }
--- a/contract/linearizability_test.go
+++ b/contract/linearizability_test.go
@@ -16,8 +16,8 @@
 	"github.com/anishathalye/porcupine"
 
 	"github.com/magnoliausher/magnoliausher/contract"
-	"github.com/magnoliausher/magnoliausher/platform"
 	standin "github.com/magnoliausher/magnoliausher/standin/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // registerState lists the change ids of all accepted versions, each followed by
@@ -186,7 +186,7 @@
 // raceScenario is one set of faults under which operators race.
 type raceScenario struct {
 	name    string
-	limited bool // through platform.Limited, shared by all operators
+	limited bool // through storage.Limited, shared by all operators
 	inject  func(*standin.Platform)
 	outages bool
 }
@@ -236,9 +236,9 @@
 	s := standin.New(standin.Config{Seed: seed})
 	s.SetLatency(20 * time.Millisecond)
 	scenario.inject(s)
-	var p platform.Platform = s
+	var p storage.Platform = s
 	if scenario.limited {
-		p = platform.NewLimited(s, platform.LimitConfig{Attempts: 3})
+		p = storage.NewLimited(s, storage.LimitConfig{Attempts: 3})
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	var operators, background sync.WaitGroup
--- a/contract/store.go
+++ b/contract/store.go
@@ -11,7 +11,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // Rows and objects of the configuration.
@@ -59,8 +59,8 @@
 
 // Store keeps the configuration in the platform's table and object store.
 type Store struct {
-	platform platform.Platform
-	backoff  platform.Backoff
+	platform storage.Platform
+	backoff  storage.Backoff
 }
 
 // keyHashBytes is the length of the content hash in the key of a body.
@@ -73,10 +73,10 @@
 )
 
 // NewStore returns a store on the platform.
-func NewStore(p platform.Platform) *Store {
+func NewStore(p storage.Platform) *Store {
 	return &Store{
 		platform: p,
-		backoff:  platform.Backoff{Base: storeBackoffBase, Max: storeBackoffMax},
+		backoff:  storage.Backoff{Base: storeBackoffBase, Max: storeBackoffMax},
 	}
 }
 
@@ -114,7 +114,7 @@
 // current reads the row config/current once.
 func (s *Store) current(ctx context.Context) (currentRow, error) {
 	row, err := s.platform.Get(ctx, currentKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return currentRow{}, nil
 	}
 	if err != nil {
@@ -159,7 +159,7 @@
 // record reads a history row; a missing one gives the zero value.
 func (s *Store) record(ctx context.Context, version uint64) (record, error) {
 	row, err := s.platform.Get(ctx, historyKey(version))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return record{}, nil
 	}
 	if err != nil {
@@ -212,7 +212,7 @@
 func (s *Store) retry(ctx context.Context, operation func() error) error {
 	for failed := 0; ; failed++ {
 		err := operation()
-		if !errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrThrottled) {
+		if !errors.Is(err, storage.ErrUnavailable) && !errors.Is(err, storage.ErrThrottled) {
 			return err
 		}
 		if !s.backoff.Wait(ctx, failed) {
--- a/contract/store_test.go
+++ b/contract/store_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/finding"
-	"github.com/magnoliausher/magnoliausher/platform"
 	standin "github.com/magnoliausher/magnoliausher/standin/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // sheetDocument returns a valid document of a sheet.
@@ -150,12 +150,12 @@
 	p := standin.New(standin.Config{})
 	server := httptest.NewServer(p.Handler())
 	defer server.Close()
-	client, err := platform.NewClient(platform.ClientConfig{BaseURL: server.URL})
+	client, err := storage.NewClient(storage.ClientConfig{BaseURL: server.URL})
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer client.Close()
-	s := contract.NewStore(platform.NewLimited(client, platform.LimitConfig{}))
+	s := contract.NewStore(storage.NewLimited(client, storage.LimitConfig{}))
 	for base := range uint64(5) {
 		p.LoseNext(2) // the body's and the commit's
 		accept(t, s, base, sheetDocument("2026-03-02", int(base)))
@@ -183,7 +183,7 @@
 		defer cancel()
 		_, err := s.Accept(ctx, 1, doc)
 		var open *contract.OpenOutcomeError
-		if !errors.As(err, &open) || open.ChangeID != "change-2" || !errors.Is(err, platform.ErrUnavailable) {
+		if !errors.As(err, &open) || open.ChangeID != "change-2" || !errors.Is(err, storage.ErrUnavailable) {
 			t.Fatalf("got %v, want an open outcome", err)
 		}
 		p.ClearFaults()
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -14,9 +14,9 @@
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/link"
 	"github.com/magnoliausher/magnoliausher/order"
-	"github.com/magnoliausher/magnoliausher/platform"
 	"github.com/magnoliausher/magnoliausher/poison"
 	"github.com/magnoliausher/magnoliausher/settings"
+	"github.com/magnoliausher/magnoliausher/storage"
 	"github.com/magnoliausher/magnoliausher/upstream"
 )
 
@@ -103,7 +103,7 @@
 	if s.Platform.Address == "" || contract.Kind(s.Kind) != contract.KindEngine {
 		return nil, nil
 	}
-	client, err := platform.NewClient(platform.ClientConfig{
+	client, err := storage.NewClient(storage.ClientConfig{
 		BaseURL: "http://" + s.Platform.Address, Timeout: s.Platform.Timeout, Connections: 2,
 	})
 	if err != nil {
@@ -111,7 +111,7 @@
 	}
 	loop := order.NewLoop(order.Config{
 		Place: order.Place{AgentID: s.Instance.ID, Service: s.Service, DataCentre: s.Instance.DataCentre},
-		Table: platform.NewLimited(client, platform.LimitConfig{
+		Table: storage.NewLimited(client, storage.LimitConfig{
 			ReadsPerSecond: orderReadsPerSecond, WritesPerSecond: orderWritesPerSecond,
 		}),
 		Logger: logger,
--- a/daemon/agent_test.go
+++ b/daemon/agent_test.go
@@ -17,11 +17,11 @@
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/instance"
 	"github.com/magnoliausher/magnoliausher/link"
-	"github.com/magnoliausher/magnoliausher/platform"
 	"github.com/magnoliausher/magnoliausher/poison"
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
 	"github.com/magnoliausher/magnoliausher/settings"
 	"github.com/magnoliausher/magnoliausher/standin/service"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // startPlainAgent runs an agent of a stand-in service and returns its address.
@@ -50,8 +50,8 @@
 func startLinks(t *testing.T, address string) *link.EntrySide {
 	t.Helper()
 	members := instance.NewTable(instance.Config{})
-	members.ApplyList([]platform.Instance{{ID: "agent-1", Role: platform.RoleAgent, DataCentre: "mvd-a",
-		Address: address, Service: "portal", State: platform.InstanceLive}}, 1, time.Now())
+	members.ApplyList([]storage.Instance{{ID: "agent-1", Role: storage.RoleAgent, DataCentre: "mvd-a",
+		Address: address, Service: "portal", State: storage.InstanceLive}}, 1, time.Now())
 	links := link.NewEntrySide(link.EntrySideConfig{ID: "entry-1", DataCentre: "mvd-a", Incarnation: 1,
 		Holder: &contract.Holder{}, Suspects: poison.NewTable(poison.Config{}), Members: members, Logger: zerolog.Nop()})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -20,11 +20,11 @@
 	"github.com/magnoliausher/magnoliausher/link"
 	"github.com/magnoliausher/magnoliausher/operator"
 	"github.com/magnoliausher/magnoliausher/pause"
-	"github.com/magnoliausher/magnoliausher/platform"
 	"github.com/magnoliausher/magnoliausher/poison"
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
 	"github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1/magnoliausherv1connect"
 	"github.com/magnoliausher/magnoliausher/settings"
+	"github.com/magnoliausher/magnoliausher/storage"
 	"github.com/magnoliausher/magnoliausher/upstream"
 )
 
@@ -46,7 +46,7 @@
 	logger   zerolog.Logger
 
 	holder   *contract.Holder
-	platform *platform.Limited
+	platform *storage.Limited
 	members  *instance.Table
 	links    *link.EntrySide
 	entry    *entry.Entry
@@ -70,11 +70,11 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	client, err := platform.NewClient(platform.ClientConfig{BaseURL: "http://" + s.Platform.Address, Timeout: s.Platform.Timeout})
+	client, err := storage.NewClient(storage.ClientConfig{BaseURL: "http://" + s.Platform.Address, Timeout: s.Platform.Timeout})
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	limited := platform.NewLimited(client, platform.LimitConfig{
+	limited := storage.NewLimited(client, storage.LimitConfig{
 		ReadsPerSecond:  float64(s.Platform.ReadsPerSecond),
 		WritesPerSecond: float64(s.Platform.WritesPerSecond),
 	})
@@ -279,7 +279,7 @@
 		if !d.members.Loaded() {
 			d.members.ApplyPeers(d.fetcher.Instances(ctx, d.settings.Peers), time.Now())
 		}
-		complete := d.holder.Version() > 0 && len(d.members.Members(platform.RoleAgent, time.Now())) > 0
+		complete := d.holder.Version() > 0 && len(d.members.Members(storage.RoleAgent, time.Now())) > 0
 		if complete && d.members.Loaded() {
 			return
 		}
@@ -292,7 +292,7 @@
 
 func (d *Entry) fetchBody(ctx context.Context) {
 	addresses := append([]string(nil), d.settings.Peers...)
-	for _, m := range d.members.Members(platform.RoleAgent, time.Now()) {
+	for _, m := range d.members.Members(storage.RoleAgent, time.Now()) {
 		addresses = append(addresses, m.Address)
 	}
 	if doc, err := d.fetcher.Highest(ctx, addresses, configPeers); err == nil {
--- a/daemon/jobs.go
+++ b/daemon/jobs.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"github.com/magnoliausher/magnoliausher/job"
-	"github.com/magnoliausher/magnoliausher/platform"
 	"github.com/magnoliausher/magnoliausher/poison"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // newJobs makes the batch runner and returns the batch API.
@@ -30,7 +30,7 @@
 // rank is this entry's position among all entries by id. An entry that the
 // list does not show yet counts as the last one.
 func (d *Entry) rank() (rank, entries int) {
-	members := d.members.Members(platform.RoleEntry, time.Now())
+	members := d.members.Members(storage.RoleEntry, time.Now())
 	listed := false
 	for _, m := range members {
 		switch {
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -15,11 +15,11 @@
 
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/daemon"
-	"github.com/magnoliausher/magnoliausher/platform"
 	"github.com/magnoliausher/magnoliausher/settings"
 	"github.com/magnoliausher/magnoliausher/standin/engine"
 	standin "github.com/magnoliausher/magnoliausher/standin/platform"
 	"github.com/magnoliausher/magnoliausher/standin/service"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 const (
@@ -180,9 +180,9 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	f.Platform.SetInstance(platform.Instance{
-		ID: id, Role: platform.RoleAgent, DataCentre: g.DataCentre,
-		Address: a.Address(), Service: svc.Name, State: platform.InstanceLive,
+	f.Platform.SetInstance(storage.Instance{
+		ID: id, Role: storage.RoleAgent, DataCentre: g.DataCentre,
+		Address: a.Address(), Service: svc.Name, State: storage.InstanceLive,
 	})
 	f.Agents = append(f.Agents, a)
 	ctx, cancel := context.WithCancel(ctx)
@@ -206,9 +206,9 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	f.Platform.SetInstance(platform.Instance{
-		ID: id, Role: platform.RoleEntry, DataCentre: s.Instance.DataCentre,
-		Address: e.PeerAddress(), State: platform.InstanceLive,
+	f.Platform.SetInstance(storage.Instance{
+		ID: id, Role: storage.RoleEntry, DataCentre: s.Instance.DataCentre,
+		Address: e.PeerAddress(), State: storage.InstanceLive,
 	})
 	f.Entries = append(f.Entries, e)
 	f.group.Go(func() error { return e.Run(ctx) })
--- a/e2e/harness_test.go
+++ b/e2e/harness_test.go
@@ -23,10 +23,10 @@
 	"github.com/magnoliausher/magnoliausher/cli"
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/loadgen"
-	"github.com/magnoliausher/magnoliausher/platform"
 	"github.com/magnoliausher/magnoliausher/standin/engine"
 	standin "github.com/magnoliausher/magnoliausher/standin/platform"
 	"github.com/magnoliausher/magnoliausher/standin/service"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // runEnvironment makes the test binary run the command line instead of the tests.
@@ -136,16 +136,16 @@
 	p := f.start(id, "agent", fmt.Sprintf(
 		"[instance]\nrole=agent\nid=%s\ndata_centre=%s\nlisten=127.0.0.1:0\n[upstream]\naddress=%s\nservice=%s\nkind=%s\n",
 		id, f.dataCentre, upstreamAt, svc, kind))
-	f.platform.SetInstance(platform.Instance{ID: id, Role: platform.RoleAgent, DataCentre: f.dataCentre,
-		Address: p.address, Service: svc, State: platform.InstanceLive})
+	f.platform.SetInstance(storage.Instance{ID: id, Role: storage.RoleAgent, DataCentre: f.dataCentre,
+		Address: p.address, Service: svc, State: storage.InstanceLive})
 	return p
 }
 
 func (f *fleet) startEntry(id string) *process {
 	p := f.start(id, "entry", fmt.Sprintf(
 		"[instance]\nrole=entry\nid=%s\ndata_centre=%s\nlisten=127.0.0.1:0\n[platform]\naddress=%s\n", id, f.dataCentre, f.at))
-	f.platform.SetInstance(platform.Instance{ID: id, Role: platform.RoleEntry, DataCentre: f.dataCentre,
-		Address: p.address, State: platform.InstanceLive})
+	f.platform.SetInstance(storage.Instance{ID: id, Role: storage.RoleEntry, DataCentre: f.dataCentre,
+		Address: p.address, State: storage.InstanceLive})
 	return p
 }
 
--- a/e2e/leaving_test.go
+++ b/e2e/leaving_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/magnoliausher/magnoliausher/loadgen"
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // leavingBound is the time after which a leaving upstream gets nothing new.
@@ -31,8 +31,8 @@
 	f := newFleet(t, 3, 2)
 	l := newLoad()
 	f.loadUntil(t, l, time.Now().Add(time.Second))
-	f.platform.SetInstance(platform.Instance{ID: f.agents[0].id, Role: platform.RoleAgent, DataCentre: dataCentre,
-		Address: f.agents[0].address, Service: model, State: platform.InstanceLeaving})
+	f.platform.SetInstance(storage.Instance{ID: f.agents[0].id, Role: storage.RoleAgent, DataCentre: dataCentre,
+		Address: f.agents[0].address, Service: model, State: storage.InstanceLeaving})
 	f.loadUntil(t, l, time.Now().Add(leavingBound))
 	before := f.engines[0].Submitted()
 	f.loadUntil(t, l, time.Now().Add(3*time.Second))
--- a/e2e/silence_test.go
+++ b/e2e/silence_test.go
@@ -14,9 +14,9 @@
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/operator"
 	"github.com/magnoliausher/magnoliausher/operator/client"
-	"github.com/magnoliausher/magnoliausher/platform"
 	"github.com/magnoliausher/magnoliausher/standin/network"
 	"github.com/magnoliausher/magnoliausher/standin/service"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // relayAgent makes entries reach an agent through a relay.
@@ -26,8 +26,8 @@
 		f.t.Fatal(err)
 	}
 	f.t.Cleanup(r.Close)
-	f.platform.SetInstance(platform.Instance{ID: p.id, Role: platform.RoleAgent, DataCentre: dataCentre,
-		Address: r.Address(), Service: svc, State: platform.InstanceLive})
+	f.platform.SetInstance(storage.Instance{ID: p.id, Role: storage.RoleAgent, DataCentre: dataCentre,
+		Address: r.Address(), Service: svc, State: storage.InstanceLive})
 	return r
 }
 
--- a/e2e/tls_test.go
+++ b/e2e/tls_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/keys"
-	"github.com/magnoliausher/magnoliausher/platform"
 	standin "github.com/magnoliausher/magnoliausher/standin/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // tlsSettings writes the certificates of an instance and returns its section [tls].
@@ -54,8 +54,8 @@
 	agent := f.start("agent-tls", "agent", fmt.Sprintf(
 		"[instance]\nrole=agent\nid=agent-tls\ndata_centre=%s\nlisten=127.0.0.1:0\n[upstream]\naddress=%s\nservice=%s\n%s",
 		dataCentre, f.startEngine(), model, tlsSettings(t, authority, "agent-tls")))
-	f.platform.SetInstance(platform.Instance{ID: "agent-tls", Role: platform.RoleAgent, DataCentre: dataCentre,
-		Address: agent.address, Service: model, State: platform.InstanceLive})
+	f.platform.SetInstance(storage.Instance{ID: "agent-tls", Role: storage.RoleAgent, DataCentre: dataCentre,
+		Address: agent.address, Service: model, State: storage.InstanceLive})
 	entry := f.start("entry-tls", "entry", fmt.Sprintf(
 		"[instance]\nrole=entry\nid=entry-tls\ndata_centre=%s\nlisten=127.0.0.1:0\n[platform]\naddress=%s\n%s",
 		dataCentre, at, tlsSettings(t, authority, "entry-tls")))
--- a/idempotency/calls_test.go
+++ b/idempotency/calls_test.go
@@ -7,7 +7,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // countedTable counts the calls that reach the platform.
@@ -16,17 +16,17 @@
 	reads, writes int
 }
 
-func (c *countedTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (c *countedTable) Get(ctx context.Context, key string) (storage.Row, error) {
 	c.reads++
 	return c.fakeTable.Get(ctx, key)
 }
 
-func (c *countedTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (c *countedTable) Scan(ctx context.Context, prefix, after string, limit int) ([]storage.Row, error) {
 	c.reads++
 	return c.fakeTable.Scan(ctx, prefix, after, limit)
 }
 
-func (c *countedTable) Commit(ctx context.Context, tx platform.Transaction) ([]uint64, error) {
+func (c *countedTable) Commit(ctx context.Context, tx storage.Transaction) ([]uint64, error) {
 	c.writes++
 	return c.fakeTable.Commit(ctx, tx)
 }
--- a/idempotency/fake_test.go
+++ b/idempotency/fake_test.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/magnoliausher/magnoliausher/pause"
-	"github.com/magnoliausher/magnoliausher/platform"
 	standin "github.com/magnoliausher/magnoliausher/standin/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // fakeTable is the platform stand-in with calls that fail at random in every
@@ -62,19 +62,19 @@
 	return false, true, f.rnd.IntN(4), time.Duration(f.rnd.Int64N(int64(latest)))
 }
 
-func (f *fakeTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (f *fakeTable) Get(ctx context.Context, key string) (storage.Row, error) {
 	f.delay(ctx)
 	if down, fault, _, _ := f.fails(); down || fault || ctx.Err() != nil {
-		return platform.Row{}, platform.ErrUnavailable
+		return storage.Row{}, storage.ErrUnavailable
 	}
 	return f.Platform.Get(ctx, key)
 }
 
-func (f *fakeTable) Commit(ctx context.Context, tx platform.Transaction) ([]uint64, error) {
+func (f *fakeTable) Commit(ctx context.Context, tx storage.Transaction) ([]uint64, error) {
 	f.delay(ctx)
 	down, fault, kind, late := f.fails()
 	if down {
-		return nil, platform.ErrUnavailable
+		return nil, storage.ErrUnavailable
 	}
 	ctx = context.WithoutCancel(ctx) // the write is on its way
 	if !fault {
@@ -82,13 +82,13 @@
 	}
 	switch kind {
 	case 0:
-		return nil, platform.ErrThrottled
+		return nil, storage.ErrThrottled
 	case 1:
 		_, _ = f.Platform.Commit(ctx, tx) // the answer is lost
 	case 2:
 		time.AfterFunc(late, func() { _, _ = f.Platform.Commit(ctx, tx) })
 	}
-	return nil, platform.ErrUnavailable
+	return nil, storage.ErrUnavailable
 }
 
 // delay lets calls of several entries overlap.
--- a/idempotency/settle.go
+++ b/idempotency/settle.go
@@ -8,7 +8,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/magnoliausher/magnoliausher/pause"
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // pursue writes the state to the row of an ended attempt until it is certain.
@@ -52,7 +52,7 @@
 func (s *Store) settleOnce(ctx context.Context, key string, record *Record) bool {
 	row, have, err := s.read(ctx, key)
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, storage.ErrNotFound):
 	case err != nil:
 		return false
 	case have.Attempt == record.Attempt && have.State == record.State:
@@ -76,7 +76,7 @@
 	if err != nil {
 		return 0, trace.Wrap(err)
 	}
-	tx := platform.Transaction{}
+	tx := storage.Transaction{}
 	removed := 0
 	for _, row := range rows {
 		key, begun, err := parseExpiryKey(row.Key)
@@ -86,7 +86,7 @@
 		if !s.expired(begun, now) {
 			break // later rows are younger
 		}
-		tx.Writes = append(tx.Writes, platform.Write{Key: row.Key, IfVersion: row.Version, Delete: true})
+		tx.Writes = append(tx.Writes, storage.Write{Key: row.Key, IfVersion: row.Version, Delete: true})
 		gone, err := s.expire(ctx, key, now, &tx)
 		if err != nil {
 			return 0, err
@@ -99,7 +99,7 @@
 		return 0, nil
 	}
 	_, err = s.config.Table.Commit(ctx, tx)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, storage.ErrConflict) {
 		return 0, nil // another entry removes the same page
 	}
 	if err != nil {
@@ -115,9 +115,9 @@
 // expire adds the removal of an intent row to the transaction, unless a later
 // attempt has taken the row over. Its object goes first, so that none is left
 // without a row.
-func (s *Store) expire(ctx context.Context, key string, now time.Time, tx *platform.Transaction) (bool, error) {
+func (s *Store) expire(ctx context.Context, key string, now time.Time, tx *storage.Transaction) (bool, error) {
 	row, record, err := s.read(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return false, nil
 	}
 	if err != nil {
@@ -131,13 +131,13 @@
 			return false, trace.Wrap(err)
 		}
 	}
-	tx.Writes = append(tx.Writes, platform.Write{Key: key, IfVersion: row.Version, Delete: true})
+	tx.Writes = append(tx.Writes, storage.Write{Key: key, IfVersion: row.Version, Delete: true})
 	return true, nil
 }
 
 // removes reports whether the transaction removes the row already: two listings
 // of one row can be in the same page.
-func removes(tx *platform.Transaction, key string) bool {
+func removes(tx *storage.Transaction, key string) bool {
 	for i := range tx.Writes {
 		if tx.Writes[i].Key == key {
 			return true
--- a/idempotency/store.go
+++ b/idempotency/store.go
@@ -12,13 +12,13 @@
 	"github.com/gravitational/trace"
 
 	"github.com/magnoliausher/magnoliausher/pause"
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // Config of a Store. Zero values take the defaults.
 type Config struct {
-	Table        platform.Table
-	Objects      platform.Objects
+	Table        storage.Table
+	Objects      storage.Objects
 	BeginTimeout time.Duration // a slower table counts as unavailable
 	Settle       time.Duration // how long a row with an open write is pursued in the background
 	MaxSettling  int           // rows pursued at once; more are left to their deadline
@@ -129,12 +129,12 @@
 				return s.answerEarlier(ctx, outcome, record)
 			}
 			replaces = row.Version
-		case errors.Is(readErr, platform.ErrNotFound):
+		case errors.Is(readErr, storage.ErrNotFound):
 			replaces = 0
 		default:
 			err = readErr
 		}
-		if errors.Is(err, platform.ErrConflict) {
+		if errors.Is(err, storage.ErrConflict) {
 			continue // the row just read shows what to write instead
 		}
 		if !pause.For(ctx, retry.NextBackOff()) {
@@ -176,15 +176,15 @@
 }
 
 func mayHaveWritten(err error) bool {
-	return !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrThrottled)
+	return !errors.Is(err, storage.ErrConflict) && !errors.Is(err, storage.ErrThrottled)
 }
 
 // put writes an intent row. list is set when the row comes to name this
 // attempt, and lists its age for the removal.
 func (s *Store) put(ctx context.Context, key string, r *Record, ifVersion uint64, list bool) (uint64, error) {
-	tx := platform.Transaction{Writes: []platform.Write{{Key: key, Value: encode(r), IfVersion: ifVersion}}}
+	tx := storage.Transaction{Writes: []storage.Write{{Key: key, Value: encode(r), IfVersion: ifVersion}}}
 	if list {
-		tx.Writes = append(tx.Writes, platform.Write{Key: expiryKey(key, r.Begun), Always: true})
+		tx.Writes = append(tx.Writes, storage.Write{Key: expiryKey(key, r.Begun), Always: true})
 	}
 	versions, err := s.config.Table.Commit(ctx, tx)
 	if err != nil {
@@ -193,7 +193,7 @@
 	return versions[0], nil
 }
 
-func (s *Store) read(ctx context.Context, key string) (platform.Row, *Record, error) {
+func (s *Store) read(ctx context.Context, key string) (storage.Row, *Record, error) {
 	row, err := s.config.Table.Get(ctx, key)
 	if err != nil {
 		return row, nil, trace.Wrap(err)
--- a/instance/bench_test.go
+++ b/instance/bench_test.go
@@ -7,24 +7,24 @@
 	"testing"
 	"time"
 
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // benchFleet has the target's proportion of entries to agents and its 32 models.
-func benchFleet(n int) (entries, agents []platform.Instance) {
+func benchFleet(n int) (entries, agents []storage.Instance) {
 	count := max(1, n*330/3030)
 	entries, agents = makeInstances("entry", count, 1), makeInstances("agent", n-count, 32)
 	for i := range entries {
-		complete(&entries[i], platform.RoleEntry, i)
+		complete(&entries[i], storage.RoleEntry, i)
 	}
 	for i := range agents {
-		complete(&agents[i], platform.RoleAgent, i)
+		complete(&agents[i], storage.RoleAgent, i)
 	}
 	return entries, agents
 }
 
-func complete(in *platform.Instance, role platform.Role, i int) {
-	in.Role, in.State = role, platform.InstanceLive
+func complete(in *storage.Instance, role storage.Role, i int) {
+	in.Role, in.State = role, storage.InstanceLive
 	in.Address = fmt.Sprintf("10.%d.%d.20:9443", i/250, i%250)
 }
 
@@ -34,7 +34,7 @@
 	for _, n := range []int{100, 300, 1000, 3000} {
 		b.Run(fmt.Sprintf("instances=%d", n), func(b *testing.B) {
 			entries, agents := benchFleet(n)
-			list := append(append([]platform.Instance{}, entries...), agents...)
+			list := append(append([]storage.Instance{}, entries...), agents...)
 			before := heapBytes()
 			t := NewTable(Config{})
 			revision := uint64(0)
@@ -43,8 +43,8 @@
 				revision++
 				now := time.Now()
 				t.ApplyList(list, revision, now)
-				t.Members(platform.RoleEntry, now)
-				t.Members(platform.RoleAgent, now)
+				t.Members(storage.RoleEntry, now)
+				t.Members(storage.RoleAgent, now)
 			}
 			b.ReportMetric((heapBytes()-before)/1024, "KiB")
 			body, err := json.Marshal(list)
--- a/instance/cache.go
+++ b/instance/cache.go
@@ -5,7 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // SubsetCache computes the same as Subset for one entry, but only the services
@@ -18,11 +18,11 @@
 
 type cachedSubset struct {
 	key    uint64 // hash of the inputs
-	chosen []platform.Instance
+	chosen []storage.Instance
 }
 
 // Subset returns the agents that entry self links to; see the function Subset.
-func (c *SubsetCache) Subset(entries, agents []platform.Instance, self string, perService int) []platform.Instance {
+func (c *SubsetCache) Subset(entries, agents []storage.Instance, self string, perService int) []storage.Instance {
 	i, ok := position(entries, self)
 	if !ok {
 		return nil
@@ -32,7 +32,7 @@
 	}
 	entriesKey := hashInstances(entries)
 	services := make(map[string]cachedSubset, len(c.services))
-	var chosen []platform.Instance
+	var chosen []storage.Instance
 	for _, group := range byService(agents) {
 		name := group[0].Service
 		key := entriesKey*31 + hashInstances(group) + uint64(perService)
@@ -48,7 +48,7 @@
 }
 
 // hashInstances covers what the choice depends on and the addresses.
-func hashInstances(list []platform.Instance) uint64 {
+func hashInstances(list []storage.Instance) uint64 {
 	d := xxhash.New()
 	for _, in := range list {
 		for _, part := range []string{in.ID, in.DataCentre, in.Address} {
@@ -59,21 +59,21 @@
 	return d.Sum64()
 }
 
-func position(entries []platform.Instance, self string) (int, bool) {
-	i := slices.IndexFunc(entries, func(in platform.Instance) bool { return in.ID == self })
+func position(entries []storage.Instance, self string) (int, bool) {
+	i := slices.IndexFunc(entries, func(in storage.Instance) bool { return in.ID == self })
 	return i, i >= 0
 }
 
 // linksAll reports whether full linking stays within the bounds.
-func linksAll(entries, agents []platform.Instance) bool {
+func linksAll(entries, agents []storage.Instance) bool {
 	return len(agents) <= MaxLinksPerEntry && len(entries) <= MaxLinksPerAgent
 }
 
 // subsetOf returns the agents of one service that entry i links to.
-func subsetOf(entries, group []platform.Instance, i, perService int) []platform.Instance {
+func subsetOf(entries, group []storage.Instance, i, perService int) []storage.Instance {
 	m := newMatching(entries, group, perService)
 	m.run()
-	var chosen []platform.Instance
+	var chosen []storage.Instance
 	for _, a := range m.agentsOf(i) {
 		chosen = append(chosen, group[a])
 	}
--- a/instance/matching.go
+++ b/instance/matching.go
@@ -6,7 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // matching assigns the entries of the fleet to the agents of one service by
@@ -15,7 +15,7 @@
 // depend on the pair only, the result does not depend on the order of the
 // lists, and replacing an instance displaces few other links.
 type matching struct {
-	entries, agents []platform.Instance
+	entries, agents []storage.Instance
 	wanted          int   // links per entry
 	remoteWanted    int   // of these, to other data centres
 	capacity        []int // per agent; sums to wanted times entries
@@ -32,7 +32,7 @@
 	local, remote int
 }
 
-func newMatching(entries, agents []platform.Instance, perService int) *matching {
+func newMatching(entries, agents []storage.Instance, perService int) *matching {
 	m := &matching{
 		entries:    entries,
 		agents:     agents,
@@ -56,7 +56,7 @@
 
 // capacities divides links evenly. The agents with the lowest hash get one
 // more, so that few capacities change with the number of agents.
-func capacities(agents []platform.Instance, links int) []int {
+func capacities(agents []storage.Instance, links int) []int {
 	order := make([]int, len(agents))
 	hashes := make([]uint64, len(agents))
 	for i := range agents {
--- a/instance/poll.go
+++ b/instance/poll.go
@@ -7,7 +7,7 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // PollInterval is the mean time between reads of the platform's list. An
@@ -28,7 +28,7 @@
 const pollTimeout = 4 * time.Second
 
 // Poll reads the platform's list until ctx ends. A failed read keeps the last list.
-func (t *Table) Poll(ctx context.Context, list platform.InstanceList, logger zerolog.Logger) error {
+func (t *Table) Poll(ctx context.Context, list storage.InstanceList, logger zerolog.Logger) error {
 	failures := 0
 	for {
 		if err := t.Refresh(ctx, list); err == nil {
@@ -51,14 +51,14 @@
 	if failures == 1 {
 		return retryInterval
 	}
-	if len(t.Members(platform.RoleAgent, time.Now())) == 0 {
+	if len(t.Members(storage.RoleAgent, time.Now())) == 0 {
 		return startInterval
 	}
 	return PollInterval
 }
 
 // Refresh reads the platform's list once.
-func (t *Table) Refresh(ctx context.Context, list platform.InstanceList) error {
+func (t *Table) Refresh(ctx context.Context, list storage.InstanceList) error {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	instances, revision, err := list.Instances(ctx, t.Revision())
--- a/instance/poll_test.go
+++ b/instance/poll_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // changingList shows an agent that leaves at a time; one read after that fails.
@@ -19,18 +19,18 @@
 	reads    int
 }
 
-func (l *changingList) Instances(_ context.Context, _ uint64) ([]platform.Instance, uint64, error) {
+func (l *changingList) Instances(_ context.Context, _ uint64) ([]storage.Instance, uint64, error) {
 	l.reads++
-	in := platform.Instance{ID: "agent", Role: platform.RoleAgent, State: platform.InstanceLive}
+	in := storage.Instance{ID: "agent", Role: storage.RoleAgent, State: storage.InstanceLive}
 	if time.Now().Before(l.leavesAt) {
-		return []platform.Instance{in}, 1, nil
+		return []storage.Instance{in}, 1, nil
 	}
 	if l.fail {
 		l.fail = false
 		return nil, 0, errors.New("answer lost")
 	}
-	in.State = platform.InstanceLeaving
-	return []platform.Instance{in}, 2, nil
+	in.State = storage.InstanceLeaving
+	return []storage.Instance{in}, 2, nil
 }
 
 // Guards against work for an upstream more than 3 s after the platform's list
@@ -61,7 +61,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		table := NewTable(Config{})
-		table.ApplyList([]platform.Instance{{ID: "agent", Role: platform.RoleAgent}}, 1, time.Now())
+		table.ApplyList([]storage.Instance{{ID: "agent", Role: storage.RoleAgent}}, 1, time.Now())
 		down := &downList{}
 		done := make(chan error)
 		go func() { done <- table.Poll(ctx, down, zerolog.Nop()) }()
@@ -78,7 +78,7 @@
 
 type downList struct{ reads int }
 
-func (l *downList) Instances(context.Context, uint64) ([]platform.Instance, uint64, error) {
+func (l *downList) Instances(context.Context, uint64) ([]storage.Instance, uint64, error) {
 	l.reads++
 	return nil, 0, errors.New("down")
 }
--- a/instance/subset.go
+++ b/instance/subset.go
@@ -6,7 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // Bounds within which every entry links to every agent. They are the links per
@@ -26,25 +26,25 @@
 // subsets. In each service the numbers of entries per agent differ by at most
 // one. It returns all agents when that is within the bounds, and nil when self
 // is not in entries.
-func Subset(entries, agents []platform.Instance, self string, perService int) []platform.Instance {
+func Subset(entries, agents []storage.Instance, self string, perService int) []storage.Instance {
 	return new(SubsetCache).Subset(entries, agents, self, perService)
 }
 
 // Expand returns up to n further agents for self that are not in linked, in
 // its own order of preference. An entry doubles a service's subset with it
 // while all links of the subset refuse or are lost.
-func Expand(self platform.Instance, agents, linked []platform.Instance, n int) []platform.Instance {
+func Expand(self storage.Instance, agents, linked []storage.Instance, n int) []storage.Instance {
 	have := make(map[string]struct{}, len(linked))
 	for _, in := range linked {
 		have[in.ID] = struct{}{}
 	}
-	var further []platform.Instance
+	var further []storage.Instance
 	for _, in := range agents {
 		if _, ok := have[in.ID]; !ok {
 			further = append(further, in)
 		}
 	}
-	slices.SortFunc(further, func(a, b platform.Instance) int {
+	slices.SortFunc(further, func(a, b storage.Instance) int {
 		return cmp.Or(
 			cmp.Compare(pairScore(self.ID, b.ID), pairScore(self.ID, a.ID)),
 			cmp.Compare(a.ID, b.ID),
@@ -53,15 +53,15 @@
 	return further[:min(n, len(further))]
 }
 
-func sortedByID(list []platform.Instance) []platform.Instance {
+func sortedByID(list []storage.Instance) []storage.Instance {
 	sorted := slices.Clone(list)
-	slices.SortFunc(sorted, func(a, b platform.Instance) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(sorted, func(a, b storage.Instance) int { return cmp.Compare(a.ID, b.ID) })
 	return sorted
 }
 
 // byService splits agents by service, in a fixed order.
-func byService(agents []platform.Instance) [][]platform.Instance {
-	groups := make(map[string][]platform.Instance)
+func byService(agents []storage.Instance) [][]storage.Instance {
+	groups := make(map[string][]storage.Instance)
 	var names []string
 	for _, in := range agents {
 		if groups[in.Service] == nil {
@@ -70,7 +70,7 @@
 		groups[in.Service] = append(groups[in.Service], in)
 	}
 	slices.Sort(names)
-	lists := make([][]platform.Instance, 0, len(names))
+	lists := make([][]storage.Instance, 0, len(names))
 	for _, name := range names {
 		lists = append(lists, groups[name])
 	}
--- a/instance/subset_test.go
+++ b/instance/subset_test.go
@@ -10,13 +10,13 @@
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
 
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
-func makeInstances(prefix string, n, services int) []platform.Instance {
-	list := make([]platform.Instance, n)
+func makeInstances(prefix string, n, services int) []storage.Instance {
+	list := make([]storage.Instance, n)
 	for i := range list {
-		list[i] = platform.Instance{
+		list[i] = storage.Instance{
 			ID:         fmt.Sprintf("%s-%04d", prefix, i),
 			DataCentre: fmt.Sprintf("dc-%d", i/services%6),
 			Service:    fmt.Sprintf("model-%02d", i%services),
@@ -26,7 +26,7 @@
 }
 
 // assignments returns the agents of every entry, by id.
-func assignments(entries, agents []platform.Instance, perService int) map[string]map[string]bool {
+func assignments(entries, agents []storage.Instance, perService int) map[string]map[string]bool {
 	all := make(map[string]map[string]bool, len(entries))
 	for _, e := range entries {
 		all[e.ID] = make(map[string]bool)
@@ -45,7 +45,7 @@
 
 // unevenness returns the greatest difference of entries per agent within a
 // service, and whether every entry has exactly its links of each service.
-func unevenness(all map[string]map[string]bool, entries, agents []platform.Instance, perService int) (spread int, full bool) {
+func unevenness(all map[string]map[string]bool, entries, agents []storage.Instance, perService int) (spread int, full bool) {
 	perAgent := make(map[string]int)
 	links := 0
 	for _, chosen := range all {
@@ -111,7 +111,7 @@
 		t.Errorf("%d of %d links are local, want more than half", local, total)
 	}
 
-	replaced := append([]platform.Instance(nil), agents...)
+	replaced := append([]storage.Instance(nil), agents...)
 	replaced[1234].ID = "agent-new"
 	moved := changedLinks(before, assignments(entries, replaced, 3))
 	t.Logf("replacing one agent opens %d links of %d", moved, total)
--- a/instance/table.go
+++ b/instance/table.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // Defaults of Config.
@@ -41,7 +41,7 @@
 
 // Member is one instance as the table sees it at one time.
 type Member struct {
-	platform.Instance
+	storage.Instance
 	Observed Observation
 	Listed   bool    // in the platform's last list
 	Leaving  bool    // by the list or by its own notice; it gets nothing new
@@ -50,7 +50,7 @@
 }
 
 type record struct {
-	instance   platform.Instance
+	instance   storage.Instance
 	observed   Observation
 	listed     bool
 	unlistedAt time.Time // when the list first lacked it
@@ -90,7 +90,7 @@
 // ApplyList takes a list of the platform. A nil list or one with the present
 // revision changes nothing. A lower revision is taken, because the service may
 // have restarted its count; Poll reads one list at a time, so it is no late answer.
-func (t *Table) ApplyList(list []platform.Instance, revision uint64, now time.Time) {
+func (t *Table) ApplyList(list []storage.Instance, revision uint64, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if list == nil || (t.loaded && revision == t.revision) {
@@ -119,7 +119,7 @@
 
 // ApplyPeers takes instances that peers know. They stand in for the platform's
 // list until it is first read.
-func (t *Table) ApplyPeers(list []platform.Instance, now time.Time) {
+func (t *Table) ApplyPeers(list []storage.Instance, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.loaded || len(list) == 0 {
@@ -148,7 +148,7 @@
 }
 
 // list takes one line of the platform's list.
-func (t *Table) list(in platform.Instance, now time.Time) {
+func (t *Table) list(in storage.Instance, now time.Time) {
 	r := t.records[in.ID]
 	if r == nil {
 		r = &record{}
@@ -211,7 +211,7 @@
 
 // Members returns the instances of a role sorted by id. Unlisted ones are
 // included while their link works, for at most KeepUnlisted.
-func (t *Table) Members(role platform.Role, now time.Time) []Member {
+func (t *Table) Members(role storage.Role, now time.Time) []Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var members []Member
@@ -249,7 +249,7 @@
 		Instance: r.instance,
 		Observed: r.observed,
 		Listed:   r.listed,
-		Leaving:  r.observed.Leaving || r.instance.State == platform.InstanceLeaving,
+		Leaving:  r.observed.Leaving || r.instance.State == storage.InstanceLeaving,
 		Weight:   t.weight(r, now),
 	}
 	m.Usable = !m.Leaving && !m.Observed.Silent
--- a/instance/table_test.go
+++ b/instance/table_test.go
@@ -9,13 +9,13 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 var start = time.Unix(1_000_000, 0)
 
-func agent(id string, state platform.InstanceState) platform.Instance {
-	return platform.Instance{ID: id, Role: platform.RoleAgent, State: state}
+func agent(id string, state storage.InstanceState) storage.Instance {
+	return storage.Instance{ID: id, Role: storage.RoleAgent, State: state}
 }
 
 func member(t *testing.T, table *Table, id string, now time.Time) Member {
@@ -31,7 +31,7 @@
 // shows live, and against a late observation that takes the notice back.
 func TestLeavingWinsOverTheList(t *testing.T) {
 	table := NewTable(Config{})
-	list := []platform.Instance{agent("a", platform.InstanceLive)}
+	list := []storage.Instance{agent("a", storage.InstanceLive)}
 	table.ApplyList(list, 1, start)
 	table.Observe("a", Observation{Connected: true, Incarnation: 1}, start)
 	if !member(t, table, "a", start).Usable {
@@ -53,9 +53,9 @@
 // against using them for ever.
 func TestUnlistedStaysForABoundedTime(t *testing.T) {
 	table := NewTable(Config{})
-	table.ApplyList([]platform.Instance{agent("a", platform.InstanceLive), agent("b", platform.InstanceLive)}, 1, start)
+	table.ApplyList([]storage.Instance{agent("a", storage.InstanceLive), agent("b", storage.InstanceLive)}, 1, start)
 	table.Observe("a", Observation{Connected: true}, start)
-	table.ApplyList([]platform.Instance{}, 2, start)
+	table.ApplyList([]storage.Instance{}, 2, start)
 	if _, ok := table.Member("b", start); ok {
 		t.Error("an instance without link or listing is present")
 	}
@@ -75,9 +75,9 @@
 // whole fleet when this process starts.
 func TestNewcomerRamp(t *testing.T) {
 	table := NewTable(Config{})
-	old := agent("old", platform.InstanceLive)
-	table.ApplyList([]platform.Instance{old}, 1, start)
-	table.ApplyList([]platform.Instance{old, agent("new", platform.InstanceLive)}, 2, start)
+	old := agent("old", storage.InstanceLive)
+	table.ApplyList([]storage.Instance{old}, 1, start)
+	table.ApplyList([]storage.Instance{old, agent("new", storage.InstanceLive)}, 2, start)
 	table.Observe("old", Observation{Connected: true, Incarnation: 1}, start)
 	for _, c := range []struct {
 		id    string
@@ -100,12 +100,12 @@
 // failingList fails every second read and counts the reads.
 type failingList struct{ reads int }
 
-func (l *failingList) Instances(_ context.Context, _ uint64) ([]platform.Instance, uint64, error) {
+func (l *failingList) Instances(_ context.Context, _ uint64) ([]storage.Instance, uint64, error) {
 	l.reads++
 	if l.reads%2 == 0 {
 		return nil, 0, errors.New("unavailable")
 	}
-	return []platform.Instance{agent("a", platform.InstanceLive)}, uint64(l.reads), nil
+	return []storage.Instance{agent("a", storage.InstanceLive)}, uint64(l.reads), nil
 }
 
 // Guards against polls that stop, or drop the list, after an error.
@@ -140,15 +140,15 @@
 	if table.Lists() != 0 {
 		t.Error("an empty answer counts as a list")
 	}
-	table.ApplyPeers([]platform.Instance{agent("a", platform.InstanceLive), agent("old", platform.InstanceLive)}, start)
+	table.ApplyPeers([]storage.Instance{agent("a", storage.InstanceLive), agent("old", storage.InstanceLive)}, start)
 	if m := member(t, table, "old", start); !m.Listed || !m.Usable || table.Loaded() || table.Revision() != 0 {
 		t.Errorf("%+v, loaded %v, revision %d", m, table.Loaded(), table.Revision())
 	}
-	table.ApplyList([]platform.Instance{agent("a", platform.InstanceLeaving)}, 7, start)
+	table.ApplyList([]storage.Instance{agent("a", storage.InstanceLeaving)}, 7, start)
 	if _, ok := table.Member("old", start); ok || !table.Loaded() {
 		t.Error("an instance that the list does not show has stayed")
 	}
-	table.ApplyPeers([]platform.Instance{agent("a", platform.InstanceLive)}, start)
+	table.ApplyPeers([]storage.Instance{agent("a", storage.InstanceLive)}, start)
 	if m := member(t, table, "a", start); !m.Leaving || table.Lists() != 2 {
 		t.Errorf("peers replaced the platform's list: %+v", m)
 	}
--- a/job/chunk.go
+++ b/job/chunk.go
@@ -8,7 +8,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // scanRows is the number of rows that one scan of chunks asks for.
@@ -45,7 +45,7 @@
 	return chunks, nil
 }
 
-func decodeChunk(row platform.Row) (Chunk, error) {
+func decodeChunk(row storage.Row) (Chunk, error) {
 	c := Chunk{Version: row.Version}
 	if err := json.Unmarshal(row.Value, &c); err != nil {
 		return c, trace.Wrap(err, "row %s", row.Key)
@@ -93,7 +93,7 @@
 		Partial: seen.Partial, Intended: seen.Intended, Version: seen.Version,
 	}}
 	err := s.writeChunk(ctx, claim, claim.Chunk)
-	if err != nil && !errors.Is(err, platform.ErrUnavailable) {
+	if err != nil && !errors.Is(err, storage.ErrUnavailable) {
 		return nil, trace.Wrap(err)
 	}
 	if err != nil {
@@ -108,17 +108,17 @@
 // the job row, and notes the new version.
 func (s *Store) writeChunk(ctx context.Context, claim *Claim, next Chunk) error {
 	key := chunkKey(claim.Job.ID, claim.Chunk.Index)
-	versions, err := s.table.Commit(ctx, platform.Transaction{
-		Conditions: []platform.Condition{{Key: jobKey(claim.Job.ID), Version: claim.Job.Version}},
-		Writes:     []platform.Write{{Key: key, Value: mustJSON(next), IfVersion: claim.Chunk.Version}},
+	versions, err := s.table.Commit(ctx, storage.Transaction{
+		Conditions: []storage.Condition{{Key: jobKey(claim.Job.ID), Version: claim.Job.Version}},
+		Writes:     []storage.Write{{Key: key, Value: mustJSON(next), IfVersion: claim.Chunk.Version}},
 	})
 	switch {
 	case err == nil:
 		next.Version = versions[0]
 		claim.Chunk = next
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, storage.ErrUnavailable):
 		claim.unsettled = true
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, storage.ErrConflict):
 		err = ErrLost
 	}
 	return err
@@ -174,7 +174,7 @@
 		return nil
 	}
 	if claim.Chunk.Version != before {
-		return trace.Wrap(platform.ErrThrottled, "row changed by an own delayed write")
+		return trace.Wrap(storage.ErrThrottled, "row changed by an own delayed write")
 	}
 	return ErrLost // the job row changed
 }
--- a/job/claimloop.go
+++ b/job/claimloop.go
@@ -8,7 +8,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // claimScan is the number of rows that one look for free chunks reads.
@@ -264,7 +264,7 @@
 // tryComplete ends a job if all its chunks are done.
 func (r *Runner) tryComplete(ctx context.Context, job string) error {
 	ended, err := r.store.Complete(ctx, job)
-	if ended || errors.Is(err, platform.ErrNotFound) {
+	if ended || errors.Is(err, storage.ErrNotFound) {
 		r.endJob(job)
 		return nil
 	}
--- a/job/fake_test.go
+++ b/job/fake_test.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // fault is what happens to one call of the fake platform.
@@ -29,9 +29,9 @@
 	case faultNone:
 		return nil
 	case faultThrottled:
-		return platform.ErrThrottled
+		return storage.ErrThrottled
 	}
-	return platform.ErrUnavailable
+	return storage.ErrUnavailable
 }
 
 func (k fault) takesEffect() bool { return k == faultNone || k == faultLost || k == faultLate }
@@ -45,7 +45,7 @@
 
 type fakeState struct {
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]storage.Row
 	version uint64
 	objects map[string][]byte
 	written map[string]time.Time
@@ -57,7 +57,7 @@
 
 func newFake() *fake {
 	return &fake{fakeState: &fakeState{
-		rows: make(map[string]platform.Row), objects: make(map[string][]byte),
+		rows: make(map[string]storage.Row), objects: make(map[string][]byte),
 		written: make(map[string]time.Time),
 	}}
 }
@@ -96,33 +96,33 @@
 	return keys[:min(limit, len(keys))]
 }
 
-func (f *fake) Objects() platform.Objects { return fakeObjects{f} }
+func (f *fake) Objects() storage.Objects { return fakeObjects{f} }
 
-func (f *fake) Instances(context.Context, uint64) ([]platform.Instance, uint64, error) {
+func (f *fake) Instances(context.Context, uint64) ([]storage.Instance, uint64, error) {
 	return nil, 0, nil
 }
 
-func (f *fake) Get(_ context.Context, key string) (platform.Row, error) {
+func (f *fake) Get(_ context.Context, key string) (storage.Row, error) {
 	k := f.enter("get", key)
 	defer f.mu.Unlock()
 	f.reads++
 	row, ok := f.rows[key]
 	if k == faultNone && !ok {
-		return platform.Row{}, platform.ErrNotFound
+		return storage.Row{}, storage.ErrNotFound
 	}
 	f.rowsRead++
 	f.bytesRead += len(row.Value)
 	return row, k.err()
 }
 
-func (f *fake) Scan(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (f *fake) Scan(_ context.Context, prefix, after string, limit int) ([]storage.Row, error) {
 	k := f.enter("scan", prefix)
 	defer f.mu.Unlock()
 	f.reads++
 	if k != faultNone {
 		return nil, k.err()
 	}
-	var rows []platform.Row
+	var rows []storage.Row
 	for _, key := range page(f.rows, prefix, after, limit) {
 		rows = append(rows, f.rows[key])
 		f.rowsRead++
@@ -131,7 +131,7 @@
 	return rows, nil
 }
 
-func (f *fake) Commit(_ context.Context, tx platform.Transaction) ([]uint64, error) {
+func (f *fake) Commit(_ context.Context, tx storage.Transaction) ([]uint64, error) {
 	k := f.enter("commit", tx.Writes[0].Key)
 	defer f.mu.Unlock()
 	if k == faultLate {
@@ -152,23 +152,23 @@
 }
 
 // apply needs the lock.
-func (f *fake) apply(tx platform.Transaction) ([]uint64, error) {
+func (f *fake) apply(tx storage.Transaction) ([]uint64, error) {
 	f.commits++
 	for _, w := range tx.Writes {
 		if !w.Always {
-			tx.Conditions = append(slices.Clip(tx.Conditions), platform.Condition{Key: w.Key, Version: w.IfVersion})
+			tx.Conditions = append(slices.Clip(tx.Conditions), storage.Condition{Key: w.Key, Version: w.IfVersion})
 		}
 	}
 	for _, c := range tx.Conditions {
 		if f.rows[c.Key].Version != c.Version {
-			return nil, platform.ErrConflict
+			return nil, storage.ErrConflict
 		}
 	}
 	var versions []uint64
 	for _, w := range tx.Writes {
 		f.version++
 		versions = append(versions, f.version)
-		f.rows[w.Key] = platform.Row{Key: w.Key, Version: f.version, Value: w.Value}
+		f.rows[w.Key] = storage.Row{Key: w.Key, Version: f.version, Value: w.Value}
 		if w.Delete {
 			delete(f.rows, w.Key)
 		}
@@ -199,7 +199,7 @@
 	o.f.reads++
 	b, ok := o.f.objects[key]
 	if k == faultNone && !ok {
-		return nil, platform.ErrNotFound
+		return nil, storage.ErrNotFound
 	}
 	return io.NopCloser(bytes.NewReader(b)), k.err()
 }
@@ -213,15 +213,15 @@
 	return k.err()
 }
 
-func (o fakeObjects) List(_ context.Context, prefix, after string, limit int) ([]platform.ObjectInfo, error) {
+func (o fakeObjects) List(_ context.Context, prefix, after string, limit int) ([]storage.ObjectInfo, error) {
 	k := o.f.enter("list", prefix)
 	defer o.f.mu.Unlock()
 	if k != faultNone {
 		return nil, k.err()
 	}
-	var list []platform.ObjectInfo
+	var list []storage.ObjectInfo
 	for _, key := range page(o.f.objects, prefix, after, limit) {
-		list = append(list, platform.ObjectInfo{Key: key, Bytes: int64(len(o.f.objects[key])), Written: o.f.written[key]})
+		list = append(list, storage.ObjectInfo{Key: key, Bytes: int64(len(o.f.objects[key])), Written: o.f.written[key]})
 	}
 	return list, nil
 }
--- a/job/fleet_test.go
+++ b/job/fleet_test.go
@@ -13,9 +13,9 @@
 
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/link"
-	"github.com/magnoliausher/magnoliausher/platform"
 	"github.com/magnoliausher/magnoliausher/poison"
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // fleet is a set of agents that entries share: it grants, runs items by answer,
@@ -180,7 +180,7 @@
 	over chan struct{} // the grants have ended
 }
 
-func startEntry(t testing.TB, f platform.Platform, fl *fleet, rank, entries int) *entry {
+func startEntry(t testing.TB, f storage.Platform, fl *fleet, rank, entries int) *entry {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	p := newPort(fl)
--- a/job/http.go
+++ b/job/http.go
@@ -15,7 +15,7 @@
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/finding"
 	"github.com/magnoliausher/magnoliausher/metric"
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // platformTimeout bounds the calls of one request other than the transfer of a
@@ -114,7 +114,7 @@
 		return invalid(http.StatusRequestEntityTooLarge, "file_too_large", "file", ErrTooLarge.Error())
 	case errors.Is(err, ErrMismatch):
 		return invalid(http.StatusConflict, "idempotency_key_reused", "Idempotency-Key", ErrMismatch.Error())
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, storage.ErrNotFound):
 		return invalid(http.StatusNotFound, "not_found", "", "no such file or batch")
 	}
 	// A create whose commit was sent may have taken effect; a resend gets the same job.
@@ -147,7 +147,7 @@
 		return nil, err
 	}
 	if j.Organisation != c.Organisation {
-		return nil, platform.ErrNotFound
+		return nil, storage.ErrNotFound
 	}
 	return j, nil
 }
--- a/job/http_batches.go
+++ b/job/http_batches.go
@@ -11,7 +11,7 @@
 
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/finding"
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // CreateRequest is the body of POST /v1/batches.
@@ -112,7 +112,7 @@
 	}
 	file, err := a.ownFile(ctx, req.InputFileID, c)
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, storage.ErrNotFound):
 		list.Add(finding.Finding{Key: "input_file_id", Value: req.InputFileID, Reason: "no such file"})
 	case err != nil:
 		return sub, err
--- a/job/http_files.go
+++ b/job/http_files.go
@@ -11,7 +11,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/magnoliausher/magnoliausher/contract"
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // FileObject is a file of the OpenAI API.
@@ -152,7 +152,7 @@
 		return nil, err
 	}
 	if f.Organisation != c.Organisation {
-		return nil, platform.ErrNotFound
+		return nil, storage.ErrNotFound
 	}
 	return f, nil
 }
@@ -165,7 +165,7 @@
 		return nil, 0, err
 	}
 	if !j.Status.Final() {
-		return nil, 0, platform.ErrNotFound
+		return nil, 0, storage.ErrNotFound
 	}
 	if isErrors && j.Status != StatusCompleted {
 		var n byteCounter
@@ -229,7 +229,7 @@
 		return nil, 0, trace.Wrap(err)
 	}
 	if !j.Status.Final() {
-		return nil, 0, platform.ErrNotFound
+		return nil, 0, storage.ErrNotFound
 	}
 	return func(w io.Writer) error { return a.Store.WriteResults(ctx, j, isErrors, w) }, -1, nil
 }
--- a/job/index.go
+++ b/job/index.go
@@ -11,7 +11,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // Running is a running job as the index lists it.
@@ -34,7 +34,7 @@
 // indexWrites gives the writes that add the job to the index or remove it. The
 // version row is written without a condition, so that jobs of different buckets
 // never conflict and readers need only the small version rows.
-func (s *Store) indexWrites(ctx context.Context, j *Job) ([]platform.Write, error) {
+func (s *Store) indexWrites(ctx context.Context, j *Job) ([]storage.Write, error) {
 	b := bucketOf(j.ID)
 	row, err := s.getRow(ctx, bucketKey(b))
 	if err != nil {
@@ -52,13 +52,13 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return []platform.Write{
+	return []storage.Write{
 		{Key: bucketKey(b), Value: value, IfVersion: row.Version},
 		{Key: versionKey(b), Value: []byte("1"), Always: true},
 	}, nil
 }
 
-func decodeBucket(row platform.Row) ([]Running, error) {
+func decodeBucket(row storage.Row) ([]Running, error) {
 	if row.Version == 0 {
 		return nil, nil
 	}
@@ -70,13 +70,13 @@
 // IndexReader follows the index of running jobs. A refresh scans the version
 // rows and reads only buckets that changed. It is not safe for concurrent use.
 type IndexReader struct {
-	table    platform.Table
+	table    storage.Table
 	versions [buckets]uint64
 	lists    [buckets][]Running
 }
 
 // NewIndexReader returns a reader with nothing read yet.
-func NewIndexReader(table platform.Table) *IndexReader { return &IndexReader{table: table} }
+func NewIndexReader(table storage.Table) *IndexReader { return &IndexReader{table: table} }
 
 // Refresh returns the running jobs by id order. The slice is the caller's.
 func (x *IndexReader) Refresh(ctx context.Context) ([]Running, error) {
@@ -99,7 +99,7 @@
 
 // refreshBucket reads a bucket whose version row changed. The bucket read may
 // be newer than the version row, which costs one more read later.
-func (x *IndexReader) refreshBucket(ctx context.Context, version platform.Row) error {
+func (x *IndexReader) refreshBucket(ctx context.Context, version storage.Row) error {
 	b, err := strconv.Atoi(strings.TrimPrefix(version.Key, versionPrefix))
 	if err != nil || b < 0 || b >= buckets || x.versions[b] == version.Version {
 		return nil
--- a/job/lease.go
+++ b/job/lease.go
@@ -9,7 +9,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/magnoliausher/magnoliausher/attempt"
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // intentBatch is the number of non-repeatable items that one write of the chunk
@@ -304,7 +304,7 @@
 // RenewAll renews claims of several chunks in one transaction. ErrLost says that
 // at least one of them, or its job, has changed; none was renewed then.
 func (s *Store) RenewAll(ctx context.Context, claims []*Claim) error {
-	var tx platform.Transaction
+	var tx storage.Transaction
 	next := make([]Chunk, len(claims))
 	jobs := make(map[string]bool)
 	for i, c := range claims {
@@ -313,12 +313,12 @@
 		}
 		next[i] = c.Chunk
 		next[i].Renewals++
-		tx.Writes = append(tx.Writes, platform.Write{
+		tx.Writes = append(tx.Writes, storage.Write{
 			Key: chunkKey(c.Job.ID, c.Chunk.Index), Value: mustJSON(next[i]), IfVersion: c.Chunk.Version,
 		})
 		if !jobs[c.Job.ID] {
 			jobs[c.Job.ID] = true
-			tx.Conditions = append(tx.Conditions, platform.Condition{Key: jobKey(c.Job.ID), Version: c.Job.Version})
+			tx.Conditions = append(tx.Conditions, storage.Condition{Key: jobKey(c.Job.ID), Version: c.Job.Version})
 		}
 	}
 	if len(claims) == 0 {
@@ -326,9 +326,9 @@
 	}
 	versions, err := s.table.Commit(ctx, tx)
 	switch {
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, storage.ErrConflict):
 		return ErrLost
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, storage.ErrUnavailable):
 		for _, c := range claims {
 			c.unsettled = true
 		}
--- a/job/output.go
+++ b/job/output.go
@@ -7,7 +7,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // WriteInput streams an uploaded file. Line ends are normalised to "\n".
@@ -26,7 +26,7 @@
 // line for each item that was not completed.
 func (s *Store) WriteResults(ctx context.Context, j *Job, errors bool, w io.Writer) error {
 	if !j.Status.Final() {
-		return trace.Wrap(platform.ErrNotFound, "job %s has not ended", j.ID)
+		return trace.Wrap(storage.ErrNotFound, "job %s has not ended", j.ID)
 	}
 	done, err := s.DoneChunks(ctx, j)
 	if err != nil {
--- a/job/retention.go
+++ b/job/retention.go
@@ -11,7 +11,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/time/rate"
 
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // Bounds of the removal of expired data.
@@ -65,7 +65,7 @@
 	return trace.NewAggregate(
 		w.sweepJobs(ctx, now),
 		w.sweepFiles(ctx, now),
-		w.sweepOrphans(ctx, partObjects, now, func(ctx context.Context, id string) (platform.Row, error) {
+		w.sweepOrphans(ctx, partObjects, now, func(ctx context.Context, id string) (storage.Row, error) {
 			return w.Store.getRow(ctx, fileKey(id))
 		}),
 		w.sweepOrphans(ctx, resultObjects, now, w.jobRow),
@@ -73,17 +73,17 @@
 	)
 }
 
-func (w *Sweeper) jobRow(ctx context.Context, id string) (platform.Row, error) {
+func (w *Sweeper) jobRow(ctx context.Context, id string) (storage.Row, error) {
 	return w.Store.getRow(ctx, jobKey(id))
 }
 
 // rows calls f for every row with the prefix.
-func (w *Sweeper) rows(ctx context.Context, prefix string, f func(platform.Row) error) error {
+func (w *Sweeper) rows(ctx context.Context, prefix string, f func(storage.Row) error) error {
 	for after := ""; ; {
 		if err := w.limit.Wait(ctx); err != nil {
 			return trace.Wrap(err)
 		}
-		page, err := retry(ctx, func() ([]platform.Row, error) {
+		page, err := retry(ctx, func() ([]storage.Row, error) {
 			return w.Store.table.Scan(ctx, prefix, after, sweepPage)
 		})
 		if err != nil {
@@ -102,7 +102,7 @@
 }
 
 func (w *Sweeper) sweepJobs(ctx context.Context, now time.Time) error {
-	return w.rows(ctx, jobPrefix, func(row platform.Row) error {
+	return w.rows(ctx, jobPrefix, func(row storage.Row) error {
 		j, err := decodeJob(row)
 		if err != nil || now.Before(j.expires()) {
 			return trace.Wrap(err)
@@ -123,19 +123,19 @@
 			return trace.Wrap(err)
 		}
 	}
-	err = w.rows(ctx, chunksKey(j.ID), func(row platform.Row) error {
-		return w.Store.removeRows(ctx, w.limit, platform.Write{Key: row.Key, Always: true, Delete: true})
+	err = w.rows(ctx, chunksKey(j.ID), func(row storage.Row) error {
+		return w.Store.removeRows(ctx, w.limit, storage.Write{Key: row.Key, Always: true, Delete: true})
 	})
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	return w.Store.removeRows(ctx, w.limit,
-		platform.Write{Key: jobKey(j.ID), IfVersion: j.Version, Delete: true},
-		platform.Write{Key: orgJobKey(j.Organisation, j.Created, j.ID), Always: true, Delete: true})
+		storage.Write{Key: jobKey(j.ID), IfVersion: j.Version, Delete: true},
+		storage.Write{Key: orgJobKey(j.Organisation, j.Created, j.ID), Always: true, Delete: true})
 }
 
 func (w *Sweeper) sweepFiles(ctx context.Context, now time.Time) error {
-	return w.rows(ctx, filePrefix, func(row platform.Row) error {
+	return w.rows(ctx, filePrefix, func(row storage.Row) error {
 		var f File
 		if err := json.Unmarshal(row.Value, &f); err != nil || now.Before(f.KeepUntil) {
 			return trace.Wrap(err)
@@ -154,11 +154,11 @@
 		return trace.Wrap(err)
 	}
 	_, err = retry(ctx, func() ([]uint64, error) {
-		return s.table.Commit(ctx, platform.Transaction{Writes: []platform.Write{
+		return s.table.Commit(ctx, storage.Transaction{Writes: []storage.Write{
 			{Key: row.Key, IfVersion: row.Version, Delete: true},
 		}})
 	})
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, storage.ErrConflict) {
 		return nil // a job took the file; or it is removed, and its parts are orphans
 	}
 	if err != nil {
@@ -174,14 +174,14 @@
 
 // removeRows deletes in one transaction. A conflict means that the row was
 // changed or removed by another process; the next sweep looks again.
-func (s *Store) removeRows(ctx context.Context, limit *rate.Limiter, writes ...platform.Write) error {
+func (s *Store) removeRows(ctx context.Context, limit *rate.Limiter, writes ...storage.Write) error {
 	if err := wait(ctx, limit); err != nil {
 		return trace.Wrap(err)
 	}
 	_, err := retry(ctx, func() ([]uint64, error) {
-		return s.table.Commit(ctx, platform.Transaction{Writes: writes})
+		return s.table.Commit(ctx, storage.Transaction{Writes: writes})
 	})
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, storage.ErrConflict) {
 		return nil
 	}
 	return trace.Wrap(err)
@@ -203,12 +203,12 @@
 }
 
 // eachObject calls f for every object with the prefix.
-func (w *Sweeper) eachObject(ctx context.Context, prefix string, f func(platform.ObjectInfo) error) error {
+func (w *Sweeper) eachObject(ctx context.Context, prefix string, f func(storage.ObjectInfo) error) error {
 	for after := ""; ; {
 		if err := w.limit.Wait(ctx); err != nil {
 			return trace.Wrap(err)
 		}
-		page, err := retry(ctx, func() ([]platform.ObjectInfo, error) {
+		page, err := retry(ctx, func() ([]storage.ObjectInfo, error) {
 			return w.Store.objects.List(ctx, prefix, after, sweepPage)
 		})
 		if err != nil {
@@ -227,7 +227,7 @@
 }
 
 func (w *Sweeper) removeObjects(ctx context.Context, prefix string) error {
-	return w.eachObject(ctx, prefix, func(o platform.ObjectInfo) error {
+	return w.eachObject(ctx, prefix, func(o storage.ObjectInfo) error {
 		return w.Store.removeObject(ctx, w.limit, o.Key)
 	})
 }
@@ -235,9 +235,9 @@
 // sweepOrphans removes old objects of files or jobs that have no row. One row
 // read serves all objects of the same file or job.
 func (w *Sweeper) sweepOrphans(ctx context.Context, prefix string, now time.Time,
-	owner func(context.Context, string) (platform.Row, error)) error {
+	owner func(context.Context, string) (storage.Row, error)) error {
 	last, exists := "", false
-	return w.eachObject(ctx, prefix, func(o platform.ObjectInfo) error {
+	return w.eachObject(ctx, prefix, func(o storage.ObjectInfo) error {
 		id, _, _ := strings.Cut(strings.TrimPrefix(o.Key, prefix), "/")
 		if now.Sub(o.Written) < orphanAge {
 			return nil
--- a/job/retry.go
+++ b/job/retry.go
@@ -5,11 +5,11 @@
 	"errors"
 	"time"
 
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // pauses between calls to a failing platform.
-var pauses = platform.Backoff{Base: 100 * time.Millisecond, Max: 10 * time.Second}
+var pauses = storage.Backoff{Base: 100 * time.Millisecond, Max: 10 * time.Second}
 
 // backoff counts the failures of one operation.
 type backoff struct{ failed int }
@@ -30,7 +30,7 @@
 
 // transient reports whether the same call may succeed later.
 func transient(err error) bool {
-	return errors.Is(err, platform.ErrThrottled) || errors.Is(err, platform.ErrUnavailable)
+	return errors.Is(err, storage.ErrThrottled) || errors.Is(err, storage.ErrUnavailable)
 }
 
 // retry repeats a call until it succeeds, fails for good or the context ends.
@@ -49,10 +49,10 @@
 }
 
 // getRow reads a row; an absent one has version 0.
-func (s *Store) getRow(ctx context.Context, key string) (platform.Row, error) {
-	row, err := retry(ctx, func() (platform.Row, error) { return s.table.Get(ctx, key) })
-	if errors.Is(err, platform.ErrNotFound) {
-		return platform.Row{Key: key}, nil
+func (s *Store) getRow(ctx context.Context, key string) (storage.Row, error) {
+	row, err := retry(ctx, func() (storage.Row, error) { return s.table.Get(ctx, key) })
+	if errors.Is(err, storage.ErrNotFound) {
+		return storage.Row{Key: key}, nil
 	}
 	return row, err
 }
--- a/job/runner.go
+++ b/job/runner.go
@@ -12,8 +12,8 @@
 
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/link"
-	"github.com/magnoliausher/magnoliausher/platform"
 	"github.com/magnoliausher/magnoliausher/poison"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // Suspects tells which requests were in progress at upstream crashes.
@@ -23,7 +23,7 @@
 
 // RunnerConfig is what a Runner works with.
 type RunnerConfig struct {
-	Platform    platform.Platform
+	Platform    storage.Platform
 	Links       link.Runner
 	Port        link.BatchPort
 	Contract    *contract.Holder
--- a/job/store.go
+++ b/job/store.go
@@ -11,18 +11,18 @@
 	"github.com/gravitational/trace"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // Store reads and writes files, jobs and chunks. It holds no state of its own,
 // so any number of processes may use the same platform.
 type Store struct {
-	table   platform.Table
-	objects platform.Objects
+	table   storage.Table
+	objects storage.Objects
 }
 
 // NewStore returns a store over the platform.
-func NewStore(p platform.Platform) *Store {
+func NewStore(p storage.Platform) *Store {
 	return &Store{table: p, objects: p.Objects()}
 }
 
@@ -38,37 +38,37 @@
 	IdempotencyKey string // may be empty
 }
 
-// File returns a file's row, or platform.ErrNotFound.
+// File returns a file's row, or storage.ErrNotFound.
 func (s *Store) File(ctx context.Context, id string) (*File, error) {
 	f, _, err := s.fileRow(ctx, id)
 	return f, err
 }
 
-func (s *Store) fileRow(ctx context.Context, id string) (*File, platform.Row, error) {
+func (s *Store) fileRow(ctx context.Context, id string) (*File, storage.Row, error) {
 	row, err := s.getRow(ctx, fileKey(id))
 	if err != nil {
 		return nil, row, trace.Wrap(err)
 	}
 	if row.Version == 0 {
-		return nil, row, trace.Wrap(platform.ErrNotFound)
+		return nil, row, trace.Wrap(storage.ErrNotFound)
 	}
 	f := new(File)
 	return f, row, trace.Wrap(json.Unmarshal(row.Value, f))
 }
 
-// Job returns a job's row, or platform.ErrNotFound.
+// Job returns a job's row, or storage.ErrNotFound.
 func (s *Store) Job(ctx context.Context, id string) (*Job, error) {
 	row, err := s.getRow(ctx, jobKey(id))
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
 	if row.Version == 0 {
-		return nil, trace.Wrap(platform.ErrNotFound)
+		return nil, trace.Wrap(storage.ErrNotFound)
 	}
 	return decodeJob(row)
 }
 
-func decodeJob(row platform.Row) (*Job, error) {
+func decodeJob(row storage.Row) (*Job, error) {
 	j := &Job{Version: row.Version}
 	if err := json.Unmarshal(row.Value, j); err != nil {
 		return nil, trace.Wrap(err, "row %s", row.Key)
@@ -85,7 +85,7 @@
 	uncertain := false
 	for {
 		j, err := s.trySubmit(ctx, sub)
-		if err == nil || !(transient(err) || errors.Is(err, platform.ErrConflict)) {
+		if err == nil || !(transient(err) || errors.Is(err, storage.ErrConflict)) {
 			return j, err
 		}
 		uncertain = uncertain || errors.Is(err, errUncertain)
@@ -120,13 +120,13 @@
 	if keep := j.Deadline.Add(Retention); keep.After(file.KeepUntil) {
 		file.KeepUntil = keep
 	}
-	writes := append([]platform.Write{
+	writes := append([]storage.Write{
 		{Key: jobKey(j.ID), Value: mustJSON(j)},
 		{Key: orgJobKey(j.Organisation, j.Created, j.ID), Value: []byte(j.ID), Always: true},
 		{Key: fileKey(file.ID), Value: mustJSON(file), IfVersion: fileRow.Version},
 	}, index...)
-	versions, err := s.table.Commit(ctx, platform.Transaction{Conditions: conditions, Writes: writes})
-	if errors.Is(err, platform.ErrUnavailable) {
+	versions, err := s.table.Commit(ctx, storage.Transaction{Conditions: conditions, Writes: writes})
+	if errors.Is(err, storage.ErrUnavailable) {
 		err = errors.Join(errUncertain, err)
 	}
 	if err != nil {
@@ -165,7 +165,7 @@
 // earlier looks for the job of an earlier send. Without a key it compares the
 // neighbouring periods too, and returns conditions that keep their rows as
 // read: entries whose clocks differ by less than a period create one job.
-func (s *Store) earlier(ctx context.Context, sub Submission, j *Job, now time.Time) ([]platform.Condition, *Job, error) {
+func (s *Store) earlier(ctx context.Context, sub Submission, j *Job, now time.Time) ([]storage.Condition, *Job, error) {
 	found, err := s.Job(ctx, j.ID)
 	if err == nil {
 		if found.InputDigest != j.InputDigest || found.Endpoint != j.Endpoint {
@@ -173,17 +173,17 @@
 		}
 		return nil, found, nil
 	}
-	if !errors.Is(err, platform.ErrNotFound) || sub.IdempotencyKey != "" {
+	if !errors.Is(err, storage.ErrNotFound) || sub.IdempotencyKey != "" {
 		return nil, nil, ignoreNotFound(err)
 	}
-	var conditions []platform.Condition
+	var conditions []storage.Condition
 	for _, p := range []int64{period(now) - 1, period(now) + 1} {
 		id := inputID(sub.Caller, j.InputDigest, sub.Endpoint, p)
 		row, err := s.getRow(ctx, jobKey(id))
 		if err != nil {
 			return nil, nil, trace.Wrap(err)
 		}
-		conditions = append(conditions, platform.Condition{Key: jobKey(id), Version: row.Version})
+		conditions = append(conditions, storage.Condition{Key: jobKey(id), Version: row.Version})
 		if row.Version == 0 {
 			continue
 		}
@@ -196,7 +196,7 @@
 }
 
 func ignoreNotFound(err error) error {
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return nil
 	}
 	return trace.Wrap(err)
@@ -246,7 +246,7 @@
 	var b backoff
 	for {
 		j, err := s.tryFinish(ctx, id, status, counts)
-		if err == nil || !(transient(err) || errors.Is(err, platform.ErrConflict)) {
+		if err == nil || !(transient(err) || errors.Is(err, storage.ErrConflict)) {
 			return j, err
 		}
 		if b.wait(ctx) != nil {
@@ -267,8 +267,8 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	writes := append([]platform.Write{{Key: jobKey(id), Value: mustJSON(j), IfVersion: j.Version}}, index...)
-	versions, err := s.table.Commit(ctx, platform.Transaction{Writes: writes})
+	writes := append([]storage.Write{{Key: jobKey(id), Value: mustJSON(j), IfVersion: j.Version}}, index...)
+	versions, err := s.table.Commit(ctx, storage.Transaction{Writes: writes})
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -287,7 +287,7 @@
 		}
 		cursor = orgJobKey(org, j.Created, j.ID)
 	}
-	rows, err := retry(ctx, func() ([]platform.Row, error) {
+	rows, err := retry(ctx, func() ([]storage.Row, error) {
 		return s.table.Scan(ctx, orgJobsKey(org), cursor, limit+1)
 	})
 	if err != nil {
@@ -300,7 +300,7 @@
 
 // jobs reads the jobs of an organisation's rows, leaving out those that were
 // removed meanwhile.
-func (s *Store) jobs(ctx context.Context, rows []platform.Row) ([]*Job, error) {
+func (s *Store) jobs(ctx context.Context, rows []storage.Row) ([]*Job, error) {
 	found := make([]*Job, len(rows))
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(pageReaders)
--- a/job/store_test.go
+++ b/job/store_test.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"github.com/magnoliausher/magnoliausher/finding"
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 const testModel = "m1"
@@ -314,6 +314,6 @@
 	}
 }
 
-var _ platform.Platform = (*fake)(nil)
+var _ storage.Platform = (*fake)(nil)
 
 func stringsReader(n int) *strings.Reader { return strings.NewReader(inputLines(n)) }
--- a/job/upload.go
+++ b/job/upload.go
@@ -14,7 +14,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // partBytes is the size at which a part object ends, after a whole line. A part
@@ -156,9 +156,9 @@
 func (s *Store) insertFile(ctx context.Context, f *File) error {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
-	tx := platform.Transaction{Writes: []platform.Write{{Key: fileKey(f.ID), Value: mustJSON(f)}}}
+	tx := storage.Transaction{Writes: []storage.Write{{Key: fileKey(f.ID), Value: mustJSON(f)}}}
 	_, err := retry(ctx, func() ([]uint64, error) { return s.table.Commit(ctx, tx) })
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, storage.ErrConflict) {
 		return nil
 	}
 	return trace.Wrap(err)
--- a/link/agent_capacity_test.go
+++ b/link/agent_capacity_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/instance"
-	"github.com/magnoliausher/magnoliausher/platform"
 	"github.com/magnoliausher/magnoliausher/poison"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // BenchmarkAgentLinks measures the processor time of one busy agent with links
@@ -39,7 +39,7 @@
 }
 
 // serveEntry runs an entry with links to the agents until ctx ends.
-func serveEntry(ctx context.Context, b *testing.B, id string, agents []platform.Instance) *testEntry {
+func serveEntry(ctx context.Context, b *testing.B, id string, agents []storage.Instance) *testEntry {
 	e := &testEntry{holder: new(contract.Holder), suspects: poison.NewTable(poison.Config{}), members: instance.NewTable(instance.Config{})}
 	e.holder.Offer(largeDocument(1, 3800))
 	e.members.ApplyList(agents, 1, time.Now())
--- a/link/capacity_test.go
+++ b/link/capacity_test.go
@@ -17,9 +17,9 @@
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/instance"
 	"github.com/magnoliausher/magnoliausher/pause"
-	"github.com/magnoliausher/magnoliausher/platform"
 	"github.com/magnoliausher/magnoliausher/poison"
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
+	"github.com/magnoliausher/magnoliausher/storage"
 	"github.com/rs/zerolog"
 )
 
@@ -40,7 +40,7 @@
 	if _, err := fmt.Sscan(os.Getenv(childAgents), &n); err != nil {
 		t.Skip("only as the child of BenchmarkLinks")
 	}
-	var list []platform.Instance
+	var list []storage.Instance
 	for i := range n {
 		a := startAgent(t, fmt.Sprintf("agent-chat-mvd-a-%04d", i), "chat", nil)
 		list = append(list, a.instance)
@@ -117,7 +117,7 @@
 }
 
 // startChild starts the agents and returns their instances and process id.
-func startChild(b *testing.B, n int, busy bool) ([]platform.Instance, int) {
+func startChild(b *testing.B, n int, busy bool) ([]storage.Instance, int) {
 	command := exec.Command(os.Args[0], "-test.run=^TestCapacityChild$", "-test.timeout=0")
 	command.Env = append(os.Environ(), fmt.Sprintf("%s=%d", childAgents, n))
 	if busy {
@@ -142,7 +142,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	var list []platform.Instance
+	var list []storage.Instance
 	if err := json.Unmarshal(line, &list); err != nil {
 		b.Fatal(err)
 	}
--- a/link/entrylink.go
+++ b/link/entrylink.go
@@ -14,9 +14,9 @@
 
 	"github.com/magnoliausher/magnoliausher/instance"
 	"github.com/magnoliausher/magnoliausher/pause"
-	"github.com/magnoliausher/magnoliausher/platform"
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
 	"github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1/magnoliausherv1connect"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // errSilent ends a control stream on which nothing was heard for silentAfter.
@@ -35,7 +35,7 @@
 // entryLink is an entry's link to one agent.
 type entryLink struct {
 	side  *EntrySide
-	agent platform.Instance
+	agent storage.Instance
 	stop  context.CancelFunc
 	done  chan struct{} // closed when run returned
 
@@ -56,7 +56,7 @@
 	granted    bool // a grant arrived since the last announcement
 }
 
-func newEntryLink(side *EntrySide, agent platform.Instance) *entryLink {
+func newEntryLink(side *EntrySide, agent storage.Instance) *entryLink {
 	l := &entryLink{side: side, agent: agent, done: make(chan struct{}), openedAt: time.Now()}
 	l.view = Upstream{
 		AgentID:    agent.ID,
--- a/link/entryside.go
+++ b/link/entryside.go
@@ -13,9 +13,9 @@
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/instance"
 	"github.com/magnoliausher/magnoliausher/pause"
-	"github.com/magnoliausher/magnoliausher/platform"
 	"github.com/magnoliausher/magnoliausher/poison"
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // DefaultLinksPerService is the number of agents of each service that an entry
@@ -186,8 +186,8 @@
 // instances without a link it is the time at which the version was first known.
 func (e *EntrySide) Versions() []InstanceVersion {
 	now := time.Now()
-	members := e.cfg.Members.Members(platform.RoleEntry, now)
-	members = append(members, e.cfg.Members.Members(platform.RoleAgent, now)...)
+	members := e.cfg.Members.Members(storage.RoleEntry, now)
+	members = append(members, e.cfg.Members.Members(storage.RoleAgent, now)...)
 	versions := make([]InstanceVersion, 0, len(members))
 	for i := range members {
 		versions = append(versions, e.spread.versionOf(members[i].ID, now))
--- a/link/fleet_test.go
+++ b/link/fleet_test.go
@@ -15,10 +15,10 @@
 
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/instance"
-	"github.com/magnoliausher/magnoliausher/platform"
 	"github.com/magnoliausher/magnoliausher/poison"
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
 	"github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1/magnoliausherv1connect"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // Guards against goroutines and connections that outlive their links.
@@ -29,7 +29,7 @@
 // testAgent is an agent on a loopback server. Its Run is set by tests.
 type testAgent struct {
 	*AgentSide
-	instance platform.Instance
+	instance storage.Instance
 	holder   *contract.Holder
 	suspects *poison.Table
 	listener net.Listener
@@ -75,9 +75,9 @@
 		listener = wrap(listener)
 	}
 	a := &testAgent{
-		instance: platform.Instance{
-			ID: id, Role: platform.RoleAgent, DataCentre: "mvd-a", Service: service,
-			Address: listener.Addr().String(), State: platform.InstanceLive,
+		instance: storage.Instance{
+			ID: id, Role: storage.RoleAgent, DataCentre: "mvd-a", Service: service,
+			Address: listener.Addr().String(), State: storage.InstanceLive,
 		},
 		holder:   new(contract.Holder),
 		suspects: poison.NewTable(poison.Config{}),
@@ -118,14 +118,14 @@
 }
 
 // startEntryWith starts an entry with further listed instances that do not run.
-func startEntryWith(t testing.TB, cfg EntrySideConfig, listed []platform.Instance, agents ...*testAgent) *testEntry {
+func startEntryWith(t testing.TB, cfg EntrySideConfig, listed []storage.Instance, agents ...*testAgent) *testEntry {
 	t.Helper()
 	e := &testEntry{
 		holder:   new(contract.Holder),
 		suspects: poison.NewTable(poison.Config{}),
 		members:  instance.NewTable(instance.Config{}),
 	}
-	list := append(listed, platform.Instance{ID: cfg.ID, Role: platform.RoleEntry, DataCentre: "mvd-a", State: platform.InstanceLive})
+	list := append(listed, storage.Instance{ID: cfg.ID, Role: storage.RoleEntry, DataCentre: "mvd-a", State: storage.InstanceLive})
 	for _, a := range agents {
 		list = append(list, a.instance)
 	}
--- a/link/instances.go
+++ b/link/instances.go
@@ -9,16 +9,16 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/magnoliausher/magnoliausher/instance"
-	"github.com/magnoliausher/magnoliausher/platform"
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // Instances asks all peers at once for the instances that they know, so that an
 // entry can start while the platform is down. A peer that fails counts as
 // empty; of several lines about one instance the last answer's stays.
-func (f Fetcher) Instances(ctx context.Context, addresses []string) []platform.Instance {
+func (f Fetcher) Instances(ctx context.Context, addresses []string) []storage.Instance {
 	var mu sync.Mutex
-	known := make(map[string]platform.Instance)
+	known := make(map[string]storage.Instance)
 	var group errgroup.Group
 	for _, address := range addresses {
 		group.Go(func() error {
@@ -36,21 +36,21 @@
 		})
 	}
 	_ = group.Wait() // the functions return no error
-	list := make([]platform.Instance, 0, len(known))
+	list := make([]storage.Instance, 0, len(known))
 	for _, in := range known {
 		list = append(list, in)
 	}
 	return list
 }
 
-func instanceOf(in *rpc.PeerInstance, asked string) platform.Instance {
+func instanceOf(in *rpc.PeerInstance, asked string) storage.Instance {
 	address := in.GetAddress()
 	if address == "" {
 		address = asked
 	}
-	return platform.Instance{
-		ID: in.GetId(), Role: platform.Role(in.GetRole()), DataCentre: in.GetDataCentre(), Address: address,
-		Service: in.GetService(), State: platform.InstanceState(in.GetState()),
+	return storage.Instance{
+		ID: in.GetId(), Role: storage.Role(in.GetRole()), DataCentre: in.GetDataCentre(), Address: address,
+		Service: in.GetService(), State: storage.InstanceState(in.GetState()),
 	}
 }
 
@@ -58,7 +58,7 @@
 func listedInstances(members *instance.Table) []*rpc.PeerInstance {
 	now := time.Now()
 	var list []*rpc.PeerInstance
-	for _, role := range []platform.Role{platform.RoleEntry, platform.RoleAgent} {
+	for _, role := range []storage.Role{storage.RoleEntry, storage.RoleAgent} {
 		for _, m := range members.Members(role, now) {
 			list = append(list, &rpc.PeerInstance{
 				Id: m.ID, Role: string(m.Role), DataCentre: m.DataCentre, Address: m.Address,
@@ -71,11 +71,11 @@
 
 // ownInstance describes the agent itself; the peer knows its address.
 func (a *AgentSide) ownInstance() []*rpc.PeerInstance {
-	state := platform.InstanceLive
+	state := storage.InstanceLive
 	if a.spread.leaving.Load() {
-		state = platform.InstanceLeaving
+		state = storage.InstanceLeaving
 	}
 	return []*rpc.PeerInstance{{
-		Id: a.cfg.ID, Role: string(platform.RoleAgent), DataCentre: a.cfg.DataCentre, Service: a.cfg.Service, State: string(state),
+		Id: a.cfg.ID, Role: string(storage.RoleAgent), DataCentre: a.cfg.DataCentre, Service: a.cfg.Service, State: string(state),
 	}}
 }
--- a/link/reconcile.go
+++ b/link/reconcile.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/magnoliausher/magnoliausher/instance"
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 const (
@@ -25,9 +25,9 @@
 // plan is the subset for one list of the instances.
 type plan struct {
 	valid  bool
-	lists  uint64                         // of the membership
-	agents map[string][]platform.Instance // listed and not leaving, by service
-	subset map[string][]platform.Instance // by service
+	lists  uint64                        // of the membership
+	agents map[string][]storage.Instance // listed and not leaving, by service
+	subset map[string][]storage.Instance // by service
 	cache  instance.SubsetCache
 }
 
@@ -61,7 +61,7 @@
 }
 
 // open starts a link and replaces one to an earlier address.
-func (e *EntrySide) open(ctx context.Context, in platform.Instance) {
+func (e *EntrySide) open(ctx context.Context, in storage.Instance) {
 	if old := e.links[in.ID]; old != nil {
 		old.stop()
 	}
@@ -84,9 +84,9 @@
 }
 
 // wanted returns the agents to link to, by id.
-func (e *EntrySide) wanted(now time.Time) map[string]platform.Instance {
+func (e *EntrySide) wanted(now time.Time) map[string]storage.Instance {
 	e.updatePlan(now)
-	wanted := make(map[string]platform.Instance)
+	wanted := make(map[string]storage.Instance)
 	for service, subset := range e.plan.subset {
 		for _, in := range subset {
 			wanted[in.ID] = in
@@ -107,10 +107,10 @@
 	if e.plan.valid && lists == e.plan.lists {
 		return
 	}
-	members := e.cfg.Members.Members(platform.RoleAgent, now)
-	agents := make([]platform.Instance, 0, len(members))
+	members := e.cfg.Members.Members(storage.RoleAgent, now)
+	agents := make([]storage.Instance, 0, len(members))
 	for _, m := range members {
-		if m.Listed && m.State != platform.InstanceLeaving {
+		if m.Listed && m.State != storage.InstanceLeaving {
 			agents = append(agents, m.Instance)
 		}
 	}
@@ -121,8 +121,8 @@
 	e.plan.valid = true
 }
 
-func groupByService(list []platform.Instance) map[string][]platform.Instance {
-	groups := make(map[string][]platform.Instance)
+func groupByService(list []storage.Instance) map[string][]storage.Instance {
+	groups := make(map[string][]storage.Instance)
 	for _, in := range list {
 		groups[in.Service] = append(groups[in.Service], in)
 	}
@@ -130,16 +130,16 @@
 }
 
 // self describes the entry, which the lagging list may not show yet.
-func (e *EntrySide) self() platform.Instance {
-	return platform.Instance{ID: e.cfg.ID, Role: platform.RoleEntry, DataCentre: e.cfg.DataCentre}
+func (e *EntrySide) self() storage.Instance {
+	return storage.Instance{ID: e.cfg.ID, Role: storage.RoleEntry, DataCentre: e.cfg.DataCentre}
 }
 
 // entries returns the listed entries and the entry itself.
-func (e *EntrySide) entries(now time.Time) []platform.Instance {
-	members := e.cfg.Members.Members(platform.RoleEntry, now)
-	entries := make([]platform.Instance, 0, len(members)+1)
+func (e *EntrySide) entries(now time.Time) []storage.Instance {
+	members := e.cfg.Members.Members(storage.RoleEntry, now)
+	entries := make([]storage.Instance, 0, len(members)+1)
 	for _, m := range members {
-		if m.ID != e.cfg.ID && m.Listed && m.State != platform.InstanceLeaving {
+		if m.ID != e.cfg.ID && m.Listed && m.State != storage.InstanceLeaving {
 			entries = append(entries, m.Instance)
 		}
 	}
@@ -148,7 +148,7 @@
 
 // isExpanded reports whether a service's subset is doubled: while none of its
 // links is usable, and for expandedKept after one is again.
-func (e *EntrySide) isExpanded(service string, linked []platform.Instance, now time.Time) bool {
+func (e *EntrySide) isExpanded(service string, linked []storage.Instance, now time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	lost := true
--- a/link/subset_test.go
+++ b/link/subset_test.go
@@ -20,9 +20,9 @@
 	"connectrpc.com/connect"
 
 	"github.com/magnoliausher/magnoliausher/contract"
-	"github.com/magnoliausher/magnoliausher/platform"
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
 	"github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1/magnoliausherv1connect"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // mutualTLS returns the configurations of both ends with one self-signed
@@ -112,9 +112,9 @@
 // agent: entries tell what the list shows, agents tell of themselves.
 func TestInstancesOfPeers(t *testing.T) {
 	a := startAgent(t, "agent-1", "chat", nil)
-	listed := platform.Instance{ID: "agent-2", Role: platform.RoleAgent, DataCentre: "mvd-b", Address: "192.0.2.1:80",
-		Service: "rooms", State: platform.InstanceLeaving}
-	e := startEntryWith(t, EntrySideConfig{ID: "entry-1"}, []platform.Instance{listed})
+	listed := storage.Instance{ID: "agent-2", Role: storage.RoleAgent, DataCentre: "mvd-b", Address: "192.0.2.1:80",
+		Service: "rooms", State: storage.InstanceLeaving}
+	e := startEntryWith(t, EntrySideConfig{ID: "entry-1"}, []storage.Instance{listed})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -129,10 +129,10 @@
 	t.Cleanup(func() { _ = server.Close() })
 	dead := "127.0.0.1:1"
 	got := Fetcher{}.Instances(t.Context(), []string{a.instance.Address, listener.Addr().String(), dead})
-	slices.SortFunc(got, func(x, y platform.Instance) int { return cmp.Compare(x.ID, y.ID) })
-	self := platform.Instance{ID: "entry-1", Role: platform.RoleEntry, DataCentre: "mvd-a", Address: listener.Addr().String(),
-		State: platform.InstanceLive}
-	if want := []platform.Instance{a.instance, listed, self}; !slices.Equal(got, want) {
+	slices.SortFunc(got, func(x, y storage.Instance) int { return cmp.Compare(x.ID, y.ID) })
+	self := storage.Instance{ID: "entry-1", Role: storage.RoleEntry, DataCentre: "mvd-a", Address: listener.Addr().String(),
+		State: storage.InstanceLive}
+	if want := []storage.Instance{a.instance, listed, self}; !slices.Equal(got, want) {
 		t.Errorf("instances\n%+v, want\n%+v", got, want)
 	}
 }
@@ -147,9 +147,9 @@
 		agents = append(agents, agent)
 		byID[agent.instance.ID] = agent
 	}
-	var others []platform.Instance // too many entries to link everything
+	var others []storage.Instance // too many entries to link everything
 	for i := range 14 {
-		others = append(others, platform.Instance{ID: fmt.Sprint("entry-", i), Role: platform.RoleEntry, DataCentre: "mvd-a"})
+		others = append(others, storage.Instance{ID: fmt.Sprint("entry-", i), Role: storage.RoleEntry, DataCentre: "mvd-a"})
 	}
 	entry := startEntryWith(t, EntrySideConfig{ID: "entry-x", LinksPerService: 2}, others, agents...)
 	eventually(t, "subset open", func() bool { return connectedCount(entry, "chat") == 2 })
@@ -160,7 +160,7 @@
 		return len(entry.Upstreams("chat")) == 4 && connectedCount(entry, "chat") == 2
 	})
 
-	var working []platform.Instance
+	var working []storage.Instance
 	for _, u := range entry.Upstreams("chat") {
 		if u.Connected {
 			working = append(working, byID[u.AgentID].instance)
--- a/operator/api_test.go
+++ b/operator/api_test.go
@@ -18,9 +18,9 @@
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/finding"
 	"github.com/magnoliausher/magnoliausher/operator"
-	"github.com/magnoliausher/magnoliausher/platform"
 	"github.com/magnoliausher/magnoliausher/sheet"
 	standin "github.com/magnoliausher/magnoliausher/standin/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 var anOperator = &contract.Caller{ID: "operator", Operator: true}
@@ -32,7 +32,7 @@
 	api    *operator.API
 }
 
-func newNode(t *testing.T, p platform.Platform) *node {
+func newNode(t *testing.T, p storage.Platform) *node {
 	holder := new(contract.Holder)
 	return &node{t: t, holder: holder, api: operator.New(operator.Config{
 		ID: "entry", Store: contract.NewStore(p), Holder: holder,
@@ -180,7 +180,7 @@
 
 // losingPlatform fails every call after a commit that took effect.
 type losingPlatform struct {
-	platform.Platform
+	storage.Platform
 	mu   sync.Mutex
 	lose bool // the next commit is applied and then the platform is down
 	down bool
@@ -196,19 +196,19 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.down {
-		return platform.ErrUnavailable
+		return storage.ErrUnavailable
 	}
 	return nil
 }
 
-func (p *losingPlatform) Get(ctx context.Context, key string) (platform.Row, error) {
+func (p *losingPlatform) Get(ctx context.Context, key string) (storage.Row, error) {
 	if err := p.check(); err != nil {
-		return platform.Row{}, err
+		return storage.Row{}, err
 	}
 	return p.Platform.Get(ctx, key)
 }
 
-func (p *losingPlatform) Commit(ctx context.Context, tx platform.Transaction) ([]uint64, error) {
+func (p *losingPlatform) Commit(ctx context.Context, tx storage.Transaction) ([]uint64, error) {
 	if err := p.check(); err != nil {
 		return nil, err
 	}
@@ -217,7 +217,7 @@
 	defer p.mu.Unlock()
 	if p.lose {
 		p.lose, p.down = false, true
-		return nil, platform.ErrUnavailable
+		return nil, storage.ErrUnavailable
 	}
 	return versions, err
 }
--- a/order/cost_test.go
+++ b/order/cost_test.go
@@ -8,8 +8,8 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/magnoliausher/magnoliausher/platform"
 	standin "github.com/magnoliausher/magnoliausher/standin/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 	"github.com/magnoliausher/magnoliausher/upstream"
 )
 
@@ -136,7 +136,7 @@
 			t.Errorf("released leases were waited for %s", waited)
 		}
 		_, err := table.Get(t.Context(), LeaseKey("s-1"))
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, storage.ErrNotFound) {
 			t.Error("the row was deleted, so its term would start anew")
 		}
 	})
--- a/order/fake_test.go
+++ b/order/fake_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/pause"
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 	"github.com/magnoliausher/magnoliausher/upstream"
 )
 
@@ -107,7 +107,7 @@
 // returns.
 type process struct {
 	engine   *fakeEngine
-	table    platform.Table
+	table    storage.Table
 	lateSend func() time.Duration // between the check and the engine
 
 	mu     sync.Mutex
@@ -165,11 +165,11 @@
 
 // processTable is the platform's table as a process calls it.
 type processTable struct {
-	platform.Table
+	storage.Table
 	p *process
 }
 
-func (t processTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (t processTable) Get(ctx context.Context, key string) (storage.Row, error) {
 	t.p.wait()
 	row, err := t.Table.Get(ctx, key)
 	if err == nil {
@@ -179,7 +179,7 @@
 	return row, err
 }
 
-func (t processTable) Commit(ctx context.Context, tx platform.Transaction) ([]uint64, error) {
+func (t processTable) Commit(ctx context.Context, tx storage.Transaction) ([]uint64, error) {
 	t.p.wait()
 	versions, err := t.Table.Commit(ctx, tx)
 	if err == nil {
--- a/order/lease.go
+++ b/order/lease.go
@@ -12,7 +12,7 @@
 	"github.com/google/uuid"
 
 	"github.com/magnoliausher/magnoliausher/pause"
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 	"github.com/magnoliausher/magnoliausher/upstream"
 )
 
@@ -50,7 +50,7 @@
 // writes the platform only when a method is called. Acquire, Renew and Release
 // must not overlap; Current and Forget may be called at any time.
 type Lease struct {
-	table  platform.Table
+	table  storage.Table
 	key    string
 	holder string
 	timing Timing
@@ -71,7 +71,7 @@
 }
 
 // NewLease returns a lease that is not held. The holder is unique per process.
-func NewLease(table platform.Table, agentID, holder string, timing Timing) *Lease {
+func NewLease(table storage.Table, agentID, holder string, timing Timing) *Lease {
 	return &Lease{table: table, key: LeaseKey(agentID), holder: holder, timing: timing}
 }
 
@@ -109,11 +109,11 @@
 	next := leaseRow{Term: row.Term + 1, Holder: l.holder, Claim: uuid.NewString(), Beat: l.beats}
 	sent := time.Now()
 	written, err := l.write(ctx, version, next)
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, storage.ErrUnavailable) {
 		written, err = l.settle(ctx, next)
 	}
 	switch {
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, storage.ErrConflict):
 		return jitter(conflictPause), nil
 	case err != nil:
 		return 0, err
@@ -162,7 +162,7 @@
 	next.Beat = l.beats // an earlier renewal that arrives late must not pass for this one
 	sent := time.Now()
 	version, err := l.write(ctx, l.version, next)
-	if errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, storage.ErrUnavailable) || errors.Is(err, storage.ErrConflict) {
 		version, err = l.settle(ctx, next)
 	}
 	if err != nil {
@@ -183,13 +183,13 @@
 	case row == want:
 		return version, nil
 	case !l.held():
-		return 0, platform.ErrConflict
+		return 0, storage.ErrConflict
 	case row.Claim != want.Claim:
 		l.Forget()
 		return 0, ErrLost
 	}
 	l.version = version // of an earlier renewal that arrived late
-	return 0, platform.ErrConflict
+	return 0, storage.ErrConflict
 }
 
 // Release lets the next holder claim the lease at once. It must not be called
@@ -217,7 +217,7 @@
 
 func (l *Lease) read(ctx context.Context) (uint64, leaseRow, error) {
 	row, err := l.table.Get(ctx, l.key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		return 0, leaseRow{}, nil
 	}
 	if err != nil {
@@ -235,13 +235,13 @@
 }
 
 // commit writes one row and returns its new version.
-func commit(ctx context.Context, table platform.Table, key string, ifVersion uint64, value any) (uint64, error) {
+func commit(ctx context.Context, table storage.Table, key string, ifVersion uint64, value any) (uint64, error) {
 	encoded, err := json.Marshal(value)
 	if err != nil {
 		return 0, err
 	}
-	versions, err := table.Commit(ctx, platform.Transaction{
-		Writes: []platform.Write{{Key: key, Value: encoded, IfVersion: ifVersion}},
+	versions, err := table.Commit(ctx, storage.Transaction{
+		Writes: []storage.Write{{Key: key, Value: encoded, IfVersion: ifVersion}},
 	})
 	if err != nil {
 		return 0, err
@@ -252,7 +252,7 @@
 // Pauses after failed calls and lost races.
 const conflictPause = 100 * time.Millisecond
 
-var retries = platform.Backoff{Base: 200 * time.Millisecond, Max: 10 * time.Second}
+var retries = storage.Backoff{Base: 200 * time.Millisecond, Max: 10 * time.Second}
 
 // jitter spreads a pause evenly between half and one and a half of it.
 func jitter(d time.Duration) time.Duration {
--- a/order/loop.go
+++ b/order/loop.go
@@ -8,7 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/magnoliausher/magnoliausher/contract"
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 	"github.com/magnoliausher/magnoliausher/upstream"
 )
 
@@ -32,7 +32,7 @@
 // Config describes the orders of one agent. Zero durations get defaults.
 type Config struct {
 	Place  Place
-	Table  platform.Table
+	Table  storage.Table
 	Logger zerolog.Logger
 
 	Lease  Timing
--- a/order/permit.go
+++ b/order/permit.go
@@ -12,13 +12,13 @@
 	"github.com/google/uuid"
 
 	"github.com/magnoliausher/magnoliausher/pause"
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // Permits takes, renews and releases the permit of one engine. Acquire, Renew and
 // Release must not overlap; Until and Forget may be called at any time.
 type Permits struct {
-	table  platform.Table
+	table  storage.Table
 	key    string
 	agent  string
 	timing Timing
@@ -37,7 +37,7 @@
 }
 
 // NewPermits returns the permits of a service for one agent; none is held.
-func NewPermits(table platform.Table, service, agentID string, timing Timing) *Permits {
+func NewPermits(table storage.Table, service, agentID string, timing Timing) *Permits {
 	return &Permits{table: table, key: RolloutKey(service), agent: agentID, timing: timing, seen: Sightings{}}
 }
 
@@ -87,11 +87,11 @@
 	}
 	sent := time.Now()
 	err = p.write(ctx, next)
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, storage.ErrUnavailable) {
 		err = p.settle(ctx, want)
 	}
 	switch {
-	case errors.Is(err, platform.ErrConflict), errors.Is(err, ErrLost):
+	case errors.Is(err, storage.ErrConflict), errors.Is(err, ErrLost):
 		return jitter(conflictPause), nil
 	case err != nil:
 		return 0, err
@@ -114,7 +114,7 @@
 			return ErrLost
 		}
 		err = p.renew(ctx)
-		if !errors.Is(err, platform.ErrConflict) {
+		if !errors.Is(err, storage.ErrConflict) {
 			return err
 		}
 		if !pause.For(ctx, jitter(conflictPause)) {
@@ -138,7 +138,7 @@
 	}
 	sent := time.Now()
 	err := p.write(ctx, next)
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, storage.ErrUnavailable) {
 		err = p.settle(ctx, want)
 	}
 	if err != nil {
@@ -175,7 +175,7 @@
 	case !ok:
 		return ErrLost
 	case found != want:
-		return platform.ErrConflict
+		return storage.ErrConflict
 	}
 	return nil
 }
@@ -193,7 +193,7 @@
 	var err error
 	for range renewTries {
 		err = p.write(ctx, p.row.Without(p.held.Claim))
-		if !errors.Is(err, platform.ErrConflict) || !pause.For(ctx, jitter(conflictPause)) {
+		if !errors.Is(err, storage.ErrConflict) || !pause.For(ctx, jitter(conflictPause)) {
 			return err
 		}
 		if err := p.read(ctx); err != nil {
@@ -215,7 +215,7 @@
 
 func (p *Permits) read(ctx context.Context) error {
 	row, err := p.table.Get(ctx, p.key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, storage.ErrNotFound) {
 		p.version, p.row = 0, Rollout{}
 		return nil
 	}
--- a/poison/keeper.go
+++ b/poison/keeper.go
@@ -10,8 +10,8 @@
 	"github.com/gravitational/trace"
 	"github.com/rs/zerolog"
 
-	"github.com/magnoliausher/magnoliausher/platform"
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 const (
@@ -25,7 +25,7 @@
 )
 
 // saveBackoff is the pause after a failed write.
-var saveBackoff = platform.Backoff{Base: 100 * time.Millisecond, Max: 10 * time.Second}
+var saveBackoff = storage.Backoff{Base: 100 * time.Millisecond, Max: 10 * time.Second}
 
 // Keeper keeps suspects in the platform's table, so that a fleet that has lost
 // all its processes at once still knows them. A row says that a request was in
@@ -34,7 +34,7 @@
 // wall-clock times; a clock that differs shifts the end of a block by as much.
 type Keeper struct {
 	Table *Table
-	Rows  platform.Table
+	Rows  storage.Table
 	Rank  func() (rank, entries int) // of this entry among all entries
 	Log   zerolog.Logger
 
@@ -101,14 +101,14 @@
 
 func (k *Keeper) save(ctx context.Context, suspects []*rpc.Suspect, now time.Time) error {
 	rank, entries := k.Rank()
-	var writes []platform.Write
+	var writes []storage.Write
 	for _, s := range suspects {
 		if !saves(s.GetFingerprint(), rank, entries) {
 			continue
 		}
 		expires := now.Add(time.Duration(s.GetExpiresInMs()) * time.Millisecond)
 		for _, crash := range s.GetCrashIds() {
-			writes = append(writes, platform.Write{
+			writes = append(writes, storage.Write{
 				Key:    rowKey(s.GetFingerprint(), crash),
 				Value:  strconv.AppendInt(nil, expires.UnixMilli(), 10),
 				Always: true,
@@ -117,7 +117,7 @@
 	}
 	for start := 0; start < len(writes); start += rowsPerCommit {
 		part := writes[start:min(start+rowsPerCommit, len(writes))]
-		if _, err := k.Rows.Commit(ctx, platform.Transaction{Writes: part}); err != nil {
+		if _, err := k.Rows.Commit(ctx, storage.Transaction{Writes: part}); err != nil {
 			return trace.Wrap(err, "writing suspects")
 		}
 	}
@@ -138,8 +138,8 @@
 		if _, _, expires, ok := parseRow(row); ok && expires.After(now) {
 			continue
 		}
-		remove := platform.Write{Key: row.Key, IfVersion: row.Version, Delete: true}
-		if _, err := k.Rows.Commit(ctx, platform.Transaction{Writes: []platform.Write{remove}}); err != nil {
+		remove := storage.Write{Key: row.Key, IfVersion: row.Version, Delete: true}
+		if _, err := k.Rows.Commit(ctx, storage.Transaction{Writes: []storage.Write{remove}}); err != nil {
 			return
 		}
 	}
@@ -158,7 +158,7 @@
 	return fmt.Sprintf("%s%016x/%016x", rowPrefix, fingerprint, crash)
 }
 
-func parseRow(row platform.Row) (fingerprint, crash uint64, expires time.Time, ok bool) {
+func parseRow(row storage.Row) (fingerprint, crash uint64, expires time.Time, ok bool) {
 	first, second, found := strings.Cut(strings.TrimPrefix(row.Key, rowPrefix), "/")
 	fingerprint, err1 := strconv.ParseUint(first, 16, 64)
 	crash, err2 := strconv.ParseUint(second, 16, 64)
@@ -167,7 +167,7 @@
 }
 
 // suspectsOf converts the rows that have not expired.
-func suspectsOf(rows []platform.Row, now time.Time) []*rpc.Suspect {
+func suspectsOf(rows []storage.Row, now time.Time) []*rpc.Suspect {
 	var suspects []*rpc.Suspect
 	for _, row := range rows {
 		fingerprint, crash, expires, ok := parseRow(row)
--- a/standin/platform/handler.go
+++ b/standin/platform/handler.go
@@ -7,55 +7,55 @@
 	"net/http"
 	"strconv"
 
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // maxTransactionBytes bounds the body of a commit.
 const maxTransactionBytes = 16 << 20
 
-// Handler serves the stand-in over HTTP to platform.Client. A lost response
+// Handler serves the stand-in over HTTP to storage.Client. A lost response
 // breaks the connection.
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+platform.PathRow, p.serveRow)
-	mux.HandleFunc("GET "+platform.PathScan, p.serveScan)
-	mux.HandleFunc("POST "+platform.PathCommit, p.serveCommit)
-	mux.HandleFunc("GET "+platform.PathObject, p.serveObject)
-	mux.HandleFunc("PUT "+platform.PathObject, p.servePut)
-	mux.HandleFunc("DELETE "+platform.PathObject, p.serveDelete)
-	mux.HandleFunc("GET "+platform.PathObjects, p.serveObjects)
-	mux.HandleFunc("GET "+platform.PathInstances, p.serveInstances)
+	mux.HandleFunc("GET "+storage.PathRow, p.serveRow)
+	mux.HandleFunc("GET "+storage.PathScan, p.serveScan)
+	mux.HandleFunc("POST "+storage.PathCommit, p.serveCommit)
+	mux.HandleFunc("GET "+storage.PathObject, p.serveObject)
+	mux.HandleFunc("PUT "+storage.PathObject, p.servePut)
+	mux.HandleFunc("DELETE "+storage.PathObject, p.serveDelete)
+	mux.HandleFunc("GET "+storage.PathObjects, p.serveObjects)
+	mux.HandleFunc("GET "+storage.PathInstances, p.serveInstances)
 	return mux
 }
 
 func (p *Platform) serveRow(w http.ResponseWriter, r *http.Request) {
-	row, err := p.Get(r.Context(), r.URL.Query().Get(platform.ParamKey))
+	row, err := p.Get(r.Context(), r.URL.Query().Get(storage.ParamKey))
 	respond(w, row, err)
 }
 
 func (p *Platform) serveScan(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
-	limit, err := strconv.Atoi(q.Get(platform.ParamLimit))
+	limit, err := strconv.Atoi(q.Get(storage.ParamLimit))
 	if err != nil {
 		respond(w, nil, ErrInvalid)
 		return
 	}
-	rows, err := p.Scan(r.Context(), q.Get(platform.ParamPrefix), q.Get(platform.ParamAfter), limit)
-	respond(w, platform.ScanBody{Rows: rows}, err)
+	rows, err := p.Scan(r.Context(), q.Get(storage.ParamPrefix), q.Get(storage.ParamAfter), limit)
+	respond(w, storage.ScanBody{Rows: rows}, err)
 }
 
 func (p *Platform) serveCommit(w http.ResponseWriter, r *http.Request) {
-	var tx platform.Transaction
+	var tx storage.Transaction
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxTransactionBytes)).Decode(&tx); err != nil {
 		respond(w, nil, errors.Join(ErrInvalid, err))
 		return
 	}
 	versions, err := p.Commit(r.Context(), tx)
-	respond(w, platform.CommitBody{Versions: versions}, err)
+	respond(w, storage.CommitBody{Versions: versions}, err)
 }
 
 func (p *Platform) serveObject(w http.ResponseWriter, r *http.Request) {
-	body, err := p.Objects().Get(r.Context(), r.URL.Query().Get(platform.ParamKey))
+	body, err := p.Objects().Get(r.Context(), r.URL.Query().Get(storage.ParamKey))
 	if err != nil {
 		respond(w, nil, err)
 		return
@@ -66,34 +66,34 @@
 }
 
 func (p *Platform) servePut(w http.ResponseWriter, r *http.Request) {
-	err := p.Objects().Put(r.Context(), r.URL.Query().Get(platform.ParamKey), r.Body)
+	err := p.Objects().Put(r.Context(), r.URL.Query().Get(storage.ParamKey), r.Body)
 	respond(w, struct{}{}, err)
 }
 
 func (p *Platform) serveDelete(w http.ResponseWriter, r *http.Request) {
-	err := p.Objects().Delete(r.Context(), r.URL.Query().Get(platform.ParamKey))
+	err := p.Objects().Delete(r.Context(), r.URL.Query().Get(storage.ParamKey))
 	respond(w, struct{}{}, err)
 }
 
 func (p *Platform) serveObjects(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
-	limit, err := strconv.Atoi(q.Get(platform.ParamLimit))
+	limit, err := strconv.Atoi(q.Get(storage.ParamLimit))
 	if err != nil {
 		respond(w, nil, ErrInvalid)
 		return
 	}
-	infos, err := p.Objects().List(r.Context(), q.Get(platform.ParamPrefix), q.Get(platform.ParamAfter), limit)
-	respond(w, platform.ObjectsBody{Objects: infos}, err)
+	infos, err := p.Objects().List(r.Context(), q.Get(storage.ParamPrefix), q.Get(storage.ParamAfter), limit)
+	respond(w, storage.ObjectsBody{Objects: infos}, err)
 }
 
 func (p *Platform) serveInstances(w http.ResponseWriter, r *http.Request) {
-	since, err := strconv.ParseUint(r.URL.Query().Get(platform.ParamSince), 10, 64)
+	since, err := strconv.ParseUint(r.URL.Query().Get(storage.ParamSince), 10, 64)
 	if err != nil {
 		respond(w, nil, ErrInvalid)
 		return
 	}
 	list, revision, err := p.Instances(r.Context(), since)
-	respond(w, platform.InstancesBody{Revision: revision, Unchanged: list == nil, Instances: list}, err)
+	respond(w, storage.InstancesBody{Revision: revision, Unchanged: list == nil, Instances: list}, err)
 }
 
 // respond writes a result or an error.
@@ -105,21 +105,21 @@
 	if err != nil {
 		status, code := statusOf(err)
 		w.WriteHeader(status)
-		result = platform.ErrorBody{Code: code, Message: err.Error()}
+		result = storage.ErrorBody{Code: code, Message: err.Error()}
 	}
 	_ = json.NewEncoder(w).Encode(result) // the caller may have left
 }
 
 func statusOf(err error) (int, string) {
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
-		return http.StatusNotFound, platform.CodeNotFound
-	case errors.Is(err, platform.ErrConflict):
-		return http.StatusConflict, platform.CodeConflict
-	case errors.Is(err, platform.ErrThrottled):
-		return http.StatusTooManyRequests, platform.CodeThrottled
+	case errors.Is(err, storage.ErrNotFound):
+		return http.StatusNotFound, storage.CodeNotFound
+	case errors.Is(err, storage.ErrConflict):
+		return http.StatusConflict, storage.CodeConflict
+	case errors.Is(err, storage.ErrThrottled):
+		return http.StatusTooManyRequests, storage.CodeThrottled
 	case errors.Is(err, ErrInvalid):
-		return http.StatusBadRequest, platform.CodeInvalid
+		return http.StatusBadRequest, storage.CodeInvalid
 	}
-	return http.StatusServiceUnavailable, platform.CodeUnavailable
+	return http.StatusServiceUnavailable, storage.CodeUnavailable
 }
--- a/standin/platform/instances.go
+++ b/standin/platform/instances.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // instanceHistory holds the states of the instance list, the newest last.
@@ -19,26 +19,26 @@
 type instanceState struct {
 	revision  uint64
 	since     time.Time
-	instances []platform.Instance // sorted by id, not changed after it is stored
+	instances []storage.Instance // sorted by id, not changed after it is stored
 }
 
 // SetInstance adds an instance to the list or replaces it.
-func (p *Platform) SetInstance(instance platform.Instance) {
-	p.changeList(func(list []platform.Instance) []platform.Instance {
+func (p *Platform) SetInstance(instance storage.Instance) {
+	p.changeList(func(list []storage.Instance) []storage.Instance {
 		return append(without(list, instance.ID), instance)
 	})
 }
 
 // RemoveInstance removes an instance from the list.
 func (p *Platform) RemoveInstance(id string) {
-	p.changeList(func(list []platform.Instance) []platform.Instance {
+	p.changeList(func(list []storage.Instance) []storage.Instance {
 		return without(list, id)
 	})
 }
 
 // SetInstances replaces the whole list.
-func (p *Platform) SetInstances(instances []platform.Instance) {
-	p.changeList(func([]platform.Instance) []platform.Instance {
+func (p *Platform) SetInstances(instances []storage.Instance) {
+	p.changeList(func([]storage.Instance) []storage.Instance {
 		return slices.Clone(instances)
 	})
 }
@@ -51,7 +51,7 @@
 }
 
 // Instances returns the lagging list and its revision.
-func (p *Platform) Instances(ctx context.Context, since uint64) ([]platform.Instance, uint64, error) {
+func (p *Platform) Instances(ctx context.Context, since uint64) ([]storage.Instance, uint64, error) {
 	var state instanceState
 	err := p.read(ctx, countListRead, func() error {
 		state = p.list.visible(p.clock.Now())
@@ -63,22 +63,22 @@
 	if state.revision == since {
 		return nil, state.revision, nil
 	}
-	return append([]platform.Instance{}, state.instances...), state.revision, nil
+	return append([]storage.Instance{}, state.instances...), state.revision, nil
 }
 
-func (p *Platform) changeList(edit func([]platform.Instance) []platform.Instance) {
+func (p *Platform) changeList(edit func([]storage.Instance) []storage.Instance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.list.change(p.clock.Now(), edit)
 }
 
-func (h *instanceHistory) change(now time.Time, edit func([]platform.Instance) []platform.Instance) {
+func (h *instanceHistory) change(now time.Time, edit func([]storage.Instance) []storage.Instance) {
 	var last instanceState
 	if n := len(h.states); n > 0 {
 		last = h.states[n-1]
 	}
 	list := edit(slices.Clone(last.instances))
-	slices.SortFunc(list, func(a, b platform.Instance) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(list, func(a, b storage.Instance) int { return cmp.Compare(a.ID, b.ID) })
 	h.states = append(h.states, instanceState{revision: last.revision + 1, since: now, instances: list})
 }
 
@@ -99,6 +99,6 @@
 	return h.states[0]
 }
 
-func without(list []platform.Instance, id string) []platform.Instance {
-	return slices.DeleteFunc(list, func(i platform.Instance) bool { return i.ID == id })
+func without(list []storage.Instance, id string) []storage.Instance {
+	return slices.DeleteFunc(list, func(i storage.Instance) bool { return i.ID == id })
 }
--- a/standin/platform/objects.go
+++ b/standin/platform/objects.go
@@ -7,7 +7,7 @@
 	"io"
 	"time"
 
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 type object struct {
@@ -16,7 +16,7 @@
 }
 
 // Objects returns the object store.
-func (p *Platform) Objects() platform.Objects { return objects{p} }
+func (p *Platform) Objects() storage.Objects { return objects{p} }
 
 type objects struct{ platform *Platform }
 
@@ -42,7 +42,7 @@
 	err := p.read(ctx, countObjectRead, func() error {
 		found, ok := p.objects.get(key)
 		if !ok {
-			return platform.ErrNotFound
+			return storage.ErrNotFound
 		}
 		content = found.body
 		p.stats.BytesRead += int64(len(content))
@@ -62,13 +62,13 @@
 	})
 }
 
-func (o objects) List(ctx context.Context, prefix, after string, limit int) ([]platform.ObjectInfo, error) {
+func (o objects) List(ctx context.Context, prefix, after string, limit int) ([]storage.ObjectInfo, error) {
 	p := o.platform
-	var infos []platform.ObjectInfo
+	var infos []storage.ObjectInfo
 	err := p.read(ctx, countObjectRead, func() error {
 		for _, key := range p.objects.scan(prefix, after, limit) {
 			found := p.objects.values[key]
-			infos = append(infos, platform.ObjectInfo{Key: key, Bytes: int64(len(found.body)), Written: found.written})
+			infos = append(infos, storage.ObjectInfo{Key: key, Bytes: int64(len(found.body)), Written: found.written})
 		}
 		return nil
 	})
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -12,7 +12,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // Clock is the source of time of a stand-in.
@@ -65,7 +65,7 @@
 	random   *rand.Rand
 	reads    *rate.Limiter // nil: no limit
 	writes   *rate.Limiter
-	rows     ordered[platform.Row]
+	rows     ordered[storage.Row]
 	sequence uint64 // last row version given out, over all rows
 	objects  ordered[object]
 	faults   faults
@@ -73,7 +73,7 @@
 	list     instanceHistory
 }
 
-var _ platform.Platform = (*Platform)(nil)
+var _ storage.Platform = (*Platform)(nil)
 
 // errResponseLost marks a write that took effect although its response was lost.
 var errResponseLost = errors.New("response lost")
@@ -88,7 +88,7 @@
 		random:  rand.New(rand.NewPCG(config.Seed, config.Seed^0x9e3779b97f4a7c15)),
 		reads:   limiter(config.ReadsPerSecond),
 		writes:  limiter(config.WritesPerSecond),
-		rows:    newOrdered[platform.Row](),
+		rows:    newOrdered[storage.Row](),
 		objects: newOrdered[object](),
 		list:    instanceHistory{lag: config.InstanceLag},
 	}
@@ -179,7 +179,7 @@
 
 	if late > 0 {
 		p.applyLater(late, apply)
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, errResponseLost)
+		return fmt.Errorf("%w: %w", storage.ErrUnavailable, errResponseLost)
 	}
 	if err := p.delay(ctx, latency/2); err != nil {
 		p.applyLater(latency/2, apply)
@@ -189,7 +189,7 @@
 	err := apply()
 	if err == nil && lost {
 		p.stats.Lost++
-		err = fmt.Errorf("%w: %w", platform.ErrUnavailable, errResponseLost)
+		err = fmt.Errorf("%w: %w", storage.ErrUnavailable, errResponseLost)
 	}
 	p.mu.Unlock()
 	if delayed := p.delay(ctx, latency-latency/2); delayed != nil {
@@ -201,7 +201,7 @@
 // notSent refuses a call whose context has ended before it.
 func notSent(ctx context.Context) error {
 	if err := ctx.Err(); err != nil {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", storage.ErrUnavailable, err)
 	}
 	return nil
 }
@@ -225,11 +225,11 @@
 func (p *Platform) admit(l *rate.Limiter) error {
 	if p.faults.outage || p.faults.takeFailure(p.random) {
 		p.stats.Unavailable++
-		return fmt.Errorf("%w: outage", platform.ErrUnavailable)
+		return fmt.Errorf("%w: outage", storage.ErrUnavailable)
 	}
 	if p.faults.takeThrottle(p.random) || (l != nil && !l.AllowN(p.clock.Now(), 1)) {
 		p.stats.Throttled++
-		return platform.ErrThrottled
+		return storage.ErrThrottled
 	}
 	return nil
 }
@@ -239,7 +239,7 @@
 		return nil
 	}
 	if err := p.clock.Sleep(ctx, d); err != nil {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", storage.ErrUnavailable, err)
 	}
 	return nil
 }
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -11,15 +11,15 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
-func put(key, value string, ifVersion uint64) platform.Transaction {
-	return platform.Transaction{Writes: []platform.Write{{Key: key, Value: []byte(value), IfVersion: ifVersion}}}
+func put(key, value string, ifVersion uint64) storage.Transaction {
+	return storage.Transaction{Writes: []storage.Write{{Key: key, Value: []byte(value), IfVersion: ifVersion}}}
 }
 
 // eachAccess runs a test directly on the stand-in and through the HTTP client.
-func eachAccess(t *testing.T, test func(t *testing.T, p platform.Platform, faults *Platform)) {
+func eachAccess(t *testing.T, test func(t *testing.T, p storage.Platform, faults *Platform)) {
 	t.Run("direct", func(t *testing.T) {
 		s := New(Config{})
 		test(t, s, s)
@@ -28,7 +28,7 @@
 		s := New(Config{})
 		server := httptest.NewServer(s.Handler())
 		defer server.Close()
-		client, err := platform.NewClient(platform.ClientConfig{BaseURL: server.URL})
+		client, err := storage.NewClient(storage.ClientConfig{BaseURL: server.URL})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -40,20 +40,20 @@
 // Guards against a writer that read a row before it was deleted and created
 // again and whose condition then holds by accident.
 func TestVersionsNeverRepeat(t *testing.T) {
-	eachAccess(t, func(t *testing.T, p platform.Platform, _ *Platform) {
+	eachAccess(t, func(t *testing.T, p storage.Platform, _ *Platform) {
 		ctx := t.Context()
 		first, err := p.Commit(ctx, put("k", "a", 0))
 		if err != nil {
 			t.Fatal(err)
 		}
-		remove := platform.Transaction{Writes: []platform.Write{{Key: "k", Delete: true, IfVersion: first[0]}}}
+		remove := storage.Transaction{Writes: []storage.Write{{Key: "k", Delete: true, IfVersion: first[0]}}}
 		if _, err := p.Commit(ctx, remove); err != nil {
 			t.Fatal(err)
 		}
 		if _, err := p.Commit(ctx, put("k", "b", 0)); err != nil {
 			t.Fatal(err)
 		}
-		if _, err := p.Commit(ctx, put("k", "c", first[0])); !errors.Is(err, platform.ErrConflict) {
+		if _, err := p.Commit(ctx, put("k", "c", first[0])); !errors.Is(err, storage.ErrConflict) {
 			t.Fatalf("write with the version of the deleted row: %v, want a conflict", err)
 		}
 	})
@@ -62,13 +62,13 @@
 // Guards against a transaction that applies some of its writes although
 // another condition fails.
 func TestCommitIsAllOrNothing(t *testing.T) {
-	eachAccess(t, func(t *testing.T, p platform.Platform, _ *Platform) {
+	eachAccess(t, func(t *testing.T, p storage.Platform, _ *Platform) {
 		tx := put("a", "1", 0)
-		tx.Writes = append(tx.Writes, platform.Write{Key: "b", Value: []byte("2"), IfVersion: 7})
-		if _, err := p.Commit(t.Context(), tx); !errors.Is(err, platform.ErrConflict) {
+		tx.Writes = append(tx.Writes, storage.Write{Key: "b", Value: []byte("2"), IfVersion: 7})
+		if _, err := p.Commit(t.Context(), tx); !errors.Is(err, storage.ErrConflict) {
 			t.Fatalf("got %v, want a conflict", err)
 		}
-		if _, err := p.Get(t.Context(), "a"); !errors.Is(err, platform.ErrNotFound) {
+		if _, err := p.Get(t.Context(), "a"); !errors.Is(err, storage.ErrNotFound) {
 			t.Fatalf("row of the failed transaction: %v, want not found", err)
 		}
 	})
@@ -83,14 +83,14 @@
 		want    error
 		applied bool
 	}{
-		{"outage", func(s *Platform) { s.SetOutage(true) }, platform.ErrUnavailable, false},
-		{"failure", func(s *Platform) { s.FailNext(1) }, platform.ErrUnavailable, false},
-		{"throttled", func(s *Platform) { s.ThrottleNext(1) }, platform.ErrThrottled, false},
-		{"response lost", func(s *Platform) { s.LoseNext(1) }, platform.ErrUnavailable, true},
+		{"outage", func(s *Platform) { s.SetOutage(true) }, storage.ErrUnavailable, false},
+		{"failure", func(s *Platform) { s.FailNext(1) }, storage.ErrUnavailable, false},
+		{"throttled", func(s *Platform) { s.ThrottleNext(1) }, storage.ErrThrottled, false},
+		{"response lost", func(s *Platform) { s.LoseNext(1) }, storage.ErrUnavailable, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			eachAccess(t, func(t *testing.T, p platform.Platform, s *Platform) {
+			eachAccess(t, func(t *testing.T, p storage.Platform, s *Platform) {
 				c.inject(s)
 				if _, err := p.Commit(t.Context(), put("k", "v", 0)); !errors.Is(err, c.want) {
 					t.Fatalf("got %v, want %v", err, c.want)
@@ -108,7 +108,7 @@
 // Guards against object keys with special characters or large bodies that
 // change on the way, and listings out of order.
 func TestObjects(t *testing.T) {
-	eachAccess(t, func(t *testing.T, p platform.Platform, _ *Platform) {
+	eachAccess(t, func(t *testing.T, p storage.Platform, _ *Platform) {
 		ctx, objects := t.Context(), p.Objects()
 		large := bytes.Repeat([]byte("0123456789abcdef"), 1<<16)
 		for _, key := range []string{"x/b c?&%/ü", "x/a"} {
@@ -134,7 +134,7 @@
 		if err := objects.Delete(ctx, "x/a"); err != nil {
 			t.Fatal(err)
 		}
-		if _, err := objects.Get(ctx, "x/a"); !errors.Is(err, platform.ErrNotFound) {
+		if _, err := objects.Get(ctx, "x/a"); !errors.Is(err, storage.ErrNotFound) {
 			t.Fatalf("deleted object: %v", err)
 		}
 	})
@@ -143,14 +143,14 @@
 // Guards against an object that is stored although its upload broke off, and
 // against blaming the platform for the source's error.
 func TestPutWithFailingSource(t *testing.T) {
-	eachAccess(t, func(t *testing.T, p platform.Platform, _ *Platform) {
+	eachAccess(t, func(t *testing.T, p storage.Platform, _ *Platform) {
 		sourceErr := errors.New("source failed")
 		source := io.MultiReader(strings.NewReader("part"), &failingReader{sourceErr})
 		err := p.Objects().Put(t.Context(), "k", source)
-		if !errors.Is(err, sourceErr) || errors.Is(err, platform.ErrUnavailable) {
+		if !errors.Is(err, sourceErr) || errors.Is(err, storage.ErrUnavailable) {
 			t.Fatalf("got %v, want the source's error only", err)
 		}
-		if _, err := p.Objects().Get(t.Context(), "k"); !errors.Is(err, platform.ErrNotFound) {
+		if _, err := p.Objects().Get(t.Context(), "k"); !errors.Is(err, storage.ErrNotFound) {
 			t.Fatalf("object of the broken upload: %v, want not found", err)
 		}
 	})
@@ -164,9 +164,9 @@
 func TestInstanceListLags(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := New(Config{InstanceLag: 10 * time.Second})
-		s.SetInstance(platform.Instance{ID: "a"})
+		s.SetInstance(storage.Instance{ID: "a"})
 		time.Sleep(5 * time.Second)
-		s.SetInstance(platform.Instance{ID: "b"})
+		s.SetInstance(storage.Instance{ID: "b"})
 		for _, step := range []struct {
 			after     time.Duration
 			instances int
@@ -191,11 +191,11 @@
 		s := New(Config{})
 		s.DelayNext(2, time.Second)
 		for _, key := range []string{"a", "b"} {
-			if _, err := s.Commit(t.Context(), put(key, "late", 0)); !errors.Is(err, platform.ErrUnavailable) {
+			if _, err := s.Commit(t.Context(), put(key, "late", 0)); !errors.Is(err, storage.ErrUnavailable) {
 				t.Fatal(err)
 			}
 		}
-		if _, err := s.Get(t.Context(), "a"); !errors.Is(err, platform.ErrNotFound) {
+		if _, err := s.Get(t.Context(), "a"); !errors.Is(err, storage.ErrNotFound) {
 			t.Fatalf("late write is visible at once: %v", err)
 		}
 		if _, err := s.Commit(t.Context(), put("b", "newer", 0)); err != nil {
@@ -216,7 +216,7 @@
 		s := New(Config{WritesPerSecond: 100})
 		allowed := 0
 		for range 300 {
-			_, err := s.Commit(context.Background(), platform.Transaction{Writes: []platform.Write{{Key: "k", Always: true}}})
+			_, err := s.Commit(context.Background(), storage.Transaction{Writes: []storage.Write{{Key: "k", Always: true}}})
 			if err == nil {
 				allowed++
 			}
--- a/standin/platform/table.go
+++ b/standin/platform/table.go
@@ -7,19 +7,19 @@
 	"fmt"
 	"slices"
 
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // ErrInvalid is the error of a malformed call; it had no effect.
 var ErrInvalid = errors.New("invalid request")
 
 // Get returns a row, or ErrNotFound.
-func (p *Platform) Get(ctx context.Context, key string) (platform.Row, error) {
-	var row platform.Row
+func (p *Platform) Get(ctx context.Context, key string) (storage.Row, error) {
+	var row storage.Row
 	err := p.read(ctx, countTableRead, func() error {
 		found, ok := p.rows.get(key)
 		if !ok {
-			return platform.ErrNotFound
+			return storage.ErrNotFound
 		}
 		row = p.readRow(found)
 		return nil
@@ -28,8 +28,8 @@
 }
 
 // Scan returns rows in key order.
-func (p *Platform) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
-	var rows []platform.Row
+func (p *Platform) Scan(ctx context.Context, prefix, after string, limit int) ([]storage.Row, error) {
+	var rows []storage.Row
 	err := p.read(ctx, countTableRead, func() error {
 		for _, key := range p.rows.scan(prefix, after, limit) {
 			rows = append(rows, p.readRow(p.rows.values[key]))
@@ -40,7 +40,7 @@
 }
 
 // Commit applies a transaction.
-func (p *Platform) Commit(ctx context.Context, tx platform.Transaction) ([]uint64, error) {
+func (p *Platform) Commit(ctx context.Context, tx storage.Transaction) ([]uint64, error) {
 	if err := checkTransaction(tx); err != nil {
 		return nil, err
 	}
@@ -48,7 +48,7 @@
 	var versions []uint64
 	err := p.write(ctx, countTableWrite, func() error {
 		if !p.conditionsHold(tx) {
-			return platform.ErrConflict
+			return storage.ErrConflict
 		}
 		versions = p.applyWrites(tx.Writes)
 		return nil
@@ -59,7 +59,7 @@
 	return versions, nil
 }
 
-func checkTransaction(tx platform.Transaction) error {
+func checkTransaction(tx storage.Transaction) error {
 	seen := make(map[string]bool, len(tx.Writes))
 	for _, w := range tx.Writes {
 		if w.Key == "" {
@@ -73,7 +73,7 @@
 	return nil
 }
 
-func cloneTransaction(tx platform.Transaction) platform.Transaction {
+func cloneTransaction(tx storage.Transaction) storage.Transaction {
 	tx.Conditions = slices.Clone(tx.Conditions)
 	tx.Writes = slices.Clone(tx.Writes)
 	for i := range tx.Writes {
@@ -82,7 +82,7 @@
 	return tx
 }
 
-func (p *Platform) conditionsHold(tx platform.Transaction) bool {
+func (p *Platform) conditionsHold(tx storage.Transaction) bool {
 	for _, c := range tx.Conditions {
 		if p.rows.values[c.Key].Version != c.Version {
 			return false
@@ -99,7 +99,7 @@
 // applyWrites writes the rows. Versions come from one sequence for the whole
 // table, so a row that is deleted and created again never repeats a version
 // and can't satisfy the condition of a writer that read it before.
-func (p *Platform) applyWrites(writes []platform.Write) []uint64 {
+func (p *Platform) applyWrites(writes []storage.Write) []uint64 {
 	versions := make([]uint64, 0, len(writes))
 	for _, w := range writes {
 		p.sequence++
@@ -110,13 +110,13 @@
 			continue
 		}
 		p.stats.BytesWritten += int64(len(w.Value))
-		p.rows.put(w.Key, platform.Row{Key: w.Key, Version: p.sequence, Value: w.Value})
+		p.rows.put(w.Key, storage.Row{Key: w.Key, Version: p.sequence, Value: w.Value})
 	}
 	return versions
 }
 
 // readRow copies a row for its reader and counts its bytes.
-func (p *Platform) readRow(row platform.Row) platform.Row {
+func (p *Platform) readRow(row storage.Row) storage.Row {
 	p.stats.BytesRead += int64(len(row.Value))
 	row.Value = bytes.Clone(row.Value)
 	return row
--- a/platform/bytes_bench_test.go
+++ b/storage/bytes_bench_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package storage_test
 
 import (
 	"context"
@@ -9,8 +9,8 @@
 	"sync/atomic"
 	"testing"
 
-	"github.com/magnoliausher/magnoliausher/platform"
 	standin "github.com/magnoliausher/magnoliausher/standin/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // byteConn counts the bytes of a connection in both directions.
@@ -32,13 +32,13 @@
 }
 
 // startCounted returns a client of a stand-in and the count of its bytes.
-func startCounted(b *testing.B) (*standin.Platform, *platform.Client, *atomic.Int64) {
+func startCounted(b *testing.B) (*standin.Platform, *storage.Client, *atomic.Int64) {
 	p := standin.New(standin.Config{})
 	server := httptest.NewServer(p.Handler())
 	b.Cleanup(server.Close)
 	count := new(atomic.Int64)
 	dialer := &net.Dialer{}
-	client, err := platform.NewClient(platform.ClientConfig{BaseURL: server.URL, Transport: &http.Transport{
+	client, err := storage.NewClient(storage.ClientConfig{BaseURL: server.URL, Transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			return byteConn{Conn: conn, count: count}, err
@@ -57,8 +57,8 @@
 		b.Run(fmt.Sprintf("rows=%d", n), func(b *testing.B) {
 			p, client, count := startCounted(b)
 			for i := range n {
-				write := platform.Write{Key: fmt.Sprintf("running/version/%03d", i), Value: []byte("1")}
-				if _, err := p.Commit(b.Context(), platform.Transaction{Writes: []platform.Write{write}}); err != nil {
+				write := storage.Write{Key: fmt.Sprintf("running/version/%03d", i), Value: []byte("1")}
+				if _, err := p.Commit(b.Context(), storage.Transaction{Writes: []storage.Write{write}}); err != nil {
 					b.Fatal(err)
 				}
 			}
@@ -79,11 +79,11 @@
 	for _, n := range []int{100, 300, 1000, 3000} {
 		b.Run(fmt.Sprintf("instances=%d", n), func(b *testing.B) {
 			p, client, count := startCounted(b)
-			list := make([]platform.Instance, n)
+			list := make([]storage.Instance, n)
 			for i := range list {
-				list[i] = platform.Instance{
-					ID: fmt.Sprintf("agent-%04d", i), Role: platform.RoleAgent, DataCentre: "mvd-a",
-					Address: fmt.Sprintf("10.%d.%d.20:9443", i/250, i%250), Service: "model-07", State: platform.InstanceLive,
+				list[i] = storage.Instance{
+					ID: fmt.Sprintf("agent-%04d", i), Role: storage.RoleAgent, DataCentre: "mvd-a",
+					Address: fmt.Sprintf("10.%d.%d.20:9443", i/250, i%250), Service: "model-07", State: storage.InstanceLive,
 				}
 			}
 			p.SetInstances(list)
--- a/platform/client_test.go
+++ b/storage/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package storage_test
 
 import (
 	"context"
@@ -11,18 +11,18 @@
 	"testing"
 	"time"
 
-	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // silenceTimeout is the client's timeout in tests that wait for it. Calls that
 // must succeed within it need far less, also on a busy machine.
 const silenceTimeout = 2 * time.Second
 
-func newClient(t *testing.T, handler http.Handler, timeout time.Duration) *platform.Client {
+func newClient(t *testing.T, handler http.Handler, timeout time.Duration) *storage.Client {
 	t.Helper()
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
-	client, err := platform.NewClient(platform.ClientConfig{BaseURL: server.URL, Timeout: timeout})
+	client, err := storage.NewClient(storage.ClientConfig{BaseURL: server.URL, Timeout: timeout})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -30,7 +30,7 @@
 	return client
 }
 
-var oneWrite = platform.Transaction{Writes: []platform.Write{{Key: "k", Value: []byte("v")}}}
+var oneWrite = storage.Transaction{Writes: []storage.Write{{Key: "k", Value: []byte("v")}}}
 
 // Guards against responses that are taken for another outcome. A 404 or 409
 // of a proxy would make an existing row look absent or an open write refused.
@@ -42,19 +42,19 @@
 		body   string
 		want   error
 	}{
-		{"row absent", 404, `{"code":"not_found"}`, platform.ErrNotFound},
+		{"row absent", 404, `{"code":"not_found"}`, storage.ErrNotFound},
 		{"404 of a proxy", 404, `<html>not found</html>`, errStatus},
-		{"condition failed", 409, `{"code":"condition_failed"}`, platform.ErrConflict},
+		{"condition failed", 409, `{"code":"condition_failed"}`, storage.ErrConflict},
 		{"409 of a proxy", 409, ``, errStatus},
-		{"throttled", 429, `{"code":"throttled"}`, platform.ErrThrottled},
-		{"throttled by a proxy", 429, `slow down`, platform.ErrThrottled},
-		{"internal error", 500, ``, platform.ErrUnavailable},
-		{"bad gateway", 502, ``, platform.ErrUnavailable},
-		{"unavailable", 503, `{"code":"unavailable"}`, platform.ErrUnavailable},
+		{"throttled", 429, `{"code":"throttled"}`, storage.ErrThrottled},
+		{"throttled by a proxy", 429, `slow down`, storage.ErrThrottled},
+		{"internal error", 500, ``, storage.ErrUnavailable},
+		{"bad gateway", 502, ``, storage.ErrUnavailable},
+		{"unavailable", 503, `{"code":"unavailable"}`, storage.ErrUnavailable},
 		{"malformed call", 400, `{"code":"invalid_request"}`, errStatus},
 		{"redirect", 307, ``, errStatus},
-		{"malformed response", 200, `{"versions":[1`, platform.ErrUnavailable},
-		{"too few versions", 200, `{"versions":[]}`, platform.ErrUnavailable},
+		{"malformed response", 200, `{"versions":[1`, storage.ErrUnavailable},
+		{"too few versions", 200, `{"versions":[]}`, storage.ErrUnavailable},
 		{"success", 200, `{"versions":[1]}`, nil},
 	}
 	for _, c := range cases {
@@ -65,7 +65,7 @@
 				_, _ = io.WriteString(w, c.body)
 			}), 0)
 			_, err := client.Commit(t.Context(), oneWrite)
-			var status *platform.StatusError
+			var status *storage.StatusError
 			if errors.As(err, &status) && status.Status == c.status {
 				err = errStatus
 			}
@@ -96,7 +96,7 @@
 				_, _ = io.Copy(io.Discard, r.Body) // lets net/http notice that the client left
 				c.respond(r)
 			}), silenceTimeout)
-			if _, err := client.Commit(t.Context(), oneWrite); !errors.Is(err, platform.ErrUnavailable) {
+			if _, err := client.Commit(t.Context(), oneWrite); !errors.Is(err, storage.ErrUnavailable) {
 				t.Fatalf("got %v, want ErrUnavailable", err)
 			}
 			if sent.Load() != 1 {
@@ -112,7 +112,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	_, err := client.Commit(ctx, oneWrite)
-	if !errors.Is(err, platform.ErrUnavailable) || !errors.Is(err, context.Canceled) {
+	if !errors.Is(err, storage.ErrUnavailable) || !errors.Is(err, context.Canceled) {
 		t.Fatalf("got %v, want ErrUnavailable and Canceled", err)
 	}
 }
@@ -140,7 +140,7 @@
 				t.Fatal(err)
 			}
 			defer body.Close()
-			if got, err := io.ReadAll(body); !errors.Is(err, platform.ErrUnavailable) {
+			if got, err := io.ReadAll(body); !errors.Is(err, storage.ErrUnavailable) {
 				t.Fatalf("read %q, %v; want ErrUnavailable", got, err)
 			}
 		})
@@ -177,7 +177,7 @@
 	}
 	wait.Wait()
 	warm.Store(true)
-	if _, err := client.Get(t.Context(), "k"); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := client.Get(t.Context(), "k"); !errors.Is(err, storage.ErrUnavailable) {
 		t.Fatalf("call on a silent connection: %v", err)
 	}
 	if _, err := client.Get(t.Context(), "k"); err != nil {
--- a/platform/limited_test.go
+++ b/storage/limited_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package storage_test
 
 import (
 	"bytes"
@@ -13,25 +13,25 @@
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
 
-	"github.com/magnoliausher/magnoliausher/platform"
 	standin "github.com/magnoliausher/magnoliausher/standin/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
-var fastLimits = platform.LimitConfig{ReadsPerSecond: 1e6, WritesPerSecond: 1e6}
+var fastLimits = storage.LimitConfig{ReadsPerSecond: 1e6, WritesPerSecond: 1e6}
 
 // slowReads reads a row at once and responds later, so that a read in progress
 // holds an old state.
 type slowReads struct {
-	platform.Platform
+	storage.Platform
 	response time.Duration
 }
 
-func (s slowReads) Get(ctx context.Context, key string) (platform.Row, error) {
+func (s slowReads) Get(ctx context.Context, key string) (storage.Row, error) {
 	row, err := s.Platform.Get(ctx, key)
 	select {
 	case <-time.After(s.response):
 	case <-ctx.Done():
-		return platform.Row{}, ctx.Err()
+		return storage.Row{}, ctx.Err()
 	}
 	return row, err
 }
@@ -40,11 +40,11 @@
 func TestIdenticalReadsAreJoined(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := standin.New(standin.Config{})
-		l := platform.NewLimited(slowReads{s, time.Second}, fastLimits)
+		l := storage.NewLimited(slowReads{s, time.Second}, fastLimits)
 		var readers sync.WaitGroup
 		for range 50 {
 			readers.Go(func() {
-				if _, err := l.Get(t.Context(), "k"); !errors.Is(err, platform.ErrNotFound) {
+				if _, err := l.Get(t.Context(), "k"); !errors.Is(err, storage.ErrNotFound) {
 					t.Error(err)
 				}
 			})
@@ -61,11 +61,11 @@
 func TestReadSeesEarlierWriteDespiteJoining(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := standin.New(standin.Config{})
-		l := platform.NewLimited(slowReads{s, time.Second}, fastLimits)
+		l := storage.NewLimited(slowReads{s, time.Second}, fastLimits)
 		go func() { _, _ = l.Get(t.Context(), "k") }()
 		synctest.Wait() // the read is in progress and has seen no row
 		s.LoseNext(1)
-		if _, err := l.Commit(t.Context(), oneWrite); !errors.Is(err, platform.ErrUnavailable) {
+		if _, err := l.Commit(t.Context(), oneWrite); !errors.Is(err, storage.ErrUnavailable) {
 			t.Fatal(err)
 		}
 		if _, err := l.Get(t.Context(), "k"); err != nil {
@@ -82,13 +82,13 @@
 		if _, err := s.Commit(t.Context(), oneWrite); err != nil {
 			t.Fatal(err)
 		}
-		l := platform.NewLimited(slowReads{s, time.Second}, fastLimits)
+		l := storage.NewLimited(slowReads{s, time.Second}, fastLimits)
 		go func() { _, _ = l.Get(t.Context(), "k") }()
 		synctest.Wait() // in progress, so later reads share the next call
 		first, leave := context.WithCancel(t.Context())
 		go func() { _, _ = l.Get(first, "k") }()
 		synctest.Wait() // first has opened the next call
-		rows := make(chan platform.Row, 2)
+		rows := make(chan storage.Row, 2)
 		for range 2 {
 			go func() {
 				row, err := l.Get(t.Context(), "k")
@@ -114,41 +114,41 @@
 // Guards against blind repetition of writes with an open outcome, and against
 // giving up calls that are safe to repeat.
 func TestWhatIsRepeated(t *testing.T) {
-	get := func(ctx context.Context, l *platform.Limited) error {
+	get := func(ctx context.Context, l *storage.Limited) error {
 		_, err := l.Get(ctx, "k")
 		return err
 	}
-	commit := func(ctx context.Context, l *platform.Limited) error {
+	commit := func(ctx context.Context, l *storage.Limited) error {
 		_, err := l.Commit(ctx, oneWrite)
 		return err
 	}
-	remove := func(ctx context.Context, l *platform.Limited) error { return l.Objects().Delete(ctx, "k") }
-	open := func(ctx context.Context, l *platform.Limited) error {
+	remove := func(ctx context.Context, l *storage.Limited) error { return l.Objects().Delete(ctx, "k") }
+	open := func(ctx context.Context, l *storage.Limited) error {
 		_, err := l.Objects().Get(ctx, "k")
 		return err
 	}
 	cases := []struct {
 		name   string
 		inject func(*standin.Platform)
-		call   func(context.Context, *platform.Limited) error
+		call   func(context.Context, *storage.Limited) error
 		want   error
 		calls  int
 	}{
-		{"failed read", func(s *standin.Platform) { s.FailNext(3) }, get, platform.ErrNotFound, 4},
-		{"throttled read", func(s *standin.Platform) { s.ThrottleNext(3) }, get, platform.ErrNotFound, 4},
-		{"failed open", func(s *standin.Platform) { s.FailNext(3) }, open, platform.ErrNotFound, 4},
-		{"failed commit", func(s *standin.Platform) { s.FailNext(1) }, commit, platform.ErrUnavailable, 1},
-		{"lost commit", func(s *standin.Platform) { s.LoseNext(1) }, commit, platform.ErrUnavailable, 1},
+		{"failed read", func(s *standin.Platform) { s.FailNext(3) }, get, storage.ErrNotFound, 4},
+		{"throttled read", func(s *standin.Platform) { s.ThrottleNext(3) }, get, storage.ErrNotFound, 4},
+		{"failed open", func(s *standin.Platform) { s.FailNext(3) }, open, storage.ErrNotFound, 4},
+		{"failed commit", func(s *standin.Platform) { s.FailNext(1) }, commit, storage.ErrUnavailable, 1},
+		{"lost commit", func(s *standin.Platform) { s.LoseNext(1) }, commit, storage.ErrUnavailable, 1},
 		{"throttled commit", func(s *standin.Platform) { s.ThrottleNext(3) }, commit, nil, 4},
-		{"failed deletion", func(s *standin.Platform) { s.FailNext(1) }, remove, platform.ErrUnavailable, 1},
-		{"outage", func(s *standin.Platform) { s.SetOutage(true) }, get, platform.ErrUnavailable, platform.DefaultAttempts},
+		{"failed deletion", func(s *standin.Platform) { s.FailNext(1) }, remove, storage.ErrUnavailable, 1},
+		{"outage", func(s *standin.Platform) { s.SetOutage(true) }, get, storage.ErrUnavailable, storage.DefaultAttempts},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := standin.New(standin.Config{})
 				c.inject(s)
-				err := c.call(t.Context(), platform.NewLimited(s, fastLimits))
+				err := c.call(t.Context(), storage.NewLimited(s, fastLimits))
 				stats := s.Stats()
 				if !errors.Is(err, c.want) || stats.Reads()+stats.Writes() != c.calls {
 					t.Fatalf("%v after %d calls, want %v after %d", err, stats.Reads()+stats.Writes(), c.want, c.calls)
@@ -165,12 +165,12 @@
 		s.SetOutage(true)
 		config := fastLimits
 		config.Attempts = 1000
-		l := platform.NewLimited(s, config)
+		l := storage.NewLimited(s, config)
 		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 		defer cancel()
 		start := time.Now()
 		_, err := l.Get(ctx, "k")
-		if !errors.Is(err, platform.ErrUnavailable) || time.Since(start) > 300*time.Millisecond {
+		if !errors.Is(err, storage.ErrUnavailable) || time.Since(start) > 300*time.Millisecond {
 			t.Fatalf("%v after %v", err, time.Since(start))
 		}
 		synctest.Wait()
@@ -187,8 +187,8 @@
 func TestSharedRateLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := standin.New(standin.Config{})
-		l := platform.NewLimited(s, platform.LimitConfig{WritesPerSecond: 10, WriteBurst: 5})
-		write := platform.Transaction{Writes: []platform.Write{{Key: "k", Always: true}}}
+		l := storage.NewLimited(s, storage.LimitConfig{WritesPerSecond: 10, WriteBurst: 5})
+		write := storage.Transaction{Writes: []storage.Write{{Key: "k", Always: true}}}
 		var writers sync.WaitGroup
 		start := time.Now()
 		for range 25 {
@@ -205,7 +205,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
 		defer cancel()
 		_, err := l.Commit(ctx, write)
-		if !errors.Is(err, platform.ErrThrottled) || errors.Is(err, platform.ErrUnavailable) {
+		if !errors.Is(err, storage.ErrThrottled) || errors.Is(err, storage.ErrUnavailable) {
 			t.Fatalf("unsent write: %v, want ErrThrottled only", err)
 		}
 		if writes := s.Stats().TableWrites; writes != 25 {
@@ -219,7 +219,7 @@
 	properties := gopter.NewProperties(nil)
 	properties.Property("0 <= delay <= min(max, base*2^n)", prop.ForAll(
 		func(baseMS, maxMS int64, failed int) bool {
-			b := platform.Backoff{Base: time.Duration(baseMS) * time.Millisecond, Max: time.Duration(maxMS) * time.Millisecond}
+			b := storage.Backoff{Base: time.Duration(baseMS) * time.Millisecond, Max: time.Duration(maxMS) * time.Millisecond}
 			limit := b.Max
 			if failed < 20 {
 				limit = min(b.Max, b.Base<<failed)
--- a/platform/platform.go
+++ b/storage/platform.go
@@ -1,6 +1,6 @@
-// Package platform holds the interfaces to the services of the platform: the
+// Package storage holds the interfaces to the services of the platform: the
 // transactional table service, the object store and the list of instances.
-package platform
+package storage
 
 import (
 	"context"
--- a/platform/wire.go
+++ b/storage/wire.go
@@ -1,4 +1,4 @@
-package platform
+package storage
 
 // Paths of the platform's HTTP interface. Keys are query parameters, because
 // they contain slashes.
