--- /dev/null
+++ b/batch/run.go
@@ -0,0 +1,636 @@
+package batch
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/magnoliausher/magnoliausher/dispatch"
+	"github.com/magnoliausher/magnoliausher/event"
+	"github.com/magnoliausher/magnoliausher/fleet"
+	"github.com/magnoliausher/magnoliausher/forward"
+	"github.com/magnoliausher/magnoliausher/metric"
+	"github.com/magnoliausher/magnoliausher/storage"
+)
+
+const (
+	// scheduleInterval is how often waiting items are offered although no event
+	// told of a free slot.
+	scheduleInterval = 50 * time.Millisecond
+	// itemSilence: an item is moved after this long without an event. Engines
+	// send one every 30 ms.
+	itemSilence = 700 * time.Millisecond
+	// commitDelay merges results that finish together into one transaction.
+	commitDelay = 40 * time.Millisecond
+	// commitBytes and commitRows bound a transaction, which may have 1 MB and 100 entries.
+	commitBytes = 600 << 10
+	commitRows  = 60
+	// failurePause is the first pause of an item after a failed attempt; it
+	// doubles with each one.
+	failurePause    = 100 * time.Millisecond
+	failurePauseMax = 3 * time.Second
+	// blockedPause is how often an item that crashes engines is looked at again.
+	blockedPause = 2 * time.Second
+	// releaseTimeout bounds giving a job back at shutdown.
+	releaseTimeout = 2 * time.Second
+)
+
+type itemState uint8
+
+const (
+	itemWaiting itemState = iota
+	itemActive
+	itemFinished // the result is not in the store yet
+	itemListed
+)
+
+// work is one item of a running job.
+type work struct {
+	index     int
+	state     itemState
+	lastID    string // of the last event had
+	output    []byte // data of the events had
+	events    int
+	failures  int // attempts that the engine answered as failed
+	broken    int // attempts in a row that broke off without an event
+	notBefore time.Time
+	result    Result
+}
+
+// running is a job that this process owns. Its fields are guarded by Service.mu.
+type running struct {
+	job        Job
+	version    uint64
+	submission *Submission
+	items      []work
+	finished   []int // indexes in the order of finishing, not yet listed
+	committing bool
+	dropped    bool
+	ctx        context.Context
+	cancel     context.CancelCauseFunc
+	active     sync.WaitGroup
+}
+
+// adopt starts to run a job that this process owns.
+func (s *Service) adopt(id string) {
+	s.mu.Lock()
+	_, runs := s.running[id]
+	if runs || s.claiming["load "+id] || s.stopping {
+		s.mu.Unlock()
+		return
+	}
+	s.claiming["load "+id] = true
+	s.mu.Unlock()
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*callTimeout)
+		defer cancel()
+		err := s.load(ctx, id)
+		s.mu.Lock()
+		delete(s.claiming, "load "+id)
+		s.mu.Unlock()
+		if err != nil {
+			s.cfg.Log.Warn().Err(err).Str("job", id).Msg("job not loaded; tried again")
+			return
+		}
+		s.signal()
+	}()
+}
+
+// load reads the items and the listed results of a job and puts it in the schedule.
+func (s *Service) load(ctx context.Context, id string) error {
+	e, known := s.mirror.get(id)
+	if !known || e.closed() || !s.owns(&e.Job) {
+		return nil
+	}
+	submission, err := s.submission(ctx, id)
+	if err != nil {
+		return err
+	}
+	listed := make(map[string]bool)
+	for at := 0; at < e.Listed; {
+		results, err := s.read(ctx, id, at, e.Listed)
+		if err != nil {
+			return err
+		}
+		for _, r := range results {
+			listed[r.Item] = true
+		}
+		at += len(results)
+	}
+	r := &running{job: e.Job, version: e.version, submission: submission, items: make([]work, len(submission.Items))}
+	r.ctx, r.cancel = context.WithCancelCause(context.Background())
+	for i := range r.items {
+		r.items[i].index = i
+		r.items[i].failures = e.Failures[i]
+		if listed[submission.Items[i].ID] {
+			r.items[i].state = itemListed
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running[id] == nil && !s.stopping {
+		s.running[id] = r
+	}
+	return nil
+}
+
+var errDropped = errors.New("the job is no longer run here")
+
+// drop stops running a job.
+func (s *Service) drop(id, reason string) {
+	s.mu.Lock()
+	r := s.running[id]
+	delete(s.running, id)
+	if r != nil {
+		r.dropped = true
+	}
+	s.mu.Unlock()
+	if r != nil {
+		r.cancel(errDropped)
+		s.cfg.Log.Info().Str("job", id).Str("reason", reason).Uint64("row", r.version).Msg("job dropped")
+	}
+}
+
+func (s *Service) signal() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// schedule offers waiting items to free slots until ctx ends.
+func (s *Service) schedule(ctx context.Context) error {
+	ticker := time.NewTicker(scheduleInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.wake:
+		case <-s.cfg.Dispatcher.BatchWake():
+		case <-ticker.C:
+		}
+		s.startItems()
+	}
+}
+
+// candidate is a waiting item with what decides its place.
+type candidate struct {
+	job  *running
+	item *work
+}
+
+// startItems starts as many waiting items as there are slots for.
+func (s *Service) startItems() {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := s.waiting(now)
+	s.cfg.Dispatcher.SetBacklog(len(list))
+	for len(list) > 0 {
+		best := NextItem(views(list))
+		c := list[best]
+		service, known := s.service(c.job, c.item)
+		if !known {
+			s.finish(c.job, c.item, Result{Abandoned: true}, "route_removed")
+		} else {
+			grant := s.cfg.Dispatcher.TryBatch(service, len(list), nil)
+			if grant == nil {
+				return
+			}
+			c.item.state = itemActive
+			c.job.active.Add(1)
+			go s.runItem(c.job, c.item, grant)
+		}
+		list = append(list[:best], list[best+1:]...)
+	}
+	s.cfg.Dispatcher.SetBacklog(0)
+}
+
+// waiting returns the items that may start now, and abandons those whose
+// retention is over.
+func (s *Service) waiting(now time.Time) []candidate {
+	var list []candidate
+	if s.stopping {
+		return nil
+	}
+	for _, r := range s.running {
+		for i := range r.items {
+			w := &r.items[i]
+			if w.state == itemWaiting && !w.notBefore.After(now) {
+				list = append(list, candidate{r, w})
+			}
+		}
+	}
+	return list
+}
+
+func views(list []candidate) []ItemView {
+	out := make([]ItemView, len(list))
+	for i, c := range list {
+		out[i] = ItemView{Created: c.job.job.Created, Left: c.job.job.Total - c.job.job.Listed, Events: c.item.events}
+	}
+	return out
+}
+
+// ItemView is what decides the place of a waiting item.
+type ItemView struct {
+	Created int64 // of its job, Unix ms
+	Left    int   // results that its job lacks
+	Events  int   // events that it has had
+}
+
+// NextItem returns the index of the item to start first: the one of the oldest
+// job, which is due first; in a job, the one that has got furthest.
+func NextItem(list []ItemView) int {
+	best := 0
+	for i := range list {
+		a, b := &list[i], &list[best]
+		if a.Created != b.Created {
+			if a.Created < b.Created {
+				best = i
+			}
+			continue
+		}
+		if a.Events > b.Events {
+			best = i
+		}
+	}
+	return best
+}
+
+// service returns the service that the configuration in force sends an item to.
+func (s *Service) service(r *running, w *work) (string, bool) {
+	c := s.cfg.Holder.View().Configuration
+	item := &r.submission.Items[w.index]
+	if c == nil {
+		return r.submission.Service, true
+	}
+	route := c.Match(r.submission.Host, item.Target)
+	if route == nil {
+		return "", false
+	}
+	return route.Service(item.ID), true
+}
+
+func (s *Service) route(r *running, w *work) *fleet.Route {
+	if c := s.cfg.Holder.View().Configuration; c != nil {
+		return c.Match(r.submission.Host, r.submission.Items[w.index].Target)
+	}
+	return nil
+}
+
+// defaultAttempts applies while no route is known.
+const defaultAttempts = 3
+
+// runItem makes one attempt of an item.
+func (s *Service) runItem(r *running, w *work, grant *dispatch.Grant) {
+	defer r.active.Done()
+	item := &r.submission.Items[w.index]
+	fingerprint := xxhash.Sum64String(r.job.ID + "\x00" + item.ID)
+	if s.cfg.Suspects.Blocked(fingerprint) {
+		grant.Release(dispatch.Cancelled)
+		s.requeue(r, w, blockedPause)
+		return
+	}
+	ctx, cancel := context.WithCancel(r.ctx)
+	defer cancel()
+	stop := context.AfterFunc(r.ctx, cancel)
+	defer stop()
+	go func() {
+		select {
+		case <-grant.Preempted():
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	started, had := time.Now(), w.events
+	outcome, end := s.attempt(ctx, r, w, grant)
+	preempted := isClosed(grant.Preempted())
+	if outcome == dispatch.Broken && ctx.Err() != nil {
+		outcome = dispatch.Cancelled
+	}
+	grant.Release(outcome)
+	if preempted {
+		metric.Preempted(grant.Upstream.Service)
+	}
+	s.cfg.Log.Info().Str("request", item.ID).Str("job", r.job.ID).Str("upstream", grant.Upstream.ID).
+		Int("from_event", had).Int("events", w.events).Bool("preempted", preempted).Str("outcome", end).
+		Int64("ms", time.Since(started).Milliseconds()).Msg("item attempt")
+	s.settle(r, w, grant, outcome, end, had, fingerprint)
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// Ends of an attempt.
+const (
+	endDone       = "done"
+	endImpossible = "impossible" // 422
+	endFailed     = "failed"     // 500
+	endNotRun     = "not_run"
+	endNotSent    = "not_sent"
+	endBroken     = "broken"
+)
+
+// attempt sends an item and collects its events. It writes w without a lock,
+// which is safe because an active item has one attempt.
+func (s *Service) attempt(ctx context.Context, r *running, w *work, grant *dispatch.Grant) (dispatch.Outcome, string) {
+	item := &r.submission.Items[w.index]
+	header := make(http.Header, len(item.Header))
+	for name, value := range item.Header {
+		header.Set(name, value)
+	}
+	answer, err := s.cfg.Upstreams.Call(ctx, grant.Upstream, &forward.Call{
+		ID: item.ID, Host: r.submission.Host, Method: http.MethodPost, Target: item.Target,
+		Header: header, Body: item.Body, ResumeAfter: w.lastID})
+	if errors.Is(err, forward.ErrNotSent) {
+		return dispatch.Refused, endNotSent
+	}
+	if err != nil {
+		return dispatch.Broken, endBroken
+	}
+	defer answer.Body.Close()
+	switch {
+	case answer.NotRun:
+		return dispatch.Full, endNotRun
+	case answer.Status == http.StatusUnprocessableEntity:
+		return dispatch.Cancelled, endImpossible
+	case answer.Status >= 500:
+		return dispatch.Cancelled, endFailed
+	case answer.Status != http.StatusOK || !answer.Signed || !answer.Events:
+		return dispatch.Broken, endBroken + " status " + strconv.Itoa(answer.Status)
+	}
+	return s.collect(w, grant, answer)
+}
+
+func (s *Service) collect(w *work, grant *dispatch.Grant, answer *forward.Answer) (dispatch.Outcome, string) {
+	silence := time.AfterFunc(itemSilence, func() { answer.Body.Close() })
+	defer silence.Stop()
+	events := event.NewReader(answer.Body)
+	for {
+		e, err := events.Next()
+		if errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.Raw)) == 0 {
+			return dispatch.Served, endDone
+		}
+		if err != nil {
+			return dispatch.Broken, endBroken
+		}
+		silence.Reset(itemSilence)
+		grant.Progress()
+		if e.Data == nil {
+			continue
+		}
+		if w.events > 0 {
+			w.output = append(w.output, '\n')
+		}
+		w.output = append(w.output, e.Data...)
+		w.events++
+		if e.ID != "" {
+			w.lastID = e.ID
+		}
+	}
+}
+
+// settle decides what becomes of an item after an attempt.
+func (s *Service) settle(r *running, w *work, grant *dispatch.Grant, outcome dispatch.Outcome, end string, had int, fingerprint uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	attempts := defaultAttempts
+	if route := s.route(r, w); route != nil {
+		attempts = route.MaxAttempts
+	}
+	switch end {
+	case endDone:
+		s.finish(r, w, Result{Output: string(w.output)}, end)
+		return
+	case endImpossible:
+		s.finish(r, w, Result{Abandoned: true}, end)
+		return
+	case endFailed:
+		w.failures++
+		if w.failures >= attempts {
+			s.finish(r, w, Result{Abandoned: true}, end)
+			return
+		}
+		s.wait(w, failurePause<<w.failures)
+		return
+	}
+	if outcome == dispatch.Broken && w.events == had {
+		w.broken++
+		s.cfg.Suspects.Crashed(grant.Upstream, fingerprint)
+		s.wait(w, failurePause<<min(w.broken, 5))
+		return
+	}
+	w.broken = 0
+	s.wait(w, 0)
+}
+
+func (s *Service) wait(w *work, pause time.Duration) {
+	w.state = itemWaiting
+	w.notBefore = time.Now().Add(min(pause, failurePauseMax))
+	s.signal()
+}
+
+func (s *Service) requeue(_ *running, w *work, pause time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wait(w, pause)
+}
+
+// finish notes the end of an item and starts the commit. The caller holds the lock.
+func (s *Service) finish(r *running, w *work, result Result, reason string) {
+	result.Item = r.submission.Items[w.index].ID
+	w.state = itemFinished
+	w.result = result
+	w.output = nil
+	r.finished = append(r.finished, w.index)
+	if result.Abandoned {
+		s.cfg.Log.Info().Str("request", result.Item).Str("job", r.job.ID).Str("reason", reason).
+			Int("failures", w.failures).Msg("item given up")
+	}
+	if !r.committing && !r.dropped {
+		r.committing = true
+		time.AfterFunc(commitDelay, func() { s.commitFinished(r) })
+	}
+}
+
+// commitFinished lists finished results until there are none.
+func (s *Service) commitFinished(r *running) {
+	for failures := 0; ; {
+		err := s.commitOnce(r, false)
+		s.mu.Lock()
+		if r.dropped || (err == nil && len(r.finished) == 0) {
+			r.committing = false
+			s.mu.Unlock()
+			if r.job.closed() {
+				s.drop(r.job.ID, "complete")
+			}
+			return
+		}
+		s.mu.Unlock()
+		if err == nil {
+			failures = 0
+			continue
+		}
+		s.cfg.Log.Warn().Err(err).Str("job", r.job.ID).Uint64("row", r.version).Msg("results not listed; tried again")
+		time.Sleep(storeBackoff.Delay(failures))
+		failures++
+	}
+}
+
+// commitOnce writes some finished results and the job row in one transaction.
+// With release set it gives the job back as well.
+func (s *Service) commitOnce(r *running, release bool) error {
+	s.mu.Lock()
+	if r.dropped {
+		s.mu.Unlock()
+		return nil
+	}
+	next, writes, listed := r.prepare()
+	if release {
+		next.Owner, next.OwnerIncarnation = "", 0
+	}
+	version := r.version
+	s.mu.Unlock()
+	if len(listed) == 0 && !release {
+		return nil
+	}
+	writes = append(writes, storage.Write{Key: jobKey(next.ID), Value: encodeJob(&next), IfVersion: version})
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	versions, err := s.cfg.Table.Commit(ctx, storage.Transaction{Writes: writes})
+	switch {
+	case err == nil:
+		s.listed(r, next, versions[len(versions)-1], listed)
+		return nil
+	case errors.Is(err, storage.ErrThrottled):
+		return err // nothing was done
+	}
+	return s.reconcile(ctx, r, next, listed, err)
+}
+
+// reconcile finds out what became of a commit that conflicted or got no answer.
+func (s *Service) reconcile(ctx context.Context, r *running, next Job, listed []int, cause error) error {
+	row, err := s.cfg.Table.Get(ctx, jobKey(next.ID))
+	if errors.Is(err, storage.ErrNotFound) {
+		s.drop(next.ID, "row_removed")
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	s.mirror.apply([]storage.Change{{Row: row}})
+	e, known := s.mirror.get(next.ID)
+	switch {
+	case !known || e.Ended || !s.owns(&e.Job) && e.Commit != next.Commit:
+		s.drop(next.ID, "closed_or_claimed")
+		return nil
+	case e.Commit == next.Commit:
+		s.listed(r, next, e.version, listed) // it took effect
+		return nil
+	}
+	s.mu.Lock()
+	r.version = e.version
+	s.mu.Unlock()
+	return cause
+}
+
+// prepare builds the next job row with as many finished results as fit. The
+// caller holds the lock.
+func (r *running) prepare() (Job, []storage.Write, []int) {
+	next := r.job
+	next.Commit = rand.Uint64()
+	next.Failures = nil
+	var writes []storage.Write
+	var listed []int
+	size := 0
+	for _, index := range r.finished {
+		result := r.items[index].result
+		if len(listed) > 0 && size+len(result.Output) > commitBytes || len(writes) >= commitRows {
+			break
+		}
+		for part, value := range resultRows(result) {
+			writes = append(writes, storage.Write{Key: resultKey(next.ID, next.Listed, part), Value: value, Always: true})
+		}
+		size += len(result.Output)
+		next.Listed++
+		next.OpenTokens -= r.submission.Items[index].Tokens
+		listed = append(listed, index)
+	}
+	for i := range r.items {
+		if r.items[i].failures > 0 && r.items[i].state < itemFinished {
+			if next.Failures == nil {
+				next.Failures = make(map[int]int)
+			}
+			next.Failures[i] = r.items[i].failures
+		}
+	}
+	return next, writes, listed
+}
+
+// listed takes over a commit that took effect.
+func (s *Service) listed(r *running, next Job, version uint64, indexes []int) {
+	s.mu.Lock()
+	first := r.job.Listed
+	for i, index := range indexes {
+		s.results.Add(resultID{next.ID, first + i}, r.items[index].result)
+		r.items[index].state = itemListed
+		r.items[index].result = Result{}
+	}
+	r.finished = r.finished[len(indexes):]
+	r.job, r.version = next, version
+	s.mu.Unlock()
+	s.mirror.write(next, version)
+	s.cfg.Log.Info().Str("job", next.ID).Int("listed", next.Listed).Int("total", next.Total).Uint64("row", version).Msg("results listed")
+}
+
+// Release stops all items and gives the jobs back, so that other gateways can
+// claim them at once.
+func (s *Service) Release() {
+	s.mu.Lock()
+	s.stopping = true
+	list := make([]*running, 0, len(s.running))
+	for _, r := range s.running {
+		list = append(list, r)
+	}
+	s.mu.Unlock()
+	var all sync.WaitGroup
+	for _, r := range list {
+		all.Go(func() { s.release(r) })
+	}
+	all.Wait()
+}
+
+func (s *Service) release(r *running) {
+	r.cancel(errDropped)
+	r.active.Wait()
+	deadline := time.Now().Add(releaseTimeout)
+	for failures := 0; time.Now().Before(deadline); failures++ {
+		s.mu.Lock()
+		left := len(r.finished)
+		s.mu.Unlock()
+		err := s.commitOnce(r, left == 0)
+		if err == nil && left == 0 {
+			break
+		}
+		if err != nil {
+			time.Sleep(storeBackoff.Delay(failures))
+		}
+	}
+	s.drop(r.job.ID, "released")
+}
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -102,6 +102,7 @@
 	return []*cli.Command{
 		entryCommand(),
 		agentCommand(),
+		gatewayCommand(),
 		demoCommand(),
 		devCommand(),
 		checkSettingsCommand(),
--- /dev/null
+++ b/cli/gateway.go
@@ -0,0 +1,40 @@
+package cli
+
+import (
+	"context"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/magnoliausher/magnoliausher/daemon"
+	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/settings"
+)
+
+func gatewayCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "gateway",
+		Usage:     "run the process that takes requests and sends them straight to upstreams",
+		ArgsUsage: "[SETTINGS]",
+		Description: "Without an argument the settings file is the one that " + platform.SettingsVariable + " names. " +
+			"SIGHUP, or a change of the file, reloads it. SIGTERM or SIGINT starts a graceful shutdown.",
+		Action: func(ctx context.Context, c *cli.Command) error {
+			file := os.Getenv(platform.SettingsVariable)
+			if c.Args().Len() > 0 || file == "" {
+				var err error
+				if file, err = oneArgument(c, "SETTINGS"); err != nil {
+					return err
+				}
+			}
+			s, err := settings.LoadGateway(file)
+			if err != nil {
+				return err
+			}
+			g, err := daemon.NewGateway(file, s)
+			if err != nil {
+				return err
+			}
+			return g.Run(ctx)
+		},
+	}
+}
--- /dev/null
+++ b/daemon/gateway.go
@@ -0,0 +1,306 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/magnoliausher/magnoliausher/batch"
+	"github.com/magnoliausher/magnoliausher/dispatch"
+	"github.com/magnoliausher/magnoliausher/fleet"
+	"github.com/magnoliausher/magnoliausher/forward"
+	"github.com/magnoliausher/magnoliausher/metric"
+	"github.com/magnoliausher/magnoliausher/peer"
+	"github.com/magnoliausher/magnoliausher/platform"
+	"github.com/magnoliausher/magnoliausher/poison"
+	"github.com/magnoliausher/magnoliausher/settings"
+)
+
+const (
+	// logBuffer is the number of lines that may wait to be written; further ones
+	// are dropped and counted.
+	logBuffer = 4096
+	// memoryShare is the part of the allowed memory, in percent, at which the
+	// collector works harder; the rest is for bytes that the kernel holds.
+	memoryShare = 60
+	// balancerDelay is how long the load balancer goes on to open connections
+	// after the process has become unready: two checks a second apart.
+	balancerDelay = 2300 * time.Millisecond
+	// exitReserve is left of the grace period for the end of the process.
+	exitReserve = 400 * time.Millisecond
+	// settingsCheck is how often the settings file is looked at; it may change
+	// without a signal.
+	settingsCheck = time.Second
+	// gatewayIdleTimeout closes callers' idle connections. It is over the idle
+	// time that configurations allow callers, so that they close first.
+	gatewayIdleTimeout = time.Minute
+	// memberRetry is the pause after a failed write of the own member row.
+	memberRetry = 300 * time.Millisecond
+	// lapseCheck is how often upstreams whose entries lapsed are looked at.
+	lapseCheck = 100 * time.Millisecond
+	// crashesToBlock: a request that was running at this many crashes is not sent
+	// again. One crash usually has seven innocent requests beside the guilty one.
+	crashesToBlock = 3
+)
+
+// Gateway is the process that takes callers' requests and batch jobs.
+type Gateway struct {
+	file     string
+	settings *settings.Gateway
+	log      zerolog.Logger
+	close    func()
+
+	self       peer.Member
+	store      *platform.Store
+	holder     *fleet.Holder
+	suspects   *poison.Table
+	dispatcher *dispatch.Dispatcher
+	exchange   *peer.Exchange
+	jobs       *batch.Service
+	draining   atomic.Bool
+	ingress    *http.Server
+	readiness  *http.Server
+	peers      *http.Server
+	metrics    *http.Server
+}
+
+// NewGateway assembles a gateway; Run starts it.
+func NewGateway(file string, s *settings.Gateway) (*Gateway, error) {
+	level, err := zerolog.ParseLevel(s.Log.Level)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	writer := diode.NewWriter(os.Stdout, logBuffer, 0, metric.LogLinesDropped)
+	g := &Gateway{file: file, settings: s, holder: fleet.NewHolder(), store: platform.NewStore(s.Store),
+		log: zerolog.New(writer).Level(level).With().Timestamp().Str("instance", s.Instance.ID).Logger(),
+		close: func() {
+			_ = writer.Close() // nothing is left to report a failure to
+		},
+		suspects: poison.NewTable(poison.Config{BlockAfter: crashesToBlock}),
+		self: peer.Member{Name: s.Instance.ID, Incarnation: peer.NewIncarnation(), Address: s.Instance.PeerListen,
+			DataCentre: s.Instance.DataCentre},
+	}
+	g.exchange = peer.New(peer.Config{Self: g.self, Holder: g.holder, Suspects: g.suspects, Log: g.log,
+		Dispatcher: func() *dispatch.Dispatcher { return g.dispatcher }})
+	g.exchange.SetSeeds(s.Seeds)
+	g.dispatcher = dispatch.New(dispatch.Config{Self: g.self.Name, DataCentre: g.self.DataCentre, Holder: g.holder,
+		Changed: g.exchange.Changed})
+	engines := platform.NewEngines()
+	g.jobs, err = batch.New(batch.Config{Self: g.self, Table: g.store, Feed: g.store, Objects: g.store.Objects(),
+		Holder: g.holder, Dispatcher: g.dispatcher, Upstreams: engines, Suspects: crashes{g.suspects},
+		Members: g.exchange.Members, Keep: s.KeepJobs, Log: g.log})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	forwarder := forward.New(forward.Config{Dispatcher: g.dispatcher, Upstreams: engines, Suspects: crashes{g.suspects}, Log: g.log})
+	ingress := &platform.Ingress{Holder: g.holder, Forwarder: forwarder, Jobs: g.jobs, Log: g.log}
+	g.ingress = &http.Server{Handler: g.closing(ingress), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: gatewayIdleTimeout,
+		MaxHeaderBytes: 64 << 10}
+	g.readiness = &http.Server{Handler: platform.Readiness(g.ready), ReadHeaderTimeout: readHeaderTimeout}
+	g.peers = &http.Server{Handler: g.exchange.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	g.metrics = &http.Server{Handler: metric.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	return g, nil
+}
+
+// closing tells callers to open a new connection once the shutdown has begun.
+func (g *Gateway) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if g.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (g *Gateway) ready() bool { return !g.draining.Load() && g.holder.View().Ready() }
+
+// Run serves until ctx ends, then finishes the requests in progress.
+func (g *Gateway) Run(ctx context.Context) error {
+	defer g.close()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	if g.settings.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(g.settings.MemoryMB) << 20 * memoryShare / 100)
+	}
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, background := errgroup.WithContext(background)
+	if err := g.listen(background, group); err != nil {
+		stop()
+		return err
+	}
+	group.Go(func() error { platform.WatchConfiguration(background, g.store, g.holder, g.log); return nil })
+	group.Go(func() error { platform.WatchEngines(background, g.store, g.holder, g.log); return nil })
+	group.Go(func() error { return g.jobs.Run(background) })
+	group.Go(func() error { g.followMembers(background); return nil })
+	group.Go(func() error { g.expireLapsed(background); return nil })
+	group.Go(func() error { g.watchSettings(background, reload); return nil })
+	group.Go(func() error {
+		select {
+		case <-background.Done(): // another part failed
+		case <-ctx.Done():
+			g.drain(background)
+		}
+		stop()
+		return nil
+	})
+	g.log.Info().Str("address", g.settings.Instance.Listen).Uint64("incarnation", g.self.Incarnation).Msg("gateway started")
+	err := group.Wait()
+	g.log.Info().Err(err).Msg("gateway stopped")
+	return trace.Wrap(err)
+}
+
+func (g *Gateway) listen(ctx context.Context, group *errgroup.Group) error {
+	servers := []struct {
+		server  *http.Server
+		address string
+	}{
+		{g.ingress, g.settings.Instance.Listen},
+		{g.readiness, g.settings.ReadyListen},
+		{g.peers, g.settings.Instance.PeerListen},
+		{g.metrics, g.settings.MetricsListen},
+	}
+	for _, s := range servers {
+		if s.address == "" {
+			continue
+		}
+		l, err := listen(s.address)
+		if err != nil {
+			return trace.Wrap(err, "listening on %s", s.address)
+		}
+		group.Go(func() error { return serve(s.server, l) })
+		group.Go(func() error {
+			<-ctx.Done()
+			return trace.Wrap(s.server.Close())
+		})
+	}
+	address, err := net.ResolveUDPAddr("udp", g.settings.Instance.PeerListen)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	conn, err := net.ListenUDP("udp", address)
+	if err != nil {
+		return trace.Wrap(err, "listening for reports on %s", address)
+	}
+	group.Go(func() error { return g.exchange.Run(ctx, conn) })
+	return nil
+}
+
+// followMembers writes the own member row and follows those of the others.
+func (g *Gateway) followMembers(ctx context.Context) {
+	registered := make(chan struct{})
+	go func() {
+		defer close(registered)
+		peer.Register(ctx, g.store, g.self, memberRetry, g.log)
+	}()
+	peer.FollowMembers(ctx, g.store, g.exchange, g.log)
+	<-registered
+}
+
+func (g *Gateway) expireLapsed(ctx context.Context) {
+	ticker := time.NewTicker(lapseCheck)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			g.holder.Expire(now)
+		}
+	}
+}
+
+// drain becomes unready, gives batch work away, and waits for requests in progress.
+func (g *Gateway) drain(ctx context.Context) {
+	started := time.Now()
+	end := started.Add(g.settings.Grace - exitReserve)
+	g.draining.Store(true)
+	g.exchange.Leave()
+	g.log.Info().Dur("grace", g.settings.Grace).Msg("gateway shuts down")
+	released := make(chan struct{})
+	go func() {
+		defer close(released)
+		g.jobs.Release()
+	}()
+	time.Sleep(balancerDelay)
+	limited, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	err := g.ingress.Shutdown(limited)
+	select {
+	case <-released:
+	case <-limited.Done():
+	}
+	g.log.Info().Err(err).Dur("took", time.Since(started)).Msg("gateway drained")
+}
+
+// watchSettings reloads the settings file on a signal or when it has changed.
+// Only the seeds and the log level can change while the process runs.
+func (g *Gateway) watchSettings(ctx context.Context, reload <-chan os.Signal) {
+	ticker := time.NewTicker(settingsCheck)
+	defer ticker.Stop()
+	last := g.fileHash()
+	for {
+		signalled := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-reload:
+			signalled = true
+		case <-ticker.C:
+		}
+		hash := g.fileHash()
+		if hash == last && !signalled {
+			continue
+		}
+		last = hash
+		s, err := settings.LoadGateway(g.file)
+		if err != nil {
+			g.log.Error().Err(err).Msg("settings not reloaded; the last ones stay in force")
+			continue
+		}
+		g.exchange.SetSeeds(s.Seeds)
+		g.log.Info().Bool("signal", signalled).Strs("seeds", s.Seeds).Msg("settings reloaded")
+	}
+}
+
+// fileHash returns a hash of the settings file, 0 if it cannot be read.
+func (g *Gateway) fileHash() uint64 {
+	data, err := os.ReadFile(g.file)
+	if err != nil {
+		g.log.Warn().Err(err).Msg("settings file not read")
+		return 0
+	}
+	return xxhash.Sum64(data)
+}
+
+// crashes adapts the table of suspects to package forward.
+type crashes struct{ table *poison.Table }
+
+var _ forward.Suspects = crashes{}
+
+// Blocked implements forward.Suspects.
+func (c crashes) Blocked(fingerprint uint64) bool {
+	return c.table.Status(fingerprint, time.Now()) == poison.Blocked
+}
+
+// Crashed implements forward.Suspects. A crash is told from others by the
+// upstream's incarnation and the time to the second, since one connection after
+// the other breaks when an upstream crashes.
+func (c crashes) Crashed(u *fleet.Upstream, fingerprint uint64) {
+	now := time.Now()
+	id := xxhash.Sum64String(u.ID) ^ uint64(u.Started) ^ uint64(now.Unix())<<20
+	c.table.Crash(id, []uint64{fingerprint}, now)
+}
--- /dev/null
+++ b/dispatch/peers.go
@@ -0,0 +1,158 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/magnoliausher/magnoliausher/placement"
+)
+
+// Report returns the own work in progress.
+func (d *Dispatcher) Report() Report {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	report := Report{Backlog: d.backlog}
+	for _, s := range d.upstreams {
+		if s.online > 0 || s.batch > 0 {
+			report.Counts = append(report.Counts, Count{Key: s.key, Online: s.online, Batch: s.batch})
+		}
+	}
+	return report
+}
+
+// Merge takes over the report of a peer in place of its earlier one.
+func (d *Dispatcher) Merge(name string, report Report, now time.Time) {
+	d.mu.Lock()
+	if old := d.peers[name]; old != nil {
+		d.add(old.report, -1)
+	}
+	d.peers[name] = &peer{report: report, heard: now}
+	d.add(report, 1)
+	services := d.waiting()
+	d.mu.Unlock()
+	for _, service := range services {
+		d.serve(service, now)
+	}
+	d.Yield()
+	d.wakeBatch()
+}
+
+// Expire drops the reports of peers that have gone silent.
+func (d *Dispatcher) Expire(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name, p := range d.peers {
+		if now.Sub(p.heard) > peerExpiry {
+			d.add(p.report, -1)
+			delete(d.peers, name)
+		}
+	}
+}
+
+// Forget drops the report of a peer that has left.
+func (d *Dispatcher) Forget(name string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if p := d.peers[name]; p != nil {
+		d.add(p.report, -1)
+		delete(d.peers, name)
+	}
+}
+
+func (d *Dispatcher) add(report Report, sign int) {
+	for _, c := range report.Counts {
+		sum := d.remote[c.Key]
+		if sum == nil {
+			sum = &Count{Key: c.Key}
+			d.remote[c.Key] = sum
+		}
+		sum.Online += sign * c.Online
+		sum.Batch += sign * c.Batch
+		if sum.Online == 0 && sum.Batch == 0 {
+			delete(d.remote, c.Key)
+		}
+	}
+}
+
+func (d *Dispatcher) waiting() []string {
+	var services []string
+	for service, q := range d.queues {
+		if len(q.waiters) > 0 {
+			services = append(services, service)
+		}
+	}
+	return services
+}
+
+// Yield gives up batch grants on upstreams that hold more than their slots.
+func (d *Dispatcher) Yield() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.upstreams {
+		if s.batch == 0 {
+			continue
+		}
+		d.yield(s)
+	}
+}
+
+func (d *Dispatcher) yield(s *upstream) {
+	var slots int
+	batch, yielding := 0, 0
+	for g := range s.grants {
+		slots = g.Upstream.Slots
+		if g.class == Batch {
+			batch++
+			if g.yielding {
+				yielding++
+			}
+		}
+	}
+	u := placement.Upstream{Slots: slots, Online: s.online, Batch: batch - yielding}
+	if r := d.remote[s.key]; r != nil {
+		u.Online += r.Online
+		u.Batch += r.Batch
+	}
+	give := placement.Yields(&u, d.holders(s.key, batch-yielding), d.cfg.Self)
+	for ; give > 0; give-- {
+		g := s.youngestBatch()
+		if g == nil {
+			return
+		}
+		g.yielding = true
+		close(g.preempted)
+	}
+}
+
+func (d *Dispatcher) holders(key Key, mine int) []placement.Holder {
+	holders := []placement.Holder{{Name: d.cfg.Self, Items: mine}}
+	for name, p := range d.peers {
+		for _, c := range p.report.Counts {
+			if c.Key == key && c.Batch > 0 {
+				holders = append(holders, placement.Holder{Name: name, Items: c.Batch})
+			}
+		}
+	}
+	return holders
+}
+
+// youngestBatch returns the batch grant that has had the least time on the upstream.
+func (u *upstream) youngestBatch() *Grant {
+	var youngest *Grant
+	for g := range u.grants {
+		if g.class != Batch || g.yielding {
+			continue
+		}
+		if youngest == nil || g.granted.After(youngest.granted) {
+			youngest = g
+		}
+	}
+	return youngest
+}
+
+// changed gives up own batch work where needed and tells the peers.
+func (d *Dispatcher) changed(urgent bool) {
+	if urgent {
+		d.Yield()
+	}
+	d.cfg.Changed(urgent)
+}
--- /dev/null
+++ b/event/event.go
@@ -0,0 +1,81 @@
+// Package event splits a server-sent event stream into whole events without
+// changing a byte of them.
+package event
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+)
+
+// MaxBytes bounds one event. The largest ones seen carry a few kilobytes.
+const MaxBytes = 1 << 20
+
+// ErrTooLong is returned for an event over MaxBytes.
+var ErrTooLong = errors.New("event is too long")
+
+// Event is one event with the blank line that ends it.
+type Event struct {
+	Raw  []byte
+	ID   string // empty if the event has none
+	Data []byte // data lines, joined by line feeds
+}
+
+// Reader reads events.
+type Reader struct{ lines *bufio.Reader }
+
+// readBuffer holds several events of a few hundred bytes.
+const readBuffer = 4 << 10
+
+// NewReader returns a reader of a stream's body.
+func NewReader(body io.Reader) *Reader {
+	return &Reader{lines: bufio.NewReaderSize(body, readBuffer)}
+}
+
+// Next returns the next whole event. At the end of the stream it returns
+// io.EOF with whatever follows the last whole event in Raw. With any other
+// error the rest is dropped.
+func (r *Reader) Next() (Event, error) {
+	var e Event
+	for {
+		line, err := r.lines.ReadSlice('\n')
+		e.Raw = append(e.Raw, line...)
+		if len(e.Raw) > MaxBytes {
+			return Event{}, ErrTooLong
+		}
+		if err == bufio.ErrBufferFull {
+			rest, restErr := r.lines.ReadBytes('\n')
+			e.Raw = append(e.Raw, rest...)
+			line, err = append(bytes.Clone(line), rest...), restErr
+		}
+		if err != nil {
+			if err == io.EOF {
+				return e, io.EOF
+			}
+			return Event{}, err
+		}
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 {
+			if len(bytes.TrimSpace(e.Raw)) == 0 {
+				continue // blank lines between events belong to the next one
+			}
+			return e, nil
+		}
+		e.field(line)
+	}
+}
+
+func (e *Event) field(line []byte) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch string(name) {
+	case "id":
+		e.ID = string(value)
+	case "data":
+		if e.Data != nil {
+			e.Data = append(e.Data, '\n')
+		}
+		e.Data = append(e.Data, value...)
+	}
+}
--- /dev/null
+++ b/fleet/holder.go
@@ -0,0 +1,206 @@
+package fleet
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// LapseGrace is how long an upstream stays in use whose entry lapsed while the
+// list could not be read. Live upstreams register again within 2 s of the
+// store's return; the rest of the time is theirs to reach the reader.
+const LapseGrace = 2200 * time.Millisecond
+
+// tombstoneAge is how long a removed entry is remembered, so that a late copy
+// from a peer cannot bring it back. It exceeds any delay of a peer's answer.
+const tombstoneAge = 5 * time.Minute
+
+// View is what a process knows at one moment. It is immutable.
+type View struct {
+	Configuration *Configuration // nil before the first one is known
+	Records       []Record       // including removed ones
+	ListVersion   uint64         // newest version among the records
+	Listed        bool           // the list of upstreams has been read at least once
+	upstreams     map[string][]*Upstream
+}
+
+// Usable returns the upstreams of a service that take new work.
+func (v *View) Usable(service string) []*Upstream { return v.upstreams[service] }
+
+// Ready reports whether requests can be routed.
+func (v *View) Ready() bool { return v.Configuration != nil && v.Listed }
+
+// Holder publishes views. It is safe for concurrent use.
+type Holder struct {
+	view atomic.Pointer[View]
+
+	mu       sync.Mutex
+	records  map[string]*heldRecord
+	awayTill time.Time // removals seen before this time count as lapses
+	changed  chan struct{}
+}
+
+type heldRecord struct {
+	Record
+	removedAt   time.Time
+	lapsesUntil time.Time // keeps a removed upstream in use until then
+}
+
+// NewHolder returns a holder of an empty view.
+func NewHolder() *Holder {
+	h := &Holder{records: make(map[string]*heldRecord), changed: make(chan struct{})}
+	h.view.Store(&View{})
+	return h
+}
+
+// View returns the current view.
+func (h *Holder) View() *View { return h.view.Load() }
+
+// Changed returns a channel that is closed at the next change of the view.
+func (h *Holder) Changed() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.changed
+}
+
+// Configure puts a configuration in force unless an equal or newer one is. It
+// reports whether it did.
+func (h *Holder) Configure(c *Configuration) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if held := h.view.Load().Configuration; held != nil && held.Version >= c.Version {
+		return false
+	}
+	next := *h.view.Load()
+	next.Configuration = c
+	h.publish(&next)
+	return true
+}
+
+// Returned notes that the list can be read again after it could not. Entries
+// that are found missing within LapseGrace stay in use until the grace is over.
+func (h *Holder) Returned(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.awayTill = now.Add(LapseGrace)
+}
+
+// Replace applies a full list as of a version. Upstreams that it lacks are removed.
+func (h *Holder) Replace(list []Record, version uint64, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	seen := make(map[string]bool, len(list))
+	for i := range list {
+		seen[list[i].ID] = true
+		h.apply(list[i], now)
+	}
+	for id, held := range h.records {
+		if !seen[id] && !held.Removed && held.Version <= version {
+			removed := held.Record
+			removed.Removed, removed.Version = true, version
+			h.apply(removed, now)
+		}
+	}
+	h.rebuild(now)
+}
+
+// Apply merges changed entries.
+func (h *Holder) Apply(list []Record, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for i := range list {
+		h.apply(list[i], now)
+	}
+	h.rebuild(now)
+}
+
+// Expire ends graces that are over and reports when the next one ends.
+func (h *Holder) Expire(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	due := false
+	for id, held := range h.records {
+		if !held.lapsesUntil.IsZero() && !held.lapsesUntil.After(now) {
+			held.lapsesUntil = time.Time{}
+			due = true
+		}
+		if held.Removed && now.Sub(held.removedAt) > tombstoneAge {
+			delete(h.records, id)
+		}
+	}
+	if due {
+		h.rebuild(now)
+	}
+}
+
+func (h *Holder) apply(r Record, now time.Time) {
+	held := h.records[r.ID]
+	if held == nil {
+		h.records[r.ID] = &heldRecord{Record: r, removedAt: now}
+		return
+	}
+	if r.Version <= held.Version {
+		return
+	}
+	next := &heldRecord{Record: r}
+	if r.Removed {
+		next.Upstream = held.Upstream
+		next.removedAt = now
+		if held.usable() && now.Before(h.awayTill) {
+			next.lapsesUntil = h.awayTill
+		}
+	}
+	h.records[r.ID] = next
+}
+
+// rebuild publishes the records. The caller holds the lock.
+func (h *Holder) rebuild(now time.Time) {
+	next := *h.view.Load()
+	next.Listed = true
+	next.ListVersion = 0
+	next.Records = make([]Record, 0, len(h.records))
+	next.upstreams = make(map[string][]*Upstream)
+	for _, held := range h.records {
+		next.Records = append(next.Records, held.Record)
+		next.ListVersion = max(next.ListVersion, held.Version)
+		if held.usable() || held.lapsesUntil.After(now) && !held.Draining {
+			u := held.Upstream
+			next.upstreams[u.Service] = append(next.upstreams[u.Service], &u)
+		}
+	}
+	h.publish(&next)
+}
+
+func (h *Holder) publish(v *View) {
+	h.view.Store(v)
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// State is the part of a view that gateways pass to each other.
+type State struct {
+	Version uint64 // of the configuration; 0 for none
+	Routes  []Route
+	Limits  Limits
+	Listed  bool
+	Records []Record
+}
+
+// State returns what a peer needs of the view.
+func (v *View) State() State {
+	s := State{Listed: v.Listed, Records: v.Records}
+	if c := v.Configuration; c != nil {
+		s.Version, s.Routes, s.Limits = c.Version, c.Routes, c.Limits
+	}
+	return s
+}
+
+// Adopt takes over what a peer knows and this process does not.
+func (h *Holder) Adopt(s State, now time.Time) {
+	if s.Version > 0 {
+		h.Configure(NewConfiguration(s.Version, s.Routes, s.Limits))
+	}
+	if s.Listed {
+		h.Apply(s.Records, now)
+	}
+}
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -70,3 +70,9 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf(
 		`magnoliausher_orders_total{service=%q,kind=%q,outcome=%q}`, service, kind, outcome)).Inc()
 }
+
+// LogLinesDropped counts log lines that were dropped because they could not be
+// written in time.
+func LogLinesDropped(lines int) {
+	metrics.GetOrCreateCounter("magnoliausher_log_lines_dropped_total").Add(lines)
+}
--- /dev/null
+++ b/placement/placement.go
@@ -0,0 +1,210 @@
+// Package placement decides which upstream gets the next request and which
+// batch work gives way. Its functions take a snapshot, do no I/O and read no
+// clock. The load they answer: online traffic that doubles within a second,
+// short requests of about a second, and batch items of several seconds that
+// fill what online work leaves free.
+package placement
+
+import (
+	"sort"
+	"time"
+)
+
+// Upstream is the state of one upstream in a snapshot.
+type Upstream struct {
+	ID     string
+	Local  bool // in the gateway's data centre
+	Slots  int
+	Online int // online requests of all gateways
+	Batch  int // batch items of all gateways
+	// Doubtful: recent evidence speaks against it; used only when nothing else is left.
+	Doubtful bool
+	// Closed: it must not be used now: it refused a connection, said that it is
+	// full, or the request has been there before.
+	Closed bool
+}
+
+func (u *Upstream) free() int { return u.Slots - u.Online - u.Batch }
+
+// Random returns a number in [0, n).
+type Random func(n int) int
+
+// Online chooses the upstream for an online request, or -1 if all are taken by
+// online work. Free slots nearby come first, then free slots elsewhere, then
+// slots that batch work will give up.
+func Online(list []Upstream, random Random) int {
+	best, ties := -1, 0
+	for i := range list {
+		if list[i].Closed || list[i].Online >= list[i].Slots {
+			continue
+		}
+		switch c := compareOnline(&list[i], best, list); {
+		case c < 0:
+			best, ties = i, 1
+		case c == 0:
+			ties++
+			if random(ties) == 0 {
+				best = i
+			}
+		}
+	}
+	return best
+}
+
+// compareOnline returns a negative number if u is better than list[best].
+func compareOnline(u *Upstream, best int, list []Upstream) int {
+	if best < 0 {
+		return -1
+	}
+	b := &list[best]
+	if u.Doubtful != b.Doubtful {
+		return order(!u.Doubtful)
+	}
+	uFree, bFree := u.free() > 0, b.free() > 0
+	if uFree != bFree {
+		return order(uFree)
+	}
+	if u.Local != b.Local {
+		return order(u.Local)
+	}
+	if uFree {
+		return b.free() - u.free()
+	}
+	return u.Online - b.Online
+}
+
+func order(better bool) int {
+	if better {
+		return -1
+	}
+	return 1
+}
+
+// ReserveShare is the part of all slots, in percent, that batch work leaves
+// free: the arrivals of a doubled load in the 50 ms that batch needs to give way.
+const ReserveShare = 6
+
+// BatchStarts returns how many items a gateway may start now. Gateways divide
+// the free slots in proportion to their waiting items.
+func BatchStarts(list []Upstream, mine, all int) int {
+	free, slots := 0, 0
+	for i := range list {
+		if list[i].Closed || list[i].Doubtful {
+			continue
+		}
+		slots += list[i].Slots
+		free += max(list[i].free(), 0)
+	}
+	spare := free - (slots*ReserveShare+99)/100
+	if spare <= 0 || mine <= 0 {
+		return 0
+	}
+	if all <= mine {
+		return min(spare, mine)
+	}
+	return min((spare*mine+all-1)/all, mine)
+}
+
+// Batch chooses the upstream for a batch item, or -1 if none has a free slot.
+func Batch(list []Upstream, random Random) int {
+	best, ties := -1, 0
+	for i := range list {
+		u := &list[i]
+		if u.Closed || u.Doubtful || u.free() <= 0 {
+			continue
+		}
+		c := -1
+		if best >= 0 {
+			b := &list[best]
+			c = b.free() - u.free()
+			if u.Local != b.Local {
+				c = order(u.Local)
+			}
+		}
+		switch {
+		case c < 0:
+			best, ties = i, 1
+		case c == 0:
+			ties++
+			if random(ties) == 0 {
+				best = i
+			}
+		}
+	}
+	return best
+}
+
+// Holder is a gateway's count of batch items on one upstream.
+type Holder struct {
+	Name  string
+	Items int
+}
+
+// Yields returns how many of its batch items the gateway named self gives up
+// on an upstream that holds more than its slots. All gateways that see the
+// same counts agree on who gives up how many: the largest holder first.
+func Yields(u *Upstream, holders []Holder, self string) int {
+	over := min(-u.free(), u.Batch)
+	if over <= 0 {
+		return 0
+	}
+	left := append([]Holder(nil), holders...)
+	mine := 0
+	for ; over > 0; over-- {
+		sort.Slice(left, func(i, j int) bool {
+			if left[i].Items != left[j].Items {
+				return left[i].Items > left[j].Items
+			}
+			return left[i].Name < left[j].Name
+		})
+		if len(left) == 0 || left[0].Items == 0 {
+			return mine
+		}
+		left[0].Items--
+		if left[0].Name == self {
+			mine++
+		}
+	}
+	return mine
+}
+
+// Waiter is a queued online request.
+type Waiter struct {
+	Priority  int
+	Arrived   time.Time
+	Objective time.Time // the answer should begin by then
+	Deadline  time.Time
+}
+
+// Next returns the index of the waiter to serve first. Requests that can still
+// be on time come before those that cannot, so that a backlog makes only its
+// own requests late. Both groups go by priority, then by arrival.
+func Next(waiters []Waiter, now time.Time) int {
+	best := -1
+	for i := range waiters {
+		if best < 0 || before(&waiters[i], &waiters[best], now) {
+			best = i
+		}
+	}
+	return best
+}
+
+func before(a, b *Waiter, now time.Time) bool {
+	aTimely, bTimely := a.Objective.After(now), b.Objective.After(now)
+	if aTimely != bTimely {
+		return aTimely
+	}
+	if a.Priority != b.Priority {
+		return a.Priority < b.Priority
+	}
+	return a.Arrived.Before(b.Arrived)
+}
+
+// Wait estimates how long a new waiter stays in the queue: each slot frees
+// once per service time.
+func Wait(waiting, slots int, service time.Duration) time.Duration {
+	if slots <= 0 {
+		return 0
+	}
+	return service * time.Duration(waiting+1) / time.Duration(slots)
+}
--- a/rpc/magnoliausher/v1/magnoliausherv1connect/magnoliausher.connect.go
+++ b/rpc/magnoliausher/v1/magnoliausherv1connect/magnoliausher.connect.go
@@ -27,6 +27,8 @@
 	AgentName = "magnoliausher.v1.Agent"
 	// PeerName is the fully-qualified name of the Peer service.
 	PeerName = "magnoliausher.v1.Peer"
+	// GatewayName is the fully-qualified name of the Gateway service.
+	GatewayName = "magnoliausher.v1.Gateway"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -43,6 +45,8 @@
 	AgentRunProcedure = "/magnoliausher.v1.Agent/Run"
 	// PeerFetchConfigProcedure is the fully-qualified name of the Peer's FetchConfig RPC.
 	PeerFetchConfigProcedure = "/magnoliausher.v1.Peer/FetchConfig"
+	// GatewayFetchStateProcedure is the fully-qualified name of the Gateway's FetchState RPC.
+	GatewayFetchStateProcedure = "/magnoliausher.v1.Gateway/FetchState"
 )
 
 // AgentClient is a client for the magnoliausher.v1.Agent service.
@@ -218,3 +222,75 @@
 func (UnimplementedPeerHandler) FetchConfig(context.Context, *connect.Request[v1.FetchConfigRequest]) (*connect.Response[v1.FetchConfigResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("magnoliausher.v1.Peer.FetchConfig is not implemented"))
 }
+
+// GatewayClient is a client for the magnoliausher.v1.Gateway service.
+type GatewayClient interface {
+	// FetchState returns the configuration and the upstreams that the peer holds.
+	FetchState(context.Context, *connect.Request[v1.FetchStateRequest]) (*connect.Response[v1.FetchStateResponse], error)
+}
+
+// NewGatewayClient constructs a client for the magnoliausher.v1.Gateway service. By default, it
+// uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses, and sends
+// uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the connect.WithGRPC() or
+// connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewGatewayClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) GatewayClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	gatewayMethods := v1.File_magnoliausher_v1_magnoliausher_proto.Services().ByName("Gateway").Methods()
+	return &gatewayClient{
+		fetchState: connect.NewClient[v1.FetchStateRequest, v1.FetchStateResponse](
+			httpClient,
+			baseURL+GatewayFetchStateProcedure,
+			connect.WithSchema(gatewayMethods.ByName("FetchState")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// gatewayClient implements GatewayClient.
+type gatewayClient struct {
+	fetchState *connect.Client[v1.FetchStateRequest, v1.FetchStateResponse]
+}
+
+// FetchState calls magnoliausher.v1.Gateway.FetchState.
+func (c *gatewayClient) FetchState(ctx context.Context, req *connect.Request[v1.FetchStateRequest]) (*connect.Response[v1.FetchStateResponse], error) {
+	return c.fetchState.CallUnary(ctx, req)
+}
+
+// GatewayHandler is an implementation of the magnoliausher.v1.Gateway service.
+type GatewayHandler interface {
+	// FetchState returns the configuration and the upstreams that the peer holds.
+	FetchState(context.Context, *connect.Request[v1.FetchStateRequest]) (*connect.Response[v1.FetchStateResponse], error)
+}
+
+// NewGatewayHandler builds an HTTP handler from the service implementation. It returns the path on
+// which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewGatewayHandler(svc GatewayHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	gatewayMethods := v1.File_magnoliausher_v1_magnoliausher_proto.Services().ByName("Gateway").Methods()
+	gatewayFetchStateHandler := connect.NewUnaryHandler(
+		GatewayFetchStateProcedure,
+		svc.FetchState,
+		connect.WithSchema(gatewayMethods.ByName("FetchState")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/magnoliausher.v1.Gateway/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case GatewayFetchStateProcedure:
+			gatewayFetchStateHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedGatewayHandler returns CodeUnimplemented from all methods.
+type UnimplementedGatewayHandler struct{}
+
+func (UnimplementedGatewayHandler) FetchState(context.Context, *connect.Request[v1.FetchStateRequest]) (*connect.Response[v1.FetchStateResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("magnoliausher.v1.Gateway.FetchState is not implemented"))
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -81,7 +81,7 @@
 	RoleAgent = "agent"
 )
 
-// Check reads a file of either role, which its [instance] role names, and
+// Check reads a file of any role, which its [instance] role names, and
 // returns a finding.List if it has problems.
 func Check(file string) error {
 	data, err := os.ReadFile(file)
@@ -89,11 +89,14 @@
 		return trace.ConvertSystemError(err)
 	}
 	r := newReader(file, data)
-	if role, _ := r.value("instance", "role"); role == RoleAgent {
+	switch role, _ := r.value("instance", "role"); role {
+	case RoleAgent:
 		_, err = ParseAgent(file, data)
-		return err
+	case RoleGateway:
+		_, err = ParseGateway(file, data)
+	default:
+		_, err = ParseEntry(file, data)
 	}
-	_, err = ParseEntry(file, data)
 	return err
 }
 
--- /dev/null
+++ b/storage/follow.go
@@ -0,0 +1,109 @@
+package storage
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/magnoliausher/magnoliausher/pause"
+)
+
+const (
+	// feedWait is the longest wait of one Watch. It bounds how long a connection
+	// that has gone silent stays unnoticed.
+	feedWait = time.Second
+	// feedSlack is the time that an answer may come after the wait.
+	feedSlack = 700 * time.Millisecond
+)
+
+// feedBackoff paces reads while the feed fails. Its limit keeps the time to
+// notice a returned store well under the second that a configuration may take.
+var feedBackoff = Backoff{Base: 50 * time.Millisecond, Max: 400 * time.Millisecond}
+
+// Follower keeps a copy of all rows with a prefix.
+type Follower struct {
+	Feed   Feed
+	Prefix string
+	Log    zerolog.Logger
+	// MinInterval is the least time between two reads, so that frequent changes
+	// are read together.
+	MinInterval time.Duration
+	// Snapshot receives all rows as of at least a version; rows not among them are gone.
+	Snapshot func(rows []Row, version uint64)
+	// Changes receives changed rows in order. Rows older than those seen may come again.
+	Changes func(changes []Change)
+	// Returned is called before the first rows that come after a failure. May be nil.
+	Returned func()
+	// Fresh is called with each answer, and Stale with each failure. May be nil.
+	Fresh func()
+	Stale func()
+}
+
+// Follow runs the follower until ctx ends.
+func Follow(ctx context.Context, f Follower) {
+	version, known, failures := uint64(0), false, 0
+	for ctx.Err() == nil {
+		started := time.Now()
+		next, err := f.read(ctx, version, known, failures > 0)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case errors.Is(err, ErrHistoryGone):
+			f.Log.Warn().Str("prefix", f.Prefix).Uint64("version", version).Msg("history is gone; reading all rows")
+			known = false
+		case err != nil:
+			if failures == 0 {
+				f.Log.Warn().Err(err).Str("prefix", f.Prefix).Uint64("version", version).Msg("feed lost")
+			}
+			if f.Stale != nil {
+				f.Stale()
+			}
+			feedBackoff.Wait(ctx, failures)
+			failures++
+		default:
+			if failures > 0 {
+				f.Log.Info().Str("prefix", f.Prefix).Uint64("version", next).Int("failures", failures).Msg("feed regained")
+			}
+			version, known, failures = next, true, 0
+			pause.For(ctx, f.MinInterval-time.Since(started))
+		}
+	}
+}
+
+func (f *Follower) read(ctx context.Context, version uint64, known, failed bool) (uint64, error) {
+	wait := feedWait
+	if failed {
+		wait = 0 // the answer tells at once that the feed is back
+	}
+	if !known {
+		rows, next, err := f.Feed.Snapshot(ctx, f.Prefix)
+		if err != nil {
+			return 0, err
+		}
+		f.answered(failed)
+		f.Snapshot(rows, next)
+		return next, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+feedSlack)
+	defer cancel()
+	changes, next, err := f.Feed.Watch(ctx, f.Prefix, version, wait)
+	if err != nil {
+		return 0, err
+	}
+	f.answered(failed)
+	if len(changes) > 0 {
+		f.Changes(changes)
+	}
+	return next, nil
+}
+
+func (f *Follower) answered(failed bool) {
+	if failed && f.Returned != nil {
+		f.Returned()
+	}
+	if f.Fresh != nil {
+		f.Fresh()
+	}
+}
