Test placement, fleet and event; keep long lines of events whole

Cause: event.Reader kept a slice of its buffer while it read on, so that a line over 4 KB lost its data. Found by the new test, which failed before.

--- a/event/event.go
+++ b/event/event.go
@@ -45,9 +45,11 @@
 			return Event{}, ErrTooLong
 		}
 		if err == bufio.ErrBufferFull {
-			rest, restErr := r.lines.ReadBytes('\n')
+			line = bytes.Clone(line) // the next read reuses the buffer
+			var rest []byte
+			rest, err = r.lines.ReadBytes('\n')
 			e.Raw = append(e.Raw, rest...)
-			line, err = append(bytes.Clone(line), rest...), restErr
+			line = append(line, rest...)
 		}
 		if err != nil {
 			if err == io.EOF {
--- /dev/null
+++ b/event/event_test.go
@@ -0,0 +1,68 @@
+package event
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+)
+
+// Guards against an event that is cut, joined with the next one or changed on
+// its way, whatever pieces the network delivers.
+func TestReader(t *testing.T) {
+	long := strings.Repeat("x", 3*readBuffer)
+	text := "id: 1\ndata: a\ndata: b\n\n" + "weight-versions: 3\nid:2\ndata:c\n\n" + "id: 3\r\ndata: " + long + "\r\n\r\n" + ": tail"
+	for name, body := range map[string]io.Reader{
+		"whole": strings.NewReader(text), "byte by byte": iotest.OneByteReader(strings.NewReader(text))} {
+		r := NewReader(body)
+		var raw strings.Builder
+		want := []struct{ id, data string }{{"1", "a\nb"}, {"2", "c"}, {"3", long}}
+		for i, w := range want {
+			e, err := r.Next()
+			if err != nil || e.ID != w.id || string(e.Data) != w.data {
+				t.Fatalf("%s: event %d: id %q, %d bytes of data, %v", name, i, e.ID, len(e.Data), err)
+			}
+			raw.Write(e.Raw)
+		}
+		e, err := r.Next()
+		if err != io.EOF || string(e.Raw) != ": tail" {
+			t.Fatalf("%s: end: %q, %v", name, e.Raw, err)
+		}
+		if raw.String()+string(e.Raw) != text {
+			t.Errorf("%s: the bytes changed", name)
+		}
+	}
+}
+
+// Guards against half an event that is passed on when the stream breaks.
+func TestReaderDropsHalfAnEvent(t *testing.T) {
+	broken := errors.New("reset")
+	r := NewReader(io.MultiReader(strings.NewReader("id: 1\ndata: a\n\nid: 2\nda"), iotest.ErrReader(broken)))
+	if _, err := r.Next(); err != nil {
+		t.Fatal(err)
+	}
+	if e, err := r.Next(); !errors.Is(err, broken) || len(e.Raw) != 0 {
+		t.Errorf("got %q, %v", e.Raw, err)
+	}
+}
+
+// Guards against an endless event that fills the memory.
+func TestReaderBoundsEvents(t *testing.T) {
+	r := NewReader(io.LimitReader(endless{}, 4*MaxBytes))
+	if _, err := r.Next(); !errors.Is(err, ErrTooLong) {
+		t.Errorf("got %v", err)
+	}
+}
+
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = 'x'
+		if i%1000 == 999 {
+			p[i] = '\n'
+		}
+	}
+	return len(p), nil
+}
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,136 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+func routes(prefixes ...string) []Route {
+	list := make([]Route, len(prefixes))
+	for i, p := range prefixes {
+		list[i] = Route{Name: p, Host: "h", Prefix: p, Targets: []Target{{"s", 1}}}
+	}
+	return list
+}
+
+// Guards against a shorter prefix that takes the requests of a longer one.
+func TestMatchLongestPrefix(t *testing.T) {
+	c := NewConfiguration(1, routes("/a/", "/a/b/", "/"), Limits{})
+	for path, want := range map[string]string{"/a/x": "/a/", "/a/b/c": "/a/b/", "/a": "/", "/ab/": "/"} {
+		if r := c.Match("h", path); r == nil || r.Name != want {
+			t.Errorf("%s: got %v, want %s", path, r, want)
+		}
+	}
+	if r := c.Match("other", "/a/x"); r != nil {
+		t.Errorf("route of another host: %v", r)
+	}
+}
+
+// Guards against a split that sends one request to two services, or none to one of them.
+func TestSplitIsStable(t *testing.T) {
+	r := Route{Targets: []Target{{"a", 90}, {"b", 10}, {"c", 0}}}
+	count := map[string]int{}
+	for i := range 5000 {
+		id := time.Duration(i).String()
+		count[r.Service(id)]++
+		if r.Service(id) != r.Service(id) {
+			t.Fatal("two services for one id")
+		}
+	}
+	if count["c"] != 0 || count["b"] < 350 || count["b"] > 650 {
+		t.Errorf("split 90:10:0 gave %v", count)
+	}
+}
+
+// Guards against a process that goes back to an older configuration.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	h := NewHolder()
+	properties := gopter.NewProperties(nil)
+	highest := uint64(0)
+	properties.Property("the version in force is the highest seen", prop.ForAll(func(v uint64) bool {
+		h.Configure(NewConfiguration(v, nil, Limits{}))
+		highest = max(highest, v)
+		return h.View().Configuration.Version == highest
+	}, gen.UInt64Range(1, 50)))
+	properties.TestingRun(t)
+}
+
+func ready(id string, version uint64) Record {
+	return Record{Upstream: Upstream{ID: id, Service: "s", Slots: 1}, Version: version}
+}
+
+func usable(h *Holder) int { return len(h.View().Usable("s")) }
+
+// Guards against a late copy of an entry that brings a removed upstream back.
+func TestOlderRecordLoses(t *testing.T) {
+	h, now := NewHolder(), time.Now()
+	h.Replace([]Record{ready("a", 5), ready("b", 6)}, 7, now)
+	h.Apply([]Record{{Upstream: Upstream{ID: "a"}, Version: 9, Removed: true}}, now)
+	h.Adopt(State{Listed: true, Records: []Record{ready("a", 5), ready("b", 6)}}, now)
+	if usable(h) != 1 {
+		t.Errorf("%d upstreams in use, want b alone", usable(h))
+	}
+	draining := ready("b", 10)
+	draining.Draining = true
+	h.Apply([]Record{draining}, now)
+	if usable(h) != 0 {
+		t.Error("a draining upstream gets new work")
+	}
+}
+
+// Guards against a full list that leaves an upstream in use which it lacks,
+// and against one that removes an upstream registered after the list was read.
+func TestReplace(t *testing.T) {
+	h, now := NewHolder(), time.Now()
+	h.Replace([]Record{ready("a", 5), ready("b", 6)}, 7, now)
+	h.Apply([]Record{ready("c", 12)}, now)
+	h.Replace([]Record{ready("a", 5)}, 10, now)
+	ids := map[string]bool{}
+	for _, u := range h.View().Usable("s") {
+		ids[u.ID] = true
+	}
+	if len(ids) != 2 || !ids["a"] || !ids["c"] {
+		t.Errorf("in use: %v, want a and c", ids)
+	}
+}
+
+// Guards against losing all upstreams whose entries lapsed while the store was
+// away, and against keeping those that do not come back.
+func TestLapsedEntries(t *testing.T) {
+	h, now := NewHolder(), time.Now()
+	h.Replace([]Record{ready("a", 5), ready("b", 6)}, 7, now)
+	gone := func(id string, version uint64) Record {
+		return Record{Upstream: Upstream{ID: id}, Version: version, Removed: true}
+	}
+	h.Returned(now)
+	h.Apply([]Record{gone("a", 20), gone("b", 21)}, now)
+	if usable(h) != 2 {
+		t.Fatalf("%d upstreams in use just after the return, want 2", usable(h))
+	}
+	h.Apply([]Record{ready("a", 30)}, now.Add(time.Second))
+	h.Expire(now.Add(LapseGrace))
+	if usable(h) != 1 || h.View().Usable("s")[0].ID != "a" {
+		t.Errorf("after the grace: %v", h.View().Usable("s"))
+	}
+	h.Apply([]Record{gone("a", 40)}, now.Add(2*LapseGrace))
+	if usable(h) != 0 {
+		t.Error("an upstream that left in calm stays in use")
+	}
+}
+
+// Guards against a process that says it is ready and knows no route or no list.
+func TestReady(t *testing.T) {
+	h := NewHolder()
+	h.Configure(NewConfiguration(1, nil, Limits{}))
+	if h.View().Ready() {
+		t.Error("ready without a list")
+	}
+	h.Replace(nil, 1, time.Now())
+	if !h.View().Ready() {
+		t.Error("not ready with both")
+	}
+}
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,101 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+func first(int) int { return 1 } // keeps the earlier of two equals
+
+// Guards against online work that waits behind batch work, crosses data
+// centres without need, or goes to an upstream that must not be used.
+func TestOnline(t *testing.T) {
+	cases := []struct {
+		name string
+		list []Upstream
+		want int
+	}{
+		{"none", nil, -1},
+		{"all taken by online work", []Upstream{{Slots: 2, Online: 2}}, -1},
+		{"closed", []Upstream{{Slots: 2, Closed: true}}, -1},
+		{"local before remote", []Upstream{{Slots: 8}, {Slots: 8, Local: true, Online: 6}}, 1},
+		{"free remote before batch nearby", []Upstream{{Slots: 2, Local: true, Batch: 2}, {Slots: 2}}, 1},
+		{"slot of batch when nothing is free", []Upstream{{Slots: 2, Online: 2}, {Slots: 2, Online: 1, Batch: 1}}, 1},
+		{"emptiest", []Upstream{{Slots: 8, Online: 3}, {Slots: 8, Online: 1}, {Slots: 8, Batch: 2}}, 1},
+		{"doubtful only as a last resort", []Upstream{{Slots: 8, Local: true, Doubtful: true}, {Slots: 2, Online: 1, Batch: 1}}, 1},
+		{"doubtful rather than none", []Upstream{{Slots: 8, Doubtful: true}, {Slots: 1, Online: 1}}, 0},
+	}
+	for _, c := range cases {
+		if got := Online(c.list, first); got != c.want {
+			t.Errorf("%s: got %d, want %d", c.name, got, c.want)
+		}
+	}
+}
+
+// Guards against batch work that takes the last slots before a burst.
+func TestBatchLeavesReserve(t *testing.T) {
+	list := make([]Upstream, 12)
+	for i := range list {
+		list[i] = Upstream{Slots: 8}
+	}
+	if got := BatchStarts(list, 1000, 1000); got != 96-6 {
+		t.Errorf("alone: got %d starts, want 90", got)
+	}
+	if got := BatchStarts(list, 10, 100); got != 9 {
+		t.Errorf("a tenth of the items: got %d starts, want 9", got)
+	}
+	for i := range list {
+		list[i].Online = 8
+	}
+	if got := BatchStarts(list, 10, 10); got != 0 {
+		t.Errorf("no free slot: got %d starts", got)
+	}
+	if got := Batch([]Upstream{{Slots: 2, Online: 2}, {Slots: 2, Doubtful: true}}, first); got != -1 {
+		t.Errorf("item placed on upstream %d without a free sound slot", got)
+	}
+}
+
+// Guards against gateways that together give up too many items, or none.
+func TestYieldsAgree(t *testing.T) {
+	names := []string{"a", "b", "c"}
+	properties := gopter.NewProperties(nil)
+	properties.Property("the yields of all holders add up to the excess", prop.ForAll(
+		func(slots, online, a, b, c int) bool {
+			holders := []Holder{{"a", a}, {"b", b}, {"c", c}}
+			u := &Upstream{Slots: slots, Online: online, Batch: a + b + c}
+			sum := 0
+			for _, name := range names {
+				sum += Yields(u, holders, name)
+			}
+			return sum == max(0, min(online+u.Batch-slots, u.Batch))
+		}, gen.IntRange(1, 8), gen.IntRange(0, 12), gen.IntRange(0, 8), gen.IntRange(0, 8), gen.IntRange(0, 8)))
+	properties.TestingRun(t)
+}
+
+// Guards against a backlog that makes every later request late as well.
+func TestNextPrefersTimely(t *testing.T) {
+	now := time.Now()
+	at := func(s float64) time.Time { return now.Add(time.Duration(s * float64(time.Second))) }
+	waiters := []Waiter{
+		{Arrived: at(-2), Objective: at(-1.7)},
+		{Arrived: at(-0.1), Objective: at(0.2), Priority: 1},
+		{Arrived: at(-0.05), Objective: at(0.25)},
+		{Arrived: at(-0.06), Objective: at(0.24)},
+	}
+	if got := Next(waiters, now); got != 3 {
+		t.Errorf("got waiter %d, want the oldest timely one of the highest priority", got)
+	}
+	if got := Next(waiters[:1], now); got != 0 {
+		t.Errorf("a late waiter alone: got %d", got)
+	}
+}
+
+func TestWait(t *testing.T) {
+	if got := Wait(9, 10, time.Second); got != time.Second {
+		t.Errorf("ten waiters on ten slots: got %v", got)
+	}
+}
