--- /dev/null
+++ b/dispatch/dispatch_test.go
@@ -0,0 +1,304 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/magnoliausher/magnoliausher/fleet"
+)
+
+func holder(upstreams ...fleet.Upstream) *fleet.Holder {
+	h := fleet.NewHolder()
+	h.Configure(fleet.NewConfiguration(1, nil, fleet.Limits{}))
+	records := make([]fleet.Record, len(upstreams))
+	for i, u := range upstreams {
+		if u.Service == "" {
+			u.Service = "s"
+		}
+		records[i] = fleet.Record{Upstream: u, Version: uint64(i + 1)}
+	}
+	h.Replace(records, 100, time.Now())
+	return h
+}
+
+func request(limit time.Duration) *Request {
+	now := time.Now()
+	return &Request{Service: "s", Arrived: now, Objective: now.Add(300 * time.Millisecond), Deadline: now.Add(limit)}
+}
+
+func mustAcquire(t *testing.T, d *Dispatcher) *Grant {
+	t.Helper()
+	g, err := d.Acquire(t.Context(), request(5*time.Second))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return g
+}
+
+// Guards against requests that go beyond the slots of an upstream, and against
+// a slot that frees without serving the request that waits for it.
+func TestQueueServesWhenASlotFrees(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := New(Config{Self: "g", Holder: holder(fleet.Upstream{ID: "a", Slots: 1})})
+		held := mustAcquire(t, d)
+		got := make(chan *Grant)
+		go func() { got <- mustAcquire(t, d) }()
+		synctest.Wait()
+		select {
+		case <-got:
+			t.Fatal("second request on one slot")
+		default:
+		}
+		held.Release(Served)
+		(<-got).Release(Served)
+	})
+}
+
+// Guards against requests that wait although they cannot be served in time,
+// and against a rejection that comes only at their deadline.
+func TestHopelessRequestIsRejectedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := New(Config{Self: "g", Holder: holder(fleet.Upstream{ID: "a", Slots: 1})})
+		defer mustAcquire(t, d).Release(Served)
+		started := time.Now()
+		if _, err := d.Acquire(t.Context(), request(600*time.Millisecond)); !errors.Is(err, ErrNoCapacity) {
+			t.Errorf("got %v", err)
+		}
+		if waited := time.Since(started); waited > 0 {
+			t.Errorf("rejected after %v", waited)
+		}
+		if after := d.RetryAfter("s", time.Now()); after <= 0 || after > 3*time.Second {
+			t.Errorf("advice to return after %v", after)
+		}
+		if _, err := d.Acquire(t.Context(), &Request{Service: "none", Deadline: time.Now().Add(time.Second)}); !errors.Is(err, ErrNoUpstream) {
+			t.Errorf("service without upstreams: %v", err)
+		}
+	})
+}
+
+// Guards against a caller that has left and keeps its place in the queue.
+func TestCallerLeavesQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := New(Config{Self: "g", Holder: holder(fleet.Upstream{ID: "a", Slots: 1})})
+		held := mustAcquire(t, d)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() {
+			_, err := d.Acquire(ctx, request(5*time.Second))
+			done <- err
+		}()
+		synctest.Wait()
+		cancel()
+		if err := <-done; !errors.Is(err, context.Canceled) {
+			t.Errorf("got %v", err)
+		}
+		held.Release(Served)
+		mustAcquire(t, d).Release(Served)
+	})
+}
+
+// Guards against online work that waits for batch work to finish.
+func TestBatchGivesWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := New(Config{Self: "g", Holder: holder(fleet.Upstream{ID: "a", Slots: 4})})
+		var items []*Grant
+		for range 4 {
+			if g := d.TryBatch("s", 4, nil); g != nil {
+				items = append(items, g)
+			}
+		}
+		if len(items) != 3 {
+			t.Fatalf("%d items started on 4 slots, want 3 and one slot in reserve", len(items))
+		}
+		first, second := mustAcquire(t, d), mustAcquire(t, d)
+		yielding := 0
+		for _, g := range items {
+			select {
+			case <-g.Preempted():
+				yielding++
+				g.Release(Cancelled)
+			default:
+			}
+		}
+		if yielding != 1 {
+			t.Errorf("%d items gave way to one request too many", yielding)
+		}
+		first.Release(Served)
+		second.Release(Served)
+	})
+}
+
+// Guards against two gateways that both fill an upstream's slots, and against
+// the work of a lost gateway that is counted for ever.
+func TestPeersCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := New(Config{Self: "g", Holder: holder(fleet.Upstream{ID: "a", Slots: 2}, fleet.Upstream{ID: "b", Slots: 2})})
+		d.Merge("peer", Report{Counts: []Count{{Key: KeyOf("a"), Online: 2}}}, time.Now())
+		for range 2 {
+			if g := mustAcquire(t, d); g.Upstream.ID != "b" {
+				t.Errorf("sent to %s, whose slots a peer holds", g.Upstream.ID)
+			}
+		}
+		time.Sleep(2 * peerExpiry)
+		d.Expire(time.Now())
+		if g := mustAcquire(t, d); g.Upstream.ID != "a" {
+			t.Errorf("slots of a lost peer are not used again: %s", g.Upstream.ID)
+		}
+		if len(d.remote) != 0 {
+			t.Errorf("counts of a lost peer remain: %v", d.remote)
+		}
+	})
+}
+
+// Guards against requests that follow each other to an upstream that is dead,
+// silent, full or broken.
+func TestEvidence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := New(Config{Self: "g", DataCentre: "z", Holder: holder(
+			fleet.Upstream{ID: "near", DataCentre: "z", Slots: 8}, fleet.Upstream{ID: "far", Slots: 8})})
+		check := func(when, want string) {
+			t.Helper()
+			g := mustAcquire(t, d)
+			if g.Upstream.ID != want {
+				t.Errorf("%s: sent to %s, want %s", when, g.Upstream.ID, want)
+			}
+			g.Release(Cancelled)
+		}
+		check("in calm", "near")
+		mustAcquire(t, d).Release(Refused)
+		check("after a refused connection", "far")
+		time.Sleep(refusedPause + time.Millisecond)
+		check("after the pause", "near")
+		mustAcquire(t, d).Release(Full)
+		check("after it said that it is full", "far")
+		time.Sleep(fullPause + time.Millisecond)
+		for range brokenStreak {
+			mustAcquire(t, d).Release(Broken)
+		}
+		check("after answers broken in a row", "far")
+		time.Sleep(doubtfulPause + time.Millisecond)
+		silent := mustAcquire(t, d)
+		time.Sleep(silenceAfter + time.Millisecond)
+		check("while it sends nothing", "far")
+		silent.Progress()
+		check("when it sends again", "near")
+		silent.Release(Served)
+	})
+}
+
+// Guards against the evidence on a dead engine that is held against the new
+// one under its id.
+func TestNewIncarnationStartsClean(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := holder(fleet.Upstream{ID: "a", Slots: 1, Started: 1}, fleet.Upstream{ID: "b", Slots: 1})
+		d := New(Config{Self: "g", Holder: h})
+		for range 2 {
+			mustAcquire(t, d).Release(Refused)
+		}
+		h.Apply([]fleet.Record{{Upstream: fleet.Upstream{ID: "a", Service: "s", Slots: 1, Started: 2}, Version: 200}}, time.Now())
+		if g := mustAcquire(t, d); g.Upstream.ID != "a" {
+			t.Errorf("sent to %s", g.Upstream.ID)
+		}
+	})
+}
+
+// Plays a burst of twice the capacity and checks what callers get: the first
+// ones are on time, and those that come after the burst are on time again
+// although earlier ones still wait. First come first served makes all of the
+// later ones late.
+func TestBurstMakesOnlyItselfLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const slots, service = 10, 500 * time.Millisecond
+		d := New(Config{Self: "g", Holder: holder(fleet.Upstream{ID: "a", Slots: slots})})
+		type outcome struct {
+			arrived, begun time.Duration
+			err            error
+		}
+		results := make(chan outcome, 400)
+		start, sent := time.Now(), 0
+		serve := func() {
+			r := request(5 * time.Second)
+			arrived := time.Since(start)
+			g, err := d.Acquire(t.Context(), r)
+			results <- outcome{arrived, time.Since(start), err}
+			if err == nil {
+				time.Sleep(service)
+				g.Release(Served)
+			}
+		}
+		for at := time.Duration(0); at < 8*time.Second; at += 50 * time.Millisecond {
+			n := 1 // capacity is 20 a second
+			if at >= time.Second && at < 2500*time.Millisecond {
+				n = 2
+			}
+			if at >= 2500*time.Millisecond && at%(100*time.Millisecond) != 0 {
+				n = 0
+			}
+			for range n {
+				sent++
+				go serve()
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		time.Sleep(6 * time.Second)
+		late, lost := map[string]int{}, 0
+		for range sent {
+			o := <-results
+			if o.err != nil {
+				lost++
+				continue
+			}
+			phase := "burst"
+			if o.arrived > 3*time.Second {
+				phase = "after"
+			}
+			if o.begun-o.arrived > 300*time.Millisecond {
+				late[phase]++
+			}
+		}
+		if lost > 0 || late["after"] > 0 || late["burst"] == 0 {
+			t.Errorf("%d lost, late: %v of %d", lost, late, sent)
+		}
+	})
+}
+
+// Guards against a waiter that may not use the free upstream and blocks others
+// that may.
+func TestExcludedWaiterBlocksNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := New(Config{Self: "g", Holder: holder(fleet.Upstream{ID: "a", Slots: 1}, fleet.Upstream{ID: "b", Slots: 1})})
+		held := []*Grant{mustAcquire(t, d), mustAcquire(t, d)}
+		got := make(chan string, 2)
+		for i, exclude := range []map[string]bool{{"a": true}, nil} {
+			go func() {
+				r := request(5 * time.Second)
+				r.Exclude = exclude
+				g, err := d.Acquire(t.Context(), r)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				got <- fmt.Sprint(i, g.Upstream.ID)
+			}()
+			synctest.Wait()
+		}
+		for _, g := range held {
+			if g.Upstream.ID == "a" {
+				g.Release(Served)
+			}
+		}
+		if first := <-got; first != "1a" {
+			t.Errorf("first served: %s", first)
+		}
+		for _, g := range held {
+			g.Release(Served)
+		}
+		if second := <-got; second != "0b" {
+			t.Errorf("second served: %s", second)
+		}
+	})
+}
