Test the gateway end to end, its peers, settings and adapter

The processes run in the test against stand-ins of the store and the engines. Cause of one change: closing the log writer closed standard output.

--- a/batch/service_test.go
+++ b/batch/service_test.go
@@ -31,7 +31,7 @@
 
 type noSuspects struct{}
 
-func (noSuspects) Blocked(uint64) bool              { return false }
+func (noSuspects) Blocked(uint64) bool             { return false }
 func (noSuspects) Crashed(*fleet.Upstream, uint64) {}
 
 // start runs a gateway that hears the peers that members returns.
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -82,7 +83,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	writer := diode.NewWriter(os.Stdout, logBuffer, 0, metric.LogLinesDropped)
+	writer := diode.NewWriter(openWriter{os.Stdout}, logBuffer, 0, metric.LogLinesDropped)
 	g := &Gateway{file: file, settings: s, holder: fleet.NewHolder(), store: platform.NewStore(s.Store),
 		log: zerolog.New(writer).Level(level).With().Timestamp().Str("instance", s.Instance.ID).Logger(),
 		close: func() {
@@ -114,6 +115,9 @@
 	return g, nil
 }
 
+// openWriter hides Close, so that the end of a gateway does not close standard output.
+type openWriter struct{ io.Writer }
+
 // closing tells callers to open a new connection once the shutdown has begun.
 func (g *Gateway) closing(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- /dev/null
+++ b/daemon/gateway_test.go
@@ -0,0 +1,378 @@
+package daemon
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/magnoliausher/magnoliausher/platform/platformtest"
+	"github.com/magnoliausher/magnoliausher/settings"
+)
+
+// deployment is a store, engines and gateways on the loopback interface.
+type deployment struct {
+	t        *testing.T
+	store    *platformtest.Store
+	engines  []*platformtest.Engine
+	gateways []*runningGateway
+}
+
+type runningGateway struct {
+	*Gateway
+	stop context.CancelFunc
+	done chan error
+}
+
+const configurationText = `{"version":%d,"routes":[
+ {"name":"ask","host":"h","path-prefix":"/ask/","kind":"stream","timeout-ms":5000,"target-latency-ms":300,"service":"llm","max-attempts":1},
+ {"name":"resume","host":"h","path-prefix":"/resume/","kind":"stream","timeout-ms":5000,"target-latency-ms":300,"service":"llm","max-attempts":2,"resumable":true},
+ {"name":"status","host":"h","path-prefix":"/status/","kind":"idempotent","timeout-ms":1000,"target-latency-ms":150,"service":"app","max-attempts":2},
+ {"name":"notes","host":"h","path-prefix":"/notes/","kind":"batch","target-latency-ms":400,"service":"llm","max-attempts":3,"cap":100000}%s],
+ "limits":{"max-body-bytes":1048576}}`
+
+func newDeployment(t *testing.T, gateways int) *deployment {
+	d := &deployment{t: t, store: platformtest.NewStore()}
+	t.Cleanup(d.store.Close)
+	for i := range 3 {
+		d.engines = append(d.engines, platformtest.NewEngine(fmt.Sprint("e", i), "llm", "z"))
+	}
+	app := platformtest.NewEngine("app", "app", "z")
+	app.Plain = true
+	d.engines = append(d.engines, app)
+	for _, e := range d.engines {
+		t.Cleanup(e.Close)
+		e.Register(d.store, "ready")
+	}
+	d.configure(1, "")
+	for i := range gateways {
+		d.start(fmt.Sprint("g", i))
+	}
+	return d
+}
+
+func (d *deployment) configure(version int, more string) {
+	d.store.Put("op", "", "config", fmt.Appendf(nil, configurationText, version, more))
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (d *deployment) start(name string) *runningGateway {
+	d.t.Helper()
+	file := filepath.Join(d.t.TempDir(), "gateway.ini")
+	var seeds []string
+	for _, g := range d.gateways {
+		seeds = append(seeds, g.settings.Instance.PeerListen)
+	}
+	text := fmt.Sprintf("[instance]\nrole = gateway\nid = %s\ndata_centre = z\nlisten = %s\nready_listen = %s\npeer_listen = %s\n"+
+		"metrics_listen = %s\nseeds = %s\n[platform]\naddress = %s\n[timeouts]\ngrace = 8s\n[log]\nlevel = error\n", name,
+		freeAddress(d.t), freeAddress(d.t), freeAddress(d.t), freeAddress(d.t), strings.Join(seeds, ","), d.store.Address())
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		d.t.Fatal(err)
+	}
+	s, err := settings.LoadGateway(file)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	g, err := NewGateway(file, s)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &runningGateway{Gateway: g, stop: cancel, done: make(chan error, 1)}
+	go func() { r.done <- g.Run(ctx) }()
+	d.t.Cleanup(cancel)
+	d.gateways = append(d.gateways, r)
+	d.eventually("gateway ready", func() bool { return d.status(s.ReadyListen, "/magnoliausher/readiness") == 200 })
+	return r
+}
+
+func (d *deployment) eventually(what string, ok func() bool) {
+	d.t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	d.t.Fatal(what, ": not within 5 s")
+}
+
+func (d *deployment) status(address, path string) int {
+	response, err := http.Get("http://" + address + path)
+	if err != nil {
+		return 0
+	}
+	response.Body.Close()
+	return response.StatusCode
+}
+
+// reply is what a caller got; status 0 stands for a connection without an answer.
+type reply struct {
+	status int
+	body   string
+	err    error
+	header http.Header
+	closes bool // the connection ends with the answer
+}
+
+var requestNumber struct {
+	sync.Mutex
+	n int
+}
+
+func nextID() string {
+	requestNumber.Lock()
+	defer requestNumber.Unlock()
+	requestNumber.n++
+	return fmt.Sprint("r", requestNumber.n)
+}
+
+func (g *runningGateway) send(method, path, id string, body string) reply {
+	request, err := http.NewRequest(method, "http://"+g.settings.Instance.Listen+path, strings.NewReader(body))
+	if err != nil {
+		return reply{err: err}
+	}
+	request.Host = "h"
+	request.Header.Set("Attempt-Id", id)
+	request.Header.Set("Deadline-Ms", "5000")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return reply{response.StatusCode, string(data), err, response.Header, response.Close}
+}
+
+func wholeAnswer(id string, events int) string {
+	var b strings.Builder
+	for n := 1; n <= events; n++ {
+		b.WriteString(platformtest.EventText(id, n))
+	}
+	return b.String()
+}
+
+// Guards against any break of the path from a caller to an engine and back.
+func TestGatewayServes(t *testing.T) {
+	d := newDeployment(t, 1)
+	g := d.gateways[0]
+	for _, path := range []string{"/ask/x", "/resume/x%2Fy?z=%41"} {
+		id := nextID()
+		if r := g.send("POST", path, id, "prompt"); r.status != 200 || r.body != wholeAnswer(id, 5) || r.header.Get("Response-Seal") != "seal-"+id {
+			t.Errorf("%s: %+v", path, r)
+		}
+	}
+	id := nextID()
+	if r := g.send("POST", "/status/x", id, ""); r.status != 200 || r.body != "answer to "+id {
+		t.Errorf("call: %+v", r)
+	}
+	if r := g.send("POST", "/none/x", nextID(), ""); r.status != 404 {
+		t.Errorf("no route: %+v", r)
+	}
+	if r := g.send("POST", "/status/x", nextID(), strings.Repeat("x", 2<<20)); r.status != 413 {
+		t.Errorf("body over the limit: %d", r.status)
+	}
+	if status := d.status(g.settings.MetricsListen, "/"); status != 200 {
+		t.Errorf("metrics: %d", status)
+	}
+}
+
+// Guards against a fault of one engine that callers see although another
+// engine could serve them, and against one that is hidden although the request
+// may have run.
+func TestGatewayAndBrokenEngines(t *testing.T) {
+	d := newDeployment(t, 1)
+	g := d.gateways[0]
+	for fault, once := range map[platformtest.Fault]int{platformtest.Shed: 200, platformtest.CutAnswer: 0, platformtest.Unsigned: 502, platformtest.Crash: 502} {
+		d.engines[0].Break(fault)
+		d.engines[1].Break(fault)
+		for range 12 {
+			id := nextID()
+			r := g.send("POST", "/resume/x", id, "")
+			if fault != platformtest.CutAnswer && r.status == 200 && r.body != wholeAnswer(id, 5) {
+				t.Errorf("fault %d: resumable stream: %+v", fault, r)
+			}
+			id = nextID()
+			r = g.send("POST", "/ask/x", id, "")
+			runs := 0
+			for _, e := range d.engines {
+				runs += e.Runs(id)
+			}
+			cut := r.status == 200 && r.err != nil && once == 0
+			if runs != 1 || r.status != 200 && r.status != once || r.status == 200 && r.body != wholeAnswer(id, 5) && !cut {
+				t.Errorf("fault %d: ran %d times, %+v", fault, runs, r)
+			}
+		}
+	}
+}
+
+// Guards against a configuration or a leaving engine that takes effect late,
+// and against one that is lost while the store is away.
+func TestGatewayFollowsTheStore(t *testing.T) {
+	d := newDeployment(t, 2)
+	d.configure(2, `,{"name":"new","host":"h","path-prefix":"/new/","kind":"idempotent","service":"app"}`)
+	for _, e := range d.engines[:2] {
+		e.Register(d.store, "draining")
+	}
+	time.Sleep(300 * time.Millisecond)
+	for _, g := range d.gateways {
+		if r := g.send("POST", "/new/x", nextID(), ""); r.status != 200 {
+			t.Errorf("new route: %+v", r)
+		}
+		before, _ := d.engines[0].Total()
+		for range 5 {
+			g.send("POST", "/ask/x", nextID(), "")
+		}
+		if after, _ := d.engines[0].Total(); after != before {
+			t.Error("a draining engine got new work")
+		}
+	}
+	d.store.Refuse(503)
+	for _, g := range d.gateways {
+		if r := g.send("POST", "/new/x", nextID(), ""); r.status != 200 {
+			t.Errorf("while the store is away: %+v", r)
+		}
+		if status := d.status(g.settings.ReadyListen, "/magnoliausher/readiness"); status != 200 {
+			t.Errorf("readiness while the store is away: %d", status)
+		}
+	}
+	// A gateway that starts now learns everything from its peers.
+	late := d.start("late")
+	if r := late.send("POST", "/new/x", nextID(), ""); r.status != 200 {
+		t.Errorf("started while the store is away: %+v", r)
+	}
+}
+
+// Guards against requests that a shutdown cuts off, and against one that takes
+// longer than the grace period.
+func TestGatewayShutsDownGracefully(t *testing.T) {
+	d := newDeployment(t, 2)
+	for _, e := range d.engines {
+		e.Interval = 150 * time.Millisecond
+	}
+	g := d.gateways[0]
+	replies := make(chan reply, 20)
+	ids := make(chan string, 20)
+	for range 6 {
+		go func() {
+			id := nextID()
+			ids <- id
+			r := g.send("POST", "/ask/x", id, "")
+			if r.status == 200 && r.body != wholeAnswer(id, 5) {
+				r.status = -1
+			}
+			replies <- r
+		}()
+	}
+	time.Sleep(200 * time.Millisecond)
+	started := time.Now()
+	g.stop()
+	time.Sleep(50 * time.Millisecond)
+	if status := d.status(g.settings.ReadyListen, "/magnoliausher/readiness"); status != 503 {
+		t.Errorf("readiness during the shutdown: %d", status)
+	}
+	if r := g.send("POST", "/status/x", nextID(), ""); r.status != 200 || !r.closes {
+		t.Errorf("request while the balancer does not know yet: %+v", r)
+	}
+	for range 6 {
+		if r := <-replies; r.status != 200 || r.err != nil {
+			t.Errorf("request in progress: %+v", r)
+		}
+	}
+	if err := <-g.done; err != nil {
+		t.Error(err)
+	}
+	if took := time.Since(started); took > 7*time.Second {
+		t.Errorf("took %v of a grace of 8 s", took)
+	}
+}
+
+// Guards against a batch job that is not served the same way by all gateways.
+func TestGatewayBatch(t *testing.T) {
+	d := newDeployment(t, 2)
+	var items []map[string]any
+	for i := range 5 {
+		items = append(items, map[string]any{"id": fmt.Sprint("item", i), "path": "/notes/x", "headers": map[string]string{"Model": "m"},
+			"body": base64.StdEncoding.EncodeToString([]byte("text")), "tokens": 10})
+	}
+	job, err := json.Marshal(map[string]any{"requests": items})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, g := range d.gateways {
+		if r := g.send("POST", "/notes/j", "job1", string(job)); r.status != 202 {
+			t.Fatalf("submission: %+v", r)
+		}
+	}
+	d.eventually("results", func() bool {
+		for _, g := range d.gateways {
+			r := g.send("GET", "/magnoliausher/lots/job1?after=0", nextID(), "")
+			var page struct {
+				Total, Next int
+				Results     []struct{ ID, State, Output string }
+			}
+			if err := json.Unmarshal([]byte(r.body), &page); err != nil || page.Total != 5 || len(page.Results) != 5 || page.Next != 5 {
+				return false
+			}
+			for _, result := range page.Results {
+				if result.State != "done" || result.Output != platformtest.Output(result.ID, 5) {
+					t.Fatalf("result %+v", result)
+				}
+			}
+		}
+		return true
+	})
+	if r := d.gateways[1].send("GET", "/magnoliausher/items/job1?id=item3", nextID(), ""); r.status != 200 || r.body != "text" {
+		t.Errorf("body of an item: %+v", r)
+	}
+	if r := d.gateways[1].send("DELETE", "/magnoliausher/lots/job1", nextID(), ""); r.status != 200 {
+		t.Errorf("end: %+v", r)
+	}
+	if r := d.gateways[0].send("GET", "/magnoliausher/lots/none?after=0", nextID(), ""); r.status != 404 {
+		t.Errorf("unknown job: %+v", r)
+	}
+	if r := d.gateways[0].send("POST", "/notes/k", "job2", "{"); r.status != 400 {
+		t.Errorf("unreadable job: %+v", r)
+	}
+	large := strings.Replace(string(job), `"tokens":10`, `"tokens":100000`, 1)
+	if r := d.gateways[0].send("POST", "/notes/k", "job3", large); r.status != 429 || r.header.Get("Retry-After") == "" {
+		t.Errorf("job over the quota: %+v", r)
+	}
+}
+
+// Guards against a changed settings file that is ignored or, if it is broken,
+// takes the process down.
+func TestGatewayReloadsSettings(t *testing.T) {
+	d := newDeployment(t, 1)
+	g := d.gateways[0]
+	data, err := os.ReadFile(g.file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, text := range []string{"broken", strings.Replace(string(data), "seeds = ", "seeds = 127.0.0.1:9", 1)} {
+		if err := os.WriteFile(g.file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(settingsCheck + 200*time.Millisecond)
+		if r := g.send("POST", "/status/x", nextID(), ""); r.status != 200 {
+			t.Errorf("after the change: %+v", r)
+		}
+	}
+}
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -83,7 +83,7 @@
 
 type noSuspects struct{ blocked bool }
 
-func (n noSuspects) Blocked(uint64) bool              { return n.blocked }
+func (n noSuspects) Blocked(uint64) bool           { return n.blocked }
 func (noSuspects) Crashed(*fleet.Upstream, uint64) {}
 
 type outcome struct {
--- /dev/null
+++ b/settings/gateway_test.go
@@ -0,0 +1,61 @@
+package settings
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+const gatewayText = `[instance]
+role = gateway
+id = g1
+data_centre = z
+listen = 127.0.0.1:1
+ready_listen = 127.0.0.1:2
+peer_listen = 127.0.0.1:3
+seeds = 127.0.0.1:3,127.0.0.2:3
+[platform]
+address = 127.0.0.1:4
+[limits]
+memory_mb = 314
+[timeouts]
+grace = 8s
+keep_jobs = 120s
+`
+
+// Guards against a settings file that is read wrongly, or whose problems are
+// told one by one.
+func TestGateway(t *testing.T) {
+	g, err := ParseGateway("f", []byte(gatewayText))
+	if err != nil || g.Instance.PeerListen != "127.0.0.1:3" || len(g.Seeds) != 2 || g.MemoryMB != 314 ||
+		g.Grace != 8*time.Second || g.KeepJobs != 2*time.Minute || g.Store != "127.0.0.1:4" {
+		t.Errorf("got %+v, %v", g, err)
+	}
+	broken := strings.NewReplacer("ready_listen = 127.0.0.1:2", "ready_listen = host:2", "grace = 8s", "grace = soon",
+		"memory_mb = 314", "memory = 314").Replace(gatewayText)
+	_, err = ParseGateway("f", []byte(broken))
+	if err == nil {
+		t.Fatal("accepted")
+	}
+	for _, word := range []string{"ready_listen", "grace", "memory"} {
+		if !strings.Contains(err.Error(), word) {
+			t.Errorf("%q is not among the findings: %v", word, err)
+		}
+	}
+}
+
+// Guards against a template that asks for keys which the settings do not know.
+func TestTemplateFits(t *testing.T) {
+	data, err := os.ReadFile("../deploy/gateway.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	values := strings.NewReplacer("{{node-name}}", "g1", "{{zone}}", "z", "{{listen.front}}", "127.0.0.1:1",
+		"{{listen.ready-addr}}", "127.0.0.1:2", "{{listen.control}}", "127.0.0.1:3", "{{ip}}", "127.0.0.1", "{{port-range.0}}", "5",
+		"{{seeds}}", "127.0.0.1:3", "{{platform.address}}", "127.0.0.1:4", "{{limits.memory-mb}}", "314",
+		"{{bounds.grace-s}}", "8", "{{bounds.status-s}}", "120")
+	if _, err := ParseGateway("gateway.ini", []byte(values.Replace(string(data)))); err != nil {
+		t.Error(err)
+	}
+}
