Move work away from an engine that accepts it and sends nothing

Resumable streams waited until their deadline. Change: a bound on the time to the head, for items and for streams that can go on elsewhere. Tests in forward and batch failed before.

--- a/batch/run.go
+++ b/batch/run.go
@@ -28,6 +28,10 @@
 	// itemSilence: an item is moved after this long without an event. Engines
 	// send one every 30 ms.
 	itemSilence = 700 * time.Millisecond
+	// itemHeadSilence: an item is moved if its engine has not begun to answer by
+	// then. An engine answers at its first event; a queue of 8 short requests
+	// ahead delays that by a second.
+	itemHeadSilence = 1500 * time.Millisecond
 	// commitDelay merges results that finish together into one transaction.
 	commitDelay = 40 * time.Millisecond
 	// commitBytes and commitRows bound a transaction, which may have 1 MB and 100 entries.
@@ -359,9 +363,13 @@
 	for name, value := range item.Header {
 		header.Set(name, value)
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	head := time.AfterFunc(itemHeadSilence, cancel)
 	answer, err := s.cfg.Upstreams.Call(ctx, grant.Upstream, &forward.Call{
 		ID: item.ID, Host: r.submission.Host, Method: http.MethodPost, Target: item.Target,
 		Header: header, Body: item.Body, ResumeAfter: w.lastID})
+	head.Stop()
 	if errors.Is(err, forward.ErrNotSent) {
 		return dispatch.Refused, endNotSent
 	}
--- a/batch/service_test.go
+++ b/batch/service_test.go
@@ -344,3 +344,13 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+// Guards against an item that waits for ever at an engine that accepted it and
+// sends nothing.
+func TestSilentEngine(t *testing.T) {
+	store, silent, sound := newStore(t), engine(t, "silent"), engine(t, "sound")
+	silent.Break(platformtest.Silent)
+	g := start(t, store, "a", 1, nobody, silent, sound)
+	submit(t, g, submission("j", 6, 10))
+	checkDone(t, await(t, g, "j", 15*time.Second), "j", 6, sound.Events)
+}
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -18,6 +18,10 @@
 // an event. Engines send one every 30 ms; a long prompt delays one by 200 ms.
 const streamSilence = 700 * time.Millisecond
 
+// headSilence is the same before the first event, which may wait in the
+// upstream's queue behind a request of a second.
+const headSilence = 1200 * time.Millisecond
+
 // whole reads an answer to its end before the caller sees any of it.
 func (x *exchange) whole(grant *dispatch.Grant, started time.Time, answer *Answer) error {
 	held, err := io.ReadAll(io.LimitReader(answer.Body, maxHeld+1))
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -151,7 +151,9 @@
 	if x.lastID != "" {
 		call.ResumeAfter = x.lastID
 	}
+	head := x.limitHead(cancel)
 	answer, err := x.cfg.Upstreams.Call(ctx, grant.Upstream, &call)
+	head.Stop()
 	if err != nil {
 		outcome := x.callFailed(grant, err)
 		grant.Release(outcome)
@@ -198,6 +200,16 @@
 	return context.WithTimeout(x.ctx, slice)
 }
 
+// limitHead ends an attempt of a stream that can go on elsewhere if its
+// upstream does not begin to answer.
+func (x *exchange) limitHead(cancel context.CancelFunc) *time.Timer {
+	limit := noDeadline
+	if x.Route.Kind == fleet.Stream && x.Route.Resumable && x.runs+1 < x.Route.MaxAttempts {
+		limit = headSilence
+	}
+	return time.AfterFunc(limit, cancel)
+}
+
 // callFailed classifies an error before any answer.
 func (x *exchange) callFailed(grant *dispatch.Grant, err error) dispatch.Outcome {
 	switch {
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -95,6 +96,11 @@
 
 // serve forwards one request of a route over three upstreams.
 func serve(t *testing.T, route fleet.Route, s *script, suspects Suspects) outcome {
+	t.Helper()
+	return serveWithin(t, route, s, suspects, time.Second)
+}
+
+func serveWithin(t *testing.T, route fleet.Route, s *script, suspects Suspects, patience time.Duration) outcome {
 	t.Helper()
 	h := fleet.NewHolder()
 	h.Configure(fleet.NewConfiguration(1, nil, fleet.Limits{}))
@@ -115,7 +121,7 @@
 				o.aborted = true
 			}
 		}()
-		f.Serve(t.Context(), w, &Request{Call: Call{ID: "r"}, Route: &route, Service: "s", Arrived: time.Now(), Patience: time.Second})
+		f.Serve(t.Context(), w, &Request{Call: Call{ID: "r"}, Route: &route, Service: "s", Arrived: time.Now(), Patience: patience})
 	}()
 	o.status, o.body, o.header = w.Code, w.Body.String(), w.Header()
 	return o
@@ -234,3 +240,20 @@
 		t.Errorf("got %d from %v", o.status, s.seen)
 	}
 }
+
+// Guards against a stream that stays at a silent upstream although it can go
+// on elsewhere.
+func TestSilentUpstream(t *testing.T) {
+	hang := func(ctx context.Context, _ *Call) (*Answer, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{t: t, steps: steps{hang, events("id: 1\ndata: a\n\n")}}
+		started := time.Now()
+		o := serveWithin(t, fleet.Route{Kind: fleet.Stream, Resumable: true, MaxAttempts: 2}, s, noSuspects{}, 5*time.Second)
+		if took := time.Since(started); o.status != 200 || took > 2*time.Second {
+			t.Errorf("got %d after %v", o.status, took)
+		}
+	})
+}
--- a/standin/network/relay.go
+++ b/standin/network/relay.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"time"
 )
 
 // Relay forwards TCP connections and can stop forwarding those that are open,
@@ -15,9 +16,49 @@
 	listener net.Listener
 	running  sync.WaitGroup
 
-	mu    sync.Mutex
-	quiet chan struct{} // closed to silence the connections that are open now
-	conns []net.Conn
+	mu     sync.Mutex
+	quiet  chan struct{} // closed to silence the connections that are open now
+	conns  []net.Conn
+	faults Faults
+}
+
+// Faults of a relay, which hold for open and new connections until they are
+// replaced. The zero value is none.
+type Faults struct {
+	Delay    time.Duration // of each piece of data
+	Refuse   bool          // new connections are reset
+	LoseTo   bool          // nothing reaches the target; nobody is told
+	LoseFrom bool          // nothing comes back from the target
+}
+
+// SetFaults replaces the faults.
+func (r *Relay) SetFaults(f Faults) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = f
+}
+
+func (r *Relay) current() Faults {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.faults
+}
+
+// Reset resets all open connections.
+func (r *Relay) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.conns {
+		resetConn(c)
+	}
+	r.conns = nil
+}
+
+func resetConn(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // Close sends a reset
+	}
+	_ = c.Close()
 }
 
 // StartRelay listens on a free loopback port and forwards to the target.
@@ -48,6 +89,10 @@
 		if err != nil {
 			return
 		}
+		if r.current().Refuse {
+			resetConn(in)
+			continue
+		}
 		out, err := net.Dial("tcp", r.target)
 		if err != nil {
 			_ = in.Close()
@@ -57,8 +102,8 @@
 		quiet := r.quiet
 		r.conns = append(r.conns, in, out)
 		r.mu.Unlock()
-		r.running.Go(func() { forward(in, out, quiet) })
-		r.running.Go(func() { forward(out, in, quiet) })
+		r.running.Go(func() { r.forward(in, out, quiet, true) })
+		r.running.Go(func() { r.forward(out, in, quiet, false) })
 	}
 }
 
@@ -79,8 +124,9 @@
 }
 
 // forward copies until an end closes or the connection is silenced. A silenced
-// connection is still read, so that its sender notices nothing.
-func forward(from, to net.Conn, quiet <-chan struct{}) {
+// connection is still read, so that its sender notices nothing; bytes that a
+// fault loses silence it for good, as TCP would not go on after a gap.
+func (r *Relay) forward(from, to net.Conn, quiet <-chan struct{}, toTarget bool) {
 	buffer := make([]byte, 64<<10)
 	for {
 		n, err := from.Read(buffer)
@@ -90,8 +136,18 @@
 			return
 		default:
 		}
-		if err == nil {
-			_, err = to.Write(buffer[:n])
+		faults := r.current()
+		if n > 0 && (toTarget && faults.LoseTo || !toTarget && faults.LoseFrom) {
+			_, _ = io.Copy(io.Discard, from)
+			return
+		}
+		if faults.Delay > 0 {
+			time.Sleep(faults.Delay)
+		}
+		if n > 0 {
+			if _, writeErr := to.Write(buffer[:n]); err == nil {
+				err = writeErr
+			}
 		}
 		if err != nil {
 			_ = from.Close()
