Hold only requests whose engine is down afterwards as suspects, and never for good

Change: a broken answer counts as a crash only if the engine accepts no connections 50 ms later; an item that has crashed engines is tried every 12 s. Tests: TestCrashesNeedADeadUpstream, TestBlockedItemIsTried (failed before: no result within 5 s).

--- a/batch/run.go
+++ b/batch/run.go
@@ -41,8 +41,10 @@
 	// doubles with each one.
 	failurePause    = 100 * time.Millisecond
 	failurePauseMax = 3 * time.Second
-	// blockedPause is how often an item that crashes engines is looked at again.
-	blockedPause = 2 * time.Second
+	// blockedPause is the time between attempts of an item that has crashed
+	// engines. Nothing but an answer or its retention ends an item, so it is
+	// never left alone for good; an engine needs some seconds after a crash.
+	blockedPause = 12 * time.Second
 	// releaseTimeout bounds giving a job back at shutdown.
 	releaseTimeout = 2 * time.Second
 )
@@ -66,6 +68,7 @@
 	failures  int // attempts that the engine answered as failed
 	broken    int // attempts in a row that broke off without an event
 	notBefore time.Time
+	attempted time.Time // start of the last attempt
 	result    Result
 }
 
@@ -304,11 +307,12 @@
 	defer r.active.Done()
 	item := &r.submission.Items[w.index]
 	fingerprint := xxhash.Sum64String(r.job.ID + "\x00" + item.ID)
-	if s.cfg.Suspects.Blocked(fingerprint) {
+	if rest := blockedPause - time.Since(w.attempted); rest > 0 && s.cfg.Suspects.Blocked(fingerprint) {
 		grant.Release(dispatch.Cancelled)
-		s.requeue(r, w, blockedPause)
+		s.requeue(w, rest)
 		return
 	}
+	w.attempted = time.Now()
 	ctx, cancel := context.WithCancel(r.ctx)
 	defer cancel()
 	stop := context.AfterFunc(r.ctx, cancel)
@@ -439,13 +443,13 @@
 			s.finish(r, w, Result{Abandoned: true}, end)
 			return
 		}
-		s.wait(w, failurePause<<w.failures)
+		s.wait(w, min(failurePause<<w.failures, failurePauseMax))
 		return
 	}
 	if outcome == dispatch.Broken && w.events == had {
 		w.broken++
 		s.cfg.Suspects.Crashed(grant.Upstream, fingerprint)
-		s.wait(w, failurePause<<min(w.broken, 5))
+		s.wait(w, min(failurePause<<min(w.broken, 5), failurePauseMax))
 		return
 	}
 	w.broken = 0
@@ -454,11 +458,11 @@
 
 func (s *Service) wait(w *work, pause time.Duration) {
 	w.state = itemWaiting
-	w.notBefore = time.Now().Add(min(pause, failurePauseMax))
+	w.notBefore = time.Now().Add(pause)
 	s.signal()
 }
 
-func (s *Service) requeue(_ *running, w *work, pause time.Duration) {
+func (s *Service) requeue(w *work, pause time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.wait(w, pause)
--- a/batch/service_test.go
+++ b/batch/service_test.go
@@ -13,6 +13,7 @@
 	"github.com/magnoliausher/magnoliausher/batch"
 	"github.com/magnoliausher/magnoliausher/dispatch"
 	"github.com/magnoliausher/magnoliausher/fleet"
+	"github.com/magnoliausher/magnoliausher/forward"
 	"github.com/magnoliausher/magnoliausher/peer"
 	"github.com/magnoliausher/magnoliausher/platform"
 	"github.com/magnoliausher/magnoliausher/platform/platformtest"
@@ -36,6 +37,12 @@
 
 // start runs a gateway that hears the peers that members returns.
 func start(t *testing.T, store *platformtest.Store, name string, incarnation uint64, members func() []peer.Seen, engines ...*platformtest.Engine) *gateway {
+	t.Helper()
+	return startWith(t, store, name, incarnation, members, noSuspects{}, engines...)
+}
+
+func startWith(t *testing.T, store *platformtest.Store, name string, incarnation uint64, members func() []peer.Seen,
+	suspects forward.Suspects, engines ...*platformtest.Engine) *gateway {
 	t.Helper()
 	g := &gateway{holder: fleet.NewHolder(), done: make(chan error, 1)}
 	g.holder.Configure(fleet.NewConfiguration(1, []fleet.Route{route}, fleet.Limits{}))
@@ -48,7 +55,7 @@
 	client := platform.NewStore(store.Address())
 	service, err := batch.New(batch.Config{Self: peer.Member{Name: name, Incarnation: incarnation}, Table: client, Feed: client,
 		Objects: client.Objects(), Holder: g.holder, Dispatcher: dispatch.New(dispatch.Config{Self: name, Holder: g.holder}),
-		Upstreams: platform.NewEngines(), Suspects: noSuspects{}, Members: members, Keep: time.Minute, Log: zerolog.New(zerolog.NewTestWriter(t))})
+		Upstreams: platform.NewEngines(), Suspects: suspects, Members: members, Keep: time.Minute, Log: zerolog.New(zerolog.NewTestWriter(t))})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -354,3 +361,17 @@
 	submit(t, g, submission("j", 6, 10))
 	checkDone(t, await(t, g, "j", 15*time.Second), "j", 6, sound.Events)
 }
+
+// allBlocked blocks every request.
+type allBlocked struct{ noSuspects }
+
+func (allBlocked) Blocked(uint64) bool { return true }
+
+// Guards against an item that is left lying because it is suspected of
+// crashing engines.
+func TestBlockedItemIsTried(t *testing.T) {
+	store, e := newStore(t), engine(t, "e")
+	g := startWith(t, store, "a", 1, nobody, allBlocked{}, e)
+	submit(t, g, submission("j", 2, 10))
+	checkDone(t, await(t, g, "j", 5*time.Second), "j", 2, e.Events)
+}
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -99,13 +99,14 @@
 	g.dispatcher = dispatch.New(dispatch.Config{Self: g.self.Name, DataCentre: g.self.DataCentre, Holder: g.holder,
 		Changed: g.exchange.Changed})
 	engines := platform.NewEngines()
+	suspects := crashes{table: g.suspects, accepts: engines.Accepts, log: g.log}
 	g.jobs, err = batch.New(batch.Config{Self: g.self, Table: g.store, Feed: g.store, Objects: g.store.Objects(),
-		Holder: g.holder, Dispatcher: g.dispatcher, Upstreams: engines, Suspects: crashes{g.suspects},
+		Holder: g.holder, Dispatcher: g.dispatcher, Upstreams: engines, Suspects: suspects,
 		Members: g.exchange.Members, Keep: s.KeepJobs, Log: g.log})
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	forwarder := forward.New(forward.Config{Dispatcher: g.dispatcher, Upstreams: engines, Suspects: crashes{g.suspects}, Log: g.log})
+	forwarder := forward.New(forward.Config{Dispatcher: g.dispatcher, Upstreams: engines, Suspects: suspects, Log: g.log})
 	ingress := &platform.Ingress{Holder: g.holder, Forwarder: forwarder, Jobs: g.jobs, Log: g.log}
 	g.ingress = &http.Server{Handler: g.closing(ingress), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: gatewayIdleTimeout,
 		MaxHeaderBytes: 64 << 10}
@@ -290,8 +291,18 @@
 	return xxhash.Sum64(data)
 }
 
-// crashes adapts the table of suspects to package forward.
-type crashes struct{ table *poison.Table }
+// crashCheck is the time from a broken answer to the check whether its upstream
+// has crashed. A crashed upstream is away for seconds.
+const crashCheck = 50 * time.Millisecond
+
+// crashes adapts the table of suspects to package forward. An answer that
+// breaks off is a crash only if its upstream accepts no connections afterwards;
+// faults of a connection would make suspects of innocent requests.
+type crashes struct {
+	table   *poison.Table
+	accepts func(context.Context, *fleet.Upstream) bool
+	log     zerolog.Logger
+}
 
 var _ forward.Suspects = crashes{}
 
@@ -300,11 +311,21 @@
 	return c.table.Status(fingerprint, time.Now()) == poison.Blocked
 }
 
-// Crashed implements forward.Suspects. A crash is told from others by the
-// upstream's incarnation and the time to the second, since one connection after
-// the other breaks when an upstream crashes.
+// Crashed implements forward.Suspects.
 func (c crashes) Crashed(u *fleet.Upstream, fingerprint uint64) {
-	now := time.Now()
-	id := xxhash.Sum64String(u.ID) ^ uint64(u.Started) ^ uint64(now.Unix())<<20
-	c.table.Crash(id, []uint64{fingerprint}, now)
+	time.AfterFunc(crashCheck, func() {
+		if c.accepts(context.Background(), u) {
+			return
+		}
+		now := time.Now()
+		c.table.Crash(crashID(u, now), []uint64{fingerprint}, now)
+		c.log.Info().Str("upstream", u.ID).Uint64("fingerprint", fingerprint).
+			Stringer("status", c.table.Status(fingerprint, now)).Msg("request was running at a crash")
+	})
+}
+
+// crashID tells a crash from others by the upstream's incarnation and the time
+// to the second, since its connections break one after the other.
+func crashID(u *fleet.Upstream, now time.Time) uint64 {
+	return xxhash.Sum64String(u.ID) ^ uint64(u.Started) ^ uint64(now.Unix())<<20
 }
--- a/daemon/gateway_test.go
+++ b/daemon/gateway_test.go
@@ -13,9 +13,14 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"github.com/magnoliausher/magnoliausher/fleet"
 	"github.com/magnoliausher/magnoliausher/platform/platformtest"
+	"github.com/magnoliausher/magnoliausher/poison"
 	"github.com/magnoliausher/magnoliausher/settings"
 )
 
@@ -376,3 +381,24 @@
 		}
 	}
 }
+
+// Guards against an innocent request that is blocked because its connections
+// broke several times, and against one that crashes engines without end.
+func TestCrashesNeedADeadUpstream(t *testing.T) {
+	for _, accepts := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			c := crashes{table: poison.NewTable(poison.Config{BlockAfter: crashesToBlock}), log: zerolog.Nop(),
+				accepts: func(context.Context, *fleet.Upstream) bool { return accepts }}
+			for range crashesToBlock {
+				for range 8 { // connections of one crash
+					c.Crashed(&fleet.Upstream{ID: "e"}, 7)
+				}
+				time.Sleep(2 * time.Second)
+				synctest.Wait()
+			}
+			if c.Blocked(7) == accepts {
+				t.Errorf("upstream accepts %v: blocked %v", accepts, c.Blocked(7))
+			}
+		})
+	}
+}
