Soak: own addresses for gateways, and an end of a process is an error

Cause: soak seed 175, parallel with others: a gateway did not start because the port that was free a moment before had been taken by an outgoing connection. Change: gateways listen on loopback addresses of their own; a gateway that ends by itself fails the seed. Also drops a parameter of TryBatch that nobody used.

--- a/batch/run.go
+++ b/batch/run.go
@@ -213,7 +213,7 @@
 		if !known {
 			s.finish(c.job, c.item, Result{Abandoned: true}, "route_removed")
 		} else {
-			grant := s.cfg.Dispatcher.TryBatch(service, len(list), nil)
+			grant := s.cfg.Dispatcher.TryBatch(service, len(list))
 			if grant == nil {
 				return
 			}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -339,7 +339,8 @@
 }
 
 // TryBatch returns a slot for a batch item if online work leaves one free.
-func (d *Dispatcher) TryBatch(service string, waiting int, exclude map[string]bool) *Grant {
+// Waiting is the number of items that wait here.
+func (d *Dispatcher) TryBatch(service string, waiting int) *Grant {
 	d.mu.Lock()
 	now := time.Now()
 	if len(d.queue(service).waiters) > 0 {
@@ -356,9 +357,6 @@
 		d.mu.Unlock()
 		return nil
 	}
-	for i := range list {
-		list[i].Closed = list[i].Closed || exclude[list[i].ID]
-	}
 	i := placement.Batch(list, rand.IntN)
 	if i < 0 {
 		d.mu.Unlock()
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -107,7 +107,7 @@
 		d := New(Config{Self: "g", Holder: holder(fleet.Upstream{ID: "a", Slots: 4})})
 		var items []*Grant
 		for range 4 {
-			if g := d.TryBatch("s", 4, nil); g != nil {
+			if g := d.TryBatch("s", 4); g != nil {
 				items = append(items, g)
 			}
 		}
--- a/e2e/soak/world_test.go
+++ b/e2e/soak/world_test.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -69,7 +68,7 @@
 	}
 	w.reconfigure()
 	for i := range gatewayCount {
-		w.startGateway(fmt.Sprint("g", i))
+		w.startGateway(i)
 	}
 	for _, g := range w.gateways {
 		w.await(g.name+" ready", recoveryTime, g.ready)
@@ -155,25 +154,30 @@
 	leaving bool
 }
 
-func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
+// address returns an address that no other seed or gateway uses. Ports of
+// 127.0.0.1 could be taken by outgoing connections between two starts.
+func (w *world) address(gateway, port int) string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", 10+w.seed/200%200, 1+w.seed%200, 1+gateway, port)
 }
 
-func (w *world) startGateway(name string) {
+// Ports of a gateway on its own address.
+const (
+	callerPort = 7001 + iota
+	readyPort
+	peerPort
+)
+
+func (w *world) startGateway(index int) {
+	name := fmt.Sprint("g", index)
 	store, err := network.StartRelay(w.store.Address())
 	if err != nil {
 		w.t.Fatal(err)
 	}
 	w.t.Cleanup(store.Close)
-	g := &gateway{w: w, name: name, listen: freeAddress(w.t), check: freeAddress(w.t), store: store,
+	g := &gateway{w: w, name: name, listen: w.address(index, callerPort), check: w.address(index, readyPort), store: store,
 		file: filepath.Join(w.logFolder(), name+".ini")}
 	text := fmt.Sprintf("[instance]\nrole = gateway\nid = %s\ndata_centre = z\nlisten = %s\nready_listen = %s\npeer_listen = %s\n"+
-		"[platform]\naddress = %s\n[timeouts]\ngrace = 8s\n", name, g.listen, g.check, freeAddress(w.t), store.Address())
+		"[platform]\naddress = %s\n[timeouts]\ngrace = 8s\n", name, g.listen, g.check, w.address(index, peerPort), store.Address())
 	if err := os.WriteFile(g.file, []byte(text), 0o600); err != nil {
 		w.t.Fatal(err)
 	}
@@ -183,6 +187,7 @@
 	w.t.Cleanup(func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
+		g.leaving = true
 		_ = g.cmd.Process.Kill()
 		<-g.ended
 	})
@@ -223,9 +228,14 @@
 	cmd, ended := g.cmd, make(chan struct{})
 	g.ended = ended
 	go func() {
-		_ = cmd.Wait() // most processes end by a signal
+		err := cmd.Wait()
 		_ = log.Close()
 		close(ended)
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if !g.leaving {
+			g.w.t.Errorf("seed %d: %s ended by itself: %v; %s", g.w.seed, g.name, err, log.Name())
+		}
 	}()
 }
 
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -100,7 +100,7 @@
 		}
 	}
 	eventually(t, "work of a counted by b", time.Second, func() bool {
-		g := b.dispatcher.TryBatch("s", 1, nil)
+		g := b.dispatcher.TryBatch("s", 1)
 		if g == nil {
 			return false
 		}
@@ -111,7 +111,7 @@
 	time.Sleep(1300 * time.Millisecond) // over four heartbeats
 	free := 0
 	for range 4 {
-		if g := b.dispatcher.TryBatch("s", 4, nil); g != nil {
+		if g := b.dispatcher.TryBatch("s", 4); g != nil {
 			free++
 		}
 	}
