Divide the spare slots between gateways instead of offering them to all

All gateways also chose the emptiest engine until they heard of each other. Change: a share is fixed once a round of 60 ms and rounded at random; online takes the better of two random upstreams of the best kind.

--- a/batch/run.go
+++ b/batch/run.go
@@ -18,6 +18,7 @@
 	"github.com/magnoliausher/magnoliausher/fleet"
 	"github.com/magnoliausher/magnoliausher/forward"
 	"github.com/magnoliausher/magnoliausher/metric"
+	"github.com/magnoliausher/magnoliausher/pause"
 	"github.com/magnoliausher/magnoliausher/storage"
 )
 
@@ -25,6 +26,9 @@
 	// scheduleInterval is how often waiting items are offered although no event
 	// told of a free slot.
 	scheduleInterval = 50 * time.Millisecond
+	// startInterval is the least time between two rounds of starts: the time in
+	// which gateways in other data centres hear of the first one.
+	startInterval = 60 * time.Millisecond
 	// itemSilence: an item is moved after this long without an event. Engines
 	// send one every 30 ms.
 	itemSilence = 700 * time.Millisecond
@@ -190,6 +194,9 @@
 		case <-ticker.C:
 		}
 		s.startItems()
+		if !pause.For(ctx, startInterval) {
+			return nil
+		}
 	}
 }
 
@@ -199,31 +206,44 @@
 	item *work
 }
 
-// startItems starts as many waiting items as there are slots for.
+// startItems starts this gateway's share of the items that there are slots for.
 func (s *Service) startItems() {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := s.waiting(now)
 	s.cfg.Dispatcher.SetBacklog(len(list))
-	for len(list) > 0 {
+	shares := make(map[string]int) // starts left, by service
+	for left := len(list); len(list) > 0; left = len(list) {
 		best := NextItem(views(list))
 		c := list[best]
+		list = append(list[:best], list[best+1:]...)
 		service, known := s.service(c.job, c.item)
 		if !known {
 			s.finish(c.job, c.item, Result{Abandoned: true}, "route_removed")
-		} else {
-			grant := s.cfg.Dispatcher.TryBatch(service, len(list))
-			if grant == nil {
-				return
-			}
-			c.item.state = itemActive
-			c.job.active.Add(1)
-			go s.runItem(c.job, c.item, grant)
+			continue
 		}
-		list = append(list[:best], list[best+1:]...)
+		share, set := shares[service]
+		if !set {
+			share = s.cfg.Dispatcher.BatchStarts(service, left)
+		}
+		shares[service] = share - 1
+		if share <= 0 || !s.start(c, service) {
+			return
+		}
+	}
+}
+
+// start begins an attempt of an item if its service has a free slot.
+func (s *Service) start(c candidate, service string) bool {
+	grant := s.cfg.Dispatcher.TryBatch(service)
+	if grant == nil {
+		return false
 	}
-	s.cfg.Dispatcher.SetBacklog(0)
+	c.item.state = itemActive
+	c.job.active.Add(1)
+	go s.runItem(c.job, c.item, grant)
+	return true
 }
 
 // waiting returns the items that may start now, and abandons those whose
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -338,26 +338,28 @@
 	return d.grant(usable[i], Online, now)
 }
 
-// TryBatch returns a slot for a batch item if online work leaves one free.
-// Waiting is the number of items that wait here.
-func (d *Dispatcher) TryBatch(service string, waiting int) *Grant {
+// BatchStarts returns how many of the items that wait here may start now. It
+// holds until the reports of the peers have been heard again.
+func (d *Dispatcher) BatchStarts(service string, waiting int) int {
 	d.mu.Lock()
-	now := time.Now()
+	defer d.mu.Unlock()
 	if len(d.queue(service).waiters) > 0 {
-		d.mu.Unlock()
-		return nil
+		return 0
 	}
-	usable := d.cfg.Holder.View().Usable(service)
-	list := d.snapshot(usable, now)
 	all := waiting
 	for _, p := range d.peers {
 		all += p.report.Backlog
 	}
-	if placement.BatchStarts(list, waiting, all) == 0 {
-		d.mu.Unlock()
-		return nil
-	}
-	i := placement.Batch(list, rand.IntN)
+	list := d.snapshot(d.cfg.Holder.View().Usable(service), time.Now())
+	return placement.BatchStarts(list, waiting, all, rand.Float64())
+}
+
+// TryBatch returns a slot for a batch item, or nil if none is free.
+func (d *Dispatcher) TryBatch(service string) *Grant {
+	d.mu.Lock()
+	now := time.Now()
+	usable := d.cfg.Holder.View().Usable(service)
+	i := placement.Batch(d.snapshot(usable, now), rand.IntN)
 	if i < 0 {
 		d.mu.Unlock()
 		return nil
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -31,32 +31,38 @@
 
 // Online chooses the upstream for an online request, or -1 if all are taken by
 // online work. Free slots nearby come first, then free slots elsewhere, then
-// slots that batch work will give up.
+// slots that batch work will give up. Of two random upstreams that are equally
+// good by this, it takes the emptier one: many gateways that all took the
+// emptiest would fill it beyond its slots before they hear of each other.
 func Online(list []Upstream, random Random) int {
-	best, ties := -1, 0
+	var best []int
 	for i := range list {
 		if list[i].Closed || list[i].Online >= list[i].Slots {
 			continue
 		}
-		switch c := compareOnline(&list[i], best, list); {
-		case c < 0:
-			best, ties = i, 1
-		case c == 0:
-			ties++
-			if random(ties) == 0 {
-				best = i
-			}
+		c := -1
+		if len(best) > 0 {
+			c = compareTier(&list[i], &list[best[0]])
+		}
+		if c < 0 {
+			best = best[:0]
+		}
+		if c <= 0 {
+			best = append(best, i)
 		}
 	}
-	return best
-}
-
-// compareOnline returns a negative number if u is better than list[best].
-func compareOnline(u *Upstream, best int, list []Upstream) int {
-	if best < 0 {
+	if len(best) == 0 {
 		return -1
 	}
-	b := &list[best]
+	a, b := best[random(len(best))], best[random(len(best))]
+	if emptier(&list[b], &list[a]) {
+		return b
+	}
+	return a
+}
+
+// compareTier returns a negative number if u is of a better kind than b.
+func compareTier(u, b *Upstream) int {
 	if u.Doubtful != b.Doubtful {
 		return order(!u.Doubtful)
 	}
@@ -67,10 +73,14 @@
 	if u.Local != b.Local {
 		return order(u.Local)
 	}
-	if uFree {
-		return b.free() - u.free()
+	return 0
+}
+
+func emptier(a, b *Upstream) bool {
+	if a.free() != b.free() {
+		return a.free() > b.free()
 	}
-	return u.Online - b.Online
+	return a.Online < b.Online
 }
 
 func order(better bool) int {
@@ -84,9 +94,21 @@
 // free: the arrivals of a doubled load in the 50 ms that batch needs to give way.
 const ReserveShare = 6
 
-// BatchStarts returns how many items a gateway may start now. Gateways divide
-// the free slots in proportion to their waiting items.
-func BatchStarts(list []Upstream, mine, all int) int {
+// BatchStarts returns how many items a gateway may start until it hears of the
+// others again. Gateways divide the spare slots in proportion to their waiting
+// items; fraction, which is random in [0, 1), rounds the share up or down, so
+// that on average all shares add up to the spare slots.
+func BatchStarts(list []Upstream, mine, all int, fraction float64) int {
+	spare := spareSlots(list)
+	if spare <= 0 || mine <= 0 {
+		return 0
+	}
+	share := float64(spare) * float64(mine) / float64(max(all, mine))
+	return min(int(share+fraction), mine)
+}
+
+// spareSlots returns the free slots beyond the reserve.
+func spareSlots(list []Upstream) int {
 	free, slots := 0, 0
 	for i := range list {
 		if list[i].Closed || list[i].Doubtful {
@@ -95,14 +117,7 @@
 		slots += list[i].Slots
 		free += max(list[i].free(), 0)
 	}
-	spare := free - (slots*ReserveShare+99)/100
-	if spare <= 0 || mine <= 0 {
-		return 0
-	}
-	if all <= mine {
-		return min(spare, mine)
-	}
-	return min((spare*mine+all-1)/all, mine)
+	return free - (slots*ReserveShare+99)/100
 }
 
 // Batch chooses the upstream for a batch item, or -1 if none has a free slot.
