--- a/batch/run.go
+++ b/batch/run.go
@@ -26,9 +26,9 @@
 	// scheduleInterval is how often waiting items are offered although no event
 	// told of a free slot.
 	scheduleInterval = 50 * time.Millisecond
-	// startInterval is the least time between two rounds of starts: the time in
-	// which gateways in other data centres hear of the first one.
-	startInterval = 60 * time.Millisecond
+	// startInterval is the least time between two rounds of starts: most of the
+	// time in which gateways in other data centres hear of the first one.
+	startInterval = 40 * time.Millisecond
 	// itemSilence: an item is moved after this long without an event. Engines
 	// send one every 30 ms.
 	itemSilence = 700 * time.Millisecond
@@ -212,7 +212,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := s.waiting(now)
-	s.cfg.Dispatcher.SetBacklog(len(list))
+	waiting := len(list)
+	// Reported after the starts, since peers divide what is left by it.
+	defer func() { s.cfg.Dispatcher.SetBacklog(waiting) }()
 	shares := make(map[string]int) // starts left, by service
 	for left := len(list); len(list) > 0; left = len(list) {
 		best := NextItem(views(list))
@@ -231,6 +233,7 @@
 		if share <= 0 || !s.start(c, service) {
 			return
 		}
+		waiting--
 	}
 }
 
