--- a/batch/run.go
+++ b/batch/run.go
@@ -220,9 +220,9 @@
 		best := NextItem(views(list))
 		c := list[best]
 		list = append(list[:best], list[best+1:]...)
-		service, known := s.service(c.job, c.item)
-		if !known {
-			s.finish(c.job, c.item, Result{Abandoned: true}, "route_removed")
+		service, end := s.service(c.job, c.item, now)
+		if end != "" {
+			s.finish(c.job, c.item, Result{Abandoned: true}, end)
 			continue
 		}
 		share, set := shares[service]
@@ -249,8 +249,7 @@
 	return true
 }
 
-// waiting returns the items that may start now, and abandons those whose
-// retention is over.
+// waiting returns the items that may start now.
 func (s *Service) waiting(now time.Time) []candidate {
 	var list []candidate
 	if s.stopping {
@@ -301,18 +300,31 @@
 	return best
 }
 
-// service returns the service that the configuration in force sends an item to.
-func (s *Service) service(r *running, w *work) (string, bool) {
-	c := s.cfg.Holder.View().Configuration
+// Reasons to give an item up without an attempt.
+const (
+	endRouteRemoved = "route_removed"
+	endRetention    = "retention"
+)
+
+// retentionSlack is added to the retention, since the clock of the gateway that
+// accepted the job may differ from the own one by seconds.
+const retentionSlack = 10 * time.Second
+
+// service returns the service that the configuration in force sends an item
+// to, or the reason why it is given up.
+func (s *Service) service(r *running, w *work, now time.Time) (service, end string) {
 	item := &r.submission.Items[w.index]
-	if c == nil {
-		return r.submission.Service, true
+	if s.cfg.Holder.View().Configuration == nil {
+		return r.submission.Service, ""
 	}
-	route := c.Match(r.submission.Host, item.Target)
-	if route == nil {
-		return "", false
+	route := s.route(r, w)
+	switch {
+	case route == nil:
+		return "", endRouteRemoved
+	case route.Retention > 0 && age(&r.job, now) > route.Retention+retentionSlack:
+		return "", endRetention
 	}
-	return route.Service(item.ID), true
+	return route.Service(item.ID), ""
 }
 
 func (s *Service) route(r *running, w *work) *fleet.Route {
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -97,7 +97,7 @@
 		Dispatcher: func() *dispatch.Dispatcher { return g.dispatcher }})
 	g.exchange.SetSeeds(s.Seeds)
 	g.dispatcher = dispatch.New(dispatch.Config{Self: g.self.Name, DataCentre: g.self.DataCentre, Holder: g.holder,
-		Changed: g.exchange.Changed})
+		Changed: g.exchange.Changed, Log: g.log})
 	engines := platform.NewEngines()
 	suspects := crashes{table: g.suspects, accepts: engines.Accepts, log: g.log}
 	g.jobs, err = batch.New(batch.Config{Self: g.self, Table: g.store, Feed: g.store, Objects: g.store.Objects(),
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
 
 	"github.com/magnoliausher/magnoliausher/fleet"
 	"github.com/magnoliausher/magnoliausher/placement"
@@ -100,6 +101,7 @@
 	// Changed is called without locks after the own report changed. Urgent: a
 	// peer's batch work has to give way.
 	Changed func(urgent bool)
+	Log     zerolog.Logger
 }
 
 // Dispatcher is safe for concurrent use.
@@ -421,13 +423,19 @@
 	} else {
 		state.batch--
 	}
+	before := state.belief(now)
 	state.note(outcome, now)
+	after, broken, refused := state.belief(now), state.broken, state.refused
 	q := d.queue(g.Upstream.Service)
 	if outcome == Served && g.class == Online {
 		q.serviceTime += (now.Sub(g.granted) - q.serviceTime) / serviceTimeWeight
 	}
 	waiting := len(q.waiters) > 0
 	d.mu.Unlock()
+	if after != before && outcome != Full {
+		d.cfg.Log.Info().Str("upstream", g.Upstream.ID).Str("from", before).Str("to", after).
+			Int("broken_in_row", broken).Int("refused_in_row", refused).Msg("belief of an upstream")
+	}
 	if waiting {
 		d.serve(g.Upstream.Service, now)
 	}
@@ -435,6 +443,17 @@
 	d.cfg.Changed(false)
 }
 
+// belief names what placement makes of the evidence, for the log.
+func (u *upstream) belief(now time.Time) string {
+	switch {
+	case u.closedUntil.After(now):
+		return "closed"
+	case u.doubtful.After(now):
+		return "doubtful"
+	}
+	return "sound"
+}
+
 func (u *upstream) note(outcome Outcome, now time.Time) {
 	switch outcome {
 	case Served:
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -37,7 +37,7 @@
 	for i := range 5000 {
 		id := time.Duration(i).String()
 		count[r.Service(id)]++
-		if r.Service(id) != r.Service(id) {
+		if first, second := r.Service(id), r.Service(id); first != second {
 			t.Fatal("two services for one id")
 		}
 	}
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -176,8 +176,9 @@
 	if errors.Is(x.ctx.Err(), context.Canceled) && outcome != "served" {
 		outcome = "caller_gone: " + outcome
 	}
+	metric.Answered(x.Service, x.Route.Name, status, time.Since(x.Arrived).Seconds())
 	x.cfg.Log.Info().Str("request", x.ID).Str("route", x.Route.Name).Str("service", x.Service).
-		Uint64("configuration", x.Configuration).Int("status", status).Str("outcome", outcome).
+		Uint64("configuration", x.Configuration).Uint64("list", x.List).Int("status", status).Str("outcome", outcome).
 		Int("may_have_run", x.runs).Int("events", x.events).Int64("first_ms", x.first.Milliseconds()).
 		Int64("total_ms", time.Since(x.Arrived).Milliseconds()).Array("attempts", x.stepLog).Msg("request")
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -15,6 +15,7 @@
 
 	"github.com/magnoliausher/magnoliausher/dispatch"
 	"github.com/magnoliausher/magnoliausher/fleet"
+	"github.com/magnoliausher/magnoliausher/metric"
 )
 
 // ErrNotSent: no byte of the request reached the upstream.
@@ -62,6 +63,7 @@
 	Route         *fleet.Route
 	Service       string
 	Configuration uint64 // version that chose the route
+	List          uint64 // version of the list of upstreams at arrival
 	Arrived       time.Time
 	Patience      time.Duration // how long the caller waits; 0 if it does not say
 	Fingerprint   uint64        // equal for the same request sent again
@@ -238,9 +240,11 @@
 		return x.unplaced(dispatch.ErrNoCapacity)
 	}
 	if notRun {
+		metric.Retried(x.Service, x.Route.Name, "not_run")
 		return nil
 	}
 	if x.Route.Repeatable() && x.runs < x.Route.MaxAttempts && !x.cfg.Suspects.Blocked(x.Fingerprint) {
+		metric.Retried(x.Service, x.Route.Name, "broken")
 		return nil
 	}
 	return x.giveUp(reason)
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -76,3 +76,12 @@
 func LogLinesDropped(lines int) {
 	metrics.GetOrCreateCounter("magnoliausher_log_lines_dropped_total").Add(lines)
 }
+
+// Answered counts an answer by its status, 0 for one that was broken off, and
+// records the time from arrival to its end, in seconds.
+func Answered(service, class string, status int, seconds float64) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(
+		`magnoliausher_answers_total{service=%q,class=%q,status="%d"}`, service, class, status)).Inc()
+	metrics.GetOrCreateHistogram(fmt.Sprintf(
+		`magnoliausher_answer_seconds{service=%q,class=%q}`, service, class)).Update(seconds)
+}
