Reach the store through a peer where it does not serve a gateway

Reports say whom the store serves. Also: a race of package batch, seen once by TestRelease under the race detector: the job's row was read without the lock for log lines; the id now comes from the submission, which never changes.

--- a/batch/run.go
+++ b/batch/run.go
@@ -76,7 +76,8 @@
 	result    Result
 }
 
-// running is a job that this process owns. Its fields are guarded by Service.mu.
+// running is a job that this process owns. Its fields are guarded by
+// Service.mu, except the submission, which never changes.
 type running struct {
 	job        Job
 	version    uint64
@@ -164,13 +165,15 @@
 	s.mu.Lock()
 	r := s.running[id]
 	delete(s.running, id)
+	var version uint64
 	if r != nil {
 		r.dropped = true
+		version = r.version
 	}
 	s.mu.Unlock()
 	if r != nil {
 		r.cancel(errDropped)
-		s.cfg.Log.Info().Str("job", id).Str("reason", reason).Uint64("row", r.version).Msg("job dropped")
+		s.cfg.Log.Info().Str("job", id).Str("reason", reason).Uint64("row", version).Msg("job dropped")
 	}
 }
 
@@ -341,7 +344,7 @@
 func (s *Service) runItem(r *running, w *work, grant *dispatch.Grant) {
 	defer r.active.Done()
 	item := &r.submission.Items[w.index]
-	fingerprint := xxhash.Sum64String(r.job.ID + "\x00" + item.ID)
+	fingerprint := xxhash.Sum64String(r.submission.ID + "\x00" + item.ID)
 	if rest := blockedPause - time.Since(w.attempted); rest > 0 && s.cfg.Suspects.Blocked(fingerprint) {
 		grant.Release(dispatch.Cancelled)
 		s.requeue(w, rest)
@@ -369,7 +372,7 @@
 	if preempted {
 		metric.Preempted(grant.Upstream.Service)
 	}
-	s.cfg.Log.Info().Str("request", item.ID).Str("job", r.job.ID).Str("upstream", grant.Upstream.ID).
+	s.cfg.Log.Info().Str("request", item.ID).Str("job", r.submission.ID).Str("upstream", grant.Upstream.ID).
 		Int("from_event", had).Int("events", w.events).Bool("preempted", preempted).Str("outcome", end).
 		Int64("ms", time.Since(started).Milliseconds()).Msg("item attempt")
 	s.settle(r, w, grant, outcome, end, had, fingerprint)
@@ -525,11 +528,12 @@
 	for failures := 0; ; {
 		err := s.commitOnce(r, false)
 		s.mu.Lock()
+		version, closed := r.version, r.job.closed()
 		if r.dropped || (err == nil && len(r.finished) == 0) {
 			r.committing = false
 			s.mu.Unlock()
-			if r.job.closed() {
-				s.drop(r.job.ID, "complete")
+			if closed {
+				s.drop(r.submission.ID, "complete")
 			}
 			return
 		}
@@ -538,7 +542,7 @@
 			failures = 0
 			continue
 		}
-		s.cfg.Log.Warn().Err(err).Str("job", r.job.ID).Uint64("row", r.version).Msg("results not listed; tried again")
+		s.cfg.Log.Warn().Err(err).Str("job", r.submission.ID).Uint64("row", version).Msg("results not listed; tried again")
 		time.Sleep(storeBackoff.Delay(failures))
 		failures++
 	}
@@ -713,5 +717,5 @@
 			time.Sleep(storeBackoff.Delay(failures))
 		}
 	}
-	s.drop(r.job.ID, "released")
+	s.drop(r.submission.ID, "released")
 }
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -65,6 +65,7 @@
 
 	self       peer.Member
 	store      *platform.Store
+	relay      *peer.Relay
 	holder     *fleet.Holder
 	suspects   *poison.Table
 	dispatcher *dispatch.Dispatcher
@@ -98,9 +99,10 @@
 	g.exchange.SetSeeds(s.Seeds)
 	g.dispatcher = dispatch.New(dispatch.Config{Self: g.self.Name, DataCentre: g.self.DataCentre, Holder: g.holder,
 		Changed: g.exchange.Changed, Log: g.log})
+	g.relay = peer.NewRelay(g.store, g.exchange)
 	engines := platform.NewEngines()
 	suspects := crashes{table: g.suspects, accepts: engines.Accepts, log: g.log}
-	g.jobs, err = batch.New(batch.Config{Self: g.self, Table: g.store, Feed: g.store, Objects: g.store.Objects(),
+	g.jobs, err = batch.New(batch.Config{Self: g.self, Table: g.relay, Feed: g.relay, Objects: g.relay.Objects(),
 		Holder: g.holder, Dispatcher: g.dispatcher, Upstreams: engines, Suspects: suspects,
 		Members: g.exchange.Members, Keep: s.KeepJobs, Log: g.log})
 	if err != nil {
@@ -148,7 +150,7 @@
 		return err
 	}
 	group.Go(func() error { platform.WatchConfiguration(background, g.store, g.holder, g.log); return nil })
-	group.Go(func() error { platform.WatchEngines(background, g.store, g.holder, g.log); return nil })
+	group.Go(func() error { platform.WatchEngines(background, g.store, g.holder, g.relay, g.log); return nil })
 	group.Go(func() error { return g.jobs.Run(background) })
 	group.Go(func() error { g.followMembers(background); return nil })
 	group.Go(func() error { g.expireLapsed(background); return nil })
--- a/daemon/gateway_test.go
+++ b/daemon/gateway_test.go
@@ -22,6 +22,7 @@
 	"github.com/magnoliausher/magnoliausher/platform/platformtest"
 	"github.com/magnoliausher/magnoliausher/poison"
 	"github.com/magnoliausher/magnoliausher/settings"
+	"github.com/magnoliausher/magnoliausher/standin/network"
 )
 
 // deployment is a store, engines and gateways on the loopback interface.
@@ -80,6 +81,12 @@
 }
 
 func (d *deployment) start(name string) *runningGateway {
+	d.t.Helper()
+	return d.startAt(name, d.store.Address())
+}
+
+// startAt starts a gateway that reaches the store at an address.
+func (d *deployment) startAt(name, store string) *runningGateway {
 	d.t.Helper()
 	file := filepath.Join(d.t.TempDir(), "gateway.ini")
 	var seeds []string
@@ -88,7 +95,7 @@
 	}
 	text := fmt.Sprintf("[instance]\nrole = gateway\nid = %s\ndata_centre = z\nlisten = %s\nready_listen = %s\npeer_listen = %s\n"+
 		"metrics_listen = %s\nseeds = %s\n[platform]\naddress = %s\n[timeouts]\ngrace = 8s\n[log]\nlevel = error\n", name,
-		freeAddress(d.t), freeAddress(d.t), freeAddress(d.t), freeAddress(d.t), strings.Join(seeds, ","), d.store.Address())
+		freeAddress(d.t), freeAddress(d.t), freeAddress(d.t), freeAddress(d.t), strings.Join(seeds, ","), store)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		d.t.Fatal(err)
 	}
@@ -362,6 +369,58 @@
 	}
 }
 
+// jobText is a batch job of some items.
+func jobText(t *testing.T, name string, items int) string {
+	t.Helper()
+	var list []map[string]any
+	for i := range items {
+		list = append(list, map[string]any{"id": fmt.Sprint(name, "-", i), "path": "/notes/x",
+			"body": base64.StdEncoding.EncodeToString([]byte("text")), "tokens": 10})
+	}
+	data, err := json.Marshal(map[string]any{"requests": list})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
+
+// Guards against batch work that waits for minutes at a gateway which the store
+// does not serve, although it serves the others.
+func TestGatewayThatTheStoreRefuses(t *testing.T) {
+	d := newDeployment(t, 1)
+	path, err := network.StartRelay(d.store.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(path.Close)
+	g := d.startAt("cut", path.Address())
+	for name, cut := range map[string]func(){
+		"refused": func() { path.SetFaults(network.Faults{Refuse: true}); path.Reset() },
+		"silent":  func() { path.SetFaults(network.Faults{LoseTo: true}) },
+	} {
+		if r := g.send("POST", "/notes/j", name+"-before", jobText(t, name+"-before", 2)); r.status != 202 {
+			t.Errorf("%s: before the cut: %+v", name, r)
+		}
+		cut()
+		d.eventually(name+": job accepted", func() bool {
+			return g.send("POST", "/notes/j", name, jobText(t, name, 3)).status == 202
+		})
+		for _, job := range []string{name, name + "-before"} {
+			d.eventually(name+": results of "+job, func() bool {
+				r := g.send("GET", "/magnoliausher/lots/"+job+"?after=0", nextID(), "")
+				return strings.Count(r.body, `"state":"done"`) == strings.Count(jobText(t, job, 3), `"id"`) ||
+					job != name && strings.Count(r.body, `"state":"done"`) == 2
+			})
+		}
+		if r := g.send("DELETE", "/magnoliausher/lots/"+name, nextID(), ""); r.status != 200 {
+			t.Errorf("%s: end: %+v", name, r)
+		}
+		path.SetFaults(network.Faults{})
+		path.Reset()
+		time.Sleep(2 * time.Second)
+	}
+}
+
 // Guards against a changed settings file that is ignored or, if it is broken,
 // takes the process down.
 func TestGatewayReloadsSettings(t *testing.T) {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -13,6 +13,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -61,8 +62,9 @@
 // Seen is a member with what its reports tell.
 type Seen struct {
 	Member
-	Heard   time.Time // of the last report; zero if none came
-	Leaving bool      // it shuts down and gives its work away
+	Heard        time.Time // of the last report; zero if none came
+	Leaving      bool      // it shuts down and gives its work away
+	StoreReached bool      // the store serves it
 }
 
 // Config of an Exchange.
@@ -80,6 +82,7 @@
 	change chan struct{}
 	urgent chan struct{}
 	behind chan string // address of a peer that knows more
+	relay  atomic.Pointer[Relay]
 
 	mu       sync.Mutex
 	peers    map[string]*peerState
@@ -250,6 +253,9 @@
 	if self, err := netip.ParseAddrPort(e.cfg.Self.Address); err == nil {
 		report.Port = uint32(self.Port())
 	}
+	if relay := e.relay.Load(); relay != nil {
+		report.StoreReached = relay.Reached()
+	}
 	if view.Configuration != nil {
 		report.ConfigurationVersion = view.Configuration.Version
 	}
@@ -365,7 +371,7 @@
 		e.cfg.Log.Info().Str("peer", report.Sender).Str("address", address).Msg("peer heard")
 	}
 	p.Member = Member{Name: report.Sender, Incarnation: report.Incarnation, Address: address, DataCentre: report.DataCentre}
-	p.sequence, p.Heard, p.Leaving = report.Sequence, now, report.Leaving
+	p.sequence, p.Heard, p.Leaving, p.StoreReached = report.Sequence, now, report.Leaving, report.StoreReached
 	return true
 }
 
--- a/rpc/magnoliausher/v1/magnoliausherv1connect/magnoliausher.connect.go
+++ b/rpc/magnoliausher/v1/magnoliausherv1connect/magnoliausher.connect.go
@@ -47,6 +47,8 @@
 	PeerFetchConfigProcedure = "/magnoliausher.v1.Peer/FetchConfig"
 	// GatewayFetchStateProcedure is the fully-qualified name of the Gateway's FetchState RPC.
 	GatewayFetchStateProcedure = "/magnoliausher.v1.Gateway/FetchState"
+	// GatewayStoreCallProcedure is the fully-qualified name of the Gateway's StoreCall RPC.
+	GatewayStoreCallProcedure = "/magnoliausher.v1.Gateway/StoreCall"
 )
 
 // AgentClient is a client for the magnoliausher.v1.Agent service.
@@ -227,6 +229,9 @@
 type GatewayClient interface {
 	// FetchState returns the configuration and the upstreams that the peer holds.
 	FetchState(context.Context, *connect.Request[v1.FetchStateRequest]) (*connect.Response[v1.FetchStateResponse], error)
+	// StoreCall makes a call of the platform's store for a peer that the store
+	// does not serve.
+	StoreCall(context.Context, *connect.Request[v1.StoreCallRequest]) (*connect.Response[v1.StoreCallResponse], error)
 }
 
 // NewGatewayClient constructs a client for the magnoliausher.v1.Gateway service. By default, it
@@ -246,12 +251,19 @@
 			connect.WithSchema(gatewayMethods.ByName("FetchState")),
 			connect.WithClientOptions(opts...),
 		),
+		storeCall: connect.NewClient[v1.StoreCallRequest, v1.StoreCallResponse](
+			httpClient,
+			baseURL+GatewayStoreCallProcedure,
+			connect.WithSchema(gatewayMethods.ByName("StoreCall")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // gatewayClient implements GatewayClient.
 type gatewayClient struct {
 	fetchState *connect.Client[v1.FetchStateRequest, v1.FetchStateResponse]
+	storeCall  *connect.Client[v1.StoreCallRequest, v1.StoreCallResponse]
 }
 
 // FetchState calls magnoliausher.v1.Gateway.FetchState.
@@ -259,10 +271,18 @@
 	return c.fetchState.CallUnary(ctx, req)
 }
 
+// StoreCall calls magnoliausher.v1.Gateway.StoreCall.
+func (c *gatewayClient) StoreCall(ctx context.Context, req *connect.Request[v1.StoreCallRequest]) (*connect.Response[v1.StoreCallResponse], error) {
+	return c.storeCall.CallUnary(ctx, req)
+}
+
 // GatewayHandler is an implementation of the magnoliausher.v1.Gateway service.
 type GatewayHandler interface {
 	// FetchState returns the configuration and the upstreams that the peer holds.
 	FetchState(context.Context, *connect.Request[v1.FetchStateRequest]) (*connect.Response[v1.FetchStateResponse], error)
+	// StoreCall makes a call of the platform's store for a peer that the store
+	// does not serve.
+	StoreCall(context.Context, *connect.Request[v1.StoreCallRequest]) (*connect.Response[v1.StoreCallResponse], error)
 }
 
 // NewGatewayHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -278,10 +298,18 @@
 		connect.WithSchema(gatewayMethods.ByName("FetchState")),
 		connect.WithHandlerOptions(opts...),
 	)
+	gatewayStoreCallHandler := connect.NewUnaryHandler(
+		GatewayStoreCallProcedure,
+		svc.StoreCall,
+		connect.WithSchema(gatewayMethods.ByName("StoreCall")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/magnoliausher.v1.Gateway/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case GatewayFetchStateProcedure:
 			gatewayFetchStateHandler.ServeHTTP(w, r)
+		case GatewayStoreCallProcedure:
+			gatewayStoreCallHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -294,3 +322,7 @@
 func (UnimplementedGatewayHandler) FetchState(context.Context, *connect.Request[v1.FetchStateRequest]) (*connect.Response[v1.FetchStateResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("magnoliausher.v1.Gateway.FetchState is not implemented"))
 }
+
+func (UnimplementedGatewayHandler) StoreCall(context.Context, *connect.Request[v1.StoreCallRequest]) (*connect.Response[v1.StoreCallResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("magnoliausher.v1.Gateway.StoreCall is not implemented"))
+}
