--- a/batch/run.go
+++ b/batch/run.go
@@ -95,7 +95,7 @@
 func (s *Service) adopt(id string) {
 	s.mu.Lock()
 	_, runs := s.running[id]
-	if runs || s.claiming["load "+id] || s.stopping {
+	if runs || s.loading[id] || s.stopping {
 		stopping := s.stopping && !runs
 		s.mu.Unlock()
 		if stopping {
@@ -103,14 +103,14 @@
 		}
 		return
 	}
-	s.claiming["load "+id] = true
+	s.loading[id] = true
 	s.mu.Unlock()
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 2*callTimeout)
 		defer cancel()
 		err := s.load(ctx, id)
 		s.mu.Lock()
-		delete(s.claiming, "load "+id)
+		delete(s.loading, id)
 		s.mu.Unlock()
 		if err != nil {
 			s.cfg.Log.Warn().Err(err).Str("job", id).Msg("job not loaded; tried again")
--- a/batch/service.go
+++ b/batch/service.go
@@ -72,7 +72,8 @@
 
 	mu       sync.Mutex
 	running  map[string]*running
-	claiming map[string]bool
+	claiming map[string]bool // by job id
+	loading  map[string]bool // by job id
 	stopping bool
 	wake     chan struct{} // buffered; items may be startable
 }
@@ -93,7 +94,7 @@
 		return nil, trace.Wrap(err)
 	}
 	return &Service{cfg: cfg, mirror: newMirror(cfg.Log), submissions: submissions, results: results,
-		running: make(map[string]*running), claiming: make(map[string]bool), wake: make(chan struct{}, 1)}, nil
+		running: make(map[string]*running), claiming: make(map[string]bool), loading: make(map[string]bool), wake: make(chan struct{}, 1)}, nil
 }
 
 // Run follows the job rows, claims jobs of lost owners and runs items until
@@ -225,7 +226,7 @@
 }
 
 // RetryAfter advises a client whose job did not fit.
-func (s *Service) RetryAfter(string) time.Duration {
+func (s *Service) RetryAfter() time.Duration {
 	return quotaRetry/2 + rand.N(quotaRetry)
 }
 
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -109,13 +109,16 @@
 		return nil, trace.Wrap(err)
 	}
 	forwarder := forward.New(forward.Config{Dispatcher: g.dispatcher, Upstreams: engines, Suspects: suspects, Log: g.log})
-	ingress := &platform.Ingress{Holder: g.holder, Forwarder: forwarder, Jobs: g.jobs, Log: g.log}
+	g.assembleServers(&platform.Ingress{Holder: g.holder, Forwarder: forwarder, Jobs: g.jobs, Log: g.log})
+	return g, nil
+}
+
+func (g *Gateway) assembleServers(ingress http.Handler) {
 	g.ingress = &http.Server{Handler: g.closing(ingress), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: gatewayIdleTimeout,
 		MaxHeaderBytes: 64 << 10}
 	g.readiness = &http.Server{Handler: platform.Readiness(g.ready), ReadHeaderTimeout: readHeaderTimeout}
 	g.peers = &http.Server{Handler: g.exchange.Handler(), ReadHeaderTimeout: readHeaderTimeout}
 	g.metrics = &http.Server{Handler: metric.Handler(), ReadHeaderTimeout: readHeaderTimeout}
-	return g, nil
 }
 
 // openWriter hides Close, so that the end of a gateway does not close standard output.
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -48,16 +48,6 @@
 	}
 }
 
-// Forget drops the report of a peer that has left.
-func (d *Dispatcher) Forget(name string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if p := d.peers[name]; p != nil {
-		d.add(p.report, -1)
-		delete(d.peers, name)
-	}
-}
-
 func (d *Dispatcher) add(report Report, sign int) {
 	for _, c := range report.Counts {
 		sum := d.remote[c.Key]
--- a/fleet/holder.go
+++ b/fleet/holder.go
@@ -114,7 +114,7 @@
 	h.rebuild(now)
 }
 
-// Expire ends graces that are over and reports when the next one ends.
+// Expire ends the graces that are over and forgets old tombstones.
 func (h *Holder) Expire(now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/peer/members.go
+++ b/peer/members.go
@@ -48,19 +48,5 @@
 		}
 		exchange.Join(m)
 	}
-	storage.Follow(ctx, storage.Follower{
-		Feed: feed, Prefix: memberPrefix, Log: log,
-		Snapshot: func(rows []storage.Row, _ uint64) {
-			for _, r := range rows {
-				join(r)
-			}
-		},
-		Changes: func(changes []storage.Change) {
-			for _, c := range changes {
-				if !c.Removed {
-					join(c.Row)
-				}
-			}
-		},
-	})
+	storage.Follow(ctx, storage.Follower{Feed: feed, Prefix: memberPrefix, Log: log, Row: join})
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -154,14 +154,6 @@
 	}
 }
 
-// Remove forgets a member that has left.
-func (e *Exchange) Remove(name string) {
-	e.mu.Lock()
-	delete(e.peers, name)
-	e.mu.Unlock()
-	e.cfg.Dispatcher().Forget(name)
-}
-
 // Members returns the other gateways, ordered by name.
 func (e *Exchange) Members() []Seen {
 	e.mu.Lock()
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -161,5 +161,4 @@
 	eventually(t, "new incarnation", 2*time.Second, func() bool { return a.Members()[0].Incarnation == 2 })
 	again.Leave()
 	eventually(t, "leaving", time.Second, func() bool { return a.Members()[0].Leaving })
-	a.Remove("b")
 }
--- a/storage/follow.go
+++ b/storage/follow.go
@@ -30,6 +30,9 @@
 	// MinInterval is the least time between two reads, so that frequent changes
 	// are read together.
 	MinInterval time.Duration
+	// Row receives each row that is read or written, in place of Snapshot and
+	// Changes, where removed rows do not matter.
+	Row func(Row)
 	// Snapshot receives all rows as of at least a version; rows not among them are gone.
 	Snapshot func(rows []Row, version uint64)
 	// Changes receives changed rows in order. Rows older than those seen may come again.
@@ -83,7 +86,13 @@
 			return 0, err
 		}
 		f.answered(failed)
-		f.Snapshot(rows, next)
+		if f.Row != nil {
+			for _, r := range rows {
+				f.Row(r)
+			}
+		} else {
+			f.Snapshot(rows, next)
+		}
 		return next, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+feedSlack)
@@ -93,12 +102,24 @@
 		return 0, err
 	}
 	f.answered(failed)
-	if len(changes) > 0 {
-		f.Changes(changes)
-	}
+	f.changed(changes)
 	return next, nil
 }
 
+func (f *Follower) changed(changes []Change) {
+	if f.Row == nil {
+		if len(changes) > 0 {
+			f.Changes(changes)
+		}
+		return
+	}
+	for _, c := range changes {
+		if !c.Removed {
+			f.Row(c.Row)
+		}
+	}
+}
+
 func (f *Follower) answered(failed bool) {
 	if failed && f.Returned != nil {
 		f.Returned()
--- /dev/null
+++ b/storage/follow_test.go
@@ -0,0 +1,61 @@
+package storage
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// scriptedFeed answers in turn and then ends the follower.
+type scriptedFeed struct {
+	stop    context.CancelFunc
+	answers []error // of Watch; nil brings one change
+	watches int
+	reads   int // snapshots
+}
+
+func (f *scriptedFeed) Snapshot(context.Context, string) ([]Row, uint64, error) {
+	f.reads++
+	return []Row{{Key: "p/t/a", Version: 1}}, 1, nil
+}
+
+func (f *scriptedFeed) Watch(_ context.Context, _ string, after uint64, _ time.Duration) ([]Change, uint64, error) {
+	if f.watches == len(f.answers) {
+		f.stop()
+		return nil, after, nil
+	}
+	err := f.answers[f.watches]
+	f.watches++
+	if err != nil {
+		return nil, 0, err
+	}
+	return []Change{{Row: Row{Key: "p/t/b", Version: after + 1}}, {Row: Row{Key: "p/t/a"}, Removed: true}}, after + 1, nil
+}
+
+// Guards against a copy that misses changes after a failure or a gap in the
+// history, and against one that takes itself for current while it is not.
+func TestFollow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		feed := &scriptedFeed{stop: cancel, answers: []error{nil, errors.New("down"), errors.New("down"), nil, ErrHistoryGone, nil}}
+		var snapshots, changes, fresh, stale, returned int
+		Follow(ctx, Follower{Feed: feed, Prefix: "p/t/", Log: zerolog.Nop(),
+			Snapshot: func([]Row, uint64) { snapshots++ }, Changes: func(list []Change) { changes += len(list) },
+			Fresh: func() { fresh++ }, Stale: func() { stale++ }, Returned: func() { returned++ }})
+		if snapshots != 2 || changes != 6 || stale != 2 || returned != 1 || fresh != 6 { // two snapshots, three changes, and the empty answer at the end
+			t.Errorf("%d snapshots, %d changes, fresh %d, stale %d, returned %d", snapshots, changes, fresh, stale, returned)
+		}
+	})
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		rows := 0
+		Follow(ctx, Follower{Feed: &scriptedFeed{stop: cancel, answers: []error{nil}}, Log: zerolog.Nop(), Row: func(Row) { rows++ }})
+		if rows != 2 {
+			t.Errorf("%d rows, want the one read and the one written", rows)
+		}
+	})
+}
