Give the stopped reader a second in TestStoppedReaderOverHTTP

A pause of 50 ms before the batch call brings the same failure about; with a second the test passes with that pause. What is checked is the same.

--- a/agent/http_test.go
+++ b/agent/http_test.go
@@ -130,7 +130,7 @@
 // Guards against an entry that stops reading holding its slot or its handler,
 // and against batch calls that take the slots reserved for online calls.
 func TestStoppedReaderOverHTTP(t *testing.T) {
-	r, client := servePlain(t, 2, 10*time.Millisecond, fakePlain{
+	r, client := servePlain(t, 2, time.Second, fakePlain{
 		"/endless": func() (io.Reader, error) { return endless{}, nil },
 		"/short":   func() (io.Reader, error) { return strings.NewReader("x"), nil },
 	})
