Split package dispatch; drop a lock per event, polling per waiter and unused state

Cause: reading the change as a newcomer. Change: - each event took the dispatcher's lock to note progress; a grant now knows its upstream's record and stores the time without a lock; - each waiting request looked over the whole queue every 25 ms; now one does; - upstreams that a request had failed at were excluded, with a special case in forward when all were, and one in the queue for waiters that block others; they are a last resort now, by the mechanism for doubtful upstreams; - records of upstreams that are gone for good were kept for ever; - the sum of own and remote work stood three times; fields that nothing read; - the dispatcher was handed to its peers through a function. TestExcludedWaiterBlocksNobody gives way to TestAvoidedUpstreamIsALastResort: there are no waiters that may not use a free upstream any more.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -94,11 +94,10 @@
 		self: peer.Member{Name: s.Instance.ID, Incarnation: peer.NewIncarnation(), Address: s.Instance.PeerListen,
 			DataCentre: s.Instance.DataCentre},
 	}
-	g.exchange = peer.New(peer.Config{Self: g.self, Holder: g.holder, Suspects: g.suspects, Log: g.log,
-		Dispatcher: func() *dispatch.Dispatcher { return g.dispatcher }})
+	g.dispatcher = dispatch.New(dispatch.Config{Self: g.self.Name, DataCentre: g.self.DataCentre, Holder: g.holder, Log: g.log})
+	g.exchange = peer.New(peer.Config{Self: g.self, Holder: g.holder, Suspects: g.suspects, Dispatcher: g.dispatcher, Log: g.log})
 	g.exchange.SetSeeds(s.Seeds)
-	g.dispatcher = dispatch.New(dispatch.Config{Self: g.self.Name, DataCentre: g.self.DataCentre, Holder: g.holder,
-		Changed: g.exchange.Changed, Log: g.log})
+	g.dispatcher.OnChange(g.exchange.Changed)
 	g.relay = peer.NewRelay(g.store, g.exchange)
 	engines := platform.NewEngines()
 	suspects := crashes{table: g.suspects, accepts: engines.Accepts, log: g.log}
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -6,6 +6,10 @@
 	"github.com/magnoliausher/magnoliausher/placement"
 )
 
+// peerExpiry drops the report of a peer that has gone silent; reports come at
+// least every 250 ms.
+const peerExpiry = time.Second
+
 // Report returns the own work in progress.
 func (d *Dispatcher) Report() Report {
 	d.mu.Lock()
@@ -36,10 +40,12 @@
 	d.wakeBatch()
 }
 
-// Expire drops the reports of peers that have gone silent.
+// Expire drops the reports of peers that have gone silent, and what was known
+// of upstreams that are no longer listed.
 func (d *Dispatcher) Expire(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.forgetUnlisted()
 	for name, p := range d.peers {
 		if now.Sub(p.heard) > peerExpiry {
 			d.add(p.report, -1)
@@ -48,6 +54,15 @@
 	}
 }
 
+func (d *Dispatcher) forgetUnlisted() {
+	view := d.cfg.Holder.View()
+	for id, s := range d.upstreams {
+		if len(s.grants) == 0 && !view.Lists(id) {
+			delete(d.upstreams, id)
+		}
+	}
+}
+
 func (d *Dispatcher) add(report Report, sign int) {
 	for _, c := range report.Counts {
 		sum := d.remote[c.Key]
@@ -86,30 +101,16 @@
 }
 
 func (d *Dispatcher) yield(s *upstream) {
-	var slots int
-	batch, yielding := 0, 0
-	for g := range s.grants {
-		slots = g.Upstream.Slots
-		if g.class == Batch {
-			batch++
-			if g.yielding {
-				yielding++
-			}
-		}
+	g := s.youngestBatch()
+	if g == nil {
+		return
 	}
-	u := placement.Upstream{Slots: slots, Online: s.online, Batch: batch - yielding}
-	if r := d.remote[s.key]; r != nil {
-		u.Online += r.Online
-		u.Batch += r.Batch
-	}
-	give := placement.Yields(&u, d.holders(s.key, batch-yielding), d.cfg.Self)
-	for ; give > 0; give-- {
-		g := s.youngestBatch()
-		if g == nil {
-			return
-		}
-		g.yielding = true
-		close(g.preempted)
+	online, batch := d.work(s)
+	u := placement.Upstream{Slots: g.Upstream.Slots, Online: online, Batch: batch - s.yielding}
+	give := placement.Yields(&u, d.holders(s.key, s.batch-s.yielding), d.cfg.Self)
+	for ; give > 0 && g != nil; give-- {
+		g.preempt()
+		g = s.youngestBatch()
 	}
 }
 
@@ -124,25 +125,3 @@
 	}
 	return holders
 }
-
-// youngestBatch returns the batch grant that has had the least time on the upstream.
-func (u *upstream) youngestBatch() *Grant {
-	var youngest *Grant
-	for g := range u.grants {
-		if g.class != Batch || g.yielding {
-			continue
-		}
-		if youngest == nil || g.granted.After(youngest.granted) {
-			youngest = g
-		}
-	}
-	return youngest
-}
-
-// changed gives up own batch work where needed and tells the peers.
-func (d *Dispatcher) changed(urgent bool) {
-	if urgent {
-		d.Yield()
-	}
-	d.cfg.Changed(urgent)
-}
--- /dev/null
+++ b/dispatch/queue.go
@@ -0,0 +1,211 @@
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+
+	"time"
+
+	"github.com/magnoliausher/magnoliausher/placement"
+)
+
+const (
+	// queueCheck is the interval at which the queue looks for upstreams whose
+	// pause has ended.
+	queueCheck = 25 * time.Millisecond
+	// firstServiceTime stands for the time of a request until one has been measured.
+	firstServiceTime = 500 * time.Millisecond
+	// serviceTimeWeight is the weight of a new sample in the mean service time, as 1/n.
+	serviceTimeWeight = 16
+	// firstAnswerShare: a request is timely if it gets a slot before its objective
+	// less this part, as 1/n, of the service time, in which the answer begins.
+	firstAnswerShare = 4
+	// retrySpread keeps callers that were rejected at one moment from returning at one.
+	retrySpread = 200 * time.Millisecond
+)
+
+// Request asks for an upstream.
+type Request struct {
+	Service   string
+	Priority  int
+	Arrived   time.Time
+	Objective time.Time // the answer should begin by then
+	Deadline  time.Time
+	Avoid     map[string]bool // ids of upstreams that are used only if no other can be
+}
+
+type queue struct {
+	waiters     []*waiter
+	serviceTime time.Duration // mean of served online requests
+}
+
+type waiter struct {
+	placement.Waiter
+	request *Request
+	granted chan *Grant
+}
+
+func (d *Dispatcher) queue(service string) *queue {
+	q := d.queues[service]
+	if q == nil {
+		q = &queue{serviceTime: firstServiceTime}
+		d.queues[service] = q
+	}
+	return q
+}
+
+// Acquire waits for an upstream for an online request.
+func (d *Dispatcher) Acquire(ctx context.Context, r *Request) (*Grant, error) {
+	d.mu.Lock()
+	now := time.Now()
+	if len(d.cfg.Holder.View().Usable(r.Service)) == 0 {
+		d.mu.Unlock()
+		return nil, ErrNoUpstream
+	}
+	q := d.queue(r.Service)
+	if len(q.waiters) == 0 {
+		if g := d.placeOnline(r, now); g != nil {
+			urgent := d.overfull(g.Upstream)
+			d.mu.Unlock()
+			d.changed(urgent)
+			return g, nil
+		}
+	}
+	latest := r.Deadline.Add(-q.serviceTime)
+	if now.Add(d.wait(q, r.Service)).After(latest) {
+		d.mu.Unlock()
+		return nil, ErrNoCapacity
+	}
+	w := &waiter{
+		Waiter: placement.Waiter{Priority: r.Priority, Arrived: r.Arrived,
+			Objective: r.Objective.Add(-q.serviceTime / firstAnswerShare)},
+		request: r,
+		granted: make(chan *Grant, 1),
+	}
+	q.waiters = append(q.waiters, w)
+	d.mu.Unlock()
+	return d.await(ctx, w, latest)
+}
+
+// wait estimates how long a new waiter waits. The caller holds the lock.
+func (d *Dispatcher) wait(q *queue, service string) time.Duration {
+	slots := 0
+	for _, u := range d.cfg.Holder.View().Usable(service) {
+		slots += u.Slots
+	}
+	// The slots are shared by all gateways, whose queues are about as long as this one.
+	slots = max(slots/(len(d.peers)+1), 1)
+	return placement.Wait(len(q.waiters), slots, q.serviceTime)
+}
+
+func (d *Dispatcher) await(ctx context.Context, w *waiter, latest time.Time) (*Grant, error) {
+	check := time.NewTicker(queueCheck)
+	defer check.Stop()
+	for {
+		var err error
+		select {
+		case g := <-w.granted:
+			return g, nil
+		case <-ctx.Done():
+			err = context.Cause(ctx)
+		case now := <-check.C:
+			if time.Now().After(latest) {
+				err = ErrNoCapacity
+				break
+			}
+			if d.first(w) { // one look for all that wait
+				d.serve(w.request.Service, now)
+			}
+			continue
+		}
+		if d.leave(w) {
+			return nil, err
+		}
+		g := <-w.granted // granted just before it left
+		if ctx.Err() == nil {
+			return g, nil
+		}
+		g.Release(Cancelled)
+		return nil, err
+	}
+}
+
+// first reports whether a waiter has waited longest of all for its service.
+func (d *Dispatcher) first(w *waiter) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	q := d.queue(w.request.Service)
+	return len(q.waiters) > 0 && q.waiters[0] == w
+}
+
+// leave removes a waiter and reports whether it was still queued.
+func (d *Dispatcher) leave(w *waiter) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	q := d.queue(w.request.Service)
+	i := slices.Index(q.waiters, w)
+	if i < 0 {
+		return false
+	}
+	q.remove(i)
+	return true
+}
+
+// RetryAfter advises a rejected caller when to return: when the present queue
+// has been served, spread so that callers do not return together.
+func (d *Dispatcher) RetryAfter(service string) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	wait := d.wait(d.queue(service), service)
+	return wait/2 + rand.N(wait+retrySpread)
+}
+
+// serve grants slots to waiters in order while there are any.
+func (d *Dispatcher) serve(service string, now time.Time) {
+	d.mu.Lock()
+	q := d.queue(service)
+	served, urgent := false, false
+	for len(q.waiters) > 0 {
+		i := q.next(now)
+		w := q.waiters[i]
+		g := d.placeOnline(w.request, now)
+		if g == nil {
+			break
+		}
+		q.remove(i)
+		w.granted <- g
+		served = true
+		urgent = urgent || d.overfull(g.Upstream)
+	}
+	d.mu.Unlock()
+	if served {
+		d.changed(urgent)
+	}
+}
+
+// next returns the index of the waiter to serve first.
+func (q *queue) next(now time.Time) int {
+	list := make([]placement.Waiter, len(q.waiters))
+	for i, w := range q.waiters {
+		list[i] = w.Waiter
+	}
+	return placement.Next(list, now)
+}
+
+func (q *queue) remove(i int) { q.waiters = slices.Delete(q.waiters, i, i+1) }
+
+// placeOnline hands out a slot for an online request if there is one. The
+// caller holds the lock.
+func (d *Dispatcher) placeOnline(r *Request, now time.Time) *Grant {
+	usable := d.cfg.Holder.View().Usable(r.Service)
+	list := d.snapshot(usable, now)
+	for i := range list {
+		list[i].Doubtful = list[i].Doubtful || r.Avoid[list[i].ID]
+	}
+	i := placement.Online(list, rand.IntN)
+	if i < 0 {
+		return nil
+	}
+	return d.grant(usable[i], Online, now)
+}
--- a/fleet/holder.go
+++ b/fleet/holder.go
@@ -22,11 +22,15 @@
 	ListVersion   uint64         // newest version among the records
 	Listed        bool           // the list of upstreams has been read at least once
 	upstreams     map[string][]*Upstream
+	listed        map[string]bool // ids of the records that are not removed
 }
 
 // Usable returns the upstreams of a service that take new work.
 func (v *View) Usable(service string) []*Upstream { return v.upstreams[service] }
 
+// Lists reports whether an upstream is in the list, usable or not.
+func (v *View) Lists(id string) bool { return v.listed[id] }
+
 // Ready reports whether requests can be routed.
 func (v *View) Ready() bool { return v.Configuration != nil && v.Listed }
 
@@ -37,7 +41,6 @@
 	mu       sync.Mutex
 	records  map[string]*heldRecord
 	awayTill time.Time // removals seen before this time count as lapses
-	changed  chan struct{}
 }
 
 type heldRecord struct {
@@ -48,7 +51,7 @@
 
 // NewHolder returns a holder of an empty view.
 func NewHolder() *Holder {
-	h := &Holder{records: make(map[string]*heldRecord), changed: make(chan struct{})}
+	h := &Holder{records: make(map[string]*heldRecord)}
 	h.view.Store(&View{})
 	return h
 }
@@ -56,13 +59,6 @@
 // View returns the current view.
 func (h *Holder) View() *View { return h.view.Load() }
 
-// Changed returns a channel that is closed at the next change of the view.
-func (h *Holder) Changed() <-chan struct{} {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.changed
-}
-
 // Configure puts a configuration in force unless an equal or newer one is. It
 // reports whether it did.
 func (h *Holder) Configure(c *Configuration) bool {
@@ -73,7 +69,7 @@
 	}
 	next := *h.view.Load()
 	next.Configuration = c
-	h.publish(&next)
+	h.view.Store(&next)
 	return true
 }
 
@@ -160,21 +156,19 @@
 	next.ListVersion = 0
 	next.Records = make([]Record, 0, len(h.records))
 	next.upstreams = make(map[string][]*Upstream)
+	next.listed = make(map[string]bool)
 	for _, held := range h.records {
 		next.Records = append(next.Records, held.Record)
 		next.ListVersion = max(next.ListVersion, held.Version)
+		if !held.Removed {
+			next.listed[held.ID] = true
+		}
 		if held.usable() || held.lapsesUntil.After(now) && !held.Draining {
 			u := held.Upstream
 			next.upstreams[u.Service] = append(next.upstreams[u.Service], &u)
 		}
 	}
-	h.publish(&next)
-}
-
-func (h *Holder) publish(v *View) {
-	h.view.Store(v)
-	close(h.changed)
-	h.changed = make(chan struct{})
+	h.view.Store(&next)
 }
 
 // State is the part of a view that gateways pass to each other.
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -143,7 +143,7 @@
 
 // reject answers a request that has not run and never will.
 func (x *exchange) reject(reason string) {
-	after := x.cfg.Dispatcher.RetryAfter(x.Service, time.Now())
+	after := x.cfg.Dispatcher.RetryAfter(x.Service)
 	x.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	x.fail(http.StatusServiceUnavailable, reason)
 	metric.Refused("gateway", x.Service, x.Route.Name, reason)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -179,16 +179,13 @@
 }
 
 func (x *exchange) acquire() (*dispatch.Grant, error) {
-	if len(x.tried) >= len(x.cfg.Dispatcher.Usable(x.Service)) {
-		clear(x.tried) // better the same upstream again than none
-	}
 	return x.cfg.Dispatcher.Acquire(x.ctx, &dispatch.Request{
 		Service:   x.Service,
 		Priority:  x.Route.Priority,
 		Arrived:   x.Arrived,
 		Objective: x.Arrived.Add(x.Route.Objective),
 		Deadline:  x.deadline,
-		Exclude:   x.tried,
+		Avoid:     x.tried,
 	})
 }
 
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -71,7 +71,7 @@
 type Config struct {
 	Self       Member
 	Holder     *fleet.Holder
-	Dispatcher func() *dispatch.Dispatcher
+	Dispatcher *dispatch.Dispatcher
 	Suspects   *poison.Table
 	Log        zerolog.Logger
 }
@@ -205,7 +205,7 @@
 			far = nil
 			e.report(conn, false, true)
 		case now := <-heartbeat.C:
-			e.cfg.Dispatcher().Expire(now)
+			e.cfg.Dispatcher.Expire(now)
 			e.report(conn, true, true)
 		}
 	}
@@ -232,7 +232,7 @@
 }
 
 func (e *Exchange) compose(now time.Time) *rpc.GatewayReport {
-	own := e.cfg.Dispatcher().Report()
+	own := e.cfg.Dispatcher.Report()
 	view := e.cfg.Holder.View()
 	e.mu.Lock()
 	e.sequence++
@@ -338,7 +338,7 @@
 	for _, c := range report.Counts {
 		counts = append(counts, dispatch.Count{Key: dispatch.Key(c.Upstream), Online: int(c.Online), Batch: int(c.Batch)})
 	}
-	e.cfg.Dispatcher().Merge(report.Sender, dispatch.Report{Counts: counts, Backlog: int(report.Backlog)}, now)
+	e.cfg.Dispatcher.Merge(report.Sender, dispatch.Report{Counts: counts, Backlog: int(report.Backlog)}, now)
 	if e.isBehind(report.ConfigurationVersion, report.ListVersion) {
 		select {
 		case e.behind <- address:
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -187,8 +187,7 @@
 type Waiter struct {
 	Priority  int
 	Arrived   time.Time
-	Objective time.Time // the answer should begin by then
-	Deadline  time.Time
+	Objective time.Time // a slot after this is too late for the answer to be on time
 }
 
 // Next returns the index of the waiter to serve first. Requests that can still
