Split package batch by task; one way to change a job's row, one watch for silence

Cause: reading the change as a newcomer. Change: - Cancel, claim and giveBack each wrote a job's row by hand, with their own loop for conflicts and lost answers; change and write are the one way now; - the bounds on silent engines stood twice, with two values for the first event (1.2 s and 1.5 s): CallWithin and event.NewTimedReader, 1.2 s; - the place of waiting items was computed anew, with a copy of all, for each start; they are sorted once; - a submission kept the service that the configuration in force tells; a second default for attempts; a cause of cancellation that nobody read; - a claim that failed was logged as 'job claimed'. Tests pass; the decisions are the same but for the 1.2 s.

--- a/batch/claim_test.go
+++ b/batch/claim_test.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -68,10 +69,12 @@
 }
 
 // Guards against an order that starts young jobs before those that are due.
-func TestNextItem(t *testing.T) {
-	list := []ItemView{{Created: 30}, {Created: 10}, {Created: 10, Events: 5}, {Created: 20, Events: 9}}
-	if got := NextItem(list); got != 2 {
-		t.Errorf("got %d, want the furthest item of the oldest job", got)
+func TestCompareItems(t *testing.T) {
+	list := []ItemView{{Created: 30}, {Created: 10}, {Created: 20, Events: 9}, {Created: 10, Events: 5}}
+	slices.SortFunc(list, CompareItems)
+	want := []ItemView{{Created: 10, Events: 5}, {Created: 10}, {Created: 20, Events: 9}, {Created: 30}}
+	if !slices.Equal(list, want) {
+		t.Errorf("got %v, want the furthest item of the oldest job first", list)
 	}
 }
 
--- a/batch/job.go
+++ b/batch/job.go
@@ -54,11 +54,10 @@
 
 // Submission is a job as it was sent, and the content of its object.
 type Submission struct {
-	ID      string
-	Route   string
-	Host    string
-	Service string
-	Items   []Item
+	ID    string
+	Route string
+	Host  string
+	Items []Item
 }
 
 func (s *Submission) tokens() int64 {
--- /dev/null
+++ b/batch/schedule.go
@@ -0,0 +1,148 @@
+package batch
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/magnoliausher/magnoliausher/fleet"
+	"github.com/magnoliausher/magnoliausher/pause"
+)
+
+const (
+	// scheduleInterval is how often waiting items are offered although no event
+	// told of a free slot.
+	scheduleInterval = 50 * time.Millisecond
+	// startInterval is the least time between two rounds of starts: most of the
+	// time in which gateways in other data centres hear of the first one.
+	startInterval = 40 * time.Millisecond
+)
+
+// schedule offers waiting items to free slots until ctx ends.
+func (s *Service) schedule(ctx context.Context) error {
+	ticker := time.NewTicker(scheduleInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.wake:
+		case <-s.cfg.Dispatcher.BatchWake():
+		case <-ticker.C:
+		}
+		s.startItems()
+		if !pause.For(ctx, startInterval) {
+			return nil
+		}
+	}
+}
+
+// candidate is a waiting item with what decides its place.
+type candidate struct {
+	job  *running
+	item *work
+}
+
+// startItems starts this gateway's share of the items that there are slots for.
+func (s *Service) startItems() {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := s.waiting(now)
+	waiting := len(list)
+	// Reported after the starts, since peers divide what is left by it.
+	defer func() { s.cfg.Dispatcher.SetBacklog(waiting) }()
+	slices.SortFunc(list, func(a, b candidate) int { return CompareItems(a.view(), b.view()) })
+	shares := make(map[string]int) // starts left, by service
+	for i, c := range list {
+		service, end := s.service(c, now)
+		if end != "" {
+			waiting--
+			s.finish(c.job, c.item, Result{Abandoned: true}, end)
+			continue
+		}
+		share, set := shares[service]
+		if !set {
+			share = s.cfg.Dispatcher.BatchStarts(service, len(list)-i)
+		}
+		shares[service] = share - 1
+		if share <= 0 || !s.start(c, service) {
+			return
+		}
+		waiting--
+	}
+}
+
+// start begins an attempt of an item if its service has a free slot.
+func (s *Service) start(c candidate, service string) bool {
+	grant := s.cfg.Dispatcher.TryBatch(service)
+	if grant == nil {
+		return false
+	}
+	c.item.state = itemActive
+	c.job.active.Add(1)
+	go s.runItem(c.job, c.item, grant)
+	return true
+}
+
+// waiting returns the items that may start now.
+func (s *Service) waiting(now time.Time) []candidate {
+	var list []candidate
+	if s.stopping || s.cfg.Holder.View().Configuration == nil {
+		return nil // without a configuration it is not known where items may go
+	}
+	for _, r := range s.running {
+		for i := range r.items {
+			w := &r.items[i]
+			if w.state == itemWaiting && !w.notBefore.After(now) {
+				list = append(list, candidate{r, w})
+			}
+		}
+	}
+	return list
+}
+
+func (c candidate) view() ItemView {
+	return ItemView{Created: c.job.job.Created, Events: c.item.events}
+}
+
+// ItemView is what decides the place of a waiting item.
+type ItemView struct {
+	Created int64 // of its job, Unix ms
+	Events  int   // events that it has had
+}
+
+// CompareItems returns a negative number if a is started before b: items of the
+// oldest job first, which is due first; in a job, the one that has got furthest.
+func CompareItems(a, b ItemView) int {
+	return cmp.Or(cmp.Compare(a.Created, b.Created), cmp.Compare(b.Events, a.Events))
+}
+
+// Reasons to give an item up without an attempt.
+const (
+	endRouteRemoved = "route_removed"
+	endRetention    = "retention"
+)
+
+// retentionSlack is added to the retention, since the clock of the gateway that
+// accepted the job may differ from the own one by seconds.
+const retentionSlack = 10 * time.Second
+
+// service returns the service that the configuration in force sends an item
+// to, or the reason why it is given up.
+func (s *Service) service(c candidate, now time.Time) (service, end string) {
+	route := s.route(c.job, c.item)
+	switch {
+	case route == nil:
+		return "", endRouteRemoved
+	case route.Retention > 0 && age(&c.job.job, now) > route.Retention+retentionSlack:
+		return "", endRetention
+	}
+	return route.Service(c.job.submission.Items[c.item.index].ID), ""
+}
+
+// route returns the route of an item in the configuration in force, or nil.
+func (s *Service) route(r *running, w *work) *fleet.Route {
+	return s.cfg.Holder.View().Configuration.Match(r.submission.Host, r.submission.Items[w.index].Target)
+}
--- a/batch/service_test.go
+++ b/batch/service_test.go
@@ -91,7 +91,7 @@
 }
 
 func submission(id string, items int, tokens int64) *batch.Submission {
-	s := &batch.Submission{ID: id, Route: route.Name, Host: "h", Service: "s"}
+	s := &batch.Submission{ID: id, Route: route.Name, Host: "h"}
 	for i := range items {
 		s.Items = append(s.Items, batch.Item{ID: fmt.Sprintf("%s-%d", id, i), Target: "/n/x", Body: []byte("body " + id), Tokens: tokens})
 	}
--- a/event/event.go
+++ b/event/event.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"time"
 )
 
 // MaxBytes bounds one event. The largest ones seen carry a few kilobytes.
@@ -23,7 +24,11 @@
 }
 
 // Reader reads events.
-type Reader struct{ lines *bufio.Reader }
+type Reader struct {
+	lines   *bufio.Reader
+	silence time.Duration
+	timer   *time.Timer // closes the body; nil for no limit
+}
 
 // readBuffer holds several events of a few hundred bytes.
 const readBuffer = 4 << 10
@@ -33,10 +38,34 @@
 	return &Reader{lines: bufio.NewReaderSize(body, readBuffer)}
 }
 
+// NewTimedReader returns a reader that closes the body if no event comes for the
+// time of silence. Stop ends the watch.
+func NewTimedReader(body io.ReadCloser, silence time.Duration) *Reader {
+	r := NewReader(body)
+	r.silence = silence
+	r.timer = time.AfterFunc(silence, func() { _ = body.Close() }) // the reader finds out
+	return r
+}
+
+// Stop ends the watch for silence.
+func (r *Reader) Stop() {
+	if r.timer != nil {
+		r.timer.Stop()
+	}
+}
+
 // Next returns the next whole event. At the end of the stream it returns
 // io.EOF with whatever follows the last whole event in Raw. With any other
 // error the rest is dropped.
 func (r *Reader) Next() (Event, error) {
+	e, err := r.next()
+	if err == nil && r.timer != nil {
+		r.timer.Reset(r.silence)
+	}
+	return e, err
+}
+
+func (r *Reader) next() (Event, error) {
 	var e Event
 	for {
 		line, err := r.lines.ReadSlice('\n')
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -14,14 +14,6 @@
 	"github.com/magnoliausher/magnoliausher/metric"
 )
 
-// streamSilence: a stream that may be resumed is moved after this long without
-// an event. Engines send one every 30 ms; a long prompt delays one by 200 ms.
-const streamSilence = 700 * time.Millisecond
-
-// headSilence is the same before the first event, which may wait in the
-// upstream's queue behind a request of a second.
-const headSilence = 1200 * time.Millisecond
-
 // whole reads an answer to its end before the caller sees any of it.
 func (x *exchange) whole(grant *dispatch.Grant, started time.Time, answer *Answer) error {
 	held, err := io.ReadAll(io.LimitReader(answer.Body, maxHeld+1))
@@ -70,21 +62,18 @@
 
 // stream passes events on as they come.
 func (x *exchange) stream(grant *dispatch.Grant, started time.Time, answer *Answer) error {
-	var silence *time.Timer
+	silence := noDeadline
 	if x.Route.Resumable {
-		silence = time.AfterFunc(streamSilence, func() { answer.Body.Close() })
-		defer silence.Stop()
+		silence = StreamSilence
 	}
-	events := event.NewReader(answer.Body)
+	events := event.NewTimedReader(answer.Body, silence)
+	defer events.Stop()
 	for {
 		e, err := events.Next()
 		if err != nil && !errors.Is(err, io.EOF) {
 			return x.cut(grant, started, err)
 		}
 		grant.Progress()
-		if silence != nil {
-			silence.Reset(streamSilence)
-		}
 		if writeErr := x.pass(answer, e); writeErr != nil {
 			grant.Release(dispatch.Cancelled)
 			x.step(grant, started, writeErr.Error())
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -49,6 +49,45 @@
 	Call(ctx context.Context, u *fleet.Upstream, c *Call) (*Answer, error)
 }
 
+const (
+	// StreamSilence: a stream that may go on elsewhere is moved after this long
+	// without an event. Engines send one every 30 ms; a long prompt delays one by
+	// 200 ms.
+	StreamSilence = 700 * time.Millisecond
+	// HeadSilence is the same before the first event, which may wait in the
+	// upstream's queue behind a request of a second.
+	HeadSilence = 1200 * time.Millisecond
+)
+
+// CallWithin makes a call that ends if the answer does not begin in time. The
+// answer's body is bound to ctx alone.
+func CallWithin(ctx context.Context, upstreams Upstreams, u *fleet.Upstream, c *Call, limit time.Duration) (*Answer, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	timer := time.AfterFunc(limit, cancel)
+	answer, err := upstreams.Call(ctx, u, c)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	if !timer.Stop() {
+		answer.Body.Close()
+		return nil, context.DeadlineExceeded
+	}
+	answer.Body = &boundBody{answer.Body, cancel}
+	return answer, nil
+}
+
+// boundBody ends the context of its call when it is closed.
+type boundBody struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+func (b *boundBody) Close() error {
+	defer b.cancel()
+	return b.ReadCloser.Close()
+}
+
 // Suspects tells which requests have crashed upstreams.
 type Suspects interface {
 	// Blocked reports whether the request must not be sent any more.
@@ -153,9 +192,7 @@
 	if x.lastID != "" {
 		call.ResumeAfter = x.lastID
 	}
-	head := x.limitHead(cancel)
-	answer, err := x.cfg.Upstreams.Call(ctx, grant.Upstream, &call)
-	head.Stop()
+	answer, err := CallWithin(ctx, x.cfg.Upstreams, grant.Upstream, &call, x.headLimit())
 	if err != nil {
 		outcome := x.callFailed(grant, err)
 		grant.Release(outcome)
@@ -199,14 +236,13 @@
 	return context.WithTimeout(x.ctx, slice)
 }
 
-// limitHead ends an attempt of a stream that can go on elsewhere if its
-// upstream does not begin to answer.
-func (x *exchange) limitHead(cancel context.CancelFunc) *time.Timer {
-	limit := noDeadline
+// headLimit is how long an upstream may take to begin its answer: not long if
+// the stream can go on elsewhere.
+func (x *exchange) headLimit() time.Duration {
 	if x.Route.Kind == fleet.Stream && x.Route.Resumable && x.runs+1 < x.Route.MaxAttempts {
-		limit = headSilence
+		return HeadSilence
 	}
-	return time.AfterFunc(limit, cancel)
+	return noDeadline
 }
 
 // callFailed classifies an error before any answer.
