Send suspects with heartbeats only; share code of the job commands; no skipped test

Cause: reading the change: each report of changed work, many a second, exported and sorted all suspects; three job commands read their argument and client by the same lines; TestCapacityChild was skipped unless the benchmark called it. Change: as the title says; the child test checks one agent when run by itself.

--- a/cli/jobs.go
+++ b/cli/jobs.go
@@ -72,11 +72,7 @@
 // jobAction is a command on one job whose state it prints at the end.
 func jobAction(action func(ctx context.Context, c *cli.Command, client *jobclient.Client, id string) (*job.BatchObject, error)) cli.ActionFunc {
 	return func(ctx context.Context, c *cli.Command) error {
-		id, err := oneArgument(c, "JOB")
-		if err != nil {
-			return err
-		}
-		client, err := jobClient(c)
+		id, client, err := argumentAndClient(c, "JOB")
 		if err != nil {
 			return err
 		}
@@ -179,11 +175,7 @@
 }
 
 func runJobsCreate(ctx context.Context, c *cli.Command) error {
-	file, err := oneArgument(c, "FILE")
-	if err != nil {
-		return err
-	}
-	client, err := jobClient(c)
+	file, client, err := argumentAndClient(c, "FILE")
 	if err != nil {
 		return err
 	}
@@ -210,6 +202,16 @@
 	return printJob(c.Root().Writer, b)
 }
 
+// argumentAndClient returns the command's only argument and a client of the entry.
+func argumentAndClient(c *cli.Command, what string) (string, *jobclient.Client, error) {
+	argument, err := oneArgument(c, what)
+	if err != nil {
+		return "", nil, err
+	}
+	client, err := jobClient(c)
+	return argument, client, err
+}
+
 // maxItemBytes bounds the first line of a file of items.
 const maxItemBytes = 16 << 20
 
@@ -280,11 +282,7 @@
 }
 
 func runJobsDownload(ctx context.Context, c *cli.Command) error {
-	id, err := oneArgument(c, "JOB")
-	if err != nil {
-		return err
-	}
-	client, err := jobClient(c)
+	id, client, err := argumentAndClient(c, "JOB")
 	if err != nil {
 		return err
 	}
--- a/link/capacity_test.go
+++ b/link/capacity_test.go
@@ -34,17 +34,24 @@
 // falls into each busy one, with the default at three times the target's rate.
 var capacityWindow = flag.Duration("link.window", 20*time.Second, "length of one measurement of BenchmarkLinks")
 
-// Serves agents for BenchmarkLinks in the child process; otherwise does nothing.
+// Serves agents for BenchmarkLinks in the child process. Guards against agents
+// that the benchmark would measure without the large configuration; run by
+// itself it starts one and ends.
 func TestCapacityChild(t *testing.T) {
-	var n int
-	if _, err := fmt.Sscan(os.Getenv(childAgents), &n); err != nil {
-		t.Skip("only as the child of BenchmarkLinks")
+	n, child := 1, os.Getenv(childAgents)
+	if child != "" {
+		if _, err := fmt.Sscan(child, &n); err != nil {
+			t.Fatal(err)
+		}
 	}
 	var list []storage.Instance
 	for i := range n {
 		a := startAgent(t, fmt.Sprintf("agent-chat-mvd-a-%04d", i), "chat", nil)
 		list = append(list, a.instance)
 		a.holder.Offer(largeDocument(1, 3800))
+		if a.holder.Version() != 1 || a.instance.Address == "" {
+			t.Fatalf("agent at %q holds version %d", a.instance.Address, a.holder.Version())
+		}
 		a.setLoad(func(l *rpc.LoadReport) { l.AgentTimeMs = 80_000_000 }) // one day, for its length on the wire
 		if os.Getenv(childBusy) != "" {
 			go vary(t.Context(), a)
@@ -54,6 +61,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if child == "" {
+		return
+	}
 	fmt.Println(string(line))
 	_, _ = bufio.NewReader(os.Stdin).ReadString('\n') // until the parent closes it
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -189,7 +189,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-e.urgent:
-			e.report(conn, true, true)
+			e.report(conn, true, true, false)
 			near, far = nil, nil
 		case <-e.change:
 			if near == nil {
@@ -200,22 +200,27 @@
 			}
 		case <-near:
 			near = nil
-			e.report(conn, true, false)
+			e.report(conn, true, false, false)
 		case <-far:
 			far = nil
-			e.report(conn, false, true)
+			e.report(conn, false, true, false)
 		case now := <-heartbeat.C:
 			e.cfg.Dispatcher.Expire(now)
-			e.report(conn, true, true)
+			e.report(conn, true, true, true)
 		}
 	}
 }
 
 // report sends the present state to the members in the own data centre, in
-// others, or both.
-func (e *Exchange) report(conn *net.UDPConn, near, far bool) {
+// others, or both. Heartbeats carry the suspects as well, which are few and may
+// wait for one, while changes of the own work are reported many times a second.
+func (e *Exchange) report(conn *net.UDPConn, near, far, heartbeat bool) {
 	now := time.Now()
-	data, err := proto.Marshal(e.compose(now))
+	report := e.compose(now)
+	if heartbeat {
+		report.Suspects = repeated(e.cfg.Suspects.Export(now))
+	}
+	data, err := proto.Marshal(report)
 	if err != nil {
 		e.cfg.Log.Error().Err(err).Msg("report not encoded")
 		return
@@ -255,7 +260,6 @@
 		report.Counts = append(report.Counts, &rpc.GatewayCount{
 			Upstream: uint32(c.Key), Online: uint32(c.Online), Batch: uint32(c.Batch)})
 	}
-	report.Suspects = repeated(e.cfg.Suspects.Export(now))
 	return report
 }
 
