Let a busy batch service block no other; one end for spoilt answers

Cause: found by reading: the round of starts ended at the first service without a free slot, so items of a younger job of another service waited for it. A status of 500 and more was handled by a copy of spoilt. Test: TestBusyServiceBlocksNoOther (failed before: 0 results in 1 s).

--- a/batch/schedule.go
+++ b/batch/schedule.go
@@ -66,11 +66,13 @@
 		if !set {
 			share = s.cfg.Dispatcher.BatchStarts(service, len(list)-i)
 		}
-		shares[service] = share - 1
-		if share <= 0 || !s.start(c, service) {
-			return
+		if share > 0 && s.start(c, service) {
+			share--
+			waiting--
+		} else {
+			share = 0 // the items of other services may still start
 		}
-		waiting--
+		shares[service] = share
 	}
 }
 
--- a/batch/service_test.go
+++ b/batch/service_test.go
@@ -375,3 +375,26 @@
 	submit(t, g, submission("j", 2, 10))
 	checkDone(t, await(t, g, "j", 5*time.Second), "j", 2, e.Events)
 }
+
+// Guards against a service whose slots are taken and that keeps the items of
+// another service waiting, although that one is free.
+func TestBusyServiceBlocksNoOther(t *testing.T) {
+	store, busy, free := newStore(t), engine(t, "busy"), platformtest.NewEngine("free", "other", "z")
+	t.Cleanup(free.Close)
+	busy.Break(platformtest.Silent)
+	g := start(t, store, "a", 1, nobody, busy, free)
+	other := fleet.Route{Name: "other", Host: "h", Prefix: "/o/", Kind: fleet.Batch, MaxAttempts: 3,
+		Targets: []fleet.Target{{Service: "other", Weight: 1}}}
+	g.holder.Configure(fleet.NewConfiguration(2, []fleet.Route{route, other}, fleet.Limits{}))
+	submit(t, g, submission("j", 12, 10)) // more than the slots of its service
+	time.Sleep(200 * time.Millisecond)    // the other job is younger and comes after it
+	job := submission("k", 3, 10)
+	job.Route = other.Name
+	for i := range job.Items {
+		job.Items[i].Target = "/o/x"
+	}
+	if a, err := g.Submit(t.Context(), &other, job); a != batch.Accepted {
+		t.Fatal(a, err)
+	}
+	checkDone(t, await(t, g, "k", time.Second), "k", 3, free.Events)
+}
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -22,10 +22,7 @@
 	}
 	grant.Progress()
 	if answer.Status >= 500 && x.Route.Repeatable() && x.runs < x.Route.MaxAttempts && x.ctx.Err() == nil {
-		grant.Release(dispatch.Broken)
-		x.tried[grant.Upstream.ID] = true
-		x.step(grant, started, "status "+strconv.Itoa(answer.Status))
-		return x.again(false, "status")
+		return x.spoilt(grant, started, "status "+strconv.Itoa(answer.Status))
 	}
 	x.head(answer)
 	if len(held) <= maxHeld {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -185,7 +185,7 @@
 	}
 	x.offers++
 	started := time.Now()
-	ctx, cancel := x.attemptContext(grant)
+	ctx, cancel := x.attemptContext()
 	defer cancel()
 	call := x.Call
 	call.Remaining = time.Until(x.deadline)
@@ -228,7 +228,7 @@
 
 // attemptContext bounds an attempt whose request may be repeated, so that time
 // is left for another upstream.
-func (x *exchange) attemptContext(grant *dispatch.Grant) (context.Context, context.CancelFunc) {
+func (x *exchange) attemptContext() (context.Context, context.CancelFunc) {
 	if x.Route.Kind != fleet.Repeatable || x.runs+1 >= x.Route.MaxAttempts {
 		return context.WithCancel(x.ctx)
 	}
