End an answer at its token limit when only its end event was lost

A connection that goes silent between the last token and the end event leaves an answer of which all max_tokens tokens are delivered. The entry asked another engine to resume it, and an engine refuses a resume that leaves nothing to generate. Batch items of package job have the same gap.

Change: an attempt that is lost after as many tokens as the request allows ends the answer with finish reason 'length'. Requests without a stated limit are resumed as before, since only the engine knows its own limit.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -21,6 +21,9 @@
 // not tried again.
 const blockingCrashes = 2
 
+// finishLength is the OpenAI finish reason of an answer that reached its limit of tokens.
+const finishLength = "length"
+
 // random is the process's random source for routing.
 type random struct{}
 
@@ -63,6 +66,9 @@
 		if res.ending == endEngineError {
 			return nil, nil
 		}
+		if res.ending == endFailed && rq.allGenerated() {
+			return rq.endAtLimit(), nil
+		}
 		if res.suspectBusy() && waitForTurn(ctx, rq) {
 			n--
 			continue
@@ -74,6 +80,20 @@
 	}
 }
 
+// allGenerated reports whether every token that the caller allows has been
+// delivered. Only the end event can be missing then, and an engine refuses to
+// resume with nothing left to generate.
+func (rq *request) allGenerated() bool {
+	return rq.outputTokens > 0 && rq.deliveredTokens >= int(rq.outputTokens)
+}
+
+// endAtLimit is the end of an answer whose engine was lost after the last token
+// that the caller allows. The prompt's tokens are the entry's own count.
+func (rq *request) endAtLimit() *rpc.End {
+	rq.log.Info().Int("tokens", rq.deliveredTokens).Msg("answer ended at its token limit without the engine's end event")
+	return &rpc.End{FinishReason: finishLength, PromptTokens: rq.promptTokens, OutputTokens: uint32(rq.deliveredTokens)}
+}
+
 // choose selects the upstream of the next attempt.
 func (e *Entry) choose(rq *request) (choice, *apierror.Error) {
 	now := time.Now()
--- a/entry/dispatch_test.go
+++ b/entry/dispatch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"net/http/httptest"
 	"strings"
@@ -108,6 +109,33 @@
 	}
 }
 
+// Guards against an answer that is lost with its end event alone: all tokens
+// that the caller allows have come, so no engine can resume it.
+func TestLostEndAfterLastToken(t *testing.T) {
+	limited := fmt.Sprintf(`{"model":"taller-1","max_tokens":%d,"messages":[{"role":"user","content":"hi"}]`, answerTokens)
+	for _, f := range []fault{diesMidStream, silentMidStream, crashes, truncated} {
+		for _, body := range []string{limited + `,"stream":true,"stream_options":{"include_usage":true}}`, limited + `}`} {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRunner(2, scripted{f, answerTokens})
+				w := call(newTestEntry(r), "POST", "/v1/chat/completions", body)
+				if r.attempts() != 1 {
+					t.Errorf("fault %d: %d attempts", f, r.attempts())
+				}
+				if !strings.Contains(body, "stream") {
+					if w.Code != 200 || wholeContent(t, w) != wholeText() {
+						t.Errorf("fault %d: status %d, %s", f, w.Code, w.Body)
+					}
+					return
+				}
+				got := readStream(t, w)
+				if got.text != wholeText() || !got.done || got.failed != "" || got.finish != "length" || got.usage <= answerTokens {
+					t.Errorf("fault %d: %+v", f, got)
+				}
+			})
+		}
+	}
+}
+
 // Guards against a stream that ends clean although the answer is not whole,
 // and against a retry of what any engine would reject.
 func TestFaultsThatReachTheCaller(t *testing.T) {
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -192,6 +192,9 @@
 	case engineOverloads:
 		return steps(accepted, headOf(http.StatusServiceUnavailable), dataOf("busy"), notRun)
 	}
+	if req.DeliveredTokens >= answerTokens { // as an engine that has nothing left to generate
+		return steps(accepted, headOf(http.StatusBadRequest), dataOf(`{"error":{"message":"nothing to resume"}}`), notRun)
+	}
 	list := steps(accepted)
 	for i := int(req.DeliveredTokens); i < answerTokens; i++ {
 		if i-int(req.DeliveredTokens) == s.after {
@@ -204,6 +207,9 @@
 		}
 		list = append(list, steps(deltaOf(token(i)))...)
 	}
+	if rest, ok := midStream(s.fault); ok && s.after == answerTokens-int(req.DeliveredTokens) {
+		return append(list, rest...)
+	}
 	if s.fault == duplicateEnd {
 		list = append(list, steps(ended, ended, deltaOf("late"))...)
 	}
--- a/job/execute.go
+++ b/job/execute.go
@@ -28,6 +28,9 @@
 	defaultOutputTokens = 256
 )
 
+// finishLength is the OpenAI finish reason of an answer that reached its limit of tokens.
+const finishLength = "length"
+
 // execute runs one attempt of an item on an agent.
 func (r *Runner) execute(ctx context.Context, h *held, it *item, agentID string) {
 	defer r.release(h, it)
@@ -76,15 +79,20 @@
 }
 
 func outputTokens(body []byte) uint32 {
+	if n := tokenLimit(body); n > 0 {
+		return n
+	}
+	return defaultOutputTokens
+}
+
+// tokenLimit is the bound that a request states, or 0.
+func tokenLimit(body []byte) uint32 {
 	var b struct {
 		MaxTokens           uint32 `json:"max_tokens"`
 		MaxCompletionTokens uint32 `json:"max_completion_tokens"`
 	}
 	_ = json.Unmarshal(body, &b) // plain services may take anything
-	if n := max(b.MaxTokens, b.MaxCompletionTokens); n > 0 {
-		return n
-	}
-	return defaultOutputTokens
+	return max(b.MaxTokens, b.MaxCompletionTokens)
 }
 
 // attempt sends the request and reads its events to the end.
@@ -145,6 +153,11 @@
 		kind: outcomeFailed, attempt: attempt.ID(c.req.AttemptId), executed: attempt.ExecutedUnknown,
 		text: c.text.String(), tokens: c.tokens,
 	}
+	if c.allGenerated() {
+		o.kind = outcomeAnswered
+		o.status, o.body = c.answer(c.endAtLimit())
+		return o
+	}
 	switch {
 	case err != nil && ctx.Err() != nil: // this entry stopped the attempt
 		o.kind = outcomePreempted
@@ -174,6 +187,22 @@
 	return o
 }
 
+// allGenerated reports whether every token that the request allows has come
+// without an end event. An engine refuses to resume with nothing left.
+func (c *collector) allGenerated() bool {
+	if _, ended := c.last.GetEvent().(*rpc.RunEvent_End); ended || !c.engine || c.status >= http.StatusBadRequest {
+		return false
+	}
+	limit := tokenLimit(c.req.Body)
+	return limit > 0 && c.outputTokens() >= limit
+}
+
+func (c *collector) outputTokens() uint32 { return c.req.DeliveredTokens + uint32(c.tokens) }
+
+func (c *collector) endAtLimit() *rpc.End {
+	return &rpc.End{FinishReason: finishLength, PromptTokens: c.req.PromptTokens, OutputTokens: c.outputTokens()}
+}
+
 func executedOf(e rpc.Executed) attempt.Executed {
 	switch e {
 	case rpc.Executed_EXECUTED_NO:
