Save the progress of batch items in the store, for their next owner

Cause: when the owner of a job was lost, its items began anew.

Change: each second a gateway saves what its items have had, one row an item in a partition of the job's own; the next owner reads the rows and goes on after the last event. A row needs no condition, since it holds the beginning of one answer with the event to go on after. The rows go with the job.

Tests: TestProgressOutlivesOwner failed before (each item began twice), TestBadCheckpoint guards the reading.

--- a/batch/attempt.go
+++ b/batch/attempt.go
@@ -50,7 +50,7 @@
 		case <-ctx.Done():
 		}
 	}()
-	started, had := time.Now(), w.events
+	started, had := time.Now(), w.events()
 	outcome, end := s.attempt(ctx, r, w, grant)
 	preempted := isClosed(grant.Preempted())
 	if outcome == dispatch.Broken && ctx.Err() != nil {
@@ -61,7 +61,7 @@
 		metric.Preempted(grant.Upstream.Service)
 	}
 	s.cfg.Log.Info().Str("request", item.ID).Str("job", r.submission.ID).Str("upstream", grant.Upstream.ID).
-		Int("from_event", had).Int("events", w.events).Bool("preempted", preempted).Str("outcome", end).
+		Int("from_event", had).Int("events", w.events()).Bool("preempted", preempted).Str("outcome", end).
 		Int64("ms", time.Since(started).Milliseconds()).Msg("item attempt")
 	s.settle(r, w, grant, outcome, end, had, fingerprint)
 }
@@ -85,8 +85,7 @@
 	endBroken     = "broken"
 )
 
-// attempt sends an item and collects its events. It writes w without a lock,
-// which is safe because an active item has one attempt.
+// attempt sends an item and collects its events.
 func (s *Service) attempt(ctx context.Context, r *running, w *work, grant *dispatch.Grant) (dispatch.Outcome, string) {
 	item := &r.submission.Items[w.index]
 	header := make(http.Header, len(item.Header))
@@ -95,7 +94,7 @@
 	}
 	answer, err := forward.CallWithin(ctx, s.cfg.Upstreams, grant.Upstream, &forward.Call{
 		ID: item.ID, Host: r.submission.Host, Method: http.MethodPost, Target: item.Target,
-		Header: header, Body: item.Body, ResumeAfter: w.lastID}, forward.HeadSilence)
+		Header: header, Body: item.Body, ResumeAfter: w.lastID()}, forward.HeadSilence)
 	if errors.Is(err, forward.ErrNotSent) {
 		return dispatch.Refused, endNotSent
 	}
@@ -131,14 +130,7 @@
 		if e.Data == nil {
 			continue
 		}
-		if w.events > 0 {
-			w.output = append(w.output, '\n')
-		}
-		w.output = append(w.output, e.Data...)
-		w.events++
-		if e.ID != "" {
-			w.lastID = e.ID
-		}
+		w.add(e.ID, e.Data)
 	}
 }
 
@@ -148,7 +140,8 @@
 	defer s.mu.Unlock()
 	switch end {
 	case endDone:
-		s.finish(r, w, Result{Output: string(w.output)}, end)
+		all, _ := w.snapshot()
+		s.finish(r, w, Result{Output: string(all.Output)}, end)
 		return
 	case endImpossible:
 		s.finish(r, w, Result{Abandoned: true}, end)
@@ -162,7 +155,7 @@
 		s.wait(w, min(failurePause<<w.failures, failurePauseMax))
 		return
 	}
-	if outcome == dispatch.Broken && w.events == had {
+	if outcome == dispatch.Broken && w.events() == had {
 		w.broken++
 		s.cfg.Suspects.Crashed(grant.Upstream, fingerprint)
 		s.wait(w, min(failurePause<<min(w.broken, 5), failurePauseMax))
--- a/batch/commit.go
+++ b/batch/commit.go
@@ -25,7 +25,7 @@
 	result.Item = r.submission.Items[w.index].ID
 	w.state = itemFinished
 	w.result = result
-	w.output = nil
+	w.clear()
 	r.finished = append(r.finished, w.index)
 	if result.Abandoned {
 		s.cfg.Log.Info().Str("request", result.Item).Str("job", r.job.ID).Str("reason", reason).
--- a/batch/ownership.go
+++ b/batch/ownership.go
@@ -85,7 +85,7 @@
 		for i := range open {
 			e := &open[i]
 			if s.owns(&e.Job) {
-				s.adopt(e.ID)
+				s.adopt(e.ID, true)
 			} else if ShouldClaim(&e.Job, e.seen, s.cfg.Self, members, now) {
 				s.claim(ctx, *e)
 			}
@@ -130,7 +130,7 @@
 			return
 		}
 		log.Msg("job claimed")
-		s.adopt(e.ID)
+		s.adopt(e.ID, true)
 	}()
 }
 
@@ -171,15 +171,26 @@
 	return nil
 }
 
-// remove deletes the results, the object and, last, the row of a job.
+// remove deletes the checkpoints, the results, the object and, last, the row of a job.
 func (s *Service) remove(ctx context.Context, e *entry) error {
-	for {
-		rows, err := s.cfg.Table.Scan(ctx, resultPrefix+e.ID+"/", "", sweepRows)
-		if err != nil {
+	for _, prefix := range []string{progressPrefix(e.ID), resultPrefix + e.ID + "/"} {
+		if err := s.removeRows(ctx, prefix); err != nil {
 			return err
 		}
-		if len(rows) == 0 {
-			break
+	}
+	if err := s.cfg.Objects.Delete(ctx, objectKey(e.ID)); err != nil {
+		return err
+	}
+	_, err := s.cfg.Table.Commit(ctx, storage.Transaction{Writes: []storage.Write{
+		{Key: jobKey(e.ID), IfVersion: e.version, Delete: true}}})
+	return err
+}
+
+func (s *Service) removeRows(ctx context.Context, prefix string) error {
+	for {
+		rows, err := s.cfg.Table.Scan(ctx, prefix, "", sweepRows)
+		if err != nil || len(rows) == 0 {
+			return err
 		}
 		var tx storage.Transaction
 		for _, r := range rows {
@@ -189,10 +200,4 @@
 			return err
 		}
 	}
-	if err := s.cfg.Objects.Delete(ctx, objectKey(e.ID)); err != nil {
-		return err
-	}
-	_, err := s.cfg.Table.Commit(ctx, storage.Transaction{Writes: []storage.Write{
-		{Key: jobKey(e.ID), IfVersion: e.version, Delete: true}}})
-	return err
 }
--- a/batch/running.go
+++ b/batch/running.go
@@ -17,11 +17,9 @@
 
 // work is one item of a running job.
 type work struct {
+	guardedProgress
 	index     int
 	state     itemState
-	lastID    string // of the last event had
-	output    []byte // data of the events had
-	events    int
 	failures  int // attempts that the engine answered as failed
 	broken    int // attempts in a row that broke off without an event
 	notBefore time.Time
@@ -45,8 +43,9 @@
 	active     sync.WaitGroup
 }
 
-// adopt starts to run a job that this process owns.
-func (s *Service) adopt(id string) {
+// adopt starts to run a job that this process owns. With began set an earlier
+// owner may have worked on it.
+func (s *Service) adopt(id string, began bool) {
 	s.mu.Lock()
 	_, runs := s.running[id]
 	if runs || s.loading[id] || s.stopping {
@@ -62,7 +61,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 2*callTimeout)
 		defer cancel()
-		err := s.load(ctx, id)
+		err := s.load(ctx, id, began)
 		s.mu.Lock()
 		delete(s.loading, id)
 		s.mu.Unlock()
@@ -75,7 +74,7 @@
 }
 
 // load reads the items and the listed results of a job and puts it in the schedule.
-func (s *Service) load(ctx context.Context, id string) error {
+func (s *Service) load(ctx context.Context, id string, began bool) error {
 	e, known := s.mirror.get(id)
 	if !known || e.closed() || !s.owns(&e.Job) {
 		return nil
@@ -104,6 +103,11 @@
 			r.items[i].state = itemListed
 		}
 	}
+	if began {
+		if err := s.loadProgress(ctx, r); err != nil {
+			return err
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.running[id] == nil && !s.stopping {
--- a/batch/schedule.go
+++ b/batch/schedule.go
@@ -106,7 +106,7 @@
 }
 
 func (c candidate) view() ItemView {
-	return ItemView{Created: c.job.job.Created, Events: c.item.events}
+	return ItemView{Created: c.job.job.Created, Events: c.item.events()}
 }
 
 // ItemView is what decides the place of a waiting item.
--- a/batch/service.go
+++ b/batch/service.go
@@ -102,6 +102,7 @@
 	})
 	group.Go(func() error { return s.superviseJobs(ctx) })
 	group.Go(func() error { return s.schedule(ctx) })
+	group.Go(func() error { return s.checkpoint(ctx) })
 	group.Go(func() error { return s.sweep(ctx) })
 	return group.Wait()
 }
@@ -132,7 +133,7 @@
 	s.submissions.Add(job.ID, job)
 	acceptance, err := s.accept(ctx, route, row)
 	if acceptance == Accepted {
-		s.adopt(row.ID)
+		s.adopt(row.ID, false)
 	}
 	return acceptance, err
 }
