Hand running batch jobs over to a peer at shutdown

Change: at shutdown each job goes to a peer, with the progress of its items and the results that could not be listed. The peer runs the items at once and becomes the owner by its first commit, conditional on the row's version that was handed over. Until then its reports name the job, and others leave it alone. Where no peer takes it, the job is given back in the store as before. A commit that failed waits for the feed to tell that the store is back, since one begun during an outage can hang past its end.

--- a/batch/claim.go
+++ b/batch/claim.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,11 +24,18 @@
 )
 
 // ShouldClaim decides whether a gateway takes over a job now. The load it
-// answers: jobs whose owner was killed, frozen, cut off or shut down.
+// answers: jobs whose owner was killed, frozen, cut off or shut down. seen is
+// when this gateway first saw the job with its owner. A job that another
+// gateway has taken over is left to it, even while it cannot write the row.
 func ShouldClaim(j *Job, seen time.Time, self peer.Member, members []peer.Seen, now time.Time) bool {
 	if j.closed() || j.Owner == self.Name && j.OwnerIncarnation == self.Incarnation {
 		return false
 	}
+	for i := range members {
+		if now.Sub(members[i].Heard) < ownerSilence && slices.Contains(members[i].TakenJobs, jobMark(j.ID)) {
+			return false
+		}
+	}
 	if j.Owner == self.Name {
 		return true // of an earlier process of this gateway
 	}
@@ -76,3 +84,6 @@
 }
 
 func weight(job, name string) uint64 { return xxhash.Sum64String(job + "\x00" + name) }
+
+// jobMark names a job in the reports of gateways.
+func jobMark(id string) uint64 { return xxhash.Sum64String(id) }
--- a/batch/claim_test.go
+++ b/batch/claim_test.go
@@ -37,6 +37,12 @@
 		{"all peers silent for long", Job{Owner: "b", OwnerIncarnation: 1, Total: 1}, long,
 			[]peer.Seen{seen("b", 1, 9*time.Second), seen("c", 1, 9*time.Second)}, true},
 		{"never heard, known for a moment", Job{Owner: "b", OwnerIncarnation: 1, Total: 1}, time.Second, nil, false},
+		{"taken over by another", Job{Owner: "b", OwnerIncarnation: 1, Total: 1}, long,
+			[]peer.Seen{seen("b", 1, 9*time.Second), {Member: peer.Member{Name: "c"}, Heard: now, TakenJobs: []uint64{jobMark("j")}}}, false},
+		{"own earlier one, taken over by another", Job{Owner: "self", OwnerIncarnation: 6, Total: 1}, long,
+			[]peer.Seen{{Member: peer.Member{Name: "c"}, Heard: now, TakenJobs: []uint64{jobMark("j")}}}, false},
+		{"taken over by one that is lost", Job{Owner: "self", OwnerIncarnation: 6, Total: 1}, long,
+			[]peer.Seen{{Member: peer.Member{Name: "c"}, Heard: now.Add(-3 * time.Second), TakenJobs: []uint64{jobMark("j")}}}, true},
 		{"owner started anew", Job{Owner: "b", OwnerIncarnation: 1, Total: 1}, long, []peer.Seen{seen("b", 2, 0)}, true},
 	}
 	for _, c := range cases {
--- a/batch/commit.go
+++ b/batch/commit.go
@@ -18,6 +18,8 @@
 	commitRows  = 60
 	// releaseTimeout bounds giving a job back at shutdown.
 	releaseTimeout = 2 * time.Second
+	// storeCheck is how often a commit that waits for the store looks again.
+	storeCheck = 30 * time.Millisecond
 )
 
 // finish notes the end of an item and starts the commit. The caller holds the lock.
@@ -57,13 +59,27 @@
 			continue
 		}
 		s.cfg.Log.Warn().Err(err).Str("job", r.submission.ID).Uint64("row", version).Msg("results not listed; tried again")
-		time.Sleep(storeBackoff.Delay(failures))
+		s.awaitStore(failures)
 		failures++
 	}
 }
 
-// commitOnce writes some finished results and the job row in one transaction.
-// With release set it gives the job back as well.
+// awaitStore waits before a commit is tried again: until the feed tells that
+// the store answers, since a call that begins while it is away may hang for
+// longer than that.
+func (s *Service) awaitStore(failures int) {
+	if s.mirror.current(time.Now()) {
+		time.Sleep(storeBackoff.Delay(failures))
+		return
+	}
+	for deadline := time.Now().Add(callTimeout); time.Now().Before(deadline) && !s.mirror.current(time.Now()); {
+		time.Sleep(storeCheck)
+	}
+}
+
+// commitOnce writes some finished results and the job row in one transaction,
+// which also claims a job that was taken over. With release set it gives the
+// job back as well.
 func (s *Service) commitOnce(r *running, release bool) error {
 	r.commits.Lock()
 	defer r.commits.Unlock()
@@ -73,12 +89,16 @@
 		return nil
 	}
 	next, writes, listed := r.prepare()
-	if release {
+	claim := r.unclaimed
+	switch {
+	case release:
 		next.Owner, next.OwnerIncarnation = "", 0
+	case claim:
+		next.Owner, next.OwnerIncarnation = s.cfg.Self.Name, s.cfg.Self.Incarnation
 	}
 	version := r.version
 	s.mu.Unlock()
-	if len(listed) == 0 && !release {
+	if len(listed) == 0 && !release && !claim {
 		return nil
 	}
 	writes = append(writes, storage.Write{Key: jobKey(next.ID), Value: encodeJob(&next), IfVersion: version})
@@ -105,7 +125,12 @@
 	if err != nil {
 		return err
 	}
+	s.mu.Lock()
+	unchanged := e.version == r.version
+	s.mu.Unlock()
 	switch {
+	case unchanged:
+		return cause
 	case e.Ended || !s.owns(&e.Job) && e.Commit != next.Commit:
 		s.drop(next.ID, "closed_or_claimed")
 		return nil
@@ -162,14 +187,19 @@
 		r.items[index].result = Result{}
 	}
 	r.finished = r.finished[len(indexes):]
-	r.job, r.version = next, version
+	claimed := r.unclaimed
+	r.job, r.version, r.unclaimed = next, version, false
 	s.mu.Unlock()
+	if claimed {
+		s.cfg.Log.Info().Str("job", next.ID).Uint64("row", version).Msg("job claimed after it was taken over")
+		s.announce()
+	}
 	s.mirror.write(next, version)
 	s.cfg.Log.Info().Str("job", next.ID).Int("listed", next.Listed).Int("total", next.Total).Uint64("row", version).Msg("results listed")
 }
 
-// Release stops all items and gives the jobs back, so that other gateways can
-// claim them at once.
+// Release stops all items and hands the jobs over to peers or, where none takes
+// them, gives them back in the store, so that other gateways can claim them at once.
 func (s *Service) Release() {
 	s.mu.Lock()
 	s.stopping = true
@@ -179,12 +209,23 @@
 	}
 	s.mu.Unlock()
 	var all sync.WaitGroup
+	var handed sync.Map // ids of jobs that a peer has taken; their rows are its own to write
 	for _, r := range list {
-		all.Go(func() { s.release(r) })
+		all.Go(func() {
+			r.cancel()
+			r.active.Wait()
+			if s.handOver(r) {
+				handed.Store(r.submission.ID, true)
+				return
+			}
+			s.release(r)
+		})
 	}
 	all.Wait()
 	for _, e := range s.mirror.all(func(e *entry) bool { return !e.closed() && s.owns(&e.Job) }) {
-		s.giveBack(e.ID) // accepted or claimed, and not running yet
+		if _, taken := handed.Load(e.ID); !taken {
+			s.giveBack(e.ID) // accepted or claimed, and not running yet
+		}
 	}
 }
 
@@ -203,10 +244,10 @@
 	s.cfg.Log.Info().Err(err).Str("job", id).Bool("given_back", err == nil).Msg("job given back at shutdown")
 }
 
-// release stops the items of a job, lists what is finished and gives it back.
+// release saves the progress of a job whose items are stopped, lists what is
+// finished and gives the job back.
 func (s *Service) release(r *running) {
-	r.cancel()
-	r.active.Wait()
+	s.save(context.Background(), r)
 	deadline := time.Now().Add(releaseTimeout)
 	for failures := 0; time.Now().Before(deadline); failures++ {
 		s.mu.Lock()
--- a/batch/ownership.go
+++ b/batch/ownership.go
@@ -86,7 +86,7 @@
 			e := &open[i]
 			if s.owns(&e.Job) {
 				s.adopt(e.ID, true)
-			} else if ShouldClaim(&e.Job, e.seen, s.cfg.Self, members, now) {
+			} else if !s.runs(e.ID) && ShouldClaim(&e.Job, e.seen, s.cfg.Self, members, now) {
 				s.claim(ctx, *e)
 			}
 		}
@@ -99,6 +99,12 @@
 	return j.Owner == s.cfg.Self.Name && j.OwnerIncarnation == s.cfg.Self.Incarnation
 }
 
+func (s *Service) runs(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running[id] != nil
+}
+
 func (s *Service) isStopping() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -136,15 +142,13 @@
 
 // dropForeign stops running jobs that another process owns or that are closed.
 func (s *Service) dropForeign() {
-	s.mu.Lock()
-	ids := make([]string, 0, len(s.running))
-	for id := range s.running {
-		ids = append(ids, id)
-	}
-	s.mu.Unlock()
-	for _, id := range ids {
+	for _, r := range s.ownJobs() {
+		id := r.submission.ID
 		e, known := s.mirror.get(id)
-		if known && (e.closed() || !s.owns(&e.Job)) {
+		s.mu.Lock()
+		taken := r.unclaimed && e.version <= r.version
+		s.mu.Unlock()
+		if known && (e.closed() || !s.owns(&e.Job) && !taken) {
 			s.drop(id, "closed_or_claimed")
 		}
 	}
--- a/batch/running.go
+++ b/batch/running.go
@@ -37,6 +37,7 @@
 	finished   []int // indexes in the order of finishing, not yet listed
 	committing bool
 	dropped    bool
+	unclaimed  bool       // taken over, and the row does not name this process yet
 	commits    sync.Mutex // held during a commit with its reading back; taken before Service.mu
 	ctx        context.Context
 	cancel     context.CancelFunc
@@ -94,11 +95,8 @@
 		}
 		at += len(results)
 	}
-	r := &running{job: e.Job, version: e.version, submission: submission, items: make([]work, len(submission.Items))}
-	r.ctx, r.cancel = context.WithCancel(context.Background())
+	r := newRunning(e.Job, e.version, submission)
 	for i := range r.items {
-		r.items[i].index = i
-		r.items[i].failures = e.Failures[i]
 		if listed[submission.Items[i].ID] {
 			r.items[i].state = itemListed
 		}
@@ -110,12 +108,31 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.running[id] == nil && !s.stopping {
-		s.running[id] = r
+	if s.running[id] != nil || s.stopping {
+		return nil
+	}
+	if handed, held := s.handed.Get(id); held {
+		handed.apply(r)
+		s.handed.Remove(id)
+	}
+	s.running[id] = r
+	if len(r.finished) > 0 {
+		r.committing = true
+		go s.commitFinished(r)
 	}
 	return nil
 }
 
+func newRunning(job Job, version uint64, submission *Submission) *running {
+	r := &running{job: job, version: version, submission: submission, items: make([]work, len(submission.Items))}
+	r.ctx, r.cancel = context.WithCancel(context.Background())
+	for i := range r.items {
+		r.items[i].index = i
+		r.items[i].failures = job.Failures[i]
+	}
+	return r
+}
+
 // drop stops running a job.
 func (s *Service) drop(id, reason string) {
 	s.mu.Lock()
@@ -125,10 +142,14 @@
 	if r != nil {
 		r.dropped = true
 		version = r.version
+		s.remember(r)
 	}
 	s.mu.Unlock()
 	if r != nil {
 		r.cancel()
+		if r.unclaimed {
+			s.announce()
+		}
 		s.cfg.Log.Info().Str("job", id).Str("reason", reason).Uint64("row", version).Msg("job dropped")
 	}
 }
--- a/batch/service.go
+++ b/batch/service.go
@@ -51,8 +51,13 @@
 	Upstreams  forward.Upstreams
 	Suspects   forward.Suspects
 	Members    func() []peer.Seen
-	Keep       time.Duration // how long a closed job stays readable after its creation
-	Log        zerolog.Logger
+	// HandOver gives a job to the peer at an address; nil if there are no peers.
+	HandOver func(ctx context.Context, address string, job []byte) error
+	// Announce tells the peers which jobs this process has taken over and not
+	// claimed yet; nil if there are none.
+	Announce func(jobs []uint64)
+	Keep     time.Duration // how long a closed job stays readable after its creation
+	Log      zerolog.Logger
 }
 
 // Service is safe for concurrent use. Lock order: Service.mu before mirror.mu.
@@ -61,6 +66,7 @@
 	mirror      *mirror
 	submissions *lru.Cache[string, *Submission]
 	results     *lru.Cache[resultID, Result]
+	handed      *lru.Cache[string, *Handover] // taken over, and not claimed as handed over
 
 	mu       sync.Mutex
 	running  map[string]*running
@@ -85,7 +91,11 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return &Service{cfg: cfg, mirror: newMirror(cfg.Log), submissions: submissions, results: results,
+	handed, err := lru.New[string, *Handover](cachedSubmissions)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return &Service{cfg: cfg, mirror: newMirror(cfg.Log), submissions: submissions, results: results, handed: handed,
 		running: make(map[string]*running), claiming: make(map[string]bool), loading: make(map[string]bool), wake: make(chan struct{}, 1)}, nil
 }
 
--- a/batch/service_test.go
+++ b/batch/service_test.go
@@ -44,6 +44,12 @@
 func startWith(t *testing.T, store *platformtest.Store, name string, incarnation uint64, members func() []peer.Seen,
 	suspects forward.Suspects, engines ...*platformtest.Engine) *gateway {
 	t.Helper()
+	return startConfigured(t, store, name, incarnation, members, func(c *batch.Config) { c.Suspects = suspects }, engines...)
+}
+
+func startConfigured(t *testing.T, store *platformtest.Store, name string, incarnation uint64, members func() []peer.Seen,
+	configure func(*batch.Config), engines ...*platformtest.Engine) *gateway {
+	t.Helper()
 	g := &gateway{holder: fleet.NewHolder(), done: make(chan error, 1)}
 	g.holder.Configure(fleet.NewConfiguration(1, []fleet.Route{route}, fleet.Limits{}))
 	var records []fleet.Record
@@ -53,9 +59,11 @@
 	}
 	g.holder.Replace(records, 100, time.Now())
 	client := platform.NewStore(store.Address())
-	service, err := batch.New(batch.Config{Self: peer.Member{Name: name, Incarnation: incarnation}, Table: client, Feed: client,
+	config := batch.Config{Self: peer.Member{Name: name, Incarnation: incarnation}, Table: client, Feed: client,
 		Objects: client.Objects(), Holder: g.holder, Dispatcher: dispatch.New(dispatch.Config{Self: name, Holder: g.holder}),
-		Upstreams: platform.NewEngines(), Suspects: suspects, Members: members, Keep: time.Minute, Log: zerolog.New(zerolog.NewTestWriter(t))})
+		Upstreams: platform.NewEngines(), Suspects: noSuspects{}, Members: members, Keep: time.Minute, Log: zerolog.New(zerolog.NewTestWriter(t))}
+	configure(&config)
+	service, err := batch.New(config)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -103,10 +103,11 @@
 	suspects := crashes{table: g.suspects, accepts: engines.Accepts, log: g.log}
 	g.jobs, err = batch.New(batch.Config{Self: g.self, Table: g.relay, Feed: g.relay, Objects: g.relay.Objects(),
 		Holder: g.holder, Dispatcher: g.dispatcher, Upstreams: engines, Suspects: suspects,
-		Members: g.exchange.Members, Keep: s.KeepJobs, Log: g.log})
+		Members: g.exchange.Members, HandOver: g.exchange.HandOver, Announce: g.exchange.SetTakenJobs, Keep: s.KeepJobs, Log: g.log})
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	g.exchange.OnTakeOver(g.jobs.TakeOver)
 	forwarder := forward.New(forward.Config{Dispatcher: g.dispatcher, Upstreams: engines, Suspects: suspects, Log: g.log})
 	g.assembleServers(&platform.Ingress{Holder: g.holder, Forwarder: forwarder, Jobs: g.jobs, Log: g.log})
 	return g, nil
--- /dev/null
+++ b/peer/handover.go
@@ -0,0 +1,35 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"connectrpc.com/connect"
+	"github.com/gravitational/trace"
+
+	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
+	"github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1/magnoliausherv1connect"
+)
+
+// OnTakeOver sets what receives jobs that peers hand over. It is set before Run.
+func (e *Exchange) OnTakeOver(f func(job []byte) error) { e.takeOver = f }
+
+// HandOver gives a job to the peer at an address. The caller's context bounds
+// it. An error leaves open whether the peer has taken the job.
+func (e *Exchange) HandOver(ctx context.Context, address string, job []byte) error {
+	service := magnoliausherv1connect.NewGatewayClient(http.DefaultClient, "http://"+address)
+	_, err := service.HandOverJob(ctx, connect.NewRequest(&rpc.HandOverJobRequest{Job: job}))
+	return trace.Wrap(err)
+}
+
+// HandOverJob implements the service for peers.
+func (e *Exchange) HandOverJob(_ context.Context, request *connect.Request[rpc.HandOverJobRequest]) (*connect.Response[rpc.HandOverJobResponse], error) {
+	if e.takeOver == nil {
+		return nil, connect.NewError(connect.CodeUnavailable, errors.New("no jobs are taken over here"))
+	}
+	if err := e.takeOver(request.Msg.Job); err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&rpc.HandOverJobResponse{}), nil
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -47,6 +47,8 @@
 	lostInterval = time.Second
 	// maxSuspects bounds the suspects in one report to about 500 bytes.
 	maxSuspects = 16
+	// maxTakenJobs bounds the jobs in one report to 512 bytes.
+	maxTakenJobs = 64
 	// maxDatagram is the largest datagram read.
 	maxDatagram = 64 << 10
 )
@@ -65,6 +67,7 @@
 	Heard        time.Time // of the last report; zero if none came
 	Leaving      bool      // it shuts down and gives its work away
 	StoreReached bool      // the store serves it
+	TakenJobs    []uint64  // marks of jobs that it runs and that the store does not show as its own yet
 }
 
 // Config of an Exchange.
@@ -89,6 +92,8 @@
 	seeds    []string
 	sequence uint64
 	leaving  bool
+	taken    []uint64
+	takeOver func(job []byte) error
 }
 
 type peerState struct {
@@ -136,6 +141,14 @@
 	e.Changed(true)
 }
 
+// SetTakenJobs replaces the marks of jobs that were taken over and not claimed yet.
+func (e *Exchange) SetTakenJobs(marks []uint64) {
+	e.mu.Lock()
+	e.taken = marks[:min(len(marks), maxTakenJobs)]
+	e.mu.Unlock()
+	e.Changed(true)
+}
+
 // Join adds or replaces a member found in the store.
 func (e *Exchange) Join(m Member) {
 	if m.Name == e.cfg.Self.Name {
@@ -244,7 +257,7 @@
 	report := &rpc.GatewayReport{
 		Sender: e.cfg.Self.Name, Incarnation: e.cfg.Self.Incarnation, Sequence: e.sequence,
 		DataCentre: e.cfg.Self.DataCentre, ListVersion: view.ListVersion,
-		Backlog: uint32(own.Backlog), Leaving: e.leaving,
+		Backlog: uint32(own.Backlog), Leaving: e.leaving, TakenJobs: e.taken,
 	}
 	e.mu.Unlock()
 	if self, err := netip.ParseAddrPort(e.cfg.Self.Address); err == nil {
@@ -367,7 +380,7 @@
 		e.cfg.Log.Info().Str("peer", report.Sender).Str("address", address).Msg("peer heard")
 	}
 	p.Member = Member{Name: report.Sender, Incarnation: report.Incarnation, Address: address, DataCentre: report.DataCentre}
-	p.sequence, p.Heard, p.Leaving, p.StoreReached = report.Sequence, now, report.Leaving, report.StoreReached
+	p.sequence, p.Heard, p.Leaving, p.StoreReached, p.TakenJobs = report.Sequence, now, report.Leaving, report.StoreReached, report.TakenJobs
 	return true
 }
 
--- a/rpc/magnoliausher/v1/magnoliausherv1connect/magnoliausher.connect.go
+++ b/rpc/magnoliausher/v1/magnoliausherv1connect/magnoliausher.connect.go
@@ -49,6 +49,8 @@
 	GatewayFetchStateProcedure = "/magnoliausher.v1.Gateway/FetchState"
 	// GatewayStoreCallProcedure is the fully-qualified name of the Gateway's StoreCall RPC.
 	GatewayStoreCallProcedure = "/magnoliausher.v1.Gateway/StoreCall"
+	// GatewayHandOverJobProcedure is the fully-qualified name of the Gateway's HandOverJob RPC.
+	GatewayHandOverJobProcedure = "/magnoliausher.v1.Gateway/HandOverJob"
 )
 
 // AgentClient is a client for the magnoliausher.v1.Agent service.
@@ -232,6 +234,8 @@
 	// StoreCall makes a call of the platform's store for a peer that the store
 	// does not serve.
 	StoreCall(context.Context, *connect.Request[v1.StoreCallRequest]) (*connect.Response[v1.StoreCallResponse], error)
+	// HandOverJob gives a running batch job to a peer when its owner shuts down.
+	HandOverJob(context.Context, *connect.Request[v1.HandOverJobRequest]) (*connect.Response[v1.HandOverJobResponse], error)
 }
 
 // NewGatewayClient constructs a client for the magnoliausher.v1.Gateway service. By default, it
@@ -257,13 +261,20 @@
 			connect.WithSchema(gatewayMethods.ByName("StoreCall")),
 			connect.WithClientOptions(opts...),
 		),
+		handOverJob: connect.NewClient[v1.HandOverJobRequest, v1.HandOverJobResponse](
+			httpClient,
+			baseURL+GatewayHandOverJobProcedure,
+			connect.WithSchema(gatewayMethods.ByName("HandOverJob")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // gatewayClient implements GatewayClient.
 type gatewayClient struct {
-	fetchState *connect.Client[v1.FetchStateRequest, v1.FetchStateResponse]
-	storeCall  *connect.Client[v1.StoreCallRequest, v1.StoreCallResponse]
+	fetchState  *connect.Client[v1.FetchStateRequest, v1.FetchStateResponse]
+	storeCall   *connect.Client[v1.StoreCallRequest, v1.StoreCallResponse]
+	handOverJob *connect.Client[v1.HandOverJobRequest, v1.HandOverJobResponse]
 }
 
 // FetchState calls magnoliausher.v1.Gateway.FetchState.
@@ -276,6 +287,11 @@
 	return c.storeCall.CallUnary(ctx, req)
 }
 
+// HandOverJob calls magnoliausher.v1.Gateway.HandOverJob.
+func (c *gatewayClient) HandOverJob(ctx context.Context, req *connect.Request[v1.HandOverJobRequest]) (*connect.Response[v1.HandOverJobResponse], error) {
+	return c.handOverJob.CallUnary(ctx, req)
+}
+
 // GatewayHandler is an implementation of the magnoliausher.v1.Gateway service.
 type GatewayHandler interface {
 	// FetchState returns the configuration and the upstreams that the peer holds.
@@ -283,6 +299,8 @@
 	// StoreCall makes a call of the platform's store for a peer that the store
 	// does not serve.
 	StoreCall(context.Context, *connect.Request[v1.StoreCallRequest]) (*connect.Response[v1.StoreCallResponse], error)
+	// HandOverJob gives a running batch job to a peer when its owner shuts down.
+	HandOverJob(context.Context, *connect.Request[v1.HandOverJobRequest]) (*connect.Response[v1.HandOverJobResponse], error)
 }
 
 // NewGatewayHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -304,12 +322,20 @@
 		connect.WithSchema(gatewayMethods.ByName("StoreCall")),
 		connect.WithHandlerOptions(opts...),
 	)
+	gatewayHandOverJobHandler := connect.NewUnaryHandler(
+		GatewayHandOverJobProcedure,
+		svc.HandOverJob,
+		connect.WithSchema(gatewayMethods.ByName("HandOverJob")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/magnoliausher.v1.Gateway/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case GatewayFetchStateProcedure:
 			gatewayFetchStateHandler.ServeHTTP(w, r)
 		case GatewayStoreCallProcedure:
 			gatewayStoreCallHandler.ServeHTTP(w, r)
+		case GatewayHandOverJobProcedure:
+			gatewayHandOverJobHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -326,3 +352,7 @@
 func (UnimplementedGatewayHandler) StoreCall(context.Context, *connect.Request[v1.StoreCallRequest]) (*connect.Response[v1.StoreCallResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("magnoliausher.v1.Gateway.StoreCall is not implemented"))
 }
+
+func (UnimplementedGatewayHandler) HandOverJob(context.Context, *connect.Request[v1.HandOverJobRequest]) (*connect.Response[v1.HandOverJobResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("magnoliausher.v1.Gateway.HandOverJob is not implemented"))
+}
