Begin calls of a store that is away anew, so that its return is used at once

Their jobs arrived during the silent outage from second 18 to 25; a call that had begun in it hung until the caller gave up, up to 0.8 s after the store's return, and the next try came too late for the objective or not at all.

Change: while the feed says that the store is away, calls for submissions and reads last 400 ms and are repeated until the request's own limit.

--- a/batch/read.go
+++ b/batch/read.go
@@ -34,6 +34,8 @@
 
 // reread reads a job's row from the store.
 func (s *Service) reread(ctx context.Context, id string) (entry, error) {
+	ctx, cancel := s.storeContext(ctx)
+	defer cancel()
 	row, err := s.cfg.Table.Get(ctx, jobKey(id))
 	if errors.Is(err, storage.ErrNotFound) {
 		return entry{}, ErrNotFound
--- a/batch/service.go
+++ b/batch/service.go
@@ -26,6 +26,9 @@
 	submitTimeout = 3 * time.Second
 	// callTimeout bounds reads and ends.
 	callTimeout = 3 * time.Second
+	// awayTimeout bounds a call while the store seems to be away. The store answers
+	// within 50 ms, and within 300 ms when it is slow.
+	awayTimeout = 400 * time.Millisecond
 	// feedInterval merges the changes of jobs; a result may be listed a second late.
 	feedInterval = 120 * time.Millisecond
 	// cachedSubmissions and cachedResults bound copies in memory, of about 150 KB
@@ -135,7 +138,7 @@
 	if err != nil {
 		return NotAccepted, trace.Wrap(err)
 	}
-	if err := s.cfg.Objects.Put(ctx, objectKey(job.ID), bytes.NewReader(content)); err != nil {
+	if err := s.putObject(ctx, job.ID, content); err != nil {
 		return NotAccepted, err // an object without a row is no job
 	}
 	row := Job{ID: job.ID, Route: route.Name, Owner: s.cfg.Self.Name, OwnerIncarnation: s.cfg.Self.Incarnation,
@@ -148,6 +151,29 @@
 	return acceptance, err
 }
 
+// storeContext bounds one call of the store. While the store seems to be away
+// calls are short and begin anew, since one that began during an outage can
+// stay without an answer for seconds after it.
+func (s *Service) storeContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	if s.mirror.current(time.Now()) {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, awayTimeout)
+}
+
+// putObject writes a job's object. Without an answer it tries again until ctx
+// ends, which changes nothing: the object is the same each time.
+func (s *Service) putObject(ctx context.Context, id string, content []byte) error {
+	for failures := 0; ; failures++ {
+		attempt, cancel := s.storeContext(ctx)
+		err := s.cfg.Objects.Put(attempt, objectKey(id), bytes.NewReader(content))
+		cancel()
+		if err == nil || errors.Is(err, storage.ErrThrottled) || !storeBackoff.Wait(ctx, failures) {
+			return err
+		}
+	}
+}
+
 func (s *Service) fits(route *fleet.Route, tokens int64) bool {
 	waiting, _ := s.mirror.quota(route.Name)
 	return route.TokenQuota <= 0 || waiting+tokens <= route.TokenQuota
@@ -160,7 +186,7 @@
 	uncertain := false
 	for failures := 0; ; failures++ {
 		if !s.mirror.current(time.Now()) {
-			if err := s.refresh(ctx); err != nil {
+			if err := s.refreshUntil(ctx); err != nil {
 				return notAccepted(uncertain), err
 			}
 		}
@@ -174,17 +200,19 @@
 			}
 			return OverQuota, nil
 		}
-		versions, err := s.cfg.Table.Commit(ctx, storage.Transaction{Writes: []storage.Write{
+		attempt, cancel := s.storeContext(ctx)
+		versions, err := s.cfg.Table.Commit(attempt, storage.Transaction{Writes: []storage.Write{
 			{Key: jobKey(row.ID), Value: encodeJob(&row)},
 			{Key: quotaKey(route.Name), Value: []byte("{}"), IfVersion: quotaVersion},
 		}})
+		cancel()
 		switch {
 		case err == nil:
 			s.mirror.writeQuota(route.Name, versions[1])
 			s.mirror.write(row, versions[0])
 			return Accepted, nil
 		case errors.Is(err, storage.ErrConflict):
-			if err := s.refresh(ctx); err != nil {
+			if err := s.refreshUntil(ctx); err != nil {
 				return notAccepted(uncertain), err
 			}
 		case errors.Is(err, storage.ErrThrottled):
@@ -196,7 +224,7 @@
 			if !storeBackoff.Wait(ctx, failures) {
 				return Unknown, err
 			}
-			if err := s.refresh(ctx); err != nil {
+			if err := s.refreshUntil(ctx); err != nil {
 				return Unknown, err
 			}
 		}
@@ -218,8 +246,20 @@
 	return value
 }
 
+// refreshUntil reads all job rows. Without an answer it tries again until ctx ends.
+func (s *Service) refreshUntil(ctx context.Context) error {
+	for failures := 0; ; failures++ {
+		err := s.refresh(ctx)
+		if err == nil || errors.Is(err, storage.ErrThrottled) || !storeBackoff.Wait(ctx, failures) {
+			return err
+		}
+	}
+}
+
 // refresh reads all job rows.
 func (s *Service) refresh(ctx context.Context) error {
+	ctx, cancel := s.storeContext(ctx)
+	defer cancel()
 	rows, version, err := s.cfg.Feed.Snapshot(ctx, jobPrefix)
 	if err != nil {
 		return err
--- a/batch/service_test.go
+++ b/batch/service_test.go
@@ -231,6 +231,28 @@
 	}
 }
 
+// Guards against a job that is turned away, or accepted seconds later, because
+// its calls began while the store was away and stay without an answer.
+func TestSubmissionOutlivesOutage(t *testing.T) {
+	store, e := newStore(t), engine(t, "e")
+	g := start(t, store, "a", 1, nobody, e)
+	time.Sleep(100 * time.Millisecond)
+	store.Silence(true)
+	time.Sleep(2 * time.Second) // the gateway has noticed
+	accepted := make(chan batch.Acceptance, 1)
+	go func() { accepted <- submit(t, g, submission("j", 3, 10)) }()
+	time.Sleep(500 * time.Millisecond)
+	store.Silence(false)
+	select {
+	case got := <-accepted:
+		if got != batch.Accepted {
+			t.Errorf("got %v", got)
+		}
+	case <-time.After(time.Second):
+		t.Error("not accepted within a second of the store's return")
+	}
+}
+
 // Guards against jobs that stay undone when their owner is lost, and against a
 // result that the new owner lists a second time.
 func TestTakeover(t *testing.T) {
