--- a/batch/commit.go
+++ b/batch/commit.go
@@ -64,15 +64,14 @@
 	}
 }
 
-// awaitStore waits before a commit is tried again: until the feed tells that
-// the store answers, since a call that begins while it is away may hang for
-// longer than that.
+// awaitStore waits before a commit is tried again, while the store is away not
+// for longer than until the feed tells of its return.
 func (s *Service) awaitStore(failures int) {
 	if s.mirror.current(time.Now()) {
 		time.Sleep(storeBackoff.Delay(failures))
 		return
 	}
-	for deadline := time.Now().Add(callTimeout); time.Now().Before(deadline) && !s.mirror.current(time.Now()); {
+	for deadline := time.Now().Add(awayTimeout); time.Now().Before(deadline) && !s.mirror.current(time.Now()); {
 		time.Sleep(storeCheck)
 	}
 }
@@ -104,7 +103,9 @@
 	writes = append(writes, storage.Write{Key: jobKey(next.ID), Value: encodeJob(&next), IfVersion: version})
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	versions, err := s.cfg.Table.Commit(ctx, storage.Transaction{Writes: writes})
+	attempt, done := s.storeContext(ctx)
+	versions, err := s.cfg.Table.Commit(attempt, storage.Transaction{Writes: writes})
+	done()
 	switch {
 	case err == nil:
 		s.listed(r, next, versions[len(versions)-1], listed)
--- a/batch/service_test.go
+++ b/batch/service_test.go
@@ -253,6 +253,24 @@
 	}
 }
 
+// Guards against results that are listed seconds after the store's return,
+// because the commit that began before it has no answer.
+func TestResultsOutliveOutage(t *testing.T) {
+	for outage := 3500 * time.Millisecond; outage < 6*time.Second; outage += 250 * time.Millisecond { // calls begin at any moment of it
+		t.Run(outage.String(), func(t *testing.T) {
+			t.Parallel()
+			store, e := newStore(t), engine(t, "e")
+			e.Events, e.Interval = 50, 4*time.Millisecond
+			g := start(t, store, "a", 1, nobody, e)
+			submit(t, g, submission("j", 3, 10))
+			store.Silence(true)
+			time.Sleep(outage)
+			store.Silence(false)
+			checkDone(t, await(t, g, "j", 1200*time.Millisecond), "j", 3, e.Events)
+		})
+	}
+}
+
 // Guards against jobs that stay undone when their owner is lost, and against a
 // result that the new owner lists a second time.
 func TestTakeover(t *testing.T) {
--- a/storage/follow.go
+++ b/storage/follow.go
@@ -16,6 +16,10 @@
 	feedWait = time.Second
 	// feedSlack is the time that an answer may come after the wait.
 	feedSlack = 700 * time.Millisecond
+	// returnSlack is the same for a feed that has failed, whose reads do not wait:
+	// a slow store answers within 300 ms, and a read that began while the store was
+	// away must end soon after its return.
+	returnSlack = 400 * time.Millisecond
 )
 
 // feedBackoff paces reads while the feed fails. Its limit keeps the time to
@@ -76,9 +80,9 @@
 }
 
 func (f *Follower) read(ctx context.Context, version uint64, known, failed bool) (uint64, error) {
-	wait := feedWait
+	wait, slack := feedWait, feedSlack
 	if failed {
-		wait = 0 // the answer tells at once that the feed is back
+		wait, slack = 0, returnSlack // the answer tells at once that the feed is back
 	}
 	if !known {
 		rows, next, err := f.Feed.Snapshot(ctx, f.Prefix)
@@ -95,7 +99,7 @@
 		}
 		return next, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+feedSlack)
+	ctx, cancel := context.WithTimeout(ctx, wait+slack)
 	defer cancel()
 	changes, next, err := f.Feed.Watch(ctx, f.Prefix, version, wait)
 	if err != nil {
