Start items that can be in time before those that are late already

Cause: the oldest job went first even when it was late, so that a backlog, as after an outage, made later jobs late as well.

Change: an item whose remaining events take, at the pace of late, longer than the time to its job's objective goes behind all others.

--- a/batch/attempt.go
+++ b/batch/attempt.go
@@ -63,7 +63,15 @@
 	s.cfg.Log.Info().Str("request", item.ID).Str("job", r.submission.ID).Str("upstream", grant.Upstream.ID).
 		Int("from_event", had).Int("events", w.events()).Bool("preempted", preempted).Str("outcome", end).
 		Int64("ms", time.Since(started).Milliseconds()).Msg("item attempt")
-	s.settle(r, w, grant, outcome, end, had, fingerprint)
+	s.settle(r, w, grant, ending{outcome: outcome, end: end, had: had, took: time.Since(started)}, fingerprint)
+}
+
+// ending is how an attempt ended.
+type ending struct {
+	outcome dispatch.Outcome
+	end     string
+	had     int // events before the attempt
+	took    time.Duration
 }
 
 func isClosed(c <-chan struct{}) bool {
@@ -135,27 +143,29 @@
 }
 
 // settle decides what becomes of an item after an attempt.
-func (s *Service) settle(r *running, w *work, grant *dispatch.Grant, outcome dispatch.Outcome, end string, had int, fingerprint uint64) {
+func (s *Service) settle(r *running, w *work, grant *dispatch.Grant, e ending, fingerprint uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch end {
+	all, _ := w.snapshot()
+	s.pace.attempted(e.took, all.Events-e.had)
+	switch e.end {
 	case endDone:
-		all, _ := w.snapshot()
-		s.finish(r, w, Result{Output: string(all.Output)}, end)
+		s.pace.done(all.Events)
+		s.finish(r, w, Result{Output: string(all.Output)}, e.end)
 		return
 	case endImpossible:
-		s.finish(r, w, Result{Abandoned: true}, end)
+		s.finish(r, w, Result{Abandoned: true}, e.end)
 		return
 	case endFailed:
 		w.failures++
 		if route := s.route(r, w); route != nil && w.failures >= route.MaxAttempts {
-			s.finish(r, w, Result{Abandoned: true}, end)
+			s.finish(r, w, Result{Abandoned: true}, e.end)
 			return
 		}
 		s.wait(w, min(failurePause<<w.failures, failurePauseMax))
 		return
 	}
-	if outcome == dispatch.Broken && w.events() == had {
+	if e.outcome == dispatch.Broken && all.Events == e.had {
 		w.broken++
 		s.cfg.Suspects.Crashed(grant.Upstream, fingerprint)
 		s.wait(w, min(failurePause<<min(w.broken, 5), failurePauseMax))
--- a/batch/schedule.go
+++ b/batch/schedule.go
@@ -42,6 +42,7 @@
 type candidate struct {
 	job  *running
 	item *work
+	view ItemView
 }
 
 // startItems starts this gateway's share of the items that there are slots for.
@@ -53,7 +54,7 @@
 	waiting := len(list)
 	// Reported after the starts, since peers divide what is left by it.
 	defer func() { s.cfg.Dispatcher.SetBacklog(waiting) }()
-	slices.SortFunc(list, func(a, b candidate) int { return CompareItems(a.view(), b.view()) })
+	slices.SortFunc(list, func(a, b candidate) int { return CompareItems(a.view, b.view) })
 	shares := make(map[string]int) // starts left, by service
 	for i, c := range list {
 		service, end := s.service(c, now)
@@ -98,29 +99,78 @@
 		for i := range r.items {
 			w := &r.items[i]
 			if w.state == itemWaiting && !w.notBefore.After(now) {
-				list = append(list, candidate{r, w})
+				list = append(list, candidate{r, w, s.itemView(r, w, now)})
 			}
 		}
 	}
 	return list
 }
 
-func (c candidate) view() ItemView {
-	return ItemView{Created: c.job.job.Created, Events: c.item.events()}
+// itemView describes an item. The caller holds the lock.
+func (s *Service) itemView(r *running, w *work, now time.Time) ItemView {
+	v := ItemView{Created: r.job.Created, Events: w.events()}
+	if route := s.route(r, w); route != nil && route.CompletionObjective > 0 {
+		due := time.UnixMilli(r.job.Created).Add(route.CompletionObjective)
+		v.Late = now.Add(s.pace.remaining(v.Events)).After(due)
+	}
+	return v
 }
 
 // ItemView is what decides the place of a waiting item.
 type ItemView struct {
 	Created int64 // of its job, Unix ms
+	Late    bool  // it cannot be done any more by the time that its route promises
 	Events  int   // events that it has had
 }
 
-// CompareItems returns a negative number if a is started before b: items of the
-// oldest job first, which is due first; in a job, the one that has got furthest.
+// CompareItems returns a negative number if a is started before b: items that
+// can still be in time come first, so that a backlog makes only its own jobs
+// late; then those of the oldest job, which is due first; in a job, the one that
+// has got furthest. The load it answers: more jobs than the free slots can do in
+// time, as after an outage or a burst.
 func CompareItems(a, b ItemView) int {
+	if a.Late != b.Late {
+		if a.Late {
+			return 1
+		}
+		return -1
+	}
 	return cmp.Or(cmp.Compare(a.Created, b.Created), cmp.Compare(b.Events, a.Events))
 }
 
+// pace is how fast items have been generated lately.
+type pace struct {
+	event  time.Duration // mean time between two events
+	events float64       // mean number of an item's events
+}
+
+const (
+	// firstEventTime and firstEvents stand for the pace until items have been done.
+	firstEventTime = 30 * time.Millisecond
+	firstEvents    = 100
+	// paceWeight is the weight of a new sample in the means, as 1/n.
+	paceWeight = 16
+	// paceEvents is the least number of events of an attempt that tells the pace.
+	paceEvents = 8
+)
+
+// attempted takes an attempt into account that took so long for so many events.
+func (p *pace) attempted(took time.Duration, events int) {
+	if events >= paceEvents {
+		p.event += (took/time.Duration(events) - p.event) / paceWeight
+	}
+}
+
+// done takes a finished item into account.
+func (p *pace) done(events int) {
+	p.events += (float64(events) - p.events) / paceWeight
+}
+
+// remaining estimates the time that an item needs on an upstream.
+func (p *pace) remaining(had int) time.Duration {
+	return time.Duration(max(p.events-float64(had), 0) * float64(p.event))
+}
+
 // Reasons to give an item up without an attempt.
 const (
 	endRouteRemoved = "route_removed"
--- a/batch/service.go
+++ b/batch/service.go
@@ -76,6 +76,7 @@
 	claiming map[string]bool // by job id
 	loading  map[string]bool // by job id
 	stopping bool
+	pace     pace
 	wake     chan struct{} // buffered; items may be startable
 }
 
@@ -99,7 +100,8 @@
 		return nil, trace.Wrap(err)
 	}
 	return &Service{cfg: cfg, mirror: newMirror(cfg.Log), submissions: submissions, results: results, handed: handed,
-		running: make(map[string]*running), claiming: make(map[string]bool), loading: make(map[string]bool), wake: make(chan struct{}, 1)}, nil
+		running: make(map[string]*running), claiming: make(map[string]bool), loading: make(map[string]bool),
+		pace: pace{event: firstEventTime, events: firstEvents}, wake: make(chan struct{}, 1)}, nil
 }
 
 // Run follows the job rows, claims jobs of lost owners and runs items until
