Read a running job's fields under the lock; repeat a call that hung at once

Reading found fields of a running job that were read after the lock was given up, beside their writers: in the log lines of a failed checkpoint, of a job taken over, and in drop. Reading also found that a call which had hung for 400 ms was followed by a pause of up to 500 ms more.

Change: those reads use the lock or what never changes; the time that a failed call took counts towards the pause before the next one.

--- a/batch/handover.go
+++ b/batch/handover.go
@@ -153,6 +153,7 @@
 	}
 	h.apply(r)
 	r.unclaimed, r.committing = true, true
+	finished := len(r.finished)
 	s.mu.Lock()
 	if s.stopping {
 		s.mu.Unlock()
@@ -168,7 +169,7 @@
 	s.mu.Unlock()
 	s.submissions.Add(h.Job.ID, h.Submission)
 	s.cfg.Log.Info().Str("job", h.Job.ID).Str("owner", h.Job.Owner).Uint64("row", h.Version).Int("listed", h.Job.Listed).
-		Int("total", h.Job.Total).Int("finished", len(r.finished)).Msg("job taken over")
+		Int("total", h.Job.Total).Int("finished", finished).Msg("job taken over")
 	s.announce()
 	go s.commitFinished(r) // its first commit makes this process the owner
 	s.signal()
--- a/batch/progress.go
+++ b/batch/progress.go
@@ -177,7 +177,7 @@
 		}
 		size += len(p.Output)
 		events[i] = p.Events
-		tx.Writes = append(tx.Writes, storage.Write{Key: progressKey(r.job.ID, i), Value: encodeProgress(&p), Always: true})
+		tx.Writes = append(tx.Writes, storage.Write{Key: progressKey(r.submission.ID, i), Value: encodeProgress(&p), Always: true})
 	}
 	s.mu.Unlock()
 	if len(tx.Writes) == 0 {
@@ -186,7 +186,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if _, err := s.cfg.Table.Commit(ctx, tx); err != nil {
-		s.cfg.Log.Warn().Err(err).Str("job", r.job.ID).Int("items", len(tx.Writes)).Msg("progress not saved; the next round saves more")
+		s.cfg.Log.Warn().Err(err).Str("job", r.submission.ID).Int("items", len(tx.Writes)).Msg("progress not saved; the next round saves more")
 		return
 	}
 	for i, n := range events {
--- a/batch/running.go
+++ b/batch/running.go
@@ -139,15 +139,16 @@
 	r := s.running[id]
 	delete(s.running, id)
 	var version uint64
+	unclaimed := false
 	if r != nil {
 		r.dropped = true
-		version = r.version
+		version, unclaimed = r.version, r.unclaimed
 		s.remember(r)
 	}
 	s.mu.Unlock()
 	if r != nil {
 		r.cancel()
-		if r.unclaimed {
+		if unclaimed {
 			s.announce()
 		}
 		s.cfg.Log.Info().Str("job", id).Str("reason", reason).Uint64("row", version).Msg("job dropped")
--- a/batch/service.go
+++ b/batch/service.go
@@ -17,6 +17,7 @@
 	"github.com/magnoliausher/magnoliausher/dispatch"
 	"github.com/magnoliausher/magnoliausher/fleet"
 	"github.com/magnoliausher/magnoliausher/forward"
+	"github.com/magnoliausher/magnoliausher/pause"
 	"github.com/magnoliausher/magnoliausher/peer"
 	"github.com/magnoliausher/magnoliausher/storage"
 )
@@ -167,15 +168,23 @@
 // ends, which changes nothing: the object is the same each time.
 func (s *Service) putObject(ctx context.Context, id string, content []byte) error {
 	for failures := 0; ; failures++ {
+		started := time.Now()
 		attempt, cancel := s.storeContext(ctx)
 		err := s.cfg.Objects.Put(attempt, objectKey(id), bytes.NewReader(content))
 		cancel()
-		if err == nil || errors.Is(err, storage.ErrThrottled) || !storeBackoff.Wait(ctx, failures) {
+		if err == nil || errors.Is(err, storage.ErrThrottled) || !backOff(ctx, failures, started) {
 			return err
 		}
 	}
 }
 
+// backOff waits after a failed call of the store. The time that the call took
+// counts, so that one that hung is repeated at once. It returns false when ctx
+// ends first.
+func backOff(ctx context.Context, failures int, started time.Time) bool {
+	return pause.For(ctx, storeBackoff.Delay(failures)-time.Since(started)) && ctx.Err() == nil
+}
+
 func (s *Service) fits(route *fleet.Route, tokens int64) bool {
 	waiting, _ := s.mirror.quota(route.Name)
 	return route.TokenQuota <= 0 || waiting+tokens <= route.TokenQuota
@@ -202,6 +211,7 @@
 			}
 			return OverQuota, nil
 		}
+		started := time.Now()
 		attempt, cancel := s.storeContext(ctx)
 		versions, err := s.cfg.Table.Commit(attempt, storage.Transaction{Writes: []storage.Write{
 			{Key: jobKey(row.ID), Value: encodeJob(&row)},
@@ -218,12 +228,12 @@
 				return notAccepted(uncertain), err
 			}
 		case errors.Is(err, storage.ErrThrottled):
-			if !storeBackoff.Wait(ctx, failures) {
+			if !backOff(ctx, failures, started) {
 				return notAccepted(uncertain), err
 			}
 		default:
 			uncertain = true // the write may take effect, even seconds later
-			if !storeBackoff.Wait(ctx, failures) {
+			if !backOff(ctx, failures, started) {
 				return Unknown, err
 			}
 			if err := s.refreshUntil(ctx); err != nil {
@@ -251,8 +261,9 @@
 // refreshUntil reads all job rows. Without an answer it tries again until ctx ends.
 func (s *Service) refreshUntil(ctx context.Context) error {
 	for failures := 0; ; failures++ {
+		started := time.Now()
 		err := s.refresh(ctx)
-		if err == nil || errors.Is(err, storage.ErrThrottled) || !storeBackoff.Wait(ctx, failures) {
+		if err == nil || errors.Is(err, storage.ErrThrottled) || !backOff(ctx, failures, started) {
 			return err
 		}
 	}
