End the items of a batch service with it; drop log lines after a test's end

Change: a service whose Run ends ends the attempts of its items and waits for them; the log of tests drops what comes later, such as the line of a commit in progress.

--- a/batch/service.go
+++ b/batch/service.go
@@ -120,7 +120,12 @@
 	group.Go(func() error { return s.schedule(ctx) })
 	group.Go(func() error { return s.checkpoint(ctx) })
 	group.Go(func() error { return s.sweep(ctx) })
-	return group.Wait()
+	err := group.Wait()
+	for _, r := range s.ownJobs() { // without a release before, as when another part of the process has failed
+		s.drop(r.submission.ID, "stopped")
+		r.active.Wait()
+	}
+	return err
 }
 
 // Submit accepts a job once, whatever is sent again.
--- a/batch/service_test.go
+++ b/batch/service_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -61,7 +62,7 @@
 	client := platform.NewStore(store.Address())
 	config := batch.Config{Self: peer.Member{Name: name, Incarnation: incarnation}, Table: client, Feed: client,
 		Objects: client.Objects(), Holder: g.holder, Dispatcher: dispatch.New(dispatch.Config{Self: name, Holder: g.holder}),
-		Upstreams: platform.NewEngines(), Suspects: noSuspects{}, Members: members, Keep: time.Minute, Log: zerolog.New(zerolog.NewTestWriter(t))}
+		Upstreams: platform.NewEngines(), Suspects: noSuspects{}, Members: members, Keep: time.Minute, Log: zerolog.New(newTestLog(t))}
 	configure(&config)
 	service, err := batch.New(config)
 	if err != nil {
@@ -75,6 +76,33 @@
 	return g
 }
 
+// testLog drops lines that come after the test, such as that of a commit whose
+// process has been killed.
+type testLog struct {
+	mu    sync.Mutex
+	t     *testing.T
+	ended bool
+}
+
+func newTestLog(t *testing.T) *testLog {
+	l := &testLog{t: t}
+	t.Cleanup(func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.ended = true
+	})
+	return l
+}
+
+func (l *testLog) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.ended {
+		l.t.Log(strings.TrimSpace(string(line)))
+	}
+	return len(line), nil
+}
+
 // kill ends a gateway without giving its jobs back.
 func (g *gateway) kill() {
 	g.stop()
