Spread online requests where gateways contend for the last free slots

While 31 to 44 of 46 engines had room for online work, the few that showed a slot free of batch work got 3 to 9 requests within 60 ms, from gateways that did not know of each other; at the peak engines had 12 to 18 requests for 7 slots while others had free ones.

Change: placement passes a kind of slots over that has fewer than gateways take before they hear of each other, and draws an upstream in proportion to its room. Reports carry the waiting online requests; gateways divide the room between those in proportion, and an own slot that frees goes to an own request at once. Where many contend, one place in an upstream's queue counts as room.

--- /dev/null
+++ b/dispatch/contention_test.go
@@ -0,0 +1,202 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/magnoliausher/magnoliausher/fleet"
+)
+
+// contendedDay is a load that many gateways place with late reports of each other.
+type contendedDay struct {
+	gateways, upstreams, slots int
+	rate                       float64       // online requests a second, of all gateways
+	service                    time.Duration // of one request on a slot
+	batch                      bool          // batch work fills what online work leaves free
+	length                     time.Duration
+}
+
+const (
+	simNear = 15 * time.Millisecond // between two reports in the own data centre
+	simFar  = 60 * time.Millisecond // and to others
+)
+
+// simUpstream runs requests in order of arrival and knows no priorities.
+type simUpstream struct {
+	slots   int
+	running int
+	queue   []chan struct{}
+}
+
+func (u *simUpstream) begin() <-chan struct{} {
+	ready := make(chan struct{})
+	if u.running < u.slots {
+		u.running++
+		close(ready)
+	} else {
+		u.queue = append(u.queue, ready)
+	}
+	return ready
+}
+
+func (u *simUpstream) end() {
+	if len(u.queue) > 0 {
+		close(u.queue[0])
+		u.queue = u.queue[1:]
+		return
+	}
+	u.running--
+}
+
+// late plays the day and returns the share of online requests that begin more
+// than 250 ms after their arrival, wherever they wait.
+func (c contendedDay) late(t *testing.T, seed uint64) float64 {
+	var late, all int
+	synctest.Test(t, func(t *testing.T) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		records := make([]fleet.Upstream, c.upstreams)
+		engines := make(map[string]*simUpstream)
+		for i := range records {
+			records[i] = fleet.Upstream{ID: fmt.Sprint("e", i), Slots: c.slots, DataCentre: fmt.Sprint("z", i%3)}
+			engines[records[i].ID] = &simUpstream{slots: c.slots}
+		}
+		h := holder(records...)
+		gateways := make([]*Dispatcher, c.gateways)
+		for i := range gateways {
+			gateways[i] = New(Config{Self: fmt.Sprint("g", i), DataCentre: fmt.Sprint("z", i%3), Holder: h})
+		}
+		lock := make(chan struct{}, 1) // serialises the upstreams
+		locked := func(f func()) {
+			lock <- struct{}{}
+			f()
+			<-lock
+		}
+		end := time.Now().Add(c.length)
+		report := func(from *Dispatcher, near bool) {
+			r := from.Report()
+			for _, to := range gateways {
+				if to != from && (to.cfg.DataCentre == from.cfg.DataCentre) == near {
+					time.AfterFunc(time.Millisecond, func() { to.Merge(from.cfg.Self, r, time.Now()) })
+				}
+			}
+		}
+		for i, g := range gateways { // each at its own time
+			g.OnChange(func(urgent bool) {
+				if urgent {
+					report(g, true)
+					report(g, false)
+				}
+			})
+			for near, interval := range map[bool]time.Duration{true: simNear, false: simFar} {
+				go func() {
+					time.Sleep(interval * time.Duration(i) / time.Duration(len(gateways)))
+					for ; time.Now().Before(end); time.Sleep(interval) {
+						report(g, near)
+					}
+				}()
+			}
+		}
+		online := func(g *Dispatcher, service time.Duration) {
+			arrived := time.Now()
+			grant, err := g.Acquire(t.Context(), &Request{Service: "s", Arrived: arrived,
+				Objective: arrived.Add(300 * time.Millisecond), Deadline: arrived.Add(5 * time.Second)})
+			var ready <-chan struct{}
+			if err == nil {
+				locked(func() { ready = engines[grant.Upstream.ID].begin() })
+				<-ready
+			}
+			waited := time.Since(arrived)
+			if err == nil {
+				time.Sleep(service)
+				locked(engines[grant.Upstream.ID].end)
+				grant.Release(Served)
+			}
+			locked(func() {
+				all++
+				if waited > 250*time.Millisecond || err != nil {
+					late++
+				}
+			})
+		}
+		if c.batch {
+			for _, g := range gateways {
+				go func() {
+					for ; time.Now().Before(end); time.Sleep(40 * time.Millisecond) {
+						g.SetBacklog(50)
+						for range g.BatchStarts("s", 50) {
+							if grant := g.TryBatch("s"); grant != nil {
+								go c.item(grant, engines[grant.Upstream.ID], locked)
+							}
+						}
+					}
+				}()
+			}
+			time.Sleep(time.Second)
+		}
+		for time.Now().Before(end) {
+			time.Sleep(time.Duration(random.ExpFloat64() / c.rate * float64(time.Second)))
+			go online(gateways[random.IntN(len(gateways))], c.service/2+time.Duration(random.Int64N(int64(c.service))))
+		}
+		time.Sleep(20 * time.Second)
+	})
+	return float64(late) / float64(all)
+}
+
+// item runs a batch item of four seconds until it is done or has to give way.
+func (c contendedDay) item(grant *Grant, u *simUpstream, locked func(func())) {
+	var ready <-chan struct{}
+	locked(func() { ready = u.begin() })
+	outcome := Served
+	select {
+	case <-ready:
+		select {
+		case <-grant.Preempted():
+			outcome = Cancelled
+		case <-time.After(4 * time.Second):
+		}
+		locked(u.end)
+	case <-grant.Preempted():
+		outcome = Cancelled
+		go func() { // its place in the queue passes
+			<-ready
+			locked(u.end)
+		}()
+	}
+	grant.Release(outcome)
+}
+
+// Guards against many gateways that all send to the few upstreams that their
+// late reports show as free: requests then wait in the queue of one upstream
+// while others could begin them. The targets are those of the quiet and the
+// heavy day: 99 in 100 in time where there are slots for all, 9 in 10 where the
+// slots are a tenth too few for two seconds.
+func TestContention(t *testing.T) {
+	cases := []struct {
+		name string
+		day  contendedDay
+		most float64
+	}{
+		{"batch fills the slots", contendedDay{gateways: 33, upstreams: 46, slots: 7, rate: 350, service: 600 * time.Millisecond,
+			batch: true, length: 6 * time.Second}, 0.01},
+		{"more than the slots for two seconds", contendedDay{gateways: 33, upstreams: 46, slots: 7, rate: 570, service: 600 * time.Millisecond,
+			batch: true, length: 3 * time.Second}, 0.1},
+		{"few gateways", contendedDay{gateways: 7, upstreams: 12, slots: 8, rate: 100, service: 700 * time.Millisecond,
+			batch: true, length: 6 * time.Second}, 0.01},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			const seeds = 3
+			late := 0.0
+			for seed := range uint64(seeds) {
+				late += c.day.late(t, seed) / seeds
+			}
+			t.Logf("late: %.3f", late)
+			if late > c.most {
+				t.Errorf("%.3f of the requests are late, at most %.3f can be", late, c.most)
+			}
+		})
+	}
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -61,8 +61,10 @@
 
 // Report is what a gateway tells its peers.
 type Report struct {
-	Counts  []Count
-	Backlog int // batch items that wait for a slot
+	DataCentre string
+	Counts     []Count
+	Backlog    int         // batch items that wait for a slot
+	Waiting    map[Key]int // online requests that wait, by service
 }
 
 // Config of a Dispatcher.
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -14,7 +14,15 @@
 func (d *Dispatcher) Report() Report {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	report := Report{Backlog: d.backlog}
+	report := Report{DataCentre: d.cfg.DataCentre, Backlog: d.backlog}
+	for service, q := range d.queues {
+		if len(q.waiters) > 0 {
+			if report.Waiting == nil {
+				report.Waiting = make(map[Key]int)
+			}
+			report.Waiting[KeyOf(service)] = len(q.waiters)
+		}
+	}
 	for _, s := range d.upstreams {
 		if s.online > 0 || s.batch > 0 {
 			report.Counts = append(report.Counts, Count{Key: s.key, Online: s.online, Batch: s.batch})
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -38,6 +38,9 @@
 type queue struct {
 	waiters     []*waiter
 	serviceTime time.Duration // mean of served online requests
+	arrivals    arrivals
+	starts      int       // waiting requests that may take a slot until the next share
+	shared      time.Time // of the last share
 }
 
 type waiter struct {
@@ -64,8 +67,10 @@
 		return nil, ErrNoUpstream
 	}
 	q := d.queue(r.Service)
-	if len(q.waiters) == 0 {
+	q.arrivals.note(now)
+	if len(q.waiters) == 0 && d.mayStart(q, r.Service, now) {
 		if g := d.placeOnline(r, now); g != nil {
+			q.starts--
 			urgent := d.overfull(g.Upstream)
 			d.mu.Unlock()
 			d.changed(urgent)
@@ -85,6 +90,7 @@
 	}
 	q.waiters = append(q.waiters, w)
 	d.mu.Unlock()
+	d.changed(false)
 	return d.await(ctx, w, latest)
 }
 
@@ -166,13 +172,14 @@
 	d.mu.Lock()
 	q := d.queue(service)
 	served, urgent := false, false
-	for len(q.waiters) > 0 {
+	for len(q.waiters) > 0 && d.mayStart(q, service, now) {
 		i := q.next(now)
 		w := q.waiters[i]
 		g := d.placeOnline(w.request, now)
 		if g == nil {
 			break
 		}
+		q.starts--
 		q.remove(i)
 		w.granted <- g
 		served = true
@@ -203,7 +210,7 @@
 	for i := range list {
 		list[i].Doubtful = list[i].Doubtful || r.Avoid[list[i].ID]
 	}
-	i := placement.Online(list, rand.IntN)
+	i := placement.Online(list, d.contention(d.queue(r.Service), now), rand.IntN)
 	if i < 0 {
 		return nil
 	}
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -168,6 +168,9 @@
 	s.note(outcome, now)
 	after, broken, refused := s.belief(now), s.broken, s.refused
 	q := d.queue(g.Upstream.Service)
+	if g.class == Online {
+		q.starts++ // the own slot is known to be free, at once
+	}
 	if outcome == Served && g.class == Online {
 		q.serviceTime += (now.Sub(g.granted) - q.serviceTime) / serviceTimeWeight
 	}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -273,6 +273,9 @@
 		report.Counts = append(report.Counts, &rpc.GatewayCount{
 			Upstream: uint32(c.Key), Online: uint32(c.Online), Batch: uint32(c.Batch)})
 	}
+	for service, requests := range own.Waiting {
+		report.Waiting = append(report.Waiting, &rpc.GatewayWaiting{Service: uint32(service), Requests: uint32(requests)})
+	}
 	return report
 }
 
@@ -355,7 +358,12 @@
 	for _, c := range report.Counts {
 		counts = append(counts, dispatch.Count{Key: dispatch.Key(c.Upstream), Online: int(c.Online), Batch: int(c.Batch)})
 	}
-	e.cfg.Dispatcher.Merge(report.Sender, dispatch.Report{Counts: counts, Backlog: int(report.Backlog)}, now)
+	waiting := make(map[dispatch.Key]int, len(report.Waiting))
+	for _, w := range report.Waiting {
+		waiting[dispatch.Key(w.Service)] = int(w.Requests)
+	}
+	e.cfg.Dispatcher.Merge(report.Sender, dispatch.Report{DataCentre: report.DataCentre, Counts: counts,
+		Backlog: int(report.Backlog), Waiting: waiting}, now)
 	if e.isBehind(report.ConfigurationVersion, report.ListVersion) {
 		select {
 		case e.behind <- address:
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -29,51 +29,112 @@
 // Random returns a number in [0, n).
 type Random func(n int) int
 
+// Contention is the number of online requests that gateways are expected to
+// place before they hear of each other's choices.
+type Contention struct {
+	Near float64 // of gateways in the own data centre
+	All  float64
+}
+
+// tier is a kind of upstreams for online work, from the best to the last resort.
+type tier struct {
+	doubtful, far bool
+	shared        bool // slots of batch work count, which gives way
+	queued        bool // places in the upstream's own queue count, as far as QueueDepth
+}
+
+var tiers = []tier{{}, {far: true}, {shared: true}, {far: true, shared: true}, {far: true, shared: true, queued: true},
+	{doubtful: true}, {doubtful: true, far: true}, {doubtful: true, shared: true}, anySlot}
+
+var anySlot = tier{doubtful: true, far: true, shared: true}
+
+// QueueDepth is the number of online requests that may wait at an upstream
+// itself where gateways contend for the last slots: a freed slot is taken at
+// once, and not only when a gateway has heard of it. One place is worth the wait
+// of a slot's share of a request, 60 to 90 ms.
+const QueueDepth = 1
+
+// queuedFrom is the contention from which places in the upstreams' queues are
+// used. Few gateways hear of a freed slot sooner than the upstream reaches the
+// request in its queue.
+const queuedFrom = 8
+
+// room returns how many requests of a tier an upstream can take; 0 if it is
+// not of the tier.
+func (t tier) room(u *Upstream) int {
+	switch {
+	case u.Closed, u.Doubtful && !t.doubtful, !u.Local && !t.far:
+		return 0
+	case t.queued:
+		return max(u.Slots+QueueDepth-u.Online, 0)
+	case t.shared:
+		return max(u.Slots-u.Online, 0)
+	}
+	return max(min(u.free(), u.Slots-u.Online), 0)
+}
+
 // Online chooses the upstream for an online request, or -1 if all are taken by
 // online work. Free slots nearby come first, then free slots elsewhere, then
-// slots that batch work will give up. Of two random upstreams that are equally
-// good by this, it takes the emptier one: many gateways that all took the
-// emptiest would fill it beyond its slots before they hear of each other.
-func Online(list []Upstream, random Random) int {
-	var best []int
-	for i := range list {
-		if list[i].Closed || list[i].Online >= list[i].Slots {
-			continue
-		}
-		c := -1
-		if len(best) > 0 {
-			c = compareTier(&list[i], &list[best[0]])
-		}
-		if c < 0 {
-			best = best[:0]
-		}
-		if c <= 0 {
-			best = append(best, i)
-		}
-	}
-	if len(best) == 0 {
+// slots that batch work will give up. A kind of slots is passed over if it has
+// fewer than gateways will take before they hear of each other: they would all
+// send to the same few upstreams. Among the upstreams of a kind it takes the
+// emptier of two, drawn by their room. The load it answers: bursts of requests
+// at many gateways that know each other's work some 20 to 70 ms late.
+func Online(list []Upstream, c Contention, random Random) int {
+	t, found := choose(list, c)
+	if !found {
 		return -1
 	}
-	a, b := best[random(len(best))], best[random(len(best))]
+	a, b := draw(list, t, random), draw(list, t, random)
 	if emptier(&list[b], &list[a]) {
 		return b
 	}
 	return a
 }
 
-// compareTier returns a negative number if u is of a better kind than b.
-func compareTier(u, b *Upstream) int {
-	if u.Doubtful != b.Doubtful {
-		return order(!u.Doubtful)
+// choose returns the tier to take from. Contention moves requests only among
+// sound upstreams.
+func choose(list []Upstream, c Contention) (best tier, found bool) {
+	for _, t := range tiers {
+		if t.doubtful && found {
+			break
+		}
+		if t.queued && c.All < queuedFrom {
+			continue
+		}
+		room := roomOf(list, t)
+		if room == 0 {
+			continue
+		}
+		best, found = t, true
+		need := c.Near
+		if t.far {
+			need = c.All
+		}
+		if float64(room) > need {
+			break
+		}
 	}
-	uFree, bFree := u.free() > 0, b.free() > 0
-	if uFree != bFree {
-		return order(uFree)
+	return best, found
+}
+
+func roomOf(list []Upstream, t tier) int {
+	room := 0
+	for i := range list {
+		room += t.room(&list[i])
 	}
-	if u.Local != b.Local {
-		return order(u.Local)
+	return room
+}
+
+// draw returns an upstream of a tier that has room, at random in proportion to it.
+func draw(list []Upstream, t tier, random Random) int {
+	point := random(roomOf(list, t))
+	for i := range list {
+		if point -= t.room(&list[i]); point < 0 {
+			return i
+		}
 	}
-	return 0
+	panic("random number beyond its bound")
 }
 
 func emptier(a, b *Upstream) bool {
@@ -90,6 +151,16 @@
 	return 1
 }
 
+// OnlineStarts returns how many of the online requests that wait here may take
+// slots of others until the gateways have heard of each other again. Gateways
+// divide the room in proportion to their waiting requests; fraction is as in
+// BatchStarts.
+func OnlineStarts(list []Upstream, mine, all int, fraction float64) int {
+	room := roomOf(list, anySlot)
+	share := float64(room) * float64(mine) / float64(max(all, mine, 1))
+	return min(int(share+fraction), mine)
+}
+
 // ReserveShare is the part of all slots, in percent, that batch work leaves
 // free: the arrivals of a doubled load in the 50 ms that batch needs to give way.
 const ReserveShare = 6
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -18,19 +18,25 @@
 	cases := []struct {
 		name string
 		list []Upstream
-		want int
+
+		contention Contention
+		want       int
 	}{
-		{"none", nil, -1},
-		{"all taken by online work", []Upstream{{Slots: 2, Online: 2}}, -1},
-		{"closed", []Upstream{{Slots: 2, Closed: true}}, -1},
-		{"local before remote", []Upstream{{Slots: 8}, {Slots: 8, Local: true, Online: 6}}, 1},
-		{"free remote before batch nearby", []Upstream{{Slots: 2, Local: true, Batch: 2}, {Slots: 2}}, 1},
-		{"slot of batch when nothing is free", []Upstream{{Slots: 2, Online: 2}, {Slots: 2, Online: 1, Batch: 1}}, 1},
-		{"doubtful only as a last resort", []Upstream{{Slots: 8, Local: true, Doubtful: true}, {Slots: 2, Online: 1, Batch: 1}}, 1},
-		{"doubtful rather than none", []Upstream{{Slots: 8, Doubtful: true}, {Slots: 1, Online: 1}}, 0},
+		{"none", nil, Contention{}, -1},
+		{"all taken by online work", []Upstream{{Slots: 2, Online: 2}}, Contention{}, -1},
+		{"closed", []Upstream{{Slots: 2, Closed: true}}, Contention{}, -1},
+		{"local before remote", []Upstream{{Slots: 8}, {Slots: 8, Local: true, Online: 6}}, Contention{}, 1},
+		{"remote if local ones are contended", []Upstream{{Slots: 8}, {Slots: 8, Local: true, Online: 6}}, Contention{Near: 3, All: 6}, 0},
+		{"free remote before batch nearby", []Upstream{{Slots: 2, Local: true, Batch: 2}, {Slots: 2}}, Contention{}, 1},
+		{"batch nearby before contended free slots", []Upstream{{Slots: 2, Local: true, Batch: 2}, {Slots: 2}}, Contention{Near: 1, All: 3}, 0},
+		{"slot of batch when nothing is free", []Upstream{{Slots: 2, Online: 2}, {Slots: 2, Online: 1, Batch: 1}}, Contention{}, 1},
+		{"a place in a queue when many contend for the last slot", []Upstream{{Slots: 2, Online: 2}, {Slots: 2, Online: 3}, {Slots: 2, Online: 1, Doubtful: true}}, Contention{All: 20}, 0},
+		{"no place in a queue among few gateways", []Upstream{{Slots: 2, Online: 2}}, Contention{All: 2}, -1},
+		{"doubtful only as a last resort", []Upstream{{Slots: 8, Local: true, Doubtful: true}, {Slots: 2, Online: 1, Batch: 1}}, Contention{}, 1},
+		{"doubtful rather than none", []Upstream{{Slots: 8, Doubtful: true}, {Slots: 1, Online: 1}}, Contention{}, 0},
 	}
 	for _, c := range cases {
-		if got := Online(c.list, first); got != c.want {
+		if got := Online(c.list, c.contention, first); got != c.want {
 			t.Errorf("%s: got %d, want %d", c.name, got, c.want)
 		}
 	}
@@ -111,7 +117,7 @@
 	list[3].Online = 4
 	count := make([]int, len(list))
 	for range 1600 {
-		count[Online(list, random.IntN)]++
+		count[Online(list, Contention{}, random.IntN)]++
 	}
 	for i, n := range count {
 		if n > 300 || n == 0 {
