--- a/e2e/soak/soak_test.go
+++ b/e2e/soak/soak_test.go
@@ -22,12 +22,16 @@
 )
 
 var (
-	firstSeed = flag.Uint64("soak.first", 1, "first seed")
+	firstSeed = flag.Uint64("soak.first", firstSilentSeed, "first seed")
 	seedCount = flag.Uint64("soak.seeds", 3, "number of seeds")
 	parallel  = flag.Int("soak.parallel", 3, "seeds played at once")
 	logs      = flag.String("soak.logs", "", "folder that keeps the logs of the gateways")
 )
 
+// firstSilentSeed is the first seed with outages in which the store is silent.
+// Seeds before it keep the faults that they had when they were played.
+const firstSilentSeed = 500
+
 // regressions are seeds that failed once, each with its cause.
 var regressions = map[uint64]string{
 	114: "an item waited for ever at an engine that accepted it and sent nothing",
@@ -141,6 +145,12 @@
 			w.during(span, func() { w.register(e, "draining") }, func() { w.register(e, "ready") })
 		},
 	}
+	if w.seed >= firstSilentSeed {
+		unplanned = append(unplanned, func() {
+			w.note("store silent for %v", span)
+			w.during(span, func() { w.store.Silence(true) }, func() { w.store.Silence(false) })
+		})
+	}
 	if w.plannedOnly || w.random.IntN(4) == 0 {
 		planned[w.random.IntN(len(planned))]()
 		return
