--- a/daemon/gateway_test.go
+++ b/daemon/gateway_test.go
@@ -355,6 +355,34 @@
 	}
 }
 
+// Guards against items that begin anew when their gateway shuts down.
+func TestGatewayHandsJobsOver(t *testing.T) {
+	d := newDeployment(t, 2)
+	for _, e := range d.engines {
+		e.Events, e.Interval = 100, 20*time.Millisecond
+	}
+	d.eventually("peers", func() bool { return len(d.gateways[0].exchange.Members()) == 1 })
+	if r := d.gateways[0].send("POST", "/notes/j", "job1", platformtest.Job("item", "/notes/x", 5, 10)); r.status != 202 {
+		t.Fatalf("submission: %+v", r)
+	}
+	time.Sleep(time.Second)
+	d.gateways[0].stop()
+	d.eventually("results", func() bool {
+		r := d.gateways[1].send("GET", platformtest.ResultsPath("job1", 0), nextID(), "")
+		var page platformtest.Page
+		return json.Unmarshal([]byte(r.body), &page) == nil && len(page.Results) == 5
+	})
+	for i := range 5 {
+		item, runs, resumed := fmt.Sprint("item-", i), 0, 0
+		for _, e := range d.engines {
+			runs, resumed = runs+e.Runs(item), resumed+e.Resumed(item)
+		}
+		if runs != 1 || resumed == 0 {
+			t.Errorf("%s began %d times and went on %d times", item, runs, resumed)
+		}
+	}
+}
+
 // Guards against batch work that waits for minutes at a gateway which the store
 // does not serve, although it serves the others.
 func TestGatewayThatTheStoreRefuses(t *testing.T) {
--- a/dispatch/contention_test.go
+++ b/dispatch/contention_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -200,3 +201,55 @@
 		})
 	}
 }
+
+// Guards against a rate of arrivals that lags behind traffic that doubles, or
+// that stays after the traffic has gone.
+func TestArrivals(t *testing.T) {
+	var a arrivals
+	now := time.Now()
+	play := func(n int, span time.Duration) {
+		for range n {
+			now = now.Add(span / time.Duration(n))
+			a.note(now)
+		}
+	}
+	play(100, time.Second)
+	if r := a.rate(now); r < 85 || r > 115 {
+		t.Errorf("rate %.0f/s of 100/s", r)
+	}
+	play(100, 500*time.Millisecond)
+	if r := a.rate(now); r < 170 || r > 230 {
+		t.Errorf("rate %.0f/s of 200/s", r)
+	}
+	if r := a.rate(now.Add(time.Second)); r != 0 {
+		t.Errorf("rate %.0f/s without arrivals", r)
+	}
+}
+
+// Guards against a gateway that takes all slots that free while requests wait
+// longer at another, and against requests that wait for ever beside it.
+func TestWaitingRequestsShareSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := New(Config{Self: "g", Holder: holder(fleet.Upstream{ID: "a", Slots: 4})})
+		d.Merge("h", Report{Counts: []Count{{KeyOf("a"), 4, 0}}, Waiting: map[Key]int{KeyOf("s"): 30}}, time.Now())
+		var taken atomic.Int32
+		for range 10 {
+			go func() {
+				if _, err := d.Acquire(t.Context(), request(5*time.Second)); err == nil {
+					taken.Add(1)
+				}
+			}()
+		}
+		synctest.Wait()
+		d.Merge("h", Report{Counts: []Count{}, Waiting: map[Key]int{KeyOf("s"): 30}}, time.Now())
+		synctest.Wait()
+		if granted := taken.Load(); granted > 2 { // a quarter of four slots, rounded up
+			t.Errorf("%d of 4 slots taken for a quarter of the waiting requests", granted)
+		}
+		d.Merge("h", Report{}, time.Now())
+		time.Sleep(time.Second)
+		if granted := taken.Load(); granted != 4 {
+			t.Errorf("%d of 4 slots taken when nobody else waits", granted)
+		}
+	})
+}
--- /dev/null
+++ b/peer/handover_test.go
@@ -0,0 +1,70 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/magnoliausher/magnoliausher/dispatch"
+)
+
+// Guards against jobs that are handed to a peer and do not arrive, or are taken
+// for handed over though the peer has refused them.
+func TestHandOver(t *testing.T) {
+	a := newNode(t, "a", 1)
+	b := newNode(t, "b", 1, a.address())
+	if err := a.HandOver(t.Context(), b.address(), []byte("job")); err == nil {
+		t.Error("a peer that takes no jobs has taken one")
+	}
+	var got []byte
+	b.OnTakeOver(func(job []byte) error {
+		if string(job) == "refused" {
+			return errors.New("shuts down")
+		}
+		got = job
+		return nil
+	})
+	if err := a.HandOver(t.Context(), b.address(), []byte("job")); err != nil || string(got) != "job" {
+		t.Errorf("got %q, %v", got, err)
+	}
+	if err := a.HandOver(t.Context(), b.address(), []byte("refused")); err == nil {
+		t.Error("a refusal is no error")
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if err := a.HandOver(ctx, "127.0.0.1:1", []byte("job")); err == nil {
+		t.Error("nobody has taken the job")
+	}
+}
+
+// Guards against gateways that claim a job which a peer has taken over, and
+// against waiting requests that peers do not hear of.
+func TestReportsCarryTakenJobsAndWaitingRequests(t *testing.T) {
+	a := newNode(t, "a", 1)
+	b := newNode(t, "b", 1, a.address())
+	configure(a.holder, 1, upstream("u"))
+	configure(b.holder, 1, upstream("u"))
+	b.SetTakenJobs([]uint64{7, 9})
+	taken := func(n int) func() bool {
+		return func() bool {
+			members := a.Members()
+			return len(members) == 1 && len(members[0].TakenJobs) == n
+		}
+	}
+	eventually(t, "taken jobs", time.Second, taken(2))
+	b.SetTakenJobs(nil)
+	eventually(t, "no taken jobs", time.Second, taken(0))
+
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	for range 6 { // more than the slots: the last ones wait
+		go func() {
+			_, _ = b.dispatcher.Acquire(ctx, &dispatch.Request{Service: "s", Arrived: time.Now(), Deadline: time.Now().Add(time.Minute)})
+		}()
+	}
+	eventually(t, "waiting requests", time.Second, func() bool {
+		waiting := b.compose(time.Now()).Waiting
+		return len(waiting) == 1 && waiting[0].Requests == 4 && dispatch.Key(waiting[0].Service) == dispatch.KeyOf("s")
+	})
+}
