Hear of the store's return at once, and from a very slow store as well

Cause: reading the change to shorter reads of a failed feed: a store that answers each call after more than 400 ms, as one slowed a hundredfold right after an outage, would count as away for good.

Change: while a feed has failed, a read is repeated beside the earlier ones each 400 ms, and each of them may take 1.4 s; the first answer counts.

--- a/batch/service_test.go
+++ b/batch/service_test.go
@@ -299,6 +299,24 @@
 	}
 }
 
+// Guards against a store that is taken for away because it is slower than the
+// short calls that are made while it is.
+func TestVerySlowStore(t *testing.T) {
+	store, e := newStore(t), engine(t, "e")
+	g := start(t, store, "a", 1, nobody, e)
+	time.Sleep(100 * time.Millisecond)
+	store.Silence(true)
+	time.Sleep(2 * time.Second) // the feed has failed
+	store.Slow(600 * time.Millisecond)
+	store.Silence(false)
+	for deadline := time.Now().Add(6 * time.Second); submit(t, g, submission("j", 3, 10)) != batch.Accepted; {
+		if time.Now().After(deadline) {
+			t.Fatal("not accepted in 6 s")
+		}
+	}
+	checkDone(t, await(t, g, "j", 6*time.Second), "j", 3, e.Events)
+}
+
 // Guards against jobs that stay undone when their owner is lost, and against a
 // result that the new owner lists a second time.
 func TestTakeover(t *testing.T) {
--- a/storage/follow.go
+++ b/storage/follow.go
@@ -16,10 +16,14 @@
 	feedWait = time.Second
 	// feedSlack is the time that an answer may come after the wait.
 	feedSlack = 700 * time.Millisecond
-	// returnSlack is the same for a feed that has failed, whose reads do not wait:
-	// a slow store answers within 300 ms, and a read that began while the store was
-	// away must end soon after its return.
-	returnSlack = 400 * time.Millisecond
+	// returnInterval is when a read of a feed that has failed is repeated beside
+	// the first one: a slow store answers within 300 ms, and a read that began while
+	// the store was away may have no answer for long after its return.
+	returnInterval = 400 * time.Millisecond
+	// returnReads and returnTimeout bound these reads; a store that is slower than
+	// returnInterval answers the first of them.
+	returnReads   = 4
+	returnTimeout = 2 * feedSlack
 )
 
 // feedBackoff paces reads while the feed fails. Its limit keeps the time to
@@ -80,10 +84,6 @@
 }
 
 func (f *Follower) read(ctx context.Context, version uint64, known, failed bool) (uint64, error) {
-	wait, slack := feedWait, feedSlack
-	if failed {
-		wait, slack = 0, returnSlack // the answer tells at once that the feed is back
-	}
 	if !known {
 		rows, next, err := f.Feed.Snapshot(ctx, f.Prefix)
 		if err != nil {
@@ -99,9 +99,11 @@
 		}
 		return next, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+slack)
-	defer cancel()
-	changes, next, err := f.Feed.Watch(ctx, f.Prefix, version, wait)
+	watch := f.watch
+	if failed {
+		watch = f.watchReturn
+	}
+	changes, next, err := watch(ctx, version)
 	if err != nil {
 		return 0, err
 	}
@@ -110,6 +112,50 @@
 	return next, nil
 }
 
+func (f *Follower) watch(ctx context.Context, version uint64) ([]Change, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, feedWait+feedSlack)
+	defer cancel()
+	return f.Feed.Watch(ctx, f.Prefix, version, feedWait)
+}
+
+// watchReturn reads a feed that has failed. Its reads do not wait for a change,
+// so that an answer tells at once that the feed is back; the first one counts.
+func (f *Follower) watchReturn(ctx context.Context, version uint64) ([]Change, uint64, error) {
+	type answer struct {
+		changes []Change
+		next    uint64
+		err     error
+	}
+	ctx, cancel := context.WithTimeout(ctx, returnTimeout)
+	defer cancel()
+	answers := make(chan answer, returnReads)
+	reads, pending := 0, 0
+	read := func() {
+		reads++
+		pending++
+		go func() {
+			changes, next, err := f.Feed.Watch(ctx, f.Prefix, version, 0)
+			answers <- answer{changes, next, err}
+		}()
+	}
+	read()
+	ticker := time.NewTicker(returnInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case a := <-answers:
+			pending--
+			if a.err == nil || errors.Is(a.err, ErrHistoryGone) || pending == 0 {
+				return a.changes, a.next, a.err
+			}
+		case <-ticker.C:
+			if reads < returnReads {
+				read()
+			}
+		}
+	}
+}
+
 func (f *Follower) changed(changes []Change) {
 	if f.Row == nil {
 		if len(changes) > 0 {
