--- a/batch/commit.go
+++ b/batch/commit.go
@@ -64,8 +64,9 @@
 	}
 }
 
-// awaitStore waits before a commit is tried again, while the store is away not
-// for longer than until the feed tells of its return.
+// awaitStore waits before a failed commit is tried again: for the usual
+// backoff, or, while the store is away, until the feed tells of its return, but
+// not for longer than awayTimeout.
 func (s *Service) awaitStore(failures int) {
 	if s.mirror.current(time.Now()) {
 		time.Sleep(storeBackoff.Delay(failures))
--- a/batch/handover.go
+++ b/batch/handover.go
@@ -23,19 +23,18 @@
 // errStopping: this process shuts down itself.
 var errStopping = errors.New("the gateway shuts down")
 
-// Handover is a running job with all that its items have had, for the gateway
-// that runs it from now on. It reaches further than the store does while the
-// store is away: that gateway runs the items at once and becomes the owner as
-// soon as it can write the job's row.
-type Handover struct {
+// handover is a running job with all that its items have had, as JSON for the
+// gateway that runs it from now on. That gateway runs the items at once, also
+// while the store is away, and becomes the owner when it can write the job's row.
+type handover struct {
 	Job        Job
 	Version    uint64 // of the job's row
 	Submission *Submission
-	Items      []HandedItem // those not listed
+	Items      []handedItem // those not listed
 }
 
-// HandedItem is one item of a Handover.
-type HandedItem struct {
+// handedItem is one item of a handover.
+type handedItem struct {
 	Index    int
 	Progress progress
 	Output   []byte // of the progress, or of the result
@@ -45,14 +44,14 @@
 }
 
 // handover describes a job whose items are stopped. The caller holds the lock.
-func (r *running) handover() *Handover {
-	h := &Handover{Job: r.job, Version: r.version, Submission: r.submission}
+func (r *running) handover() *handover {
+	h := &handover{Job: r.job, Version: r.version, Submission: r.submission}
 	for i := range r.items {
 		w := &r.items[i]
 		if w.state == itemListed {
 			continue
 		}
-		item := HandedItem{Index: i, Failures: w.failures}
+		item := handedItem{Index: i, Failures: w.failures}
 		if w.state == itemFinished {
 			item.Finished, item.Result, item.Output = true, w.result, []byte(w.result.Output)
 			item.Result.Output = ""
@@ -66,7 +65,7 @@
 }
 
 // apply puts what was handed over into the items that are not listed.
-func (h *Handover) apply(r *running) {
+func (h *handover) apply(r *running) {
 	for _, item := range h.Items {
 		if item.Index < 0 || item.Index >= len(r.items) || r.items[item.Index].state >= itemFinished {
 			continue
@@ -134,7 +133,7 @@
 
 // TakeOver runs a job that its owner, which shuts down, hands over.
 func (s *Service) TakeOver(data []byte) error {
-	var h Handover
+	var h handover
 	if err := json.Unmarshal(data, &h); err != nil {
 		return trace.Wrap(err, "handed job")
 	}
--- a/batch/service.go
+++ b/batch/service.go
@@ -70,7 +70,7 @@
 	mirror      *mirror
 	submissions *lru.Cache[string, *Submission]
 	results     *lru.Cache[resultID, Result]
-	handed      *lru.Cache[string, *Handover] // taken over, and not claimed as handed over
+	handed      *lru.Cache[string, *handover] // taken over, and not claimed as handed over
 
 	mu       sync.Mutex
 	running  map[string]*running
@@ -96,7 +96,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	handed, err := lru.New[string, *Handover](cachedSubmissions)
+	handed, err := lru.New[string, *handover](cachedSubmissions)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/dispatch/contention.go
+++ b/dispatch/contention.go
@@ -79,9 +79,9 @@
 	return waiting
 }
 
-// mayStart reports whether a waiting request may take a slot: one for each own
-// request that has ended, and a share of the others' room in each interval. The
-// caller holds the lock.
+// mayStart reports whether a request may take a slot. While others wait at
+// other gateways it may for each own request that has ended, and for a share of
+// the room that is computed anew in each interval. The caller holds the lock.
 func (d *Dispatcher) mayStart(q *queue, service string, now time.Time) bool {
 	elsewhere := d.waitingElsewhere(service)
 	if elsewhere == 0 {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -144,3 +144,18 @@
 		t.Errorf("%.2f items started for 10 spare slots", mean)
 	}
 }
+
+// The choice of one gateway among the upstreams of the target size, with few
+// free slots, so that all kinds of slots are looked at.
+func BenchmarkOnline(b *testing.B) {
+	list := make([]Upstream, 2700)
+	for i := range list {
+		list[i] = Upstream{Slots: 8, Local: i%3 == 0, Online: 6, Batch: 2}
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	for b.Loop() {
+		if Online(list, Contention{Near: 100, All: 400}, random.IntN) < 0 {
+			b.Fatal("no upstream")
+		}
+	}
+}
