Do not let a hang-up end a gateway that is starting

SIGHUP came about 40 ms after the start of the process, before it listened for the signal, whose default is to end it.

Change: the command ignores hang-ups from its first statement until the gateway listens for them; it is about to read its settings anyway.

Test: TestHangupWhileGatewayStarts failed before.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -40,6 +40,11 @@
 
 // Main runs the command line and returns the exit code.
 func Main(args []string) int {
+	if len(args) > 1 && args[1] == gatewayName {
+		// Until it listens for it, the gateway would be ended by a hang-up, which
+		// only asks for the settings that it is about to read.
+		signal.Ignore(syscall.SIGHUP)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	return run(ctx, args, os.Stdout, os.Stderr)
--- a/cli/gateway.go
+++ b/cli/gateway.go
@@ -11,9 +11,12 @@
 	"github.com/magnoliausher/magnoliausher/settings"
 )
 
+// gatewayName is the command that runs a gateway.
+const gatewayName = "gateway"
+
 func gatewayCommand() *cli.Command {
 	return &cli.Command{
-		Name:      "gateway",
+		Name:      gatewayName,
 		Usage:     "run the process that takes requests and sends them straight to upstreams",
 		ArgsUsage: "[SETTINGS]",
 		Description: "Without an argument the settings file is the one that " + platform.SettingsVariable + " names. " +
--- /dev/null
+++ b/e2e/hangup_test.go
@@ -0,0 +1,41 @@
+package e2e
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/magnoliausher/magnoliausher/platform"
+)
+
+// Guards against a gateway that is ended by a hang-up, which asks for its
+// settings to be read again, because the signal comes while it starts.
+func TestHangupWhileGatewayStarts(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "gateway.ini")
+	if err := syscall.Mkfifo(file, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0], "gateway")
+	cmd.Env = append(os.Environ(), runEnvironment+"=1", platform.SettingsVariable+"="+file)
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	settings, err := os.OpenFile(file, os.O_WRONLY, 0) // waits until the gateway reads its settings
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(100 * time.Millisecond)
+	if err := settings.Close(); err != nil {
+		t.Fatal(err)
+	}
+	// Empty settings are an error, which the gateway lives to report.
+	if err := cmd.Wait(); err == nil || !cmd.ProcessState.Exited() {
+		t.Errorf("ended by a signal: %v", cmd.ProcessState)
+	}
+}
--- a/e2e/soak/soak_test.go
+++ b/e2e/soak/soak_test.go
@@ -35,6 +35,7 @@
 // regressions are seeds that failed once, each with its cause.
 var regressions = map[uint64]string{
 	114: "an item waited for ever at an engine that accepted it and sent nothing",
+	532: "a hang-up ended a gateway that was starting",
 }
 
 // runEnvironment makes the test binary run the command line instead of the tests.
