--- a/e2e/leaving_test.go
+++ b/e2e/leaving_test.go
@@ -46,6 +46,21 @@
 	}
 }
 
+// sendUntilBusy sends streams until an engine has one in progress. On a busy
+// machine an entry may reach its agent later than the others.
+func (f *fleet) sendUntilBusy(t *testing.T, l *loadgen.Load, engine, tokens int) {
+	t.Helper()
+	deadline := time.Now().Add(20 * time.Second)
+	for i := 0; f.engines[engine].InProgress() == 0; i++ {
+		if time.Now().After(deadline) {
+			t.Fatal("nothing in progress at the engine")
+		}
+		l.Send(t.Context(), f.entries[i%2].address, fmt.Sprintf("more %d", i), tokens)
+		time.Sleep(20 * time.Millisecond)
+	}
+	time.Sleep(200 * time.Millisecond) // the others are in progress as well
+}
+
 // Guards against new work at an upstream whose agent was told to end 3 s ago,
 // while long streams keep the agent running.
 func TestTerminatedAgentGetsNothingNew(t *testing.T) {
@@ -55,7 +70,7 @@
 	for i := range 30 {
 		long.Send(t.Context(), f.entries[i%2].address, fmt.Sprintf("long %d", i), 400)
 	}
-	time.Sleep(200 * time.Millisecond)
+	f.sendUntilBusy(t, long, 0, 400)
 	f.agents[0].signal(t, syscall.SIGTERM)
 	l := newLoad()
 	f.loadUntil(t, l, time.Now().Add(leavingBound))
@@ -83,10 +98,7 @@
 	for i := range 60 {
 		l.Send(t.Context(), f.entries[i%2].address, fmt.Sprintf("long %d", i), 100)
 	}
-	time.Sleep(200 * time.Millisecond)
-	if f.engines[0].InProgress() == 0 {
-		t.Error("nothing in progress at the engine")
-	}
+	f.sendUntilBusy(t, l, 0, 100)
 	f.agents[0].signal(t, syscall.SIGTERM)
 	time.Sleep(100 * time.Millisecond)
 	f.engines[0].Crash(restartDelay)
