--- a/dispatch/contention.go
+++ b/dispatch/contention.go
@@ -8,11 +8,11 @@
 )
 
 const (
-	// nearLag and farLag are the mean ages of what is known of other gateways:
-	// reports are merged over 15 ms in a data centre and 60 ms between them, and
-	// take a few milliseconds.
+	// nearLag and farLag are the mean ages of what is known of other gateways.
+	// Reports are merged over 15 ms in a data centre. Between data centres they pass
+	// two collectors, which merge them over 20 and 15 ms. Each way takes a millisecond.
 	nearLag = 12 * time.Millisecond
-	farLag  = 40 * time.Millisecond
+	farLag  = 30 * time.Millisecond
 	// rateWindow is the time over which arrivals are counted; traffic can double
 	// within a second.
 	rateWindow = 250 * time.Millisecond
@@ -63,6 +63,9 @@
 			far++
 		}
 	}
+	for _, g := range d.groups {
+		far += g.Gateways
+	}
 	rate := q.arrivals.rate(now)
 	c := placement.Contention{Near: rate * float64(near) * nearLag.Seconds()}
 	c.All = c.Near + rate*float64(far)*farLag.Seconds()
@@ -76,6 +79,9 @@
 	for _, p := range d.peers {
 		waiting += p.report.Waiting[key]
 	}
+	for _, g := range d.groups {
+		waiting += g.Waiting[key]
+	}
 	return waiting
 }
 
--- a/dispatch/contention_test.go
+++ b/dispatch/contention_test.go
@@ -21,8 +21,11 @@
 }
 
 const (
-	simNear = 15 * time.Millisecond // between two reports in the own data centre
-	simFar  = 60 * time.Millisecond // and to others
+	simNear    = 15 * time.Millisecond // between two reports in the own data centre
+	simDigest  = 20 * time.Millisecond // between two digests to other data centres
+	simRefresh = 250 * time.Millisecond
+	simWay     = time.Millisecond     // of a datagram
+	simUrgent  = 2 * time.Millisecond // before urgent news is passed on
 )
 
 // simUpstream runs requests in order of arrival and knows no priorities.
@@ -76,29 +79,47 @@
 			<-lock
 		}
 		end := time.Now().Add(c.length)
-		report := func(from *Dispatcher, near bool) {
+		report := func(from *Dispatcher) {
 			r := from.Report()
 			for _, to := range gateways {
-				if to != from && (to.cfg.DataCentre == from.cfg.DataCentre) == near {
-					time.AfterFunc(time.Millisecond, func() { to.Merge(from.cfg.Self, r, time.Now()) })
+				if to != from && to.cfg.DataCentre == from.cfg.DataCentre {
+					time.AfterFunc(simWay, func() { to.Merge(from.cfg.Self, r, time.Now()) })
 				}
 			}
 		}
+		// The first gateway of a data centre speaks for it, and passes on what it hears.
+		speakers := gateways[:min(3, len(gateways))]
+		digest := func(from *Dispatcher, refresh bool, passOn time.Duration) {
+			g, _ := from.Digest(refresh)
+			for i, to := range gateways {
+				delay := simWay
+				if i >= len(speakers) {
+					delay += passOn + simWay
+				}
+				time.AfterFunc(delay, func() { to.MergeGroup(g, time.Now()) })
+			}
+		}
+		every := func(interval, offset time.Duration, f func()) {
+			go func() {
+				time.Sleep(offset)
+				for ; time.Now().Before(end); time.Sleep(interval) {
+					f()
+				}
+			}()
+		}
 		for i, g := range gateways { // each at its own time
 			g.OnChange(func(urgent bool) {
 				if urgent {
-					report(g, true)
-					report(g, false)
+					report(g)
+					time.AfterFunc(simWay+simUrgent, func() { digest(speakers[i%len(speakers)], false, simUrgent) })
 				}
 			})
-			for near, interval := range map[bool]time.Duration{true: simNear, false: simFar} {
-				go func() {
-					time.Sleep(interval * time.Duration(i) / time.Duration(len(gateways)))
-					for ; time.Now().Before(end); time.Sleep(interval) {
-						report(g, near)
-					}
-				}()
-			}
+			every(simNear, simNear*time.Duration(i)/time.Duration(len(gateways)), func() { report(g) })
+		}
+		for i, g := range speakers {
+			offset := simDigest * time.Duration(i) / time.Duration(len(speakers))
+			every(simDigest, offset, func() { digest(g, false, simNear/2) })
+			every(simRefresh, offset+simDigest/2, func() { digest(g, true, simNear/2) })
 		}
 		online := func(g *Dispatcher, service time.Duration) {
 			arrived := time.Now()
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -80,13 +80,16 @@
 	cfg      Config
 	onChange func(urgent bool)
 
-	mu        sync.Mutex
-	upstreams map[string]*upstream
-	remote    map[Key]*Count // sums over all peers
-	peers     map[string]*peer
-	queues    map[string]*queue // by service
-	backlog   int
-	batchWake chan struct{} // buffered; batch work may have room
+	mu         sync.Mutex
+	upstreams  map[string]*upstream
+	remote     map[Key]*Count // sums over all peers and groups
+	peers      map[string]*peer
+	groups     map[string]*group // by data centre, without the own one
+	told       map[Key]told      // what digests have said of the own data centre
+	queues     map[string]*queue // by service
+	backlog    int
+	lastDigest Group
+	batchWake  chan struct{} // buffered; batch work may have room
 }
 
 type peer struct {
@@ -102,6 +105,8 @@
 		upstreams: make(map[string]*upstream),
 		remote:    make(map[Key]*Count),
 		peers:     make(map[string]*peer),
+		groups:    make(map[string]*group),
+		told:      make(map[Key]told),
 		queues:    make(map[string]*queue),
 		batchWake: make(chan struct{}, 1),
 	}
@@ -131,6 +136,9 @@
 	for _, p := range d.peers {
 		all += p.report.Backlog
 	}
+	for _, g := range d.groups {
+		all += g.Backlog
+	}
 	list := d.snapshot(d.cfg.Holder.View().Usable(service), time.Now())
 	return placement.BatchStarts(list, waiting, all, rand.Float64())
 }
--- /dev/null
+++ b/dispatch/group.go
@@ -0,0 +1,153 @@
+package dispatch
+
+import (
+	"time"
+)
+
+const (
+	// groupExpiry drops what was heard of an upstream's work in another data
+	// centre unless it is repeated; everything is repeated each 250 ms.
+	groupExpiry = 1500 * time.Millisecond
+	// zeroRepeats is how often the end of the work on an upstream is told again in
+	// refreshes, since the datagram that told it first may have been lost.
+	zeroRepeats = 4
+)
+
+// Group sums up the work of the gateways of a data centre.
+type Group struct {
+	DataCentre string
+	Gateways   int
+	Backlog    int
+	Waiting    map[Key]int // online requests that wait, by service
+	Counts     []Count     // of some upstreams or all; a count of zero ends an upstream's work
+}
+
+// group is what was heard of another data centre.
+type group struct {
+	Group
+	heard time.Time
+	work  map[Key]groupWork
+}
+
+type groupWork struct {
+	Count
+	heard time.Time
+}
+
+// told is what the last digests said of an upstream.
+type told struct {
+	Count
+	zeros int // digests that said zero, since work ended
+}
+
+// Digest sums up the own data centre for others: the upstreams whose work has
+// changed since the last digest or, in a refresh, all. It reports whether
+// anything has changed.
+func (d *Dispatcher) Digest(refresh bool) (Group, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	g := Group{DataCentre: d.cfg.DataCentre, Gateways: 1, Backlog: d.backlog, Waiting: make(map[Key]int)}
+	sums := make(map[Key]Count, len(d.told))
+	add := func(c Count) {
+		sum := sums[c.Key]
+		sums[c.Key] = Count{Key: c.Key, Online: sum.Online + c.Online, Batch: sum.Batch + c.Batch}
+	}
+	for _, s := range d.upstreams {
+		if s.online > 0 || s.batch > 0 {
+			add(Count{Key: s.key, Online: s.online, Batch: s.batch})
+		}
+	}
+	for service, q := range d.queues {
+		if len(q.waiters) > 0 {
+			g.Waiting[KeyOf(service)] += len(q.waiters)
+		}
+	}
+	for _, p := range d.peers {
+		if p.report.DataCentre != d.cfg.DataCentre {
+			continue
+		}
+		g.Gateways++
+		g.Backlog += p.report.Backlog
+		for service, n := range p.report.Waiting {
+			g.Waiting[service] += n
+		}
+		for _, c := range p.report.Counts {
+			add(c)
+		}
+	}
+	changed := g.Backlog != d.lastDigest.Backlog || g.Gateways != d.lastDigest.Gateways || len(g.Waiting)+len(d.lastDigest.Waiting) > 0
+	g.Counts = d.tell(sums, refresh)
+	changed = changed || len(g.Counts) > 0
+	d.lastDigest = g
+	return g, changed
+}
+
+// tell returns the sums that a digest says, and notes them. The caller holds the lock.
+func (d *Dispatcher) tell(sums map[Key]Count, refresh bool) []Count {
+	var counts []Count
+	for key, sum := range sums {
+		if last, known := d.told[key]; refresh || !known || last.Count != sum {
+			counts = append(counts, sum)
+			d.told[key] = told{Count: sum}
+		}
+	}
+	for key, last := range d.told {
+		if _, works := sums[key]; works {
+			continue
+		}
+		ended := last.zeros == 0
+		if !ended && !refresh {
+			continue
+		}
+		if last.zeros >= zeroRepeats {
+			delete(d.told, key)
+			continue
+		}
+		counts = append(counts, Count{Key: key})
+		d.told[key] = told{Count: Count{Key: key}, zeros: last.zeros + 1}
+	}
+	return counts
+}
+
+// MergeGroup takes over what a collector tells of another data centre.
+func (d *Dispatcher) MergeGroup(g Group, now time.Time) {
+	if g.DataCentre == d.cfg.DataCentre {
+		return
+	}
+	d.mu.Lock()
+	known := d.groups[g.DataCentre]
+	if known == nil {
+		known = &group{work: make(map[Key]groupWork)}
+		d.groups[g.DataCentre] = known
+	}
+	counts := g.Counts
+	g.Counts = nil
+	known.Group, known.heard = g, now
+	for _, c := range counts {
+		old := known.work[c.Key]
+		d.addRemote(c.Key, c.Online-old.Online, c.Batch-old.Batch)
+		if c.Online == 0 && c.Batch == 0 {
+			delete(known.work, c.Key)
+		} else {
+			known.work[c.Key] = groupWork{Count: c, heard: now}
+		}
+	}
+	services := d.waiting()
+	d.mu.Unlock()
+	d.peersChanged(services, now)
+}
+
+// expireGroups drops what has not been repeated. The caller holds the lock.
+func (d *Dispatcher) expireGroups(now time.Time) {
+	for name, g := range d.groups {
+		for key, w := range g.work {
+			if now.Sub(w.heard) > groupExpiry {
+				d.addRemote(key, -w.Online, -w.Batch)
+				delete(g.work, key)
+			}
+		}
+		if now.Sub(g.heard) > groupExpiry {
+			delete(d.groups, name)
+		}
+	}
+}
--- /dev/null
+++ b/dispatch/group_test.go
@@ -0,0 +1,135 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/magnoliausher/magnoliausher/fleet"
+)
+
+// workOf returns what a dispatcher counts of others on upstreams a, b and c.
+func workOf(d *Dispatcher) [3]Count {
+	var work [3]Count
+	for i, id := range []string{"a", "b", "c"} {
+		if c := d.remote[KeyOf(id)]; c != nil {
+			work[i] = *c
+		}
+	}
+	return work
+}
+
+// Guards against sums that stay wrong after datagrams were lost: whatever was
+// lost, two refreshes that arrive tell all.
+func TestRefreshRepairsLoss(t *testing.T) {
+	properties := gopter.NewProperties(nil)
+	properties.Property("a refresh tells all", prop.ForAll(func(seed int64, steps int) bool {
+		random := rand.New(rand.NewPCG(uint64(seed), 0))
+		from := New(Config{Self: "x1", DataCentre: "x", Holder: holder()})
+		to := New(Config{Self: "y1", DataCentre: "y", Holder: holder()})
+		now := time.Now()
+		var last Report
+		for range steps {
+			last = Report{DataCentre: "x", Backlog: random.IntN(5)}
+			for _, id := range []string{"a", "b", "c"} {
+				if random.IntN(2) == 0 {
+					last.Counts = append(last.Counts, Count{KeyOf(id), random.IntN(3), random.IntN(3)})
+				}
+			}
+			from.Merge("x2", last, now)
+			if g, changed := from.Digest(random.IntN(8) == 0); changed && random.IntN(2) == 0 {
+				to.MergeGroup(g, now)
+			}
+		}
+		for range 2 {
+			g, _ := from.Digest(true)
+			to.MergeGroup(g, now)
+		}
+		return workOf(to) == workOf(from) && to.groups["x"].Backlog == last.Backlog && to.groups["x"].Gateways == 2
+	}, gen.Int64(), gen.IntRange(1, 30)))
+	properties.TestingRun(t)
+}
+
+// Guards against digests that repeat what has not changed, which costs bytes
+// between data centres, and against the end of work that is told once only.
+func TestDigestTellsChanges(t *testing.T) {
+	d := New(Config{Self: "x1", DataCentre: "x", Holder: holder()})
+	now := time.Now()
+	d.Merge("x2", Report{DataCentre: "x", Counts: []Count{{KeyOf("a"), 1, 0}, {KeyOf("b"), 0, 2}}}, now)
+	d.Merge("y1", Report{DataCentre: "y", Counts: []Count{{KeyOf("c"), 1, 0}}}, now) // not of this data centre
+	if g, _ := d.Digest(false); len(g.Counts) != 2 || g.Gateways != 2 {
+		t.Errorf("first digest: %+v", g)
+	}
+	if g, changed := d.Digest(false); changed || len(g.Counts) != 0 {
+		t.Errorf("nothing has changed: %+v", g)
+	}
+	d.Merge("x2", Report{DataCentre: "x", Counts: []Count{{KeyOf("b"), 0, 2}}}, now)
+	if g, changed := d.Digest(false); !changed || len(g.Counts) != 1 || g.Counts[0] != (Count{Key: KeyOf("a")}) {
+		t.Errorf("work on a has ended: %+v", g)
+	}
+	for repeat := range zeroRepeats + 2 {
+		g, _ := d.Digest(true)
+		if want := repeat < zeroRepeats-1; (len(g.Counts) == 2) != want {
+			t.Errorf("refresh %d: %+v", repeat, g.Counts)
+		}
+	}
+}
+
+// Guards against work of a data centre that was lost as a whole and is counted
+// for ever, and against work on one upstream whose end nobody told.
+func TestGroupExpires(t *testing.T) {
+	d := New(Config{Self: "y1", DataCentre: "y", Holder: holder()})
+	now := time.Now()
+	d.MergeGroup(Group{DataCentre: "x", Gateways: 3, Backlog: 9, Counts: []Count{{KeyOf("a"), 1, 1}, {KeyOf("b"), 2, 0}}}, now)
+	d.MergeGroup(Group{DataCentre: "y", Counts: []Count{{KeyOf("c"), 1, 1}}}, now) // the own one is known better
+	later := now.Add(groupExpiry - time.Millisecond)
+	d.MergeGroup(Group{DataCentre: "x", Gateways: 3, Counts: []Count{{KeyOf("b"), 2, 0}}}, later)
+	d.Expire(now.Add(groupExpiry + time.Millisecond))
+	if w := workOf(d); w != ([3]Count{1: {KeyOf("b"), 2, 0}}) || d.gateways() != 4 {
+		t.Errorf("%+v, %d gateways", w, d.gateways())
+	}
+	d.Expire(later.Add(groupExpiry + time.Millisecond))
+	if w := workOf(d); w != ([3]Count{}) || d.gateways() != 1 {
+		t.Errorf("the lost data centre: %+v, %d gateways", w, d.gateways())
+	}
+}
+
+// Guards against batch items that stay on an upstream which online work of
+// another data centre has filled, and against all data centres giving way.
+func TestGivesWayToOtherDataCentre(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := New(Config{Self: "y1", DataCentre: "y", Holder: holder(fleet.Upstream{ID: "a", Slots: 4})})
+		first, second := d.TryBatch("s"), d.TryBatch("s")
+		tell := func(online, batch int) {
+			d.MergeGroup(Group{DataCentre: "x", Gateways: 2, Counts: []Count{{KeyOf("a"), online, batch}}}, time.Now())
+		}
+		yielding := func() int {
+			n := 0
+			for _, g := range []*Grant{first, second} {
+				select {
+				case <-g.Preempted():
+					n++
+				default:
+				}
+			}
+			return n
+		}
+		if tell(1, 1); yielding() != 0 {
+			t.Error("gave way on an upstream with four requests on four slots")
+		}
+		if tell(2, 1); yielding() != 1 {
+			t.Errorf("%d items gave way; this data centre holds the most", yielding())
+		}
+		if tell(2, 2); yielding() != 1 {
+			t.Errorf("%d items gave way; the other data centre holds more now", yielding())
+		}
+		if tell(4, 0); yielding() != 2 {
+			t.Errorf("%d items gave way to four online requests", yielding())
+		}
+	})
+}
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -41,6 +41,12 @@
 	d.add(report, 1)
 	services := d.waiting()
 	d.mu.Unlock()
+	d.peersChanged(services, now)
+}
+
+// peersChanged acts on news of the work of others; services are those with
+// requests that wait.
+func (d *Dispatcher) peersChanged(services []string, now time.Time) {
 	for _, service := range services {
 		d.serve(service, now)
 	}
@@ -60,6 +66,7 @@
 			delete(d.peers, name)
 		}
 	}
+	d.expireGroups(now)
 }
 
 func (d *Dispatcher) forgetUnlisted() {
@@ -73,16 +80,21 @@
 
 func (d *Dispatcher) add(report Report, sign int) {
 	for _, c := range report.Counts {
-		sum := d.remote[c.Key]
-		if sum == nil {
-			sum = &Count{Key: c.Key}
-			d.remote[c.Key] = sum
-		}
-		sum.Online += sign * c.Online
-		sum.Batch += sign * c.Batch
-		if sum.Online == 0 && sum.Batch == 0 {
-			delete(d.remote, c.Key)
-		}
+		d.addRemote(c.Key, sign*c.Online, sign*c.Batch)
+	}
+}
+
+// addRemote changes the sum of the work of others on an upstream.
+func (d *Dispatcher) addRemote(key Key, online, batch int) {
+	sum := d.remote[key]
+	if sum == nil {
+		sum = &Count{Key: key}
+		d.remote[key] = sum
+	}
+	sum.Online += online
+	sum.Batch += batch
+	if sum.Online == 0 && sum.Batch == 0 {
+		delete(d.remote, key)
 	}
 }
 
@@ -115,21 +127,31 @@
 	}
 	online, batch := d.work(s)
 	u := placement.Upstream{Slots: g.Upstream.Slots, Online: online, Batch: batch - s.yielding}
-	give := placement.Yields(&u, d.holders(s.key, s.batch-s.yielding), d.cfg.Self)
+	if u.Online+u.Batch <= u.Slots {
+		return
+	}
+	give := placement.Yields(&u, d.holders(s.key, s.batch-s.yielding), d.cfg.DataCentre, d.cfg.Self)
 	for ; give > 0 && g != nil; give-- {
 		g.preempt()
 		g = s.youngestBatch()
 	}
 }
 
+// holders lists who has batch items on an upstream: gateways of the own data
+// centre by name, and other data centres as a whole.
 func (d *Dispatcher) holders(key Key, mine int) []placement.Holder {
-	holders := []placement.Holder{{Name: d.cfg.Self, Items: mine}}
+	holders := []placement.Holder{{DataCentre: d.cfg.DataCentre, Name: d.cfg.Self, Items: mine}}
 	for name, p := range d.peers {
 		for _, c := range p.report.Counts {
 			if c.Key == key && c.Batch > 0 {
-				holders = append(holders, placement.Holder{Name: name, Items: c.Batch})
+				holders = append(holders, placement.Holder{DataCentre: p.report.DataCentre, Name: name, Items: c.Batch})
 			}
 		}
 	}
+	for name, g := range d.groups {
+		if w := g.work[key]; w.Batch > 0 {
+			holders = append(holders, placement.Holder{DataCentre: name, Items: w.Batch})
+		}
+	}
 	return holders
 }
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -101,10 +101,19 @@
 		slots += u.Slots
 	}
 	// The slots are shared by all gateways, whose queues are about as long as this one.
-	slots = max(slots/(len(d.peers)+1), 1)
+	slots = max(slots/d.gateways(), 1)
 	return placement.Wait(len(q.waiters), slots, q.serviceTime)
 }
 
+// gateways returns how many gateways are known, this one included. The caller holds the lock.
+func (d *Dispatcher) gateways() int {
+	n := 1 + len(d.peers)
+	for _, g := range d.groups {
+		n += g.Gateways
+	}
+	return n
+}
+
 func (d *Dispatcher) await(ctx context.Context, w *waiter, latest time.Time) (*Grant, error) {
 	check := time.NewTicker(queueCheck)
 	defer check.Stop()
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -85,3 +85,13 @@
 	metrics.GetOrCreateHistogram(fmt.Sprintf(
 		`magnoliausher_answer_seconds{service=%q,class=%q}`, service, class)).Update(seconds)
 }
+
+// ReportsName is the counter of datagrams between gateways, by where they go:
+// to gateways of the own data centre ("near") or of others ("far").
+const ReportsName = "magnoliausher_reports_sent_total"
+
+// ReportsSent counts datagrams to other gateways and their bytes.
+func ReportsSent(to string, datagrams, bytes int) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`%s{to=%q}`, ReportsName, to)).Add(datagrams)
+	metrics.GetOrCreateCounter(fmt.Sprintf(`magnoliausher_report_bytes_sent_total{to=%q}`, to)).Add(bytes)
+}
--- a/peer/handover_test.go
+++ b/peer/handover_test.go
@@ -64,7 +64,7 @@
 		}()
 	}
 	eventually(t, "waiting requests", time.Second, func() bool {
-		waiting := b.compose(time.Now()).Waiting
+		waiting := b.composeNear().Waiting
 		return len(waiting) == 1 && waiting[0].Requests == 4 && dispatch.Key(waiting[0].Service) == dispatch.KeyOf("s")
 	})
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -10,7 +10,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -19,7 +18,6 @@
 	"connectrpc.com/connect"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/magnoliausher/magnoliausher/dispatch"
 	"github.com/magnoliausher/magnoliausher/fleet"
@@ -33,10 +31,6 @@
 	// heartbeatInterval is the longest pause between reports; a peer is taken as
 	// silent after four of them.
 	heartbeatInterval = 250 * time.Millisecond
-	// nearInterval and farInterval merge the reports of changes to peers in the
-	// own data centre and in others, where bytes cost more.
-	nearInterval = 15 * time.Millisecond
-	farInterval  = 60 * time.Millisecond
 	// fetchDelay leaves the store's feed time to bring what a peer has already.
 	fetchDelay = 250 * time.Millisecond
 	// fetchTimeout covers an answer of 200 KB on a slow instance.
@@ -45,6 +39,9 @@
 	// once per lostInterval only.
 	lostAfter    = 5 * time.Second
 	lostInterval = time.Second
+	// rowSilence: a row of another incarnation counts only if the member has not
+	// been heard for this long; reports between data centres are up to 750 ms old.
+	rowSilence = time.Second
 	// maxSuspects bounds the suspects in one report to about 500 bytes.
 	maxSuspects = 16
 	// maxTakenJobs bounds the jobs in one report to 512 bytes.
@@ -68,6 +65,7 @@
 	Leaving      bool      // it shuts down and gives its work away
 	StoreReached bool      // the store serves it
 	TakenJobs    []uint64  // marks of jobs that it runs and that the store does not show as its own yet
+	Collector    bool      // it speaks for its data centre
 }
 
 // Config of an Exchange.
@@ -81,16 +79,25 @@
 
 // Exchange is safe for concurrent use.
 type Exchange struct {
-	cfg    Config
-	change chan struct{}
-	urgent chan struct{}
-	behind chan string // address of a peer that knows more
-	relay  atomic.Pointer[Relay]
+	cfg         Config
+	started     time.Time
+	change      chan struct{} // the own work has changed
+	urgent      chan struct{} // the same, and others have to give way
+	heard       chan struct{} // a gateway of the own data centre has reported
+	heardUrgent chan struct{} // the same, and other data centres have to give way
+	passOn      chan struct{} // news of other data centres
+	passUrgent  chan struct{} // the same, and the own data centre has to give way
+	behind      chan string   // address of a peer that knows more
+	relay       atomic.Pointer[Relay]
 
 	mu       sync.Mutex
 	peers    map[string]*peerState
+	pending  []*rpc.GatewayGroup // of other data centres, to be passed on
 	seeds    []string
 	sequence uint64
+	role     role
+	roleSet  time.Time
+	told     memberState // what digests have said of this process
 	leaving  bool
 	taken    []uint64
 	takeOver func(job []byte) error
@@ -98,26 +105,40 @@
 
 type peerState struct {
 	Seen
-	sequence uint64
-	sent     time.Time
+	sequence      uint64
+	since         time.Time // when this incarnation was first heard
+	sent          time.Time
+	configuration uint64 // versions in force there
+	list          uint64
+	told          memberState // what digests have said of it
 }
 
 // New returns an exchange; Run starts it.
 func New(cfg Config) *Exchange {
+	signal := func() chan struct{} { return make(chan struct{}, 1) }
 	return &Exchange{
-		cfg:    cfg,
-		change: make(chan struct{}, 1),
-		urgent: make(chan struct{}, 1),
-		behind: make(chan string, 1),
-		peers:  make(map[string]*peerState),
+		cfg:         cfg,
+		started:     time.Now(),
+		change:      signal(),
+		urgent:      signal(),
+		heard:       signal(),
+		heardUrgent: signal(),
+		passOn:      signal(),
+		passUrgent:  signal(),
+		behind:      make(chan string, 1),
+		peers:       make(map[string]*peerState),
+		role:        noSpeaker,
 	}
 }
 
 // Changed asks for a report soon; urgent ones skip the merging of changes.
-func (e *Exchange) Changed(urgent bool) {
-	signal := e.change
-	if urgent {
-		signal = e.urgent
+func (e *Exchange) Changed(urgent bool) { notify(e.change, e.urgent, urgent) }
+
+// notify signals one of two channels without waiting.
+func notify(ordinary, urgent chan struct{}, isUrgent bool) {
+	signal := ordinary
+	if isUrgent {
+		signal = urgent
 	}
 	select {
 	case signal <- struct{}{}:
@@ -161,7 +182,7 @@
 		e.peers[m.Name] = &peerState{Seen: Seen{Member: m}}
 		return
 	}
-	if p.Incarnation != m.Incarnation && time.Since(p.Heard) > heartbeatInterval {
+	if p.Incarnation != m.Incarnation && time.Since(p.Heard) > rowSilence {
 		p.Seen = Seen{Member: m}
 		p.sequence = 0
 	}
@@ -192,125 +213,6 @@
 	return group.Wait()
 }
 
-// send reports changes, merged over an interval, and heartbeats.
-func (e *Exchange) send(ctx context.Context, conn *net.UDPConn) error {
-	heartbeat := time.NewTicker(heartbeatInterval)
-	defer heartbeat.Stop()
-	var near, far <-chan time.Time
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-e.urgent:
-			e.report(conn, true, true, false)
-			near, far = nil, nil
-		case <-e.change:
-			if near == nil {
-				near = time.After(nearInterval)
-			}
-			if far == nil {
-				far = time.After(farInterval)
-			}
-		case <-near:
-			near = nil
-			e.report(conn, true, false, false)
-		case <-far:
-			far = nil
-			e.report(conn, false, true, false)
-		case now := <-heartbeat.C:
-			e.cfg.Dispatcher.Expire(now)
-			e.report(conn, true, true, true)
-		}
-	}
-}
-
-// report sends the present state to the members in the own data centre, in
-// others, or both. Heartbeats carry the suspects as well, which are few and may
-// wait for one, while changes of the own work are reported many times a second.
-func (e *Exchange) report(conn *net.UDPConn, near, far, heartbeat bool) {
-	now := time.Now()
-	report := e.compose(now)
-	if heartbeat {
-		report.Suspects = repeated(e.cfg.Suspects.Export(now))
-	}
-	data, err := proto.Marshal(report)
-	if err != nil {
-		e.cfg.Log.Error().Err(err).Msg("report not encoded")
-		return
-	}
-	for _, address := range e.receivers(near, far, now) {
-		to, err := netip.ParseAddrPort(address)
-		if err != nil {
-			e.cfg.Log.Warn().Err(err).Str("address", address).Msg("peer has no usable address")
-			continue
-		}
-		// A datagram that cannot be sent is as good as lost; the next one replaces it.
-		_, _ = conn.WriteToUDPAddrPort(data, to)
-	}
-}
-
-func (e *Exchange) compose(now time.Time) *rpc.GatewayReport {
-	own := e.cfg.Dispatcher.Report()
-	view := e.cfg.Holder.View()
-	e.mu.Lock()
-	e.sequence++
-	report := &rpc.GatewayReport{
-		Sender: e.cfg.Self.Name, Incarnation: e.cfg.Self.Incarnation, Sequence: e.sequence,
-		DataCentre: e.cfg.Self.DataCentre, ListVersion: view.ListVersion,
-		Backlog: uint32(own.Backlog), Leaving: e.leaving, TakenJobs: e.taken,
-	}
-	e.mu.Unlock()
-	if self, err := netip.ParseAddrPort(e.cfg.Self.Address); err == nil {
-		report.Port = uint32(self.Port())
-	}
-	if relay := e.relay.Load(); relay != nil {
-		report.StoreReached = relay.Reached()
-	}
-	if view.Configuration != nil {
-		report.ConfigurationVersion = view.Configuration.Version
-	}
-	for _, c := range own.Counts {
-		report.Counts = append(report.Counts, &rpc.GatewayCount{
-			Upstream: uint32(c.Key), Online: uint32(c.Online), Batch: uint32(c.Batch)})
-	}
-	for service, requests := range own.Waiting {
-		report.Waiting = append(report.Waiting, &rpc.GatewayWaiting{Service: uint32(service), Requests: uint32(requests)})
-	}
-	return report
-}
-
-// repeated returns the suspects with more than one crash, at most maxSuspects.
-// Most requests that were in progress at a single crash did not cause it.
-func repeated(all []*rpc.Suspect) []*rpc.Suspect {
-	list := slices.DeleteFunc(all, func(s *rpc.Suspect) bool { return len(s.CrashIds) < 2 })
-	return list[:min(len(list), maxSuspects)]
-}
-
-func (e *Exchange) receivers(near, far bool, now time.Time) []string {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	var list []string
-	for _, p := range e.peers {
-		local := p.DataCentre == e.cfg.Self.DataCentre
-		if local && !near || !local && !far {
-			continue
-		}
-		if now.Sub(p.Heard) > lostAfter && now.Sub(p.sent) < lostInterval {
-			continue
-		}
-		p.sent = now
-		list = append(list, p.Address)
-	}
-	if far {
-		for _, seed := range e.seeds {
-			if seed != e.cfg.Self.Address && !slices.Contains(list, seed) && !e.known(seed) {
-				list = append(list, seed)
-			}
-		}
-	}
-	return list
-}
-
 func (e *Exchange) known(address string) bool {
 	for _, p := range e.peers {
 		if p.Address == address {
@@ -320,78 +222,6 @@
 	return false
 }
 
-func (e *Exchange) receive(ctx context.Context, conn *net.UDPConn) error {
-	buffer := make([]byte, maxDatagram)
-	for {
-		n, from, err := conn.ReadFromUDPAddrPort(buffer)
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
-			e.cfg.Log.Warn().Err(err).Msg("reading a report failed")
-			if !pause.For(ctx, nearInterval) {
-				return nil
-			}
-			continue
-		}
-		var report rpc.GatewayReport
-		if err := proto.Unmarshal(buffer[:n], &report); err != nil {
-			e.cfg.Log.Warn().Err(err).Stringer("from", from).Msg("report not understood")
-			continue
-		}
-		e.take(&report, from.Addr().Unmap())
-	}
-}
-
-// take applies a peer's report.
-func (e *Exchange) take(report *rpc.GatewayReport, from netip.Addr) {
-	if report.Sender == "" || report.Sender == e.cfg.Self.Name {
-		return
-	}
-	now := time.Now()
-	address := netip.AddrPortFrom(from, uint16(report.Port)).String()
-	if !e.note(report, address, now) {
-		return
-	}
-	e.cfg.Suspects.Merge(report.Suspects, now)
-	counts := make([]dispatch.Count, 0, len(report.Counts))
-	for _, c := range report.Counts {
-		counts = append(counts, dispatch.Count{Key: dispatch.Key(c.Upstream), Online: int(c.Online), Batch: int(c.Batch)})
-	}
-	waiting := make(map[dispatch.Key]int, len(report.Waiting))
-	for _, w := range report.Waiting {
-		waiting[dispatch.Key(w.Service)] = int(w.Requests)
-	}
-	e.cfg.Dispatcher.Merge(report.Sender, dispatch.Report{DataCentre: report.DataCentre, Counts: counts,
-		Backlog: int(report.Backlog), Waiting: waiting}, now)
-	if e.isBehind(report.ConfigurationVersion, report.ListVersion) {
-		select {
-		case e.behind <- address:
-		default:
-		}
-	}
-}
-
-// note records the sender and reports whether the report is its newest.
-func (e *Exchange) note(report *rpc.GatewayReport, address string, now time.Time) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	p := e.peers[report.Sender]
-	if p == nil {
-		p = &peerState{}
-		e.peers[report.Sender] = p
-	}
-	if p.Incarnation == report.Incarnation && report.Sequence <= p.sequence {
-		return false
-	}
-	if p.Incarnation != report.Incarnation {
-		e.cfg.Log.Info().Str("peer", report.Sender).Str("address", address).Msg("peer heard")
-	}
-	p.Member = Member{Name: report.Sender, Incarnation: report.Incarnation, Address: address, DataCentre: report.DataCentre}
-	p.sequence, p.Heard, p.Leaving, p.StoreReached, p.TakenJobs = report.Sequence, now, report.Leaving, report.StoreReached, report.TakenJobs
-	return true
-}
-
 func (e *Exchange) isBehind(configuration, list uint64) bool {
 	view := e.cfg.Holder.View()
 	if view.ListVersion < list || !view.Listed {
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -24,12 +24,16 @@
 }
 
 func newNode(t *testing.T, name string, incarnation uint64, seeds ...string) *node {
+	return newNodeIn(t, "z", name, incarnation, seeds...)
+}
+
+func newNodeIn(t *testing.T, dataCentre, name string, incarnation uint64, seeds ...string) *node {
 	t.Helper()
 	n := &node{holder: fleet.NewHolder(), suspects: poison.NewTable(poison.Config{BlockAfter: 3})}
-	n.dispatcher = dispatch.New(dispatch.Config{Self: name, Holder: n.holder})
+	n.dispatcher = dispatch.New(dispatch.Config{Self: name, DataCentre: dataCentre, Holder: n.holder})
 	server := httptest.NewUnstartedServer(nil)
 	address := server.Listener.Addr().String()
-	n.Exchange = New(Config{Self: Member{Name: name, Incarnation: incarnation, Address: address, DataCentre: "z"}, Holder: n.holder,
+	n.Exchange = New(Config{Self: Member{Name: name, Incarnation: incarnation, Address: address, DataCentre: dataCentre}, Holder: n.holder,
 		Dispatcher: n.dispatcher, Suspects: n.suspects, Log: zerolog.Nop()})
 	n.dispatcher.OnChange(n.Changed)
 	n.SetSeeds(seeds)
@@ -152,7 +156,7 @@
 	a := newNode(t, "a", 1)
 	b := newNode(t, "b", 1, a.address())
 	eventually(t, "member", time.Second, func() bool { return len(a.Members()) == 1 })
-	report := b.compose(time.Now())
+	report := b.compose()
 	report.Sequence = 1
 	if a.note(report, b.address(), time.Now()) {
 		t.Error("an old report was taken")
--- /dev/null
+++ b/peer/send.go
@@ -0,0 +1,433 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/magnoliausher/magnoliausher/dispatch"
+	"github.com/magnoliausher/magnoliausher/metric"
+	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
+)
+
+const (
+	// nearInterval merges the reports to the own data centre. With more members
+	// than nearMembers it grows, so that a gateway sends and receives no more than
+	// about a thousand reports a second.
+	nearInterval = 15 * time.Millisecond
+	nearMembers  = 16
+	// digestInterval merges what a collector tells other data centres.
+	digestInterval = 20 * time.Millisecond
+	// urgentInterval merges urgent news that a collector passes on.
+	urgentInterval = 2 * time.Millisecond
+	// roleInterval is the least time between two looks at the own role.
+	roleInterval = 50 * time.Millisecond
+	// datagramSize bounds a datagram with groups, so that it is not fragmented.
+	datagramSize = 1200
+	// groupCounts and groupMembers bound one group to about 1,000 bytes.
+	groupCounts  = 120
+	groupMembers = 12
+)
+
+// sending is the state of the send loop: what is due, and when.
+type sending struct {
+	*Exchange
+	conn *net.UDPConn
+	near <-chan time.Time // report to the own data centre
+	far  <-chan time.Time // digest to the others
+	// Urgent versions of both.
+	nearUrgent, farUrgent <-chan time.Time
+}
+
+// after starts a timer unless it runs.
+func after(timer *<-chan time.Time, d time.Duration) {
+	if *timer == nil {
+		*timer = time.After(d)
+	}
+}
+
+// send reports changes, merged over an interval, and heartbeats.
+func (e *Exchange) send(ctx context.Context, conn *net.UDPConn) error {
+	heartbeat := time.NewTicker(heartbeatInterval)
+	defer heartbeat.Stop()
+	s := &sending{Exchange: e, conn: conn}
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-e.urgent:
+			s.reportNear(true, false)
+			s.speak(true)
+		case <-e.change:
+			after(&s.near, s.nearPause())
+			s.speak(false)
+		case <-e.heard:
+			s.speak(false)
+		case <-e.heardUrgent:
+			s.speak(true)
+		case <-e.passOn:
+			after(&s.near, s.nearPause())
+		case <-e.passUrgent:
+			after(&s.nearUrgent, urgentInterval)
+		case <-s.near:
+			s.reportNear(false, false)
+		case <-s.nearUrgent:
+			s.reportNear(true, false)
+		case <-s.far:
+			s.digest(false, false)
+		case <-s.farUrgent:
+			s.digest(true, false)
+		case now := <-heartbeat.C:
+			e.cfg.Dispatcher.Expire(now)
+			s.reportNear(false, true)
+			if e.updateRole(now) == noSpeaker {
+				s.toSeeds(now)
+			} else {
+				s.digest(false, true)
+			}
+		}
+	}
+}
+
+// speak has a digest sent soon if this gateway speaks for its data centre.
+func (s *sending) speak(urgent bool) {
+	if s.updateRole(time.Now()) != speaker {
+		return
+	}
+	if urgent {
+		after(&s.farUrgent, urgentInterval)
+	} else {
+		after(&s.far, digestInterval)
+	}
+}
+
+// nearPause is the time over which reports to the own data centre are merged.
+func (s *sending) nearPause() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now, members := time.Now(), 0
+	for _, p := range s.peers {
+		if s.isNear(&p.Seen) && now.Sub(p.Heard) <= lostAfter {
+			members++
+		}
+	}
+	return max(nearInterval, nearInterval*time.Duration(members)/nearMembers)
+}
+
+func (e *Exchange) isNear(m *Seen) bool { return m.DataCentre == e.cfg.Self.DataCentre }
+
+// updateRole returns the present role of this gateway.
+func (e *Exchange) updateRole(now time.Time) role {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if now.Sub(e.roleSet) < roleInterval {
+		return e.role
+	}
+	e.roleSet = now
+	self := candidate{Name: e.cfg.Self.Name, Heard: now, Since: e.started, Leaving: e.leaving}
+	var others []candidate
+	for _, p := range e.peers {
+		if e.isNear(&p.Seen) {
+			others = append(others, candidate{Name: p.Name, Heard: p.Heard, Since: p.since, Leaving: p.Leaving})
+		}
+	}
+	r := roleOf(self, others, now)
+	if (r == noSpeaker) != (e.role == noSpeaker) {
+		e.cfg.Log.Info().Bool("collector", r != noSpeaker).Int("members", len(others)+1).Msg("role between data centres")
+	}
+	e.role = r
+	return r
+}
+
+// reportNear sends the own work, and the news of other data centres, to the
+// gateways of the own one. Heartbeats carry the suspects as well, which are few
+// and may wait for one, while changes are reported many times a second.
+func (s *sending) reportNear(urgent, heartbeat bool) {
+	s.near, s.nearUrgent = nil, nil
+	now := time.Now()
+	receivers := s.nearReceivers(now)
+	for i, groups := range packed(s.takePending()) { // at least one datagram
+		report := s.composeNear()
+		report.Urgent = urgent && i == 0
+		report.Groups = groups
+		if heartbeat && i == 0 {
+			report.Suspects = repeated(s.cfg.Suspects.Export(now))
+		}
+		s.write(report, near, receivers)
+	}
+}
+
+// digest tells other data centres of the own one: what has changed or, in a
+// refresh, everything.
+func (s *sending) digest(urgent, refresh bool) {
+	s.far, s.farUrgent = nil, nil
+	now := time.Now()
+	sum, changed := s.cfg.Dispatcher.Digest(refresh)
+	members := s.membersToTell(now, refresh)
+	if !changed && len(members) == 0 && !refresh {
+		return
+	}
+	receivers := s.farReceivers(now)
+	for i, group := range s.groups(sum, members) {
+		group.Urgent, group.Refresh = urgent, refresh
+		report := s.compose()
+		report.Groups = []*rpc.GatewayGroup{group}
+		if refresh && i == 0 {
+			report.Suspects = repeated(s.cfg.Suspects.Export(now))
+		}
+		s.write(report, far, receivers)
+	}
+}
+
+// toSeeds tells seeds that are not known as members of this process, as long as
+// nobody else can.
+func (s *sending) toSeeds(now time.Time) {
+	s.mu.Lock()
+	seeds := s.unknownSeeds()
+	s.mu.Unlock()
+	if len(seeds) > 0 {
+		s.write(s.compose(), far, seeds)
+	}
+}
+
+// groups splits a digest into parts that fit datagrams.
+func (s *sending) groups(sum dispatch.Group, members []*rpc.GatewayMember) []*rpc.GatewayGroup {
+	configuration, list, source := s.newest()
+	var parts []*rpc.GatewayGroup
+	counts := sum.Counts
+	for len(parts) == 0 || len(counts) > 0 || len(members) > 0 {
+		part := &rpc.GatewayGroup{DataCentre: sum.DataCentre, Gateways: uint32(sum.Gateways), Backlog: uint32(sum.Backlog),
+			Waiting: encodeWaiting(sum.Waiting), ConfigurationVersion: configuration, ListVersion: list, Source: source}
+		n := min(len(counts), groupCounts)
+		for _, c := range counts[:n] {
+			part.Upstreams = append(part.Upstreams, uint32(c.Key))
+			part.Online = append(part.Online, uint32(c.Online))
+			part.Batch = append(part.Batch, uint32(c.Batch))
+		}
+		counts = counts[n:]
+		if n < groupCounts/4 || len(counts) == 0 && n == 0 { // little else is in the part
+			m := min(len(members), groupMembers)
+			part.Members, members = members[:m], members[m:]
+		}
+		parts = append(parts, part)
+	}
+	return parts
+}
+
+// newest returns the highest versions known in the own data centre, and where they are.
+func (e *Exchange) newest() (configuration, list uint64, source string) {
+	view := e.cfg.Holder.View()
+	if view.Configuration != nil {
+		configuration = view.Configuration.Version
+	}
+	list, source = view.ListVersion, e.cfg.Self.Address
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, p := range e.peers {
+		if !e.isNear(&p.Seen) || time.Since(p.Heard) > collectorSilence {
+			continue
+		}
+		if p.configuration > configuration || p.configuration == configuration && p.list > list {
+			configuration, list, source = p.configuration, p.list, p.Address
+		}
+	}
+	return configuration, list, source
+}
+
+// memberState is what other data centres are told of a gateway.
+type memberState struct {
+	incarnation           uint64
+	leaving, storeReached bool
+	collector             bool
+	jobs                  int
+	jobsSum               uint64 // of the marks
+}
+
+func stateOf(m *Seen) memberState {
+	s := memberState{incarnation: m.Incarnation, leaving: m.Leaving, storeReached: m.StoreReached,
+		collector: m.Collector, jobs: len(m.TakenJobs)}
+	for _, mark := range m.TakenJobs {
+		s.jobsSum += mark
+	}
+	return s
+}
+
+// membersToTell returns the gateways of the own data centre whose state has
+// changed or, in a refresh, all that were heard lately.
+func (e *Exchange) membersToTell(now time.Time, refresh bool) []*rpc.GatewayMember {
+	self := Seen{Member: e.cfg.Self, Heard: now, StoreReached: e.storeReached(), Collector: true}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	self.Leaving, self.TakenJobs = e.leaving, e.taken
+	var list []*rpc.GatewayMember
+	if state := stateOf(&self); refresh || state != e.told {
+		e.told = state
+		list = append(list, encodeMember(&self, now))
+	}
+	for _, p := range e.peers {
+		if !e.isNear(&p.Seen) || now.Sub(p.Heard) > lostAfter {
+			continue
+		}
+		if state := stateOf(&p.Seen); refresh || state != p.told {
+			p.told = state
+			list = append(list, encodeMember(&p.Seen, now))
+		}
+	}
+	return list
+}
+
+func encodeMember(m *Seen, now time.Time) *rpc.GatewayMember {
+	return &rpc.GatewayMember{Name: m.Name, Incarnation: m.Incarnation, Address: m.Address,
+		AgeMs: uint32(max(now.Sub(m.Heard), 0).Milliseconds()), Leaving: m.Leaving, StoreReached: m.StoreReached,
+		TakenJobs: m.TakenJobs, Collector: m.Collector}
+}
+
+func encodeWaiting(waiting map[dispatch.Key]int) []*rpc.GatewayWaiting {
+	var list []*rpc.GatewayWaiting
+	for service, requests := range waiting {
+		list = append(list, &rpc.GatewayWaiting{Service: uint32(service), Requests: uint32(requests)})
+	}
+	return list
+}
+
+// compose returns a report with what all receivers are told.
+func (e *Exchange) compose() *rpc.GatewayReport {
+	view := e.cfg.Holder.View()
+	reached := e.storeReached()
+	e.mu.Lock()
+	e.sequence++
+	report := &rpc.GatewayReport{
+		Sender: e.cfg.Self.Name, Incarnation: e.cfg.Self.Incarnation, Sequence: e.sequence,
+		DataCentre: e.cfg.Self.DataCentre, ListVersion: view.ListVersion,
+		Leaving: e.leaving, TakenJobs: e.taken, StoreReached: reached, Collector: e.role != noSpeaker,
+	}
+	e.mu.Unlock()
+	if self, err := netip.ParseAddrPort(e.cfg.Self.Address); err == nil {
+		report.Port = uint32(self.Port())
+	}
+	if view.Configuration != nil {
+		report.ConfigurationVersion = view.Configuration.Version
+	}
+	return report
+}
+
+// composeNear returns a report with the own work as well.
+func (e *Exchange) composeNear() *rpc.GatewayReport {
+	report, own := e.compose(), e.cfg.Dispatcher.Report()
+	report.Backlog, report.Waiting = uint32(own.Backlog), encodeWaiting(own.Waiting)
+	for _, c := range own.Counts {
+		report.Counts = append(report.Counts, &rpc.GatewayCount{
+			Upstream: uint32(c.Key), Online: uint32(c.Online), Batch: uint32(c.Batch)})
+	}
+	return report
+}
+
+func (e *Exchange) storeReached() bool {
+	relay := e.relay.Load()
+	return relay != nil && relay.Reached()
+}
+
+// repeated returns the suspects with more than one crash, at most maxSuspects.
+// Most requests that were in progress at a single crash did not cause it.
+func repeated(all []*rpc.Suspect) []*rpc.Suspect {
+	list := slices.DeleteFunc(all, func(s *rpc.Suspect) bool { return len(s.CrashIds) < 2 })
+	return list[:min(len(list), maxSuspects)]
+}
+
+func (e *Exchange) takePending() []*rpc.GatewayGroup {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	groups := e.pending
+	e.pending = nil
+	return groups
+}
+
+// packed distributes groups over datagrams; the first one may be empty.
+func packed(groups []*rpc.GatewayGroup) [][]*rpc.GatewayGroup {
+	datagrams, size := [][]*rpc.GatewayGroup{nil}, 0
+	for _, g := range groups {
+		last := len(datagrams) - 1
+		if n := proto.Size(g); size > 0 && size+n > datagramSize {
+			datagrams, size = append(datagrams, []*rpc.GatewayGroup{g}), n
+		} else {
+			datagrams[last], size = append(datagrams[last], g), size+n
+		}
+	}
+	return datagrams
+}
+
+// nearReceivers returns the gateways of the own data centre.
+func (e *Exchange) nearReceivers(now time.Time) []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var list []string
+	for _, p := range e.peers {
+		if e.isNear(&p.Seen) && p.due(now) {
+			list = append(list, p.Address)
+		}
+	}
+	return list
+}
+
+// due reports whether a report may be sent, and notes it. Those to a peer that
+// has been silent for long are rare.
+func (p *peerState) due(now time.Time) bool {
+	if now.Sub(p.Heard) > lostAfter && now.Sub(p.sent) < lostInterval {
+		return false
+	}
+	p.sent = now
+	return true
+}
+
+// farReceivers returns the gateways of other data centres that a digest goes to.
+func (e *Exchange) farReceivers(now time.Time) []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var all []receiver
+	for _, p := range e.peers {
+		if !e.isNear(&p.Seen) && p.due(now) {
+			all = append(all, receiver{Address: p.Address, DataCentre: p.DataCentre, Collector: p.Collector, Heard: p.Heard})
+		}
+	}
+	return append(farReceivers(all, now), e.unknownSeeds()...)
+}
+
+// unknownSeeds returns the seeds that are no known members. The caller holds the lock.
+func (e *Exchange) unknownSeeds() []string {
+	var list []string
+	for _, seed := range e.seeds {
+		if seed != e.cfg.Self.Address && !e.known(seed) {
+			list = append(list, seed)
+		}
+	}
+	return list
+}
+
+// Receivers of reports, as the metrics name them.
+const (
+	near = "near" // of the own data centre
+	far  = "far"  // of others
+)
+
+// write sends a report to addresses.
+func (s *sending) write(report *rpc.GatewayReport, to string, addresses []string) {
+	data, err := proto.Marshal(report)
+	if err != nil {
+		s.cfg.Log.Error().Err(err).Msg("report not encoded")
+		return
+	}
+	for _, address := range addresses {
+		receiver, err := netip.ParseAddrPort(address)
+		if err != nil {
+			s.cfg.Log.Warn().Err(err).Str("address", address).Msg("peer has no usable address")
+			continue
+		}
+		// A datagram that cannot be sent is as good as lost; the next one replaces it.
+		_, _ = s.conn.WriteToUDPAddrPort(data, receiver)
+	}
+	metric.ReportsSent(to, len(addresses), len(data)*len(addresses))
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -5,10 +5,7 @@
 // fill what online work leaves free.
 package placement
 
-import (
-	"sort"
-	"time"
-)
+import "time"
 
 // Upstream is the state of one upstream in a snapshot.
 type Upstream struct {
@@ -220,34 +217,50 @@
 	return best
 }
 
-// Holder is a gateway's count of batch items on one upstream.
+// Holder is a count of batch items on one upstream: of a gateway, or of a whole
+// data centre if it has no name.
 type Holder struct {
-	Name  string
-	Items int
+	DataCentre string
+	Name       string
+	Items      int
 }
 
 // Yields returns how many of its batch items the gateway named self gives up
 // on an upstream that holds more than its slots. All gateways that see the
-// same counts agree on who gives up how many: the largest holder first.
-func Yields(u *Upstream, holders []Holder, self string) int {
+// same counts agree on who gives up how many, though each knows the single
+// gateways of its own data centre only: the data centre with the most items
+// gives way first, and in it the gateway with the most.
+func Yields(u *Upstream, holders []Holder, dataCentre, self string) int {
 	over := min(-u.free(), u.Batch)
 	if over <= 0 {
 		return 0
 	}
-	left := append([]Holder(nil), holders...)
+	centres, members := make(map[string]int), make(map[string]int)
+	for _, h := range holders {
+		centres[h.DataCentre] += h.Items
+		if h.DataCentre == dataCentre {
+			members[h.Name] += h.Items
+		}
+	}
+	return largestGive(members, largestGive(centres, over, dataCentre), self)
+}
+
+// largestGive takes items one by one from whoever has the most, the first by
+// name among equals, and returns how many are taken from self. It changes items.
+func largestGive(items map[string]int, take int, self string) int {
 	mine := 0
-	for ; over > 0; over-- {
-		sort.Slice(left, func(i, j int) bool {
-			if left[i].Items != left[j].Items {
-				return left[i].Items > left[j].Items
+	for ; take > 0; take-- {
+		most := ""
+		for name, n := range items {
+			if n > items[most] || n == items[most] && name < most {
+				most = name
 			}
-			return left[i].Name < left[j].Name
-		})
-		if len(left) == 0 || left[0].Items == 0 {
-			return mine
 		}
-		left[0].Items--
-		if left[0].Name == self {
+		if items[most] <= 0 {
+			break
+		}
+		items[most]--
+		if most == self {
 			mine++
 		}
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -65,20 +65,30 @@
 	}
 }
 
-// Guards against gateways that together give up too many items, or none.
+// Guards against gateways that together give up too many items, or none,
+// although they know the gateways of other data centres only as a sum.
 func TestYieldsAgree(t *testing.T) {
-	names := []string{"a", "b", "c"}
 	properties := gopter.NewProperties(nil)
 	properties.Property("the yields of all holders add up to the excess", prop.ForAll(
-		func(slots, online, a, b, c int) bool {
-			holders := []Holder{{"a", a}, {"b", b}, {"c", c}}
-			u := &Upstream{Slots: slots, Online: online, Batch: a + b + c}
+		func(slots, online, a, b, c, d int) bool {
+			all := []Holder{{"x", "a", a}, {"x", "b", b}, {"y", "c", c}, {"y", "d", d}}
+			u := &Upstream{Slots: slots, Online: online, Batch: a + b + c + d}
 			sum := 0
-			for _, name := range names {
-				sum += Yields(u, holders, name)
+			for _, self := range all {
+				var seen []Holder
+				far := 0
+				for _, h := range all {
+					if h.DataCentre == self.DataCentre {
+						seen = append(seen, h)
+					} else {
+						far += h.Items
+					}
+				}
+				other := map[string]string{"x": "y", "y": "x"}[self.DataCentre]
+				sum += Yields(u, append(seen, Holder{DataCentre: other, Items: far}), self.DataCentre, self.Name)
 			}
 			return sum == max(0, min(online+u.Batch-slots, u.Batch))
-		}, gen.IntRange(1, 8), gen.IntRange(0, 12), gen.IntRange(0, 8), gen.IntRange(0, 8), gen.IntRange(0, 8)))
+		}, gen.IntRange(1, 8), gen.IntRange(0, 12), gen.IntRange(0, 8), gen.IntRange(0, 8), gen.IntRange(0, 8), gen.IntRange(0, 8)))
 	properties.TestingRun(t)
 }
 
