Eject upstreams that break answers by the evidence of all gateways

Cause: an engine that goes down and up by turns accepts connections and resets them. It looks empty and draws the requests of all gateways, while each of them needs three broken answers in a row to doubt it for a second.

Change: gateways tell each other of broken and served answers of the last half second, broken ones at once, and each judges by the sum: three broken, three in ten of all, by two gateways, eject the upstream for 0.5 s to 4 s. After that only requests that may be sent again are tried there until an answer begins. A whole answer with an error status is evidence as well.

--- a/dispatch/contention.go
+++ b/dispatch/contention.go
@@ -95,7 +95,7 @@
 	}
 	if now.Sub(q.shared) >= startsInterval {
 		q.shared = now
-		list := d.snapshot(d.cfg.Holder.View().Usable(service), now)
+		list := d.snapshot(d.cfg.Holder.View().Usable(service), true, now)
 		waiting := max(len(q.waiters), 1)
 		q.starts = placement.OnlineStarts(list, waiting, waiting+elsewhere, rand.Float64())
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -65,6 +65,7 @@
 	Counts     []Count
 	Backlog    int         // batch items that wait for a slot
 	Waiting    map[Key]int // online requests that wait, by service
+	Evidence   []Evidence  // against upstreams that broke answers
 }
 
 // Config of a Dispatcher.
@@ -139,7 +140,7 @@
 	for _, g := range d.groups {
 		all += g.Backlog
 	}
-	list := d.snapshot(d.cfg.Holder.View().Usable(service), time.Now())
+	list := d.snapshot(d.cfg.Holder.View().Usable(service), true, time.Now())
 	return placement.BatchStarts(list, waiting, all, rand.Float64())
 }
 
@@ -148,7 +149,7 @@
 	d.mu.Lock()
 	now := time.Now()
 	usable := d.cfg.Holder.View().Usable(service)
-	i := placement.Batch(d.snapshot(usable, now), rand.IntN)
+	i := placement.Batch(d.snapshot(usable, true, now), rand.IntN)
 	if i < 0 {
 		d.mu.Unlock()
 		return nil
@@ -206,8 +207,10 @@
 }
 
 // snapshot describes upstreams for package placement. The caller holds the lock.
-func (d *Dispatcher) snapshot(usable []*fleet.Upstream, now time.Time) []placement.Upstream {
+// repeatable: the request that is to be placed may be sent again.
+func (d *Dispatcher) snapshot(usable []*fleet.Upstream, repeatable bool, now time.Time) []placement.Upstream {
 	list := make([]placement.Upstream, len(usable))
+	avoided, any := make([]bool, len(usable)), false
 	for i, u := range usable {
 		s := d.state(u)
 		online, batch := d.work(s)
@@ -220,6 +223,11 @@
 			Doubtful: s.doubtful.After(now) || s.silent(now),
 			Closed:   s.closed.After(now),
 		}
+		avoided[i] = s.avoided(repeatable, now)
+		any = any || avoided[i]
+	}
+	if any {
+		closeAvoided(list, avoided)
 	}
 	return list
 }
--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -20,6 +20,7 @@
 	Backlog    int
 	Waiting    map[Key]int // online requests that wait, by service
 	Counts     []Count     // of some upstreams or all; a count of zero ends an upstream's work
+	Evidence   []Evidence  // all, against upstreams that broke answers
 }
 
 // group is what was heard of another data centre.
@@ -46,7 +47,9 @@
 func (d *Dispatcher) Digest(refresh bool) (Group, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := time.Now()
 	g := Group{DataCentre: d.cfg.DataCentre, Gateways: 1, Backlog: d.backlog, Waiting: make(map[Key]int)}
+	evidence := sumEvidence(d.ownEvidence(now))
 	sums := make(map[Key]Count, len(d.told))
 	add := func(c Count) {
 		sum := sums[c.Key]
@@ -74,8 +77,15 @@
 		for _, c := range p.report.Counts {
 			add(c)
 		}
+		if now.Sub(p.heard) <= evidenceWindow {
+			evidence.add(p.report.Evidence)
+		}
+	}
+	for _, e := range evidence {
+		g.Evidence = append(g.Evidence, e)
 	}
-	changed := g.Backlog != d.lastDigest.Backlog || g.Gateways != d.lastDigest.Gateways || len(g.Waiting)+len(d.lastDigest.Waiting) > 0
+	changed := g.Backlog != d.lastDigest.Backlog || g.Gateways != d.lastDigest.Gateways || len(g.Waiting)+len(d.lastDigest.Waiting) > 0 ||
+		len(g.Evidence)+len(d.lastDigest.Evidence) > 0
 	g.Counts = d.tell(sums, refresh)
 	changed = changed || len(g.Counts) > 0
 	d.lastDigest = g
@@ -133,7 +143,12 @@
 		}
 	}
 	services := d.waiting()
+	var news []ejected
+	if len(g.Evidence) > 0 {
+		news = d.judge(now)
+	}
 	d.mu.Unlock()
+	d.logEjected(news)
 	d.peersChanged(services, now)
 }
 
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -14,7 +14,7 @@
 func (d *Dispatcher) Report() Report {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	report := Report{DataCentre: d.cfg.DataCentre, Backlog: d.backlog}
+	report := Report{DataCentre: d.cfg.DataCentre, Backlog: d.backlog, Evidence: d.ownEvidence(time.Now())}
 	for service, q := range d.queues {
 		if len(q.waiters) > 0 {
 			if report.Waiting == nil {
@@ -40,7 +40,12 @@
 	d.peers[name] = &peer{report: report, heard: now}
 	d.add(report, 1)
 	services := d.waiting()
+	var news []ejected
+	if len(report.Evidence) > 0 {
+		news = d.judge(now)
+	}
 	d.mu.Unlock()
+	d.logEjected(news)
 	d.peersChanged(services, now)
 }
 
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -32,7 +32,9 @@
 	Arrived   time.Time
 	Objective time.Time // the answer should begin by then
 	Deadline  time.Time
-	Avoid     map[string]bool // ids of upstreams that are used only if no other can be
+	// Repeatable: it may be sent again after it may have run.
+	Repeatable bool
+	Avoid      map[string]bool // ids of upstreams that are used only if no other can be
 }
 
 type queue struct {
@@ -215,7 +217,7 @@
 // caller holds the lock.
 func (d *Dispatcher) placeOnline(r *Request, now time.Time) *Grant {
 	usable := d.cfg.Holder.View().Usable(r.Service)
-	list := d.snapshot(usable, now)
+	list := d.snapshot(usable, r.Repeatable, now)
 	for i := range list {
 		list[i].Doubtful = list[i].Doubtful || r.Avoid[list[i].ID]
 	}
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -33,6 +33,7 @@
 	yielding int // of batch: those told to give way
 	grants   map[*Grant]struct{}
 	progress atomic.Pointer[time.Time] // when bytes last arrived; written without the lock
+	answers  atomic.Bool               // an answer has begun since the last ejection; written without the lock
 	evidence
 }
 
@@ -42,10 +43,13 @@
 	refused  int       // in a row
 	closed   time.Time // not used until then
 	doubtful time.Time // used as a last resort until then
+	recent   outcomes
+	ejection ejection
 }
 
 // note takes the end of a grant into account.
 func (e *evidence) note(outcome Outcome, now time.Time) {
+	e.recent.note(outcome, now)
 	switch outcome {
 	case Served:
 		e.broken, e.refused = 0, 0
@@ -117,11 +121,14 @@
 	granted    time.Time
 	preempted  chan struct{}
 	yielding   bool // preempted is closed
+	trial      bool // of the upstream, after an ejection
 }
 
 // grant hands out a slot. The caller holds the lock.
 func (d *Dispatcher) grant(u *fleet.Upstream, class Class, now time.Time) *Grant {
-	g := &Grant{Upstream: u, dispatcher: d, state: d.state(u), class: class, granted: now, preempted: make(chan struct{})}
+	s := d.state(u)
+	g := &Grant{Upstream: u, dispatcher: d, state: s, class: class, granted: now, preempted: make(chan struct{}),
+		trial: s.standing(now) == onTrial}
 	g.state.grants[g] = struct{}{}
 	*g.state.count(class)++
 	return g
@@ -149,6 +156,9 @@
 func (g *Grant) Progress() {
 	now := time.Now()
 	g.state.progress.Store(&now)
+	if g.trial {
+		g.state.answers.Store(true)
+	}
 }
 
 // Release gives the slot back with the evidence on the upstream.
@@ -175,7 +185,12 @@
 		q.serviceTime += (now.Sub(g.granted) - q.serviceTime) / serviceTimeWeight
 	}
 	waiting := len(q.waiters) > 0
+	var news []ejected
+	if outcome == Broken {
+		news = d.judge(now)
+	}
 	d.mu.Unlock()
+	d.logEjected(news)
 	if after != before && outcome != Full {
 		d.cfg.Log.Info().Str("upstream", g.Upstream.ID).Str("from", before).Str("to", after).
 			Int("broken_in_row", broken).Int("refused_in_row", refused).Msg("belief of an upstream")
@@ -184,5 +199,5 @@
 		d.serve(g.Upstream.Service, now)
 	}
 	d.wakeBatch()
-	d.changed(false)
+	d.changed(outcome == Broken) // others send to the upstream until they hear of it
 }
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -38,12 +38,21 @@
 		x.step(grant, started, err.Error())
 		return x.breakOff("copy")
 	}
-	grant.Release(dispatch.Served)
+	grant.Release(evidenceOf(answer.Status))
 	x.step(grant, started, "served")
 	x.log(answer.Status, "served")
 	return errDone
 }
 
+// evidenceOf returns what a whole answer tells of its upstream. A timeout may be
+// the request's own.
+func evidenceOf(status int) dispatch.Outcome {
+	if status >= 500 && status != http.StatusGatewayTimeout {
+		return dispatch.Broken
+	}
+	return dispatch.Served
+}
+
 // spoilt ends an attempt whose answer cannot be used.
 func (x *exchange) spoilt(grant *dispatch.Grant, started time.Time, reason string) error {
 	if x.ctx.Err() != nil {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -222,7 +222,9 @@
 		Arrived:   x.Arrived,
 		Objective: x.Arrived.Add(x.Route.Objective),
 		Deadline:  x.deadline,
-		Avoid:     x.tried,
+		// Without a further attempt it must not be risked on an upstream on trial.
+		Repeatable: x.Route.Repeatable() && x.runs+1 < x.Route.MaxAttempts,
+		Avoid:      x.tried,
 	})
 }
 
--- a/peer/receive.go
+++ b/peer/receive.go
@@ -94,12 +94,12 @@
 		counts = append(counts, dispatch.Count{Key: dispatch.Key(c.Upstream), Online: int(c.Online), Batch: int(c.Batch)})
 	}
 	return dispatch.Report{DataCentre: report.DataCentre, Counts: counts, Backlog: int(report.Backlog),
-		Waiting: decodeWaiting(report.Waiting)}
+		Waiting: decodeWaiting(report.Waiting), Evidence: decodeEvidence(report.Evidence)}
 }
 
 func decodeGroup(g *rpc.GatewayGroup) dispatch.Group {
 	group := dispatch.Group{DataCentre: g.DataCentre, Gateways: int(g.Gateways), Backlog: int(g.Backlog),
-		Waiting: decodeWaiting(g.Waiting)}
+		Waiting: decodeWaiting(g.Waiting), Evidence: decodeEvidence(g.Evidence)}
 	for i, key := range g.Upstreams {
 		group.Counts = append(group.Counts, dispatch.Count{Key: dispatch.Key(key), Online: int(g.Online[i]), Batch: int(g.Batch[i])})
 	}
@@ -114,6 +114,15 @@
 	return waiting
 }
 
+func decodeEvidence(list []*rpc.GatewayEvidence) []dispatch.Evidence {
+	var evidence []dispatch.Evidence
+	for _, e := range list {
+		evidence = append(evidence, dispatch.Evidence{Key: dispatch.Key(e.Upstream), Broken: int(e.Broken), Served: int(e.Served),
+			Reporters: int(e.Reporters)})
+	}
+	return evidence
+}
+
 // note records the sender and reports whether the report is its newest.
 func (e *Exchange) note(report *rpc.GatewayReport, address string, now time.Time) bool {
 	e.mu.Lock()
--- a/peer/send.go
+++ b/peer/send.go
@@ -31,6 +31,8 @@
 	// groupCounts and groupMembers bound one group to about 1,000 bytes.
 	groupCounts  = 120
 	groupMembers = 12
+	// maxEvidence bounds the evidence in a datagram to about 300 bytes.
+	maxEvidence = 24
 )
 
 // sending is the state of the send loop: what is due, and when.
@@ -201,7 +203,7 @@
 	counts := sum.Counts
 	for len(parts) == 0 || len(counts) > 0 || len(members) > 0 {
 		part := &rpc.GatewayGroup{DataCentre: sum.DataCentre, Gateways: uint32(sum.Gateways), Backlog: uint32(sum.Backlog),
-			Waiting: encodeWaiting(sum.Waiting), ConfigurationVersion: configuration, ListVersion: list, Source: source}
+			Waiting: encodeWaiting(sum.Waiting), Evidence: encodeEvidence(sum.Evidence), ConfigurationVersion: configuration, ListVersion: list, Source: source}
 		n := min(len(counts), groupCounts)
 		for _, c := range counts[:n] {
 			part.Upstreams = append(part.Upstreams, uint32(c.Key))
@@ -294,6 +296,17 @@
 	return list
 }
 
+// encodeEvidence leaves out what goes beyond maxEvidence: with that many
+// upstreams that break answers, the fault is hardly theirs.
+func encodeEvidence(evidence []dispatch.Evidence) []*rpc.GatewayEvidence {
+	var list []*rpc.GatewayEvidence
+	for _, e := range evidence[:min(len(evidence), maxEvidence)] {
+		list = append(list, &rpc.GatewayEvidence{Upstream: uint32(e.Key), Broken: uint32(e.Broken), Served: uint32(e.Served),
+			Reporters: uint32(e.Reporters)})
+	}
+	return list
+}
+
 // compose returns a report with what all receivers are told.
 func (e *Exchange) compose() *rpc.GatewayReport {
 	view := e.cfg.Holder.View()
@@ -318,7 +331,7 @@
 // composeNear returns a report with the own work as well.
 func (e *Exchange) composeNear() *rpc.GatewayReport {
 	report, own := e.compose(), e.cfg.Dispatcher.Report()
-	report.Backlog, report.Waiting = uint32(own.Backlog), encodeWaiting(own.Waiting)
+	report.Backlog, report.Waiting, report.Evidence = uint32(own.Backlog), encodeWaiting(own.Waiting), encodeEvidence(own.Evidence)
 	for _, c := range own.Counts {
 		report.Counts = append(report.Counts, &rpc.GatewayCount{
 			Upstream: uint32(c.Key), Online: uint32(c.Online), Batch: uint32(c.Batch)})
