Repeat what data centres tell each other in turn

Cause: each refresh told all upstreams and members, from both collectors, passed on by both collectors of the other side.

Change: a refresh tells who was heard, in a few bytes each, and repeats the next 80 upstreams and 8 members in turn. The stand-in refreshes every 0.5 s, and only one gateway passes a refresh on unless nobody else does.

Within a data centre reports still go from each to each.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -87,6 +87,7 @@
 	peers      map[string]*peer
 	groups     map[string]*group // by data centre, without the own one
 	told       map[Key]told      // what digests have said of the own data centre
+	rotation   []Key             // of told, in the order in which refreshes repeat them
 	queues     map[string]*queue // by service
 	backlog    int
 	lastDigest Group
--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -5,9 +5,14 @@
 )
 
 const (
-	// groupExpiry drops what was heard of an upstream's work in another data
-	// centre unless it is repeated; everything is repeated each 250 ms.
+	// groupExpiry drops a data centre from which nothing is heard; refreshes come
+	// each 250 ms.
 	groupExpiry = 1500 * time.Millisecond
+	// refreshCounts bounds the upstreams that a refresh repeats, to about 800 bytes.
+	refreshCounts = 80
+	// countExpiry drops the work on an upstream that is not repeated, although its
+	// data centre is heard. In 10 s refreshes repeat 3,200 upstreams.
+	countExpiry = 10 * time.Second
 	// zeroRepeats is how often the end of the work on an upstream is told again in
 	// refreshes, since the datagram that told it first may have been lost.
 	zeroRepeats = 4
@@ -42,8 +47,8 @@
 }
 
 // Digest sums up the own data centre for others: the upstreams whose work has
-// changed since the last digest or, in a refresh, all. It reports whether
-// anything has changed.
+// changed since the last digest and, in a refresh, the next ones in turn. It
+// reports whether anything has changed.
 func (d *Dispatcher) Digest(refresh bool) (Group, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -96,25 +101,46 @@
 func (d *Dispatcher) tell(sums map[Key]Count, refresh bool) []Count {
 	var counts []Count
 	for key, sum := range sums {
-		if last, known := d.told[key]; refresh || !known || last.Count != sum {
-			counts = append(counts, sum)
-			d.told[key] = told{Count: sum}
+		last, known := d.told[key]
+		if known && last.Count == sum {
+			continue
+		}
+		if !known {
+			d.rotation = append(d.rotation, key)
 		}
+		counts = append(counts, sum)
+		d.told[key] = told{Count: sum}
 	}
 	for key, last := range d.told {
-		if _, works := sums[key]; works {
-			continue
+		if _, works := sums[key]; !works && last.zeros == 0 {
+			counts = append(counts, Count{Key: key})
+			d.told[key] = told{Count: Count{Key: key}, zeros: 1}
 		}
-		ended := last.zeros == 0
-		if !ended && !refresh {
-			continue
-		}
-		if last.zeros >= zeroRepeats {
+	}
+	if refresh {
+		counts = append(counts, d.repeat()...)
+	}
+	return counts
+}
+
+// repeat returns the next upstreams in turn, as last told. The caller holds the lock.
+func (d *Dispatcher) repeat() []Count {
+	n := min(len(d.rotation), refreshCounts)
+	turn := d.rotation[:n]
+	d.rotation = append([]Key(nil), d.rotation[n:]...)
+	var counts []Count
+	for _, key := range turn {
+		last := d.told[key]
+		if last.zeros > zeroRepeats {
 			delete(d.told, key)
 			continue
 		}
-		counts = append(counts, Count{Key: key})
-		d.told[key] = told{Count: Count{Key: key}, zeros: last.zeros + 1}
+		if last.zeros > 0 {
+			last.zeros++
+			d.told[key] = last
+		}
+		counts = append(counts, last.Count)
+		d.rotation = append(d.rotation, key)
 	}
 	return counts
 }
@@ -156,7 +182,7 @@
 func (d *Dispatcher) expireGroups(now time.Time) {
 	for name, g := range d.groups {
 		for key, w := range g.work {
-			if now.Sub(w.heard) > groupExpiry {
+			if now.Sub(w.heard) > countExpiry || now.Sub(g.heard) > groupExpiry {
 				d.addRemote(key, -w.Online, -w.Batch)
 				delete(g.work, key)
 			}
--- a/dispatch/group_test.go
+++ b/dispatch/group_test.go
@@ -72,9 +72,9 @@
 	if g, changed := d.Digest(false); !changed || len(g.Counts) != 1 || g.Counts[0] != (Count{Key: KeyOf("a")}) {
 		t.Errorf("work on a has ended: %+v", g)
 	}
-	for repeat := range zeroRepeats + 2 {
+	for repeat := range zeroRepeats + 3 {
 		g, _ := d.Digest(true)
-		if want := repeat < zeroRepeats-1; (len(g.Counts) == 2) != want {
+		if want := repeat < zeroRepeats; (len(g.Counts) == 2) != want {
 			t.Errorf("refresh %d: %+v", repeat, g.Counts)
 		}
 	}
@@ -87,9 +87,9 @@
 	now := time.Now()
 	d.MergeGroup(Group{DataCentre: "x", Gateways: 3, Backlog: 9, Counts: []Count{{KeyOf("a"), 1, 1}, {KeyOf("b"), 2, 0}}}, now)
 	d.MergeGroup(Group{DataCentre: "y", Counts: []Count{{KeyOf("c"), 1, 1}}}, now) // the own one is known better
-	later := now.Add(groupExpiry - time.Millisecond)
+	later := now.Add(countExpiry - time.Millisecond)
 	d.MergeGroup(Group{DataCentre: "x", Gateways: 3, Counts: []Count{{KeyOf("b"), 2, 0}}}, later)
-	d.Expire(now.Add(groupExpiry + time.Millisecond))
+	d.Expire(now.Add(countExpiry + time.Millisecond))
 	if w := workOf(d); w != ([3]Count{1: {KeyOf("b"), 2, 0}}) || d.gateways() != 4 {
 		t.Errorf("%+v, %d gateways", w, d.gateways())
 	}
@@ -99,6 +99,32 @@
 	}
 }
 
+// Guards against refreshes that grow with the number of upstreams, and against
+// upstreams whose turn never comes.
+func TestRefreshesTakeTurns(t *testing.T) {
+	const upstreams = 3*refreshCounts - 5
+	d := New(Config{Self: "x1", DataCentre: "x", Holder: holder()})
+	report := Report{DataCentre: "x"}
+	for i := range upstreams {
+		report.Counts = append(report.Counts, Count{Key: Key(i + 1), Online: 1})
+	}
+	d.Merge("x2", report, time.Now())
+	d.Digest(false)
+	repeated := make(map[Key]bool)
+	for range 3 {
+		g, _ := d.Digest(true)
+		if len(g.Counts) > refreshCounts {
+			t.Errorf("%d upstreams in a refresh", len(g.Counts))
+		}
+		for _, c := range g.Counts {
+			repeated[c.Key] = true
+		}
+	}
+	if len(repeated) != upstreams {
+		t.Errorf("%d of %d upstreams repeated", len(repeated), upstreams)
+	}
+}
+
 // Guards against batch items that stay on an upstream which online work of
 // another data centre has filled, and against all data centres giving way.
 func TestGivesWayToOtherDataCentre(t *testing.T) {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -92,7 +92,8 @@
 
 	mu       sync.Mutex
 	peers    map[string]*peerState
-	pending  []*rpc.GatewayGroup // of other data centres, to be passed on
+	pending  []*rpc.GatewayGroup  // of other data centres, to be passed on
+	passedOn map[string]time.Time // when another gateway last did, by data centre
 	seeds    []string
 	sequence uint64
 	role     role
@@ -127,6 +128,7 @@
 		passUrgent:  signal(),
 		behind:      make(chan string, 1),
 		peers:       make(map[string]*peerState),
+		passedOn:    make(map[string]time.Time),
 		role:        noSpeaker,
 	}
 }
--- a/peer/receive.go
+++ b/peer/receive.go
@@ -64,11 +64,14 @@
 	e.compareVersions(report.ConfigurationVersion, report.ListVersion, address)
 }
 
+// passedOnFor: a data centre of which another gateway has passed on news this
+// lately needs nobody else to do it; refreshes come each 250 ms.
+const passedOnFor = 600 * time.Millisecond
+
 // takeGroup applies what was told of another data centre. Who hears it from
-// there passes it on: the speaker everything, others the refreshes, which make
-// up for a speaker that does not hear the other data centre.
+// there passes it on: the speaker, or anyone if nobody else does.
 func (e *Exchange) takeGroup(g *rpc.GatewayGroup, passedOn bool, now time.Time) {
-	if len(g.Online) != len(g.Upstreams) || len(g.Batch) != len(g.Upstreams) {
+	if len(g.Online) != len(g.Upstreams) || len(g.Batch) != len(g.Upstreams) || len(g.Alive) != len(g.AgeMs) {
 		e.cfg.Log.Warn().Str("data_centre", g.DataCentre).Msg("report of a data centre not understood")
 		return
 	}
@@ -77,7 +80,12 @@
 	for _, m := range g.Members {
 		e.noteMember(m, g.DataCentre, now)
 	}
-	pass := !passedOn && (e.role == speaker || g.Refresh) && len(e.pending) < maxPending
+	e.noteAlive(g, now)
+	if passedOn {
+		e.passedOn[g.DataCentre] = now
+	}
+	needed := e.role == speaker || g.Refresh && now.Sub(e.passedOn[g.DataCentre]) > passedOnFor
+	pass := !passedOn && needed && len(e.pending) < maxPending
 	if pass {
 		e.pending = append(e.pending, g)
 	}
@@ -171,6 +179,28 @@
 	}
 }
 
+// noteAlive records which gateways a collector has heard. Those that are not
+// known yet are described in a later refresh. The caller holds the lock.
+func (e *Exchange) noteAlive(g *rpc.GatewayGroup, now time.Time) {
+	if len(g.Alive) == 0 {
+		return
+	}
+	ages := make(map[uint32]uint32, len(g.Alive))
+	for i, mark := range g.Alive {
+		ages[mark] = g.AgeMs[i]
+	}
+	for _, p := range e.peers {
+		if p.DataCentre != g.DataCentre {
+			continue
+		}
+		if age, alive := ages[memberMark(p.Name, p.Incarnation)]; alive {
+			if heard := now.Add(-time.Duration(age) * time.Millisecond); heard.After(p.Heard) {
+				p.Heard = heard
+			}
+		}
+	}
+}
+
 // compareVersions asks for the state of a gateway that knows more.
 func (e *Exchange) compareVersions(configuration, list uint64, address string) {
 	if address == "" || address == e.cfg.Self.Address || !e.isBehind(configuration, list) {
--- a/peer/send.go
+++ b/peer/send.go
@@ -1,12 +1,14 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/netip"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/magnoliausher/magnoliausher/dispatch"
@@ -29,8 +31,12 @@
 	// datagramSize bounds a datagram with groups, so that it is not fragmented.
 	datagramSize = 1200
 	// groupCounts and groupMembers bound one group to about 1,000 bytes.
-	groupCounts  = 120
+	groupCounts  = 100
 	groupMembers = 12
+	// refreshMembers bounds the members that a refresh repeats in full, to about 500 bytes.
+	refreshMembers = 8
+	// standInRefresh is the number of heartbeats between refreshes of a stand-in.
+	standInRefresh = 2
 	// maxEvidence bounds the evidence in a datagram to about 300 bytes.
 	maxEvidence = 24
 )
@@ -43,6 +49,8 @@
 	far  <-chan time.Time // digest to the others
 	// Urgent versions of both.
 	nearUrgent, farUrgent <-chan time.Time
+	beats                 int // heartbeats
+	turn                  int // of the members, in refreshes
 }
 
 // after starts a timer unless it runs.
@@ -86,10 +94,16 @@
 		case now := <-heartbeat.C:
 			e.cfg.Dispatcher.Expire(now)
 			s.reportNear(false, true)
-			if e.updateRole(now) == noSpeaker {
-				s.toSeeds(now)
-			} else {
+			s.beats++
+			switch e.updateRole(now) {
+			case speaker:
 				s.digest(false, true)
+			case stand:
+				if s.beats%standInRefresh == 0 {
+					s.digest(false, true)
+				}
+			case noSpeaker:
+				s.toSeeds()
 			}
 		}
 	}
@@ -163,8 +177,8 @@
 	}
 }
 
-// digest tells other data centres of the own one: what has changed or, in a
-// refresh, everything.
+// digest tells other data centres of the own one: what has changed and, in a
+// refresh, who was heard and the next part of everything.
 func (s *sending) digest(urgent, refresh bool) {
 	s.far, s.farUrgent = nil, nil
 	now := time.Now()
@@ -174,7 +188,11 @@
 		return
 	}
 	receivers := s.farReceivers(now)
-	for i, group := range s.groups(sum, members) {
+	groups := s.groups(sum, members)
+	if refresh {
+		groups[0].Alive, groups[0].AgeMs = s.alive(now)
+	}
+	for i, group := range groups {
 		group.Urgent, group.Refresh = urgent, refresh
 		report := s.compose()
 		report.Groups = []*rpc.GatewayGroup{group}
@@ -187,7 +205,7 @@
 
 // toSeeds tells seeds that are not known as members of this process, as long as
 // nobody else can.
-func (s *sending) toSeeds(now time.Time) {
+func (s *sending) toSeeds() {
 	s.mu.Lock()
 	seeds := s.unknownSeeds()
 	s.mu.Unlock()
@@ -259,32 +277,62 @@
 }
 
 // membersToTell returns the gateways of the own data centre whose state has
-// changed or, in a refresh, all that were heard lately.
-func (e *Exchange) membersToTell(now time.Time, refresh bool) []*rpc.GatewayMember {
-	self := Seen{Member: e.cfg.Self, Heard: now, StoreReached: e.storeReached(), Collector: true}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	self.Leaving, self.TakenJobs = e.leaving, e.taken
-	var list []*rpc.GatewayMember
-	if state := stateOf(&self); refresh || state != e.told {
-		e.told = state
-		list = append(list, encodeMember(&self, now))
+// changed and, in a refresh, the next ones in turn of those heard lately.
+func (s *sending) membersToTell(now time.Time, refresh bool) []*rpc.GatewayMember {
+	self := Seen{Member: s.cfg.Self, Heard: now, StoreReached: s.storeReached(), Collector: true}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	self.Leaving, self.TakenJobs = s.leaving, s.taken
+	all, told := []*Seen{&self}, []*memberState{&s.told}
+	for _, p := range s.peers {
+		if s.isNear(&p.Seen) && now.Sub(p.Heard) <= lostAfter {
+			all, told = append(all, &p.Seen), append(told, &p.told)
+		}
 	}
-	for _, p := range e.peers {
-		if !e.isNear(&p.Seen) || now.Sub(p.Heard) > lostAfter {
-			continue
+	var list []*rpc.GatewayMember
+	var unchanged []*Seen
+	for i, m := range all {
+		if state := stateOf(m); state != *told[i] {
+			*told[i] = state
+			list = append(list, encodeMember(m, now))
+		} else {
+			unchanged = append(unchanged, m)
 		}
-		if state := stateOf(&p.Seen); refresh || state != p.told {
-			p.told = state
-			list = append(list, encodeMember(&p.Seen, now))
+	}
+	if refresh {
+		slices.SortFunc(unchanged, func(a, b *Seen) int { return cmp.Compare(a.Name, b.Name) })
+		for range min(len(unchanged), refreshMembers) {
+			s.turn = (s.turn + 1) % len(unchanged)
+			list = append(list, encodeMember(unchanged[s.turn], now))
 		}
 	}
 	return list
 }
 
+// alive returns the gateways of the own data centre that were heard lately, and
+// how long ago.
+func (s *sending) alive(now time.Time) (marks, ages []uint32) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	marks, ages = []uint32{memberMark(s.cfg.Self.Name, s.cfg.Self.Incarnation)}, []uint32{0}
+	for _, p := range s.peers {
+		if s.isNear(&p.Seen) && now.Sub(p.Heard) <= lostAfter {
+			marks, ages = append(marks, memberMark(p.Name, p.Incarnation)), append(ages, ageMs(&p.Seen, now))
+		}
+	}
+	return marks, ages
+}
+
+// memberMark names a process of a gateway in refreshes.
+func memberMark(name string, incarnation uint64) uint32 {
+	return uint32(xxhash.Sum64String(name) ^ incarnation)
+}
+
+func ageMs(m *Seen, now time.Time) uint32 { return uint32(max(now.Sub(m.Heard), 0).Milliseconds()) }
+
 func encodeMember(m *Seen, now time.Time) *rpc.GatewayMember {
 	return &rpc.GatewayMember{Name: m.Name, Incarnation: m.Incarnation, Address: m.Address,
-		AgeMs: uint32(max(now.Sub(m.Heard), 0).Milliseconds()), Leaving: m.Leaving, StoreReached: m.StoreReached,
+		AgeMs: ageMs(m, now), Leaving: m.Leaving, StoreReached: m.StoreReached,
 		TakenJobs: m.TakenJobs, Collector: m.Collector}
 }
 
