Count the calls of the store and time them

Change: magnoliausher_store_calls_total by call and outcome, and magnoliausher_store_call_seconds. Names of the platform stay in its package.

--- a/metric/metric.go
+++ b/metric/metric.go
@@ -86,6 +86,14 @@
 		`magnoliausher_answer_seconds{service=%q,class=%q}`, service, class)).Update(seconds)
 }
 
+// StoreCalled counts a call of the platform's store by its outcome ("ok",
+// "refused", "failed" or another answer of the store) and records the time that
+// it took, in seconds.
+func StoreCalled(call, outcome string, seconds float64) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`magnoliausher_store_calls_total{call=%q,outcome=%q}`, call, outcome)).Inc()
+	metrics.GetOrCreateHistogram(fmt.Sprintf(`magnoliausher_store_call_seconds{call=%q}`, call)).Update(seconds)
+}
+
 // ReportsName is the counter of datagrams between gateways, by where they go:
 // to gateways of the own data centre ("near") or of others ("far").
 const ReportsName = "magnoliausher_reports_sent_total"
