Read the changes of jobs less often, and of members rarely

Cause: half of the calls of the store were reads of the feed of jobs, which every gateway repeated 8 times a second while jobs changed; 330 gateways would have needed 2,700 reads a second of 2,000. A tenth were reads of the feed of members, which has hardly any changes.

Change: changes of jobs are merged over 0.3 s, up to 0.6 s with more than 64 gateways; the wait is shorter by as much, so that a quiet feed still answers each second. The feed of members waits 10 s: gateways that run tell of themselves.

--- a/batch/mirror.go
+++ b/batch/mirror.go
@@ -12,7 +12,7 @@
 )
 
 // freshFor: the copy counts as current for this long after the feed's last
-// answer. The feed answers at least every 1.1 s.
+// answer. The feed answers at least once a second.
 const freshFor = 1400 * time.Millisecond
 
 // entry is a job as last seen.
--- a/batch/service.go
+++ b/batch/service.go
@@ -30,8 +30,13 @@
 	// awayTimeout bounds a call while the store seems to be away. The store answers
 	// within 50 ms, and within 300 ms when it is slow.
 	awayTimeout = 400 * time.Millisecond
-	// feedInterval merges the changes of jobs; a result may be listed a second late.
-	feedInterval = 120 * time.Millisecond
+	// feedInterval merges the changes of jobs, which all gateways read. With more
+	// than feedGateways of them it grows to feedIntervalMax, so that 330 gateways
+	// take a quarter of the store's 2,000 reads a second. A result that one gateway
+	// has shown must be shown by all within a second.
+	feedInterval    = 300 * time.Millisecond
+	feedIntervalMax = 600 * time.Millisecond
+	feedGateways    = 64
 	// cachedSubmissions and cachedResults bound copies in memory, of about 150 KB
 	// and 16 KB each.
 	cachedSubmissions = 24
@@ -111,7 +116,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		storage.Follow(ctx, storage.Follower{
-			Feed: s.cfg.Feed, Prefix: jobPrefix, Log: s.cfg.Log, MinInterval: feedInterval,
+			Feed: s.cfg.Feed, Prefix: jobPrefix, Log: s.cfg.Log, Interval: s.feedInterval,
 			Snapshot: s.mirror.replace, Changes: s.mirror.apply, Fresh: s.mirror.markFresh, Stale: s.mirror.markStale,
 		})
 		return nil
@@ -128,6 +133,11 @@
 	return err
 }
 
+func (s *Service) feedInterval() time.Duration {
+	gateways := len(s.cfg.Members()) + 1
+	return min(max(feedInterval, feedInterval*time.Duration(gateways)/feedGateways), feedIntervalMax)
+}
+
 // Submit accepts a job once, whatever is sent again.
 func (s *Service) Submit(ctx context.Context, route *fleet.Route, job *Submission) (Acceptance, error) {
 	if _, known := s.mirror.get(job.ID); known {
--- a/peer/members.go
+++ b/peer/members.go
@@ -12,6 +12,10 @@
 	"github.com/magnoliausher/magnoliausher/storage"
 )
 
+// membersWait is the time between two answers of the feed of members. Gateways
+// that run tell of themselves; rows are for those that nobody has heard yet.
+const membersWait = 10 * time.Second
+
 // memberPrefix is followed by the name of a member.
 const memberPrefix = "peers/members/"
 
@@ -48,5 +52,5 @@
 		}
 		exchange.Join(m)
 	}
-	storage.Follow(ctx, storage.Follower{Feed: feed, Prefix: memberPrefix, Log: log, Row: join})
+	storage.Follow(ctx, storage.Follower{Feed: feed, Prefix: memberPrefix, Wait: membersWait, Log: log, Row: join})
 }
--- a/storage/follow.go
+++ b/storage/follow.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// feedWait is the longest wait of one Watch. It bounds how long a connection
-	// that has gone silent stays unnoticed.
+	// feedWait is the time between two answers of a feed without changes, unless a
+	// follower sets another. It bounds how long a connection that has gone silent
+	// stays unnoticed.
 	feedWait = time.Second
 	// feedSlack is the time that an answer may come after the wait.
 	feedSlack = 700 * time.Millisecond
@@ -35,9 +36,11 @@
 	Feed   Feed
 	Prefix string
 	Log    zerolog.Logger
-	// MinInterval is the least time between two reads, so that frequent changes
-	// are read together.
-	MinInterval time.Duration
+	// Wait is the time between two answers without changes; 0 for feedWait.
+	Wait time.Duration
+	// Interval is the least time between two reads, less than Wait, so that frequent
+	// changes are read together. May be nil.
+	Interval func() time.Duration
 	// Row receives each row that is read or written, in place of Snapshot and
 	// Changes, where removed rows do not matter.
 	Row func(Row)
@@ -56,7 +59,7 @@
 func Follow(ctx context.Context, f Follower) {
 	version, known, failures := uint64(0), false, 0
 	for ctx.Err() == nil {
-		started := time.Now()
+		started, interval := time.Now(), f.interval()
 		next, err := f.read(ctx, version, known, failures > 0)
 		switch {
 		case ctx.Err() != nil:
@@ -78,7 +81,7 @@
 				f.Log.Info().Str("prefix", f.Prefix).Uint64("version", next).Int("failures", failures).Msg("feed regained")
 			}
 			version, known, failures = next, true, 0
-			pause.For(ctx, f.MinInterval-time.Since(started))
+			pause.For(ctx, interval-time.Since(started))
 		}
 	}
 }
@@ -113,9 +116,21 @@
 }
 
 func (f *Follower) watch(ctx context.Context, version uint64) ([]Change, uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, feedWait+feedSlack)
+	wait := feedWait
+	if f.Wait > 0 {
+		wait = f.Wait
+	}
+	wait -= f.interval()
+	ctx, cancel := context.WithTimeout(ctx, wait+feedSlack)
 	defer cancel()
-	return f.Feed.Watch(ctx, f.Prefix, version, feedWait)
+	return f.Feed.Watch(ctx, f.Prefix, version, wait)
+}
+
+func (f *Follower) interval() time.Duration {
+	if f.Interval == nil {
+		return 0
+	}
+	return f.Interval()
 }
 
 // watchReturn reads a feed that has failed. Its reads do not wait for a change,
--- a/storage/follow_test.go
+++ b/storage/follow_test.go
@@ -59,3 +59,45 @@
 		}
 	})
 }
+
+// waitingFeed answers without changes when the wait is over, and with one change
+// for each read until changes of them have been read.
+type waitingFeed struct {
+	changes int
+	waits   []time.Duration
+	answers []time.Time
+	stop    func()
+	most    int
+}
+
+func (f *waitingFeed) Snapshot(context.Context, string) ([]Row, uint64, error) { return nil, 1, nil }
+
+func (f *waitingFeed) Watch(_ context.Context, _ string, after uint64, wait time.Duration) ([]Change, uint64, error) {
+	f.waits = append(f.waits, wait)
+	if len(f.waits) > f.changes {
+		time.Sleep(wait)
+		after--
+	}
+	f.answers = append(f.answers, time.Now())
+	if len(f.answers) == f.most {
+		f.stop()
+	}
+	return nil, after + 1, nil
+}
+
+// Guards against a reader of frequent changes that uses up the store's reads, and
+// against a pause between reads that makes the copy look out of date.
+func TestFollowInterval(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const interval = 300 * time.Millisecond
+		ctx, cancel := context.WithCancel(t.Context())
+		feed := &waitingFeed{changes: 4, most: 8, stop: cancel}
+		Follow(ctx, Follower{Feed: feed, Log: zerolog.Nop(), Row: func(Row) {}, Interval: func() time.Duration { return interval }})
+		for i, at := range feed.answers[1:] {
+			gap := at.Sub(feed.answers[i])
+			if want := map[bool]time.Duration{true: interval, false: feedWait}[i+1 < feed.changes]; gap < interval || gap > want {
+				t.Errorf("answer %d after %v, want %v", i+1, gap, want)
+			}
+		}
+	})
+}
