Test the exchange over a bad network, and the soak in two data centres

Cause: the exchange between data centres was tested without lost datagrams, and the soak ran its gateways in one data centre, where nobody is told through collectors.

Change: nodes of package peer can hear through a socket that loses, delays and doubles datagrams. Soak seeds from 600 on have four gateways and the engines in two data centres; earlier seeds stay as they were.

Figures: 30% lost, 10% doubled, up to 40 ms late: sums and members right within the 3 s and 5 s that the test allows.

--- a/e2e/soak/soak_test.go
+++ b/e2e/soak/soak_test.go
@@ -22,7 +22,7 @@
 )
 
 var (
-	firstSeed = flag.Uint64("soak.first", firstSilentSeed, "first seed")
+	firstSeed = flag.Uint64("soak.first", firstSpreadSeed, "first seed")
 	seedCount = flag.Uint64("soak.seeds", 3, "number of seeds")
 	parallel  = flag.Int("soak.parallel", 3, "seeds played at once")
 	logs      = flag.String("soak.logs", "", "folder that keeps the logs of the gateways")
@@ -32,6 +32,10 @@
 // Seeds before it keep the faults that they had when they were played.
 const firstSilentSeed = 500
 
+// firstSpreadSeed is the first seed with gateways and engines in two data
+// centres, whose gateways hear of each other through collectors.
+const firstSpreadSeed = 600
+
 // regressions are seeds that failed once, each with its cause.
 var regressions = map[uint64]string{
 	114: "an item waited for ever at an engine that accepted it and sent nothing",
@@ -49,7 +53,7 @@
 }
 
 const (
-	gatewayCount = 3
+	gatewayCount = 3 // 4 from firstSpreadSeed on, two in each data centre
 	engineCount  = 4
 	faultTime    = 7 * time.Second
 	// recoveryTime is allowed between the end of the faults and full service.
--- a/e2e/soak/world_test.go
+++ b/e2e/soak/world_test.go
@@ -51,7 +51,7 @@
 		}
 	})
 	for i := range engineCount {
-		e := platformtest.NewEngine(fmt.Sprint("e", i), "llm", "z")
+		e := platformtest.NewEngine(fmt.Sprint("e", i), "llm", w.dataCentre(i))
 		if i == engineCount-1 {
 			e.Service, e.Plain = "app", true
 		}
@@ -66,7 +66,11 @@
 		w.register(i, "ready")
 	}
 	w.reconfigure()
-	for i := range gatewayCount {
+	gateways := gatewayCount
+	if seed >= firstSpreadSeed {
+		gateways++
+	}
+	for i := range gateways {
 		w.startGateway(i)
 	}
 	for _, g := range w.gateways {
@@ -168,8 +172,8 @@
 	w.t.Cleanup(store.Close)
 	g := &gateway{w: w, name: name, listen: w.address(index, callerPort), check: w.address(index, readyPort), store: store,
 		file: filepath.Join(w.logFolder(), name+".ini")}
-	text := fmt.Sprintf("[instance]\nrole = gateway\nid = %s\ndata_centre = z\nlisten = %s\nready_listen = %s\npeer_listen = %s\n"+
-		"[platform]\naddress = %s\n[timeouts]\ngrace = 8s\n", name, g.listen, g.check, w.address(index, peerPort), store.Address())
+	text := fmt.Sprintf("[instance]\nrole = gateway\nid = %s\ndata_centre = %s\nlisten = %s\nready_listen = %s\npeer_listen = %s\n"+
+		"[platform]\naddress = %s\n[timeouts]\ngrace = 8s\n", name, w.dataCentre(index), g.listen, g.check, w.address(index, peerPort), store.Address())
 	if err := os.WriteFile(g.file, []byte(text), 0o600); err != nil {
 		w.t.Fatal(err)
 	}
@@ -186,6 +190,14 @@
 	w.gateways = append(w.gateways, g)
 }
 
+// dataCentre is where a gateway or an engine is.
+func (w *world) dataCentre(index int) string {
+	if w.seed >= firstSpreadSeed && index%2 == 1 {
+		return "y"
+	}
+	return "z"
+}
+
 // logFolder is where a gateway's settings and logs lie.
 func (w *world) logFolder() string {
 	if *logs == "" {
--- a/peer/centres_test.go
+++ b/peer/centres_test.go
@@ -13,11 +13,11 @@
 
 // centres starts gateways in data centres x and y that know each other as from
 // their rows in the store.
-func centres(t *testing.T, each int) (x, y []*node) {
+func centres(t *testing.T, network testNetwork, each int) (x, y []*node) {
 	t.Helper()
 	var all []*node
 	for i := range 2 * each {
-		all = append(all, newNodeIn(t, []string{"x", "y"}[i%2], fmt.Sprint("g", i), 1))
+		all = append(all, newNodeIn(t, network, []string{"x", "y"}[i%2], fmt.Sprint("g", i), 1))
 	}
 	for _, n := range all {
 		configure(n.holder, 1, upstream("u"), upstream("v"))
@@ -73,7 +73,7 @@
 // or of its members, because neither side's collectors speak; at first, and
 // after those that did have gone at once.
 func TestDataCentresHearOfEachOther(t *testing.T) {
-	x, y := centres(t, 4)
+	x, y := centres(t, soundNetwork{}, 4)
 	ordinary := func(list []*node) *node {
 		var found *node
 		eventually(t, "a gateway that is no collector", 3*time.Second, func() bool {
@@ -113,13 +113,42 @@
 	eventually(t, "work after the loss of the collectors", time.Second, observer.sees(3))
 }
 
+// Guards against sums and members that stay wrong where datagrams are lost, come
+// late, twice or out of order.
+func TestDataCentresOverABadNetwork(t *testing.T) {
+	x, y := centres(t, badNetwork{lost: 30, doubled: 10, delay: 40 * time.Millisecond}, 4)
+	all := slices.Concat(x, y)
+	for round := range 3 {
+		grants := x[round].take(t, 2)
+		for _, n := range y {
+			eventually(t, "work of "+x[round].cfg.Self.Name+" at "+n.cfg.Self.Name, 3*time.Second, n.sees(2))
+		}
+		for _, g := range grants {
+			g.Release(dispatch.Served)
+		}
+		for _, n := range y {
+			eventually(t, "its end", 3*time.Second, n.sees(4))
+		}
+	}
+	for _, n := range all {
+		var others []string
+		for _, o := range all {
+			if o != n {
+				others = append(others, o.cfg.Self.Name)
+			}
+		}
+		slices.Sort(others)
+		eventually(t, "members at "+n.cfg.Self.Name, 5*time.Second, n.hears(others...))
+	}
+}
+
 // Guards against a restarted gateway of another data centre that is taken for
 // its earlier process, whose jobs would then be left to nobody.
 func TestRestartInOtherDataCentre(t *testing.T) {
-	x, y := centres(t, 1)
+	x, y := centres(t, soundNetwork{}, 1)
 	eventually(t, "first process", 2*time.Second, x[0].hears("g1"))
 	y[0].stop()
-	again := newNodeIn(t, "y", "g1", 2)
+	again := newNodeIn(t, soundNetwork{}, "y", "g1", 2)
 	again.Join(x[0].cfg.Self)
 	eventually(t, "second process", 3*time.Second, func() bool { return x[0].Members()[0].Incarnation == 2 })
 }
@@ -127,7 +156,7 @@
 // Guards against a configuration that does not reach gateways of another data
 // centre while the store answers one gateway alone.
 func TestStateReachesOtherDataCentre(t *testing.T) {
-	x, y := centres(t, 3)
+	x, y := centres(t, soundNetwork{}, 3)
 	eventually(t, "collectors", 3*time.Second, func() bool { return len(y[2].Members()) == 5 && y[2].hears("g0", "g1", "g2", "g3", "g4")() })
 	configure(x[0].holder, 7, upstream("u"))
 	for _, n := range slices.Concat(x, y) {
@@ -141,7 +170,7 @@
 // gateways: what is sent is that of two collectors on each side, however often
 // the work of all changes.
 func TestDatagramsBetweenDataCentres(t *testing.T) {
-	x, y := centres(t, 6)
+	x, y := centres(t, soundNetwork{}, 6)
 	for _, n := range [2]*node{x[5], y[5]} {
 		eventually(t, "collectors", 3*time.Second, func() bool { return len(n.Members()) == 11 && !n.collects() })
 	}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http/httptest"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -24,10 +27,66 @@
 }
 
 func newNode(t *testing.T, name string, incarnation uint64, seeds ...string) *node {
-	return newNodeIn(t, "z", name, incarnation, seeds...)
+	return newNodeIn(t, soundNetwork{}, "z", name, incarnation, seeds...)
 }
 
-func newNodeIn(t *testing.T, dataCentre, name string, incarnation uint64, seeds ...string) *node {
+// testNetwork gives a node the socket on which it hears datagrams to an address.
+type testNetwork interface {
+	listen(t *testing.T, address *net.UDPAddr) *net.UDPConn
+}
+
+type soundNetwork struct{}
+
+func (soundNetwork) listen(t *testing.T, address *net.UDPAddr) *net.UDPConn {
+	t.Helper()
+	conn, err := net.ListenUDP("udp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+// badNetwork loses, delays and doubles datagrams.
+type badNetwork struct {
+	lost, doubled int // percent
+	delay         time.Duration
+}
+
+func (b badNetwork) listen(t *testing.T, address *net.UDPAddr) *net.UDPConn {
+	t.Helper()
+	outside := soundNetwork{}.listen(t, address)
+	inside := soundNetwork{}.listen(t, &net.UDPAddr{IP: address.IP})
+	var passing sync.WaitGroup
+	passing.Go(func() {
+		buffer := make([]byte, maxDatagram)
+		for {
+			n, _, err := outside.ReadFromUDP(buffer)
+			if err != nil {
+				return
+			}
+			copies := 1
+			switch draw := rand.IntN(100); {
+			case draw < b.lost:
+				copies = 0
+			case draw < b.lost+b.doubled:
+				copies = 2
+			}
+			for range copies {
+				data := slices.Clone(buffer[:n])
+				time.AfterFunc(rand.N(b.delay), func() {
+					_, _ = outside.WriteToUDP(data, inside.LocalAddr().(*net.UDPAddr)) // lost like others if the node has gone
+				})
+			}
+		}
+	})
+	t.Cleanup(func() {
+		outside.Close()
+		passing.Wait()
+	})
+	return inside
+}
+
+func newNodeIn(t *testing.T, network testNetwork, dataCentre, name string, incarnation uint64, seeds ...string) *node {
 	t.Helper()
 	n := &node{holder: fleet.NewHolder(), suspects: poison.NewTable(poison.Config{BlockAfter: 3})}
 	n.dispatcher = dispatch.New(dispatch.Config{Self: name, DataCentre: dataCentre, Holder: n.holder})
@@ -43,10 +102,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	conn, err := net.ListenUDP("udp", udp)
-	if err != nil {
-		t.Fatal(err)
-	}
+	conn := network.listen(t, udp)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
