Signal the send loop of the speaker only; name the scopes of reports

Reports of the own data centre woke the send loop of each gateway, which had nothing to do then unless it speaks. Groups leave room for the own work in a datagram of 1,500 bytes.

--- a/peer/digest.go
+++ b/peer/digest.go
@@ -47,7 +47,7 @@
 		if refresh && i == 0 {
 			report.Suspects = repeated(s.cfg.Suspects.Export(now))
 		}
-		s.write(report, far, receivers)
+		s.write(report, scopeFar, receivers)
 	}
 }
 
--- a/peer/receive.go
+++ b/peer/receive.go
@@ -54,7 +54,9 @@
 	near := report.DataCentre == e.cfg.Self.DataCentre
 	if near {
 		e.cfg.Dispatcher.Merge(report.Sender, decodeReport(report), now)
-		notify(e.heard, e.heardUrgent, report.Urgent)
+		if e.speaks() {
+			notify(e.heard, e.heardUrgent, report.Urgent)
+		}
 	}
 	for _, g := range report.Groups {
 		if g.DataCentre != e.cfg.Self.DataCentre && (near || g.DataCentre == report.DataCentre) {
--- a/peer/send.go
+++ b/peer/send.go
@@ -22,8 +22,9 @@
 	nearMembers  = 16
 	// roleInterval is the least time between two looks at the own role.
 	roleInterval = 50 * time.Millisecond
-	// datagramSize bounds a datagram with groups, so that it is not fragmented.
-	datagramSize = 1200
+	// datagramSize bounds the groups in a datagram, so that with the own work, of
+	// some hundred bytes, it is not fragmented.
+	datagramSize = 1000
 	// maxEvidence bounds the evidence in a datagram to about 300 bytes.
 	maxEvidence = 24
 )
@@ -96,6 +97,13 @@
 	}
 }
 
+// speaks reports whether this gateway spoke for its data centre when it last looked.
+func (e *Exchange) speaks() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.role == speaker
+}
+
 // speak has a digest sent soon if this gateway speaks for its data centre.
 func (s *sending) speak(urgent bool) {
 	if s.updateRole(time.Now()) != speaker {
@@ -160,7 +168,7 @@
 		if heartbeat && i == 0 {
 			report.Suspects = repeated(s.cfg.Suspects.Export(now))
 		}
-		s.write(report, near, receivers)
+		s.write(report, scopeNear, receivers)
 	}
 }
 
@@ -171,7 +179,7 @@
 	seeds := s.unknownSeeds()
 	s.mu.Unlock()
 	if len(seeds) > 0 {
-		s.write(s.compose(), far, seeds)
+		s.write(s.compose(), scopeFar, seeds)
 	}
 }
 
@@ -296,12 +304,12 @@
 
 // Receivers of reports, as the metrics name them.
 const (
-	near = "near" // of the own data centre
-	far  = "far"  // of others
+	scopeNear = "near" // of the own data centre
+	scopeFar  = "far"  // of others
 )
 
 // write sends a report to addresses.
-func (s *sending) write(report *rpc.GatewayReport, to string, addresses []string) {
+func (s *sending) write(report *rpc.GatewayReport, scope string, addresses []string) {
 	data, err := proto.Marshal(report)
 	if err != nil {
 		s.cfg.Log.Error().Err(err).Msg("report not encoded")
@@ -316,5 +324,5 @@
 		// A datagram that cannot be sent is as good as lost; the next one replaces it.
 		_, _ = s.conn.WriteToUDPAddrPort(data, receiver)
 	}
-	metric.ReportsSent(to, len(addresses), len(data)*len(addresses))
+	metric.ReportsSent(scope, len(addresses), len(data)*len(addresses))
 }
