Fetch the state of a peer only if the feed is late

Reports that had come before the feed caught up waited in the channel and counted, and collectors tell versions many times a second. With 3,000 engines a state is 600 KB and each change of the list made gateways fetch it.

Change: what came during the delay is dropped.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -245,7 +245,11 @@
 		if !pause.For(ctx, fetchDelay) {
 			return nil
 		}
-		select { // only a report that came after the delay tells that it was not enough
+		select { // of a report that came during the delay
+		case <-e.behind:
+		default:
+		}
+		select { // only a report that comes after the delay tells that it was not enough
 		case address := <-e.behind:
 			e.fetch(ctx, client, address)
 		case <-time.After(2 * heartbeatInterval):
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,6 +25,7 @@
 	holder     *fleet.Holder
 	dispatcher *dispatch.Dispatcher
 	suspects   *poison.Table
+	calls      atomic.Int32 // served for peers
 	stop       func()
 }
 
@@ -96,7 +99,11 @@
 		Dispatcher: n.dispatcher, Suspects: n.suspects, Log: zerolog.Nop()})
 	n.dispatcher.OnChange(n.Changed)
 	n.SetSeeds(seeds)
-	server.Config.Handler = n.Handler()
+	handler := n.Handler()
+	server.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.calls.Add(1)
+		handler.ServeHTTP(w, r)
+	})
 	server.Start()
 	udp, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
@@ -196,6 +203,29 @@
 	}
 }
 
+// Guards against gateways that all fetch the whole state of a peer, 600 KB with
+// 3,000 engines, because it heard of a change first and told them several times
+// before the store's feed did.
+func TestStateIsFetchedOnlyIfTheFeedIsLate(t *testing.T) {
+	a := newNode(t, "a", 1)
+	b := newNode(t, "b", 1, a.address())
+	configure(a.holder, 1, upstream("x"))
+	configure(b.holder, 1, upstream("x"))
+	eventually(t, "members", 2*time.Second, func() bool { return len(a.Members()) == 1 && len(b.Members()) == 1 })
+	for version := uint64(2); version < 6; version++ {
+		configure(a.holder, version, upstream("x"))
+		for range 4 {
+			a.Changed(true)
+			time.Sleep(fetchDelay / 8)
+		}
+		configure(b.holder, version, upstream("x"))
+		time.Sleep(fetchDelay + 2*heartbeatInterval + 100*time.Millisecond)
+	}
+	if n := a.calls.Load(); n > 0 {
+		t.Errorf("state fetched %d times", n)
+	}
+}
+
 // Guards against a request that crashes engines from every gateway in turn.
 func TestSuspectsReachPeers(t *testing.T) {
 	a := newNode(t, "a", 1)
