Bound the pause of an upstream that is ejected for minutes

Cause: a reading find: the first pause was shifted by the number of ejections in a row, which overflows after 34 of them, some three minutes of an engine that goes up and down. The upstream would have got requests at once each time.

Change: the pause is doubled up to its limit. TestPauseStaysBounded failed before (pause 35 negative).

--- a/dispatch/evidence.go
+++ b/dispatch/evidence.go
@@ -110,7 +110,10 @@
 	if !e.recent(now) {
 		e.count = 0
 	}
-	pause := min(ejectPause<<e.count, ejectPauseMax)
+	pause := ejectPause
+	for range e.count {
+		pause = min(2*pause, ejectPauseMax)
+	}
 	e.count++
 	e.began, e.until, e.trial = now, now.Add(pause), now.Add(pause+trialTime)
 }
--- a/dispatch/evidence_test.go
+++ b/dispatch/evidence_test.go
@@ -181,6 +181,24 @@
 	})
 }
 
+// Guards against an upstream that breaks answers for minutes and whose pause, doubled
+// each time, overflows.
+func TestPauseStaysBounded(t *testing.T) {
+	var e ejection
+	now := time.Now()
+	for i := range 100 {
+		e.eject(now)
+		if pause := e.until.Sub(now); pause < ejectPause || pause > ejectPauseMax {
+			t.Fatalf("pause %d: %v", i+1, pause)
+		}
+		now = e.until.Add(time.Second)
+	}
+	e.eject(now.Add(ejectMemory + time.Second))
+	if pause := e.until.Sub(e.began); pause != ejectPause {
+		t.Errorf("first pause after a calm time: %v", pause)
+	}
+}
+
 // Guards against requests that may not be sent again on an upstream of which
 // nobody knows whether it works again, and against one that is left alone for good.
 func TestTrialAfterEjection(t *testing.T) {
