Keep ejected upstreams closed while the others are only full

Change: only upstreams that refuse connections count as lost. Tested (TestEjectedUpstreamsAreUsedOnlyIfTheOthersAreDead).

--- a/dispatch/evidence.go
+++ b/dispatch/evidence.go
@@ -231,14 +231,14 @@
 }
 
 // closeAvoided closes the upstreams of a snapshot that ejections speak against,
-// so that requests wait for others rather than break. If the others have less
-// than half of the slots, the fault is hardly that of single upstreams, and they
-// are only used last.
-func closeAvoided(list []placement.Upstream, avoided []bool) {
+// so that requests wait for others rather than break, also for those that are
+// full for a moment. If the others, without dead ones, have less than half of the
+// slots, the fault is hardly that of single upstreams, and they are only used last.
+func closeAvoided(list []placement.Upstream, avoided, dead []bool) {
 	slots, left := 0, 0
 	for i := range list {
 		slots += list[i].Slots
-		if !avoided[i] && !list[i].Closed {
+		if !avoided[i] && !dead[i] {
 			left += list[i].Slots
 		}
 	}
--- a/dispatch/evidence_test.go
+++ b/dispatch/evidence_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/magnoliausher/magnoliausher/fleet"
+	"github.com/magnoliausher/magnoliausher/placement"
 )
 
 // brokenDay is a load of requests that may not be sent again, on upstreams of
@@ -199,6 +200,23 @@
 	}
 }
 
+// Guards against requests that break on an ejected upstream because the others
+// are full for a moment, and against requests that wait for dead ones.
+func TestEjectedUpstreamsAreUsedOnlyIfTheOthersAreDead(t *testing.T) {
+	list := func() []placement.Upstream {
+		return []placement.Upstream{{ID: "ejected", Slots: 8}, {ID: "b", Slots: 8, Closed: true}, {ID: "c", Slots: 8, Closed: true}}
+	}
+	avoided := []bool{true, false, false}
+	full := list()
+	if closeAvoided(full, avoided, []bool{false, false, false}); !full[0].Closed {
+		t.Error("used while the others are full")
+	}
+	refusing := list()
+	if closeAvoided(refusing, avoided, []bool{false, true, true}); refusing[0].Closed || !refusing[0].Doubtful {
+		t.Errorf("the others refuse connections: %+v", refusing[0])
+	}
+}
+
 // Guards against requests that may not be sent again on an upstream of which
 // nobody knows whether it works again, and against one that is left alone for good.
 func TestTrialAfterEjection(t *testing.T) {
