Judge an ejected upstream by newer answers only

Reports of peers are up to 0.25 s old and count half a second, so the evidence that ended in the first ejection was there when its pause ended; and answers that had begun before broke after it.

Change: evidence counts again 0.75 s after an ejection began, and only of answers that began after it.

Figures: TestOldEvidenceDoesNotEjectAgain failed before.

--- a/dispatch/evidence.go
+++ b/dispatch/evidence.go
@@ -16,6 +16,9 @@
 	// one in ten breaks.
 	evidenceWindow = 500 * time.Millisecond
 	evidenceSlots  = 5
+	// evidenceAge is the greatest age of evidence in the last report of a peer,
+	// which comes each 250 ms.
+	evidenceAge = evidenceWindow + 250*time.Millisecond
 	// ejectBroken and ejectShare: an upstream is ejected when this many answers, and
 	// this part in percent of all, were broken at all gateways together.
 	ejectBroken = 3
@@ -177,10 +180,10 @@
 	var list []ejected
 	for id, s := range d.upstreams {
 		e, any := sums[s.key]
-		if !any || s.ejection.until.After(now) {
+		if !any || s.ejection.until.After(now) || now.Sub(s.ejection.began) < evidenceAge {
 			continue
 		}
-		if e.Served > 0 { // the pause was longer than the window
+		if e.Served > 0 {
 			s.answers.Store(true)
 		}
 		if e.damning(s.ejection.recent(now) && !s.answers.Load()) {
--- a/dispatch/evidence_test.go
+++ b/dispatch/evidence_test.go
@@ -182,6 +182,45 @@
 	})
 }
 
+// Guards against a second, longer ejection for the answers that led to the first
+// one, or that had begun before it.
+func TestOldEvidenceDoesNotEjectAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := holder(fleet.Upstream{ID: "a", Slots: 8})
+		d, other := New(Config{Self: "g", Holder: h}), New(Config{Self: "o", Holder: h})
+		exchange := func() {
+			d.Merge("o", other.Report(), time.Now())
+			other.Merge("g", d.Report(), time.Now())
+		}
+		var old []*Grant
+		for range 4 {
+			old = append(old, mustAcquire(t, d), mustAcquire(t, other))
+		}
+		for _, g := range old[:4] {
+			g.Release(Broken)
+			exchange()
+		}
+		state := d.upstreams["a"]
+		if state.ejection.count != 1 {
+			t.Fatalf("%d ejections", state.ejection.count)
+		}
+		time.Sleep(ejectPause - 100*time.Millisecond)
+		exchange() // the last report before the pause ends
+		time.Sleep(101 * time.Millisecond)
+		old[4].Release(Broken)
+		old[5].Release(Broken)
+		exchange()
+		if state.ejection.count != 1 {
+			t.Errorf("ejected again by answers that began before the first ejection")
+		}
+		time.Sleep(evidenceAge - ejectPause)
+		mustAcquire(t, d).Release(Broken)
+		if state.ejection.count != 2 {
+			t.Errorf("%d ejections after another broken answer", state.ejection.count)
+		}
+	})
+}
+
 // Guards against an upstream that breaks answers for minutes and whose pause, doubled
 // each time, overflows.
 func TestPauseStaysBounded(t *testing.T) {
@@ -263,6 +302,7 @@
 			t.Errorf("after an answer has begun: sent to %s", got)
 		}
 		trial.Release(Served)
+		time.Sleep(evidenceAge) // reports hold evidence for longer than this test does
 		eject()
 		time.Sleep(2*ejectPause - time.Millisecond)
 		if got := sentTo(true); got != "far" {
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -49,7 +49,6 @@
 
 // note takes the end of a grant into account.
 func (e *evidence) note(outcome Outcome, now time.Time) {
-	e.recent.note(outcome, now)
 	switch outcome {
 	case Served:
 		e.broken, e.refused = 0, 0
@@ -176,6 +175,9 @@
 	}
 	before := s.belief(now)
 	s.note(outcome, now)
+	if !g.granted.Before(s.ejection.began) { // older answers led to the ejection, or broke with them
+		s.recent.note(outcome, now)
+	}
 	after, broken, refused := s.belief(now), s.broken, s.refused
 	q := d.queue(g.Upstream.Service)
 	if g.class == Online {
