Fetch from a peer only what is newer than the own state

A gateway that is behind fetches the whole list, 600 KB with 3,000 upstreams; since collectors name the gateway that has the newest versions, all fetched from that one, which could not send them in time, and tried again.

Change: a gateway says which versions it has and gets what is newer.

TestStateSince: two records instead of all for two changes.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -134,3 +134,25 @@
 		t.Error("not ready with both")
 	}
 }
+
+// Guards against a gateway that fetches the whole list of a large deployment for
+// each change, and against one that takes what it was sent for all there is.
+func TestStateSince(t *testing.T) {
+	now := time.Now()
+	ahead, behind := NewHolder(), NewHolder()
+	ahead.Configure(NewConfiguration(3, routes("/"), Limits{}))
+	ahead.Replace([]Record{ready("a", 5), ready("b", 6)}, 6, now)
+	behind.Adopt(ahead.View().StateSince(behind.View().Versions()), now)
+	if usable(behind) != 2 || behind.View().Configuration.Version != 3 {
+		t.Fatalf("first state: %d upstreams", usable(behind))
+	}
+	ahead.Apply([]Record{ready("c", 8), {Upstream: Upstream{ID: "a"}, Version: 9, Removed: true}}, now)
+	changes := ahead.View().StateSince(behind.View().Versions())
+	if len(changes.Records) != 2 || changes.Version != 0 {
+		t.Errorf("%d records and configuration %d sent for two changes", len(changes.Records), changes.Version)
+	}
+	behind.Adopt(changes, now)
+	if usable(behind) != 2 || behind.View().ListVersion != 9 || behind.View().Configuration.Version != 3 {
+		t.Errorf("after two changes: %d upstreams, list %d", usable(behind), behind.View().ListVersion)
+	}
+}
--- a/fleet/holder.go
+++ b/fleet/holder.go
@@ -180,15 +180,33 @@
 	Records []Record
 }
 
-// State returns what a peer needs of the view.
-func (v *View) State() State {
-	s := State{Listed: v.Listed, Records: v.Records}
-	if c := v.Configuration; c != nil {
+// StateSince returns what a peer needs that has a version of the configuration
+// and all records up to a version of the list. 0 stands for nothing.
+func (v *View) StateSince(configuration, list uint64) State {
+	s := State{Listed: v.Listed}
+	for i := range v.Records {
+		if v.Records[i].Version > list {
+			s.Records = append(s.Records, v.Records[i])
+		}
+	}
+	if c := v.Configuration; c != nil && c.Version > configuration {
 		s.Version, s.Routes, s.Limits = c.Version, c.Routes, c.Limits
 	}
 	return s
 }
 
+// Versions returns the versions of the view, as StateSince takes them. A view
+// that no list has been read for has none of the records.
+func (v *View) Versions() (configuration, list uint64) {
+	if v.Configuration != nil {
+		configuration = v.Configuration.Version
+	}
+	if v.Listed {
+		list = v.ListVersion
+	}
+	return configuration, list
+}
+
 // Adopt takes over what a peer knows and this process does not.
 func (h *Holder) Adopt(s State, now time.Time) {
 	if s.Version > 0 {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -33,7 +33,8 @@
 	heartbeatInterval = 250 * time.Millisecond
 	// fetchDelay leaves the store's feed time to bring what a peer has already.
 	fetchDelay = 250 * time.Millisecond
-	// fetchTimeout covers an answer of 200 KB on a slow instance.
+	// fetchTimeout covers the whole state, 200 KB with 1,000 upstreams, on a slow
+	// instance; a process that has just started needs it.
 	fetchTimeout = time.Second
 	// lostAfter: reports to a peer that has been silent for this long are sent
 	// once per lostInterval only.
@@ -260,7 +261,9 @@
 
 func (e *Exchange) fetch(ctx context.Context, client *http.Client, address string) {
 	service := magnoliausherv1connect.NewGatewayClient(client, "http://"+address)
-	response, err := service.FetchState(ctx, connect.NewRequest(&rpc.FetchStateRequest{}))
+	configuration, list := e.cfg.Holder.View().Versions()
+	response, err := service.FetchState(ctx, connect.NewRequest(&rpc.FetchStateRequest{
+		ConfigurationVersion: configuration, ListVersion: list}))
 	if err != nil {
 		e.cfg.Log.Warn().Err(err).Str("address", address).Msg("state of a peer not fetched")
 		return
@@ -271,13 +274,13 @@
 		return
 	}
 	e.cfg.Holder.Adopt(state, time.Now())
-	e.cfg.Log.Info().Str("address", address).Uint64("configuration", state.Version).
+	e.cfg.Log.Info().Str("address", address).Uint64("configuration", state.Version).Uint64("from_list", list).
 		Int("upstreams", len(state.Records)).Msg("took the state of a peer")
 }
 
-// FetchState implements the service for peers.
-func (e *Exchange) FetchState(context.Context, *connect.Request[rpc.FetchStateRequest]) (*connect.Response[rpc.FetchStateResponse], error) {
-	data, err := json.Marshal(e.cfg.Holder.View().State())
+// FetchState implements the service for peers, which get what they lack only.
+func (e *Exchange) FetchState(_ context.Context, request *connect.Request[rpc.FetchStateRequest]) (*connect.Response[rpc.FetchStateResponse], error) {
+	data, err := json.Marshal(e.cfg.Holder.View().StateSince(request.Msg.ConfigurationVersion, request.Msg.ListVersion))
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInternal, err)
 	}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -203,8 +203,7 @@
 	}
 }
 
-// Guards against gateways that all fetch the whole state of a peer, 600 KB with
-// 3,000 engines, because it heard of a change first and told them several times
+// Guards against gateways that all fetch the state of a peer because it heard of a change first and told them several times
 // before the store's feed did.
 func TestStateIsFetchedOnlyIfTheFeedIsLate(t *testing.T) {
 	a := newNode(t, "a", 1)
