Weigh broken answers against all that the others have had

Only gateways that had seen a broken answer told of served ones, so three broken answers in half a second looked like most, although one in twenty broke.

Change: once an upstream is accused, all gateways tell what they have had from it; the share that ejects is 40%, since all answers count now.

--- a/dispatch/evidence.go
+++ b/dispatch/evidence.go
@@ -22,7 +22,7 @@
 	// ejectBroken and ejectShare: an upstream is ejected when this many answers, and
 	// this part in percent of all, were broken at all gateways together.
 	ejectBroken = 3
-	ejectShare  = 30
+	ejectShare  = 40
 	// ejectReporters is the least number of gateways that have seen broken answers:
 	// one alone may have a broken network.
 	ejectReporters = 2
@@ -39,8 +39,8 @@
 )
 
 // Evidence is what came of the requests of one gateway, or of a data centre, at
-// an upstream over the last evidenceWindow. Upstreams that have neither broken
-// answers nor been ejected lately have none.
+// an upstream over the last evidenceWindow. Upstreams that have neither broken an
+// answer of any gateway nor been ejected lately have none.
 type Evidence struct {
 	Key       Key
 	Broken    int
@@ -146,7 +146,7 @@
 	var list []Evidence
 	for _, s := range d.upstreams {
 		e := s.recent.evidence(s.key, now)
-		if e.Broken > 0 || e.Served > 0 && s.ejection.recent(now) {
+		if e.Broken > 0 || e.Served > 0 && (s.ejection.recent(now) || now.Sub(s.accused) <= evidenceWindow) {
 			list = append(list, e)
 		}
 	}
@@ -180,6 +180,9 @@
 	var list []ejected
 	for id, s := range d.upstreams {
 		e, any := sums[s.key]
+		if e.Broken > 0 {
+			s.accused = now // what others have had from it counts as well
+		}
 		if !any || s.ejection.until.After(now) || now.Sub(s.ejection.began) < evidenceAge {
 			continue
 		}
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -44,6 +44,7 @@
 	closed   time.Time // not used until then
 	doubtful time.Time // used as a last resort until then
 	recent   outcomes
+	accused  time.Time // when a gateway last told of a broken answer
 	ejection ejection
 }
 
