Let shares and contention follow the age of reports

Cause: a reading find: reports are merged for longer where a data centre has more than 16 gateways, while contention and the times for which shares hold assumed 15 ms.

Change: package dispatch computes the merging time and what follows from it; up to 16 members nothing changes (11.5 and 29 ms in place of 12 and 30).

--- a/batch/schedule.go
+++ b/batch/schedule.go
@@ -14,8 +14,7 @@
 	// scheduleInterval is how often waiting items are offered although no event
 	// told of a free slot.
 	scheduleInterval = 50 * time.Millisecond
-	// startInterval is the least time between two rounds of starts: most of the
-	// time in which gateways in other data centres hear of the first one.
+	// startInterval is the least time between two rounds of starts.
 	startInterval = 40 * time.Millisecond
 )
 
@@ -32,7 +31,8 @@
 		case <-ticker.C:
 		}
 		s.startItems()
-		if !pause.For(ctx, startInterval) {
+		// Most other gateways have heard of one round before the next.
+		if !pause.For(ctx, max(startInterval, s.cfg.Dispatcher.NewsTime()*2/3)) {
 			return nil
 		}
 	}
--- a/dispatch/contention.go
+++ b/dispatch/contention.go
@@ -8,19 +8,59 @@
 )
 
 const (
-	// nearLag and farLag are the mean ages of what is known of other gateways.
-	// Reports are merged over 15 ms in a data centre. Between data centres they pass
-	// two collectors, which merge them over 20 and 15 ms. Each way takes a millisecond.
-	nearLag = 12 * time.Millisecond
-	farLag  = 30 * time.Millisecond
+	// nearInterval is the time over which reports to the own data centre are merged.
+	// With more members than nearMembers it grows, so that a gateway sends and
+	// receives no more than about a thousand reports a second.
+	nearInterval = 15 * time.Millisecond
+	nearMembers  = 16
+	// DigestInterval is the time over which reports between data centres are merged.
+	DigestInterval = 20 * time.Millisecond
+	// wayTime is what a report takes beside the merging: its way and the work at both ends.
+	wayTime = 4 * time.Millisecond
 	// rateWindow is the time over which arrivals are counted; traffic can double
 	// within a second.
 	rateWindow = 250 * time.Millisecond
-	// startsInterval is the time for which a share of the room holds: until most
-	// gateways in other data centres have heard of what was taken.
-	startsInterval = 60 * time.Millisecond
 )
 
+// NearInterval returns the time over which a gateway merges its reports to so
+// many others of its data centre.
+func NearInterval(members int) time.Duration {
+	return max(nearInterval, nearInterval*time.Duration(members)/nearMembers)
+}
+
+// lags returns the mean ages of what is known of other gateways, with so many
+// in the own data centre. Reports from others pass two collectors.
+func lags(near int) (nearLag, farLag time.Duration) {
+	merged := NearInterval(near) / 2
+	nearLag = merged + wayTime
+	return nearLag, nearLag + DigestInterval/2 + merged
+}
+
+// NewsTime is the time after which most other gateways have heard of what this
+// one does. Shares of what is free hold for as long.
+func (d *Dispatcher) NewsTime() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.newsTime()
+}
+
+func (d *Dispatcher) newsTime() time.Duration {
+	_, far := lags(d.near())
+	return 2 * far
+}
+
+// near returns how many other gateways of the own data centre are known. The
+// caller holds the lock.
+func (d *Dispatcher) near() int {
+	n := 0
+	for _, p := range d.peers {
+		if p.report.DataCentre == d.cfg.DataCentre {
+			n++
+		}
+	}
+	return n
+}
+
 // arrivals counts online requests over the last one to two windows.
 type arrivals struct {
 	began          time.Time // of the present window
@@ -55,18 +95,13 @@
 // contention estimates what other gateways will place before this one hears of
 // it. They get about as many requests as this one. The caller holds the lock.
 func (d *Dispatcher) contention(q *queue, now time.Time) placement.Contention {
-	near, far := 0, 0
-	for _, p := range d.peers {
-		if p.report.DataCentre == d.cfg.DataCentre {
-			near++
-		} else {
-			far++
-		}
-	}
+	near := d.near()
+	far := len(d.peers) - near
 	for _, g := range d.groups {
 		far += g.Gateways
 	}
 	rate := q.arrivals.rate(now)
+	nearLag, farLag := lags(near)
 	c := placement.Contention{Near: rate * float64(near) * nearLag.Seconds()}
 	c.All = c.Near + rate*float64(far)*farLag.Seconds()
 	return c
@@ -93,7 +128,7 @@
 	if elsewhere == 0 {
 		return true
 	}
-	if now.Sub(q.shared) >= startsInterval {
+	if now.Sub(q.shared) >= d.newsTime() {
 		q.shared = now
 		list := d.snapshot(d.cfg.Holder.View().Usable(service), true, now)
 		waiting := max(len(q.waiters), 1)
--- a/dispatch/contention_test.go
+++ b/dispatch/contention_test.go
@@ -21,8 +21,6 @@
 }
 
 const (
-	simNear    = 15 * time.Millisecond // between two reports in the own data centre
-	simDigest  = 20 * time.Millisecond // between two digests to other data centres
 	simRefresh = 250 * time.Millisecond
 	simWay     = time.Millisecond     // of a datagram
 	simUrgent  = 2 * time.Millisecond // before urgent news is passed on
@@ -79,6 +77,7 @@
 			<-lock
 		}
 		end := time.Now().Add(c.length)
+		near := NearInterval(len(gateways)/3 - 1) // between two reports in the own data centre
 		report := func(from *Dispatcher) {
 			r := from.Report()
 			for _, to := range gateways {
@@ -114,12 +113,12 @@
 					time.AfterFunc(simWay+simUrgent, func() { digest(speakers[i%len(speakers)], false, simUrgent) })
 				}
 			})
-			every(simNear, simNear*time.Duration(i)/time.Duration(len(gateways)), func() { report(g) })
+			every(near, near*time.Duration(i)/time.Duration(len(gateways)), func() { report(g) })
 		}
 		for i, g := range speakers {
-			offset := simDigest * time.Duration(i) / time.Duration(len(speakers))
-			every(simDigest, offset, func() { digest(g, false, simNear/2) })
-			every(simRefresh, offset+simDigest/2, func() { digest(g, true, simNear/2) })
+			offset := DigestInterval * time.Duration(i) / time.Duration(len(speakers))
+			every(DigestInterval, offset, func() { digest(g, false, near/2) })
+			every(simRefresh, offset+DigestInterval/2, func() { digest(g, true, near/2) })
 		}
 		online := func(g *Dispatcher, service time.Duration) {
 			arrived := time.Now()
@@ -146,7 +145,7 @@
 		if c.batch {
 			for _, g := range gateways {
 				go func() {
-					for ; time.Now().Before(end); time.Sleep(40 * time.Millisecond) {
+					for ; time.Now().Before(end); time.Sleep(max(40*time.Millisecond, g.NewsTime()*2/3)) {
 						g.SetBacklog(50)
 						for range g.BatchStarts("s", 50) {
 							if grant := g.TryBatch("s"); grant != nil {
--- a/peer/centres_test.go
+++ b/peer/centres_test.go
@@ -187,7 +187,7 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 	sent := metric.Sum(farReports) - before
-	perSpeaker := int(time.Second/digestInterval + time.Second/heartbeatInterval)
+	perSpeaker := int(time.Second/dispatch.DigestInterval + time.Second/heartbeatInterval)
 	perStandIn := int(time.Second / heartbeatInterval)
 	// Two data centres, each with both, tell two collectors each.
 	if most := 2 * 2 * (perSpeaker + perStandIn + 4); int(sent) > most {
--- a/peer/digest.go
+++ b/peer/digest.go
@@ -12,8 +12,6 @@
 )
 
 const (
-	// digestInterval merges what a collector tells other data centres.
-	digestInterval = 20 * time.Millisecond
 	// urgentInterval merges urgent news that a collector passes on.
 	urgentInterval = 2 * time.Millisecond
 	// groupCounts and groupMembers bound one group to about 1,000 bytes.
--- a/peer/receive.go
+++ b/peer/receive.go
@@ -17,6 +17,9 @@
 // everything again.
 const maxPending = 64
 
+// readPause follows a failed read of the socket.
+const readPause = 20 * time.Millisecond
+
 func (e *Exchange) receive(ctx context.Context, conn *net.UDPConn) error {
 	buffer := make([]byte, maxDatagram)
 	for {
@@ -26,7 +29,7 @@
 		}
 		if err != nil {
 			e.cfg.Log.Warn().Err(err).Msg("reading a report failed")
-			if !pause.For(ctx, nearInterval) {
+			if !pause.For(ctx, readPause) {
 				return nil
 			}
 			continue
--- a/peer/send.go
+++ b/peer/send.go
@@ -15,11 +15,6 @@
 )
 
 const (
-	// nearInterval merges the reports to the own data centre. With more members
-	// than nearMembers it grows, so that a gateway sends and receives no more than
-	// about a thousand reports a second.
-	nearInterval = 15 * time.Millisecond
-	nearMembers  = 16
 	// roleInterval is the least time between two looks at the own role.
 	roleInterval = 50 * time.Millisecond
 	// datagramSize bounds the groups in a datagram, so that with the own work, of
@@ -112,7 +107,7 @@
 	if urgent {
 		after(&s.farUrgent, urgentInterval)
 	} else {
-		after(&s.far, digestInterval)
+		after(&s.far, dispatch.DigestInterval)
 	}
 }
 
@@ -126,7 +121,7 @@
 			members++
 		}
 	}
-	return max(nearInterval, nearInterval*time.Duration(members)/nearMembers)
+	return dispatch.NearInterval(members)
 }
 
 func (e *Exchange) isNear(m *Seen) bool { return m.DataCentre == e.cfg.Self.DataCentre }
