--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -211,7 +211,7 @@
 // repeatable: the request that is to be placed may be sent again.
 func (d *Dispatcher) snapshot(usable []*fleet.Upstream, repeatable bool, now time.Time) []placement.Upstream {
 	list := make([]placement.Upstream, len(usable))
-	avoided, dead, any := make([]bool, len(usable)), make([]bool, len(usable)), false
+	avoided, dead, anyAvoided := make([]bool, len(usable)), make([]bool, len(usable)), false
 	for i, u := range usable {
 		s := d.state(u)
 		online, batch := d.work(s)
@@ -226,9 +226,9 @@
 		}
 		avoided[i] = s.avoided(repeatable, now)
 		dead[i] = s.refused > 0 && list[i].Closed
-		any = any || avoided[i]
+		anyAvoided = anyAvoided || avoided[i]
 	}
-	if any {
+	if anyAvoided {
 		closeAvoided(list, avoided, dead)
 	}
 	return list
--- a/dispatch/evidence.go
+++ b/dispatch/evidence.go
@@ -179,11 +179,11 @@
 	}
 	var list []ejected
 	for id, s := range d.upstreams {
-		e, any := sums[s.key]
+		e, told := sums[s.key]
 		if e.Broken > 0 {
 			s.accused = now // what others have had from it counts as well
 		}
-		if !any || s.ejection.until.After(now) || now.Sub(s.ejection.began) < evidenceAge {
+		if !told || s.ejection.until.After(now) || now.Sub(s.ejection.began) < evidenceAge {
 			continue
 		}
 		if e.Served > 0 {
--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -1,8 +1,6 @@
 package dispatch
 
-import (
-	"time"
-)
+import "time"
 
 const (
 	// groupExpiry drops a data centre from which nothing is heard; refreshes come
--- a/peer/collector.go
+++ b/peer/collector.go
@@ -29,7 +29,7 @@
 
 const (
 	speaker   role = iota // sends digests as soon as anything changes
-	stand                 // sends refreshes, so that the loss of the speaker leaves no gap
+	standIn               // sends refreshes, so that the loss of the speaker leaves no gap
 	noSpeaker             // sends none
 )
 
--- a/peer/collector_test.go
+++ b/peer/collector_test.go
@@ -30,7 +30,7 @@
 			alive++
 			count[roleOf(m, slices.Delete(slices.Clone(members), i, i+1), now)]++
 		}
-		return count[speaker] == min(alive, 1) && count[stand] == min(max(alive-1, 0), 1)
+		return count[speaker] == min(alive, 1) && count[standIn] == min(max(alive-1, 0), 1)
 	}, gen.SliceOf(gen.IntRange(0, 1200)), gen.SliceOf(gen.IntRange(0, 2000)), gen.SliceOf(gen.Bool())))
 	properties.TestingRun(t)
 }
--- a/peer/send.go
+++ b/peer/send.go
@@ -81,7 +81,7 @@
 			switch e.updateRole(now) {
 			case speaker:
 				s.digest(false, true)
-			case stand:
+			case standIn:
 				if s.beats%standInRefresh == 0 {
 					s.digest(false, true)
 				}
