Ask peers that are heard through collectors for the store

A gateway that the store does not serve asked only peers heard within 0.5 s; what is known of other data centres is up to 0.75 s old, so those were passed over and results waited.

Change: peers heard within a second are asked. TestStorePeerInOtherDataCentre failed before.

--- a/peer/centres_test.go
+++ b/peer/centres_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/magnoliausher/magnoliausher/dispatch"
 	"github.com/magnoliausher/magnoliausher/metric"
+	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
 )
 
 // centres starts gateways in data centres x and y that know each other as from
@@ -142,6 +143,24 @@
 	}
 }
 
+// Guards against a gateway that keeps its results to itself although peers in
+// other data centres are served by the store: what it hears of them is older than
+// what it hears of its own. Without a collector's loss it is up to 0.5 s old.
+func TestStorePeerInOtherDataCentre(t *testing.T) {
+	n := newNode(t, "g0", 1)
+	hear := func(age time.Duration) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.noteMember(&rpc.GatewayMember{Name: "g1", Incarnation: 1, Address: "peer", StoreReached: true, AgeMs: uint32(age.Milliseconds())}, "y", time.Now())
+	}
+	if hear(1100 * time.Millisecond); n.storePeer() != "" {
+		t.Error("a peer that has not been heard for over a second is asked")
+	}
+	if hear(600 * time.Millisecond); n.storePeer() != "peer" {
+		t.Error("a peer that is heard through collectors is not asked")
+	}
+}
+
 // Guards against a restarted gateway of another data centre that is taken for
 // its earlier process, whose jobs would then be left to nobody.
 func TestRestartInOtherDataCentre(t *testing.T) {
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -30,6 +30,10 @@
 // which ends within 2 s, or a watch of a second.
 const relayTimeout = 2500 * time.Millisecond
 
+// storePeerSilence: a peer that has not been heard for this long is not asked.
+// What is known of other data centres is up to 0.75 s old.
+const storePeerSilence = time.Second
+
 // Relay is a store that asks a peer where the own calls fail, so that a gateway
 // that the store does not serve can still keep its batch work. Writes are
 // conditional, so a write that is tried both ways takes effect once: the second
@@ -218,7 +222,7 @@
 	now := time.Now()
 	var near, far []string
 	for _, m := range e.Members() {
-		if !m.StoreReached || m.Leaving || now.Sub(m.Heard) > 2*heartbeatInterval {
+		if !m.StoreReached || m.Leaving || now.Sub(m.Heard) > storePeerSilence {
 			continue
 		}
 		if m.DataCentre == e.cfg.Self.DataCentre {
