End answers that are no answers; let slow streams finish

Only events restart the idle timeout, which is 1.2 s and applies only while another attempt is left; a batch item's timeouts double after attempts without an event. Event numbers must rise. Silence and unusable bytes are told from crashes. backoffAfter caps the shift of a failed item's delay.

--- a/batch/attempt.go
+++ b/batch/attempt.go
@@ -27,6 +27,11 @@
 	// answer or the retention ends an item. An engine takes some seconds to restart
 	// after a crash.
 	blockedRetryInterval = 12 * time.Second
+	// maxTimeoutDoublings limits the growth of an item's timeouts to a factor of 4.
+	maxTimeoutDoublings = 2
+	// maxItemOutputBytes limits the output of an item. The longest answers hold a few
+	// thousand tokens.
+	maxItemOutputBytes = 4 << 20
 )
 
 // runItem makes one attempt at an item and handles its result.
@@ -92,6 +97,8 @@
 	attemptNotRun     = "not_run"
 	attemptNotSent    = "not_sent"
 	attemptBroken     = "broken"
+	attemptSilent     = "silent"   // no answer or no event in time
+	attemptUnusable   = "unusable" // bytes that are no answer to the item
 )
 
 // attemptItem sends an item to the granted upstream and collects its events.
@@ -103,11 +110,13 @@
 	}
 	answer, err := forward.CallWithHeaderTimeout(ctx, s.cfg.Upstreams, grant.Upstream, &forward.Call{
 		ID: item.ID, Host: r.submission.Host, Method: http.MethodPost, Target: item.Target,
-		Header: header, Body: item.Body, ResumeAfter: ri.lastID()}, forward.ResponseHeaderTimeout)
-	if errors.Is(err, forward.ErrNotSent) {
+		Header: header, Body: item.Body, ResumeAfter: ri.lastID()}, ri.timeout(forward.ResponseHeaderTimeout))
+	switch {
+	case errors.Is(err, forward.ErrNotSent):
 		return dispatch.ConnectFailed, attemptNotSent
-	}
-	if err != nil {
+	case errors.Is(err, forward.ErrHeaderTimeout):
+		return dispatch.Broken, attemptSilent
+	case err != nil:
 		return dispatch.Broken, attemptBroken
 	}
 	defer answer.Body.Close()
@@ -125,30 +134,48 @@
 }
 
 func (s *Service) collectEvents(ri *runningItem, grant *dispatch.Grant, answer *forward.Response) (dispatch.Outcome, string) {
-	events := event.NewIdleTimeoutReader(answer.Body, forward.StreamIdleTimeout)
+	events := event.NewIdleTimeoutReader(answer.Body, ri.timeout(forward.StreamIdleTimeout))
 	defer events.Stop()
 	for {
 		e, err := events.Next()
-		if errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.Raw)) == 0 {
+		switch {
+		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.Raw)) == 0:
 			return dispatch.Served, attemptDone
-		}
-		if err != nil {
+		case errors.Is(err, event.ErrIdle):
+			return dispatch.Broken, attemptSilent
+		case errors.Is(err, event.ErrTooLong):
+			return dispatch.Broken, attemptUnusable
+		case err != nil:
 			return dispatch.Broken, attemptBroken
+		case !event.Follows(ri.lastID(), e.ID):
+			return dispatch.Broken, attemptUnusable
+		}
+		if !e.Empty() {
+			grant.Progress()
 		}
-		grant.Progress()
 		if e.Data == nil {
 			continue
 		}
-		ri.addEvent(e.ID, e.Data)
+		if ri.addEvent(e.ID, e.Data) > maxItemOutputBytes {
+			ri.reset() // an answer without end holds nothing to resume from
+			return dispatch.Broken, attemptUnusable
+		}
 	}
 }
 
+// timeout returns the time that the item's upstream may be silent. It doubles with
+// each attempt that broke without an event, so that an item which only slow upstreams
+// run is done as well.
+func (ri *runningItem) timeout(base time.Duration) time.Duration {
+	return base << min(ri.brokenInRow, maxTimeoutDoublings)
+}
+
 // handleAttemptResult finishes or requeues an item after an attempt.
 func (s *Service) handleAttemptResult(r *runningJob, ri *runningItem, grant *dispatch.Grant, result attemptResult, fingerprint uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	done, _ := ri.snapshot()
-	s.pace.recordAttempt(result.duration, done.Events-result.eventsBefore)
+	s.pace.recordAttempt(result.duration, max(done.Events-result.eventsBefore, 0))
 	switch result.status {
 	case attemptDone:
 		s.pace.recordItem(done.Events)
@@ -163,19 +190,27 @@
 			s.finishItem(r, ri, Result{Abandoned: true}, result.status)
 			return
 		}
-		s.requeue(ri, min(failureBackoff<<ri.failures, failureBackoffMax))
+		s.requeue(ri, backoffAfter(ri.failures))
 		return
 	}
 	if result.outcome == dispatch.Broken && done.Events == result.eventsBefore {
 		ri.brokenInRow++
-		s.cfg.CrashTracker.RecordCrash(grant.Upstream, fingerprint)
-		s.requeue(ri, min(failureBackoff<<min(ri.brokenInRow, 5), failureBackoffMax))
+		if result.status != attemptSilent && result.status != attemptUnusable {
+			s.cfg.CrashTracker.RecordCrash(grant.Upstream, fingerprint)
+		}
+		s.requeue(ri, backoffAfter(ri.brokenInRow))
 		return
 	}
 	ri.brokenInRow = 0
 	s.requeue(ri, 0)
 }
 
+// backoffAfter returns the delay after a number of failed attempts in a row.
+func backoffAfter(failures int) time.Duration {
+	const doublings = 5 // failureBackoff << doublings exceeds failureBackoffMax
+	return min(failureBackoff<<min(failures, doublings), failureBackoffMax)
+}
+
 // requeue makes an item eligible to start again after a delay. The caller holds s.mu.
 func (s *Service) requeue(ri *runningItem, delay time.Duration) {
 	ri.state = itemWaiting
--- a/batch/progress.go
+++ b/batch/progress.go
@@ -46,8 +46,8 @@
 	saved   int // number of events in the last checkpoint
 }
 
-// addEvent appends one event.
-func (g *itemProgress) addEvent(id string, data []byte) {
+// addEvent appends one event and returns the size of the output in bytes.
+func (g *itemProgress) addEvent(id string, data []byte) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.current.Events > 0 {
@@ -58,6 +58,7 @@
 	if id != "" {
 		g.current.LastID = id
 	}
+	return len(g.current.Output)
 }
 
 // snapshot returns a copy of the progress and the number of checkpointed events.
--- a/event/event.go
+++ b/event/event.go
@@ -7,14 +7,22 @@
 	"bytes"
 	"errors"
 	"io"
+	"strconv"
+	"sync/atomic"
 	"time"
 )
 
-// MaxBytes limits the size of one event. The largest events carry a few kilobytes.
-const MaxBytes = 1 << 20
+// MaxBytes limits the size of one event. The largest events carry a few kilobytes,
+// and 200 events of this size fit the memory of the smallest instances.
+const MaxBytes = 256 << 10
 
-// ErrTooLong is returned for an event over MaxBytes.
-var ErrTooLong = errors.New("event exceeds the maximum size")
+// Errors of a stream whose bytes are not usable.
+var (
+	// ErrTooLong is returned for an event over MaxBytes.
+	ErrTooLong = errors.New("event exceeds the maximum size")
+	// ErrIdle is returned when no event arrived within the idle timeout.
+	ErrIdle = errors.New("no event within the idle timeout")
+)
 
 // Event is one event, including the blank line that terminates it.
 type Event struct {
@@ -23,11 +31,28 @@
 	Data []byte // data lines joined by line feeds; nil if the event has none
 }
 
+// Empty reports whether the event has neither an ID nor data, like a comment that
+// a server sends to keep a connection open. Such an event is no progress.
+func (e *Event) Empty() bool { return e.ID == "" && e.Data == nil }
+
+// Follows reports whether an event with the given ID may come after the one with
+// lastID. IDs of a stream are increasing numbers; an ID that is not a number, or is
+// missing, is accepted.
+func Follows(lastID, id string) bool {
+	last, err := strconv.ParseUint(lastID, 10, 64)
+	if err != nil {
+		return true
+	}
+	next, err := strconv.ParseUint(id, 10, 64)
+	return err != nil || next > last
+}
+
 // Reader reads events from a stream.
 type Reader struct {
 	lines       *bufio.Reader
 	idleTimeout time.Duration
 	timer       *time.Timer // closes the body when it expires; nil without an idle timeout
+	expired     atomic.Bool // the timer has closed the body
 }
 
 // readBufferSize holds several events of a few hundred bytes.
@@ -38,12 +63,16 @@
 	return &Reader{lines: bufio.NewReaderSize(body, readBufferSize)}
 }
 
-// NewIdleTimeoutReader returns a Reader that closes the body if no complete event
-// arrives within idleTimeout. Call Stop to disable the timeout.
+// NewIdleTimeoutReader returns a Reader that closes the body and returns ErrIdle if
+// no complete event arrives within idleTimeout. Empty events and single bytes do not
+// restart the timeout. Call Stop to disable it.
 func NewIdleTimeoutReader(body io.ReadCloser, idleTimeout time.Duration) *Reader {
 	r := NewReader(body)
 	r.idleTimeout = idleTimeout
-	r.timer = time.AfterFunc(idleTimeout, func() { _ = body.Close() }) // makes the pending read fail
+	r.timer = time.AfterFunc(idleTimeout, func() {
+		r.expired.Store(true)
+		_ = body.Close() // makes the pending read fail
+	})
 	return r
 }
 
@@ -59,26 +88,29 @@
 // error, a partial event is discarded.
 func (r *Reader) Next() (Event, error) {
 	e, err := r.readEvent()
-	if err == nil && r.timer != nil {
+	switch {
+	case r.timer == nil:
+	case err == nil && !e.Empty():
 		r.timer.Reset(r.idleTimeout)
+	case err != nil && err != io.EOF && r.expired.Load():
+		err = ErrIdle
 	}
 	return e, err
 }
 
 func (r *Reader) readEvent() (Event, error) {
 	var e Event
+	blank := true // only blank lines so far, which are part of the next event
 	for {
-		line, err := r.lines.ReadSlice('\n')
-		e.Raw = append(e.Raw, line...)
-		if len(e.Raw) > MaxBytes {
-			return Event{}, ErrTooLong
-		}
-		if err == bufio.ErrBufferFull {
-			line = bytes.Clone(line) // the next read overwrites the buffer
-			var rest []byte
-			rest, err = r.lines.ReadBytes('\n')
-			e.Raw = append(e.Raw, rest...)
-			line = append(line, rest...)
+		start := len(e.Raw)
+		err := bufio.ErrBufferFull
+		for err == bufio.ErrBufferFull {
+			var part []byte
+			part, err = r.lines.ReadSlice('\n')
+			e.Raw = append(e.Raw, part...)
+			if len(e.Raw) > MaxBytes {
+				return Event{}, ErrTooLong
+			}
 		}
 		if err != nil {
 			if err == io.EOF {
@@ -86,13 +118,14 @@
 			}
 			return Event{}, err
 		}
-		line = bytes.TrimRight(line, "\r\n")
+		line := bytes.TrimRight(e.Raw[start:], "\r\n")
 		if len(line) == 0 {
-			if len(bytes.TrimSpace(e.Raw)) == 0 {
-				continue // extra blank lines between events are part of the next event
+			if blank {
+				continue
 			}
 			return e, nil
 		}
+		blank = false
 		e.parseField(line)
 	}
 }
--- a/event/event_test.go
+++ b/event/event_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"testing/synctest"
+	"time"
 )
 
 // Guards against events that are split, merged or altered, however the network
@@ -47,12 +49,106 @@
 	}
 }
 
-// Guards against unbounded memory use by an event that never ends.
+// Guards against unbounded memory use by an event or a line that never ends.
 func TestReaderBoundsEvents(t *testing.T) {
-	r := NewReader(io.LimitReader(endlessReader{}, 4*MaxBytes))
-	if _, err := r.Next(); !errors.Is(err, ErrTooLong) {
-		t.Errorf("got %v", err)
+	for name, endless := range map[string]io.Reader{"event": endlessReader{}, "line": endlessLine{}, "blank lines": endlessBlankLines{}} {
+		body := &countingReader{Reader: io.LimitReader(endless, 16*MaxBytes)}
+		r := NewReader(body)
+		if _, err := r.Next(); !errors.Is(err, ErrTooLong) {
+			t.Errorf("%s: got %v", name, err)
+		}
+		if body.n > 2*MaxBytes {
+			t.Errorf("%s: read %d bytes, want at most %d", name, body.n, 2*MaxBytes)
+		}
+	}
+}
+
+// Guards against a stalled server that keeps a stream open with comments, blank
+// lines or single bytes, and against cutting a stream whose events are slow but
+// within the timeout.
+func TestIdleTimeout(t *testing.T) {
+	const timeout = 700 * time.Millisecond
+	for name, c := range map[string]struct {
+		text string
+		gap  time.Duration // before each byte
+		want error
+	}{
+		"comments":     {strings.Repeat(":\n\n", 1000), 100 * time.Millisecond, ErrIdle},
+		"blank lines":  {strings.Repeat("\n", 1000), 300 * time.Millisecond, ErrIdle},
+		"single bytes": {"data: " + strings.Repeat("x", 1000), 300 * time.Millisecond, ErrIdle},
+		"slow events":  {strings.Repeat("id:1\n\n", 20), 100 * time.Millisecond, io.EOF},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			reader, writer := io.Pipe()
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				for i := range len(c.text) {
+					time.Sleep(c.gap)
+					if _, err := writer.Write([]byte(c.text[i : i+1])); err != nil {
+						return
+					}
+				}
+				writer.Close()
+			}()
+			started := time.Now()
+			r := NewIdleTimeoutReader(reader, timeout)
+			defer r.Stop()
+			var err error
+			for err == nil {
+				_, err = r.Next()
+			}
+			if !errors.Is(err, c.want) {
+				t.Errorf("%s: ended with %v after %v", name, err, time.Since(started))
+			}
+			if took := time.Since(started); c.want == ErrIdle && took > timeout+c.gap {
+				t.Errorf("%s: ended after %v", name, took)
+			}
+			<-done
+		})
+	}
+}
+
+// Guards against events of a second copy of an answer that are taken for new ones.
+func TestFollows(t *testing.T) {
+	for _, c := range []struct {
+		last, id string
+		want     bool
+	}{{"", "1", true}, {"1", "2", true}, {"1", "7", true}, {"2", "2", false}, {"10", "9", false}, {"x", "1", true}, {"3", "", true}} {
+		if got := Follows(c.last, c.id); got != c.want {
+			t.Errorf("%q after %q: %v", c.id, c.last, got)
+		}
+	}
+}
+
+// countingReader counts the bytes read.
+type countingReader struct {
+	io.Reader
+	n int
+}
+
+func (c *countingReader) Read(p []byte) (int, error) {
+	n, err := c.Reader.Read(p)
+	c.n += n
+	return n, err
+}
+
+type endlessLine struct{}
+
+func (endlessLine) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = 'x'
 	}
+	return len(p), nil
+}
+
+type endlessBlankLines struct{}
+
+func (endlessBlankLines) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = '\n'
+	}
+	return len(p), nil
 }
 
 // endlessReader yields an event that never ends, with a line feed about every 1000
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -22,7 +22,7 @@
 		return x.failAttempt(grant, started, "cut: "+err.Error())
 	}
 	grant.Progress()
-	if response.Status >= 500 && x.Route.Repeatable() && x.possibleRuns < x.Route.MaxAttempts && x.ctx.Err() == nil {
+	if response.Status >= 500 && x.canMove() && x.ctx.Err() == nil {
 		return x.failAttempt(grant, started, "status "+strconv.Itoa(response.Status))
 	}
 	x.copyHeader(response)
@@ -30,14 +30,17 @@
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	x.w.WriteHeader(response.Status)
-	_, err = x.w.Write(body)
-	if err == nil && len(body) > maxBufferedBytes {
-		_, err = io.Copy(x.w, response.Body)
-	}
-	if err != nil {
+	if _, err = x.w.Write(body); err != nil {
 		grant.Release(dispatch.Cancelled)
 		x.recordAttempt(grant, started, err.Error())
-		return x.abortResponse("copy")
+		return x.abortResponse("caller_gone")
+	}
+	if len(body) > maxBufferedBytes {
+		if outcome, err := x.copyRest(response); err != nil {
+			grant.Release(outcome)
+			x.recordAttempt(grant, started, err.Error())
+			return x.abortResponse("copy")
+		}
 	}
 	grant.Release(outcomeForStatus(response.Status))
 	x.recordAttempt(grant, started, "served")
@@ -45,6 +48,38 @@
 	return errDone
 }
 
+// errBodyTooLong is returned for a response body over maxBodyBytes.
+var errBodyTooLong = errors.New("response body exceeds the maximum size")
+
+// copyRest passes on what follows the buffered part of a response. Its outcome tells
+// an upstream that broke the response from a caller that disconnected.
+func (x *exchange) copyRest(response *Response) (dispatch.Outcome, error) {
+	const rest = maxBodyBytes - (maxBufferedBytes + 1)
+	source := &errorRecordingReader{Reader: io.LimitReader(response.Body, rest)}
+	n, err := io.Copy(x.w, source)
+	switch {
+	case err == nil && n == rest:
+		return dispatch.Broken, errBodyTooLong
+	case source.err != nil && x.ctx.Err() == nil:
+		return dispatch.Broken, err
+	}
+	return dispatch.Cancelled, err
+}
+
+// errorRecordingReader keeps the error of the last read, other than io.EOF.
+type errorRecordingReader struct {
+	io.Reader
+	err error
+}
+
+func (r *errorRecordingReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if err != nil && err != io.EOF {
+		r.err = err
+	}
+	return n, err
+}
+
 // outcomeForStatus returns the dispatch outcome of a complete response. Status 504
 // does not count against the upstream, as the request's own deadline may have
 // caused it.
@@ -68,20 +103,34 @@
 	return x.retryOrFail(false, reason)
 }
 
-// forwardStream passes events on to the caller as they arrive.
+// errOutOfOrder is returned for an event that does not come after the last one, such
+// as the first one of a second copy of the answer.
+var errOutOfOrder = errors.New("event out of order")
+
+// forwardStream passes events on to the caller as they arrive. Only a stream that
+// can go on elsewhere is given up for its upstream's silence; the last attempt has
+// until the deadline.
 func (x *exchange) forwardStream(grant *dispatch.Grant, started time.Time, response *Response) error {
 	idleTimeout := defaultTimeout
-	if x.Route.Resumable {
+	if x.Route.Resumable && x.canMove() {
 		idleTimeout = StreamIdleTimeout
 	}
 	events := event.NewIdleTimeoutReader(response.Body, idleTimeout)
 	defer events.Stop()
 	for {
 		e, err := events.Next()
+		switch {
+		case err == nil && !event.Follows(x.lastEventID, e.ID):
+			err = errOutOfOrder
+		case err != nil && response.EndsWithConnection && len(bytes.TrimSpace(e.Raw)) > 0:
+			err = io.ErrUnexpectedEOF // closed in the middle of an event
+		}
 		if err != nil && !errors.Is(err, io.EOF) {
 			return x.failStream(grant, started, err)
 		}
-		grant.Progress()
+		if !e.Empty() {
+			grant.Progress()
+		}
 		if writeErr := x.writeEvent(response, e); writeErr != nil {
 			grant.Release(dispatch.Cancelled)
 			x.recordAttempt(grant, started, writeErr.Error())
@@ -121,7 +170,7 @@
 
 // failStream handles a stream that ended before its upstream completed it.
 func (x *exchange) failStream(grant *dispatch.Grant, started time.Time, err error) error {
-	if x.ctx.Err() == nil {
+	if x.ctx.Err() == nil && mayBeCrash(err) {
 		x.cfg.CrashTracker.RecordCrash(grant.Upstream, x.Fingerprint)
 	}
 	return x.failAttempt(grant, started, "cut: "+err.Error())
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -15,12 +15,19 @@
 	"github.com/rs/zerolog"
 
 	"github.com/magnoliausher/magnoliausher/dispatch"
+	"github.com/magnoliausher/magnoliausher/event"
 	"github.com/magnoliausher/magnoliausher/fleet"
 	"github.com/magnoliausher/magnoliausher/metric"
 )
 
-// ErrNotSent means that no byte of the request reached the upstream.
-var ErrNotSent = errors.New("request was not sent")
+// Errors of a call.
+var (
+	// ErrNotSent means that no byte of the request reached the upstream.
+	ErrNotSent = errors.New("request was not sent")
+	// ErrHeaderTimeout means that the response did not start in time. The upstream
+	// may be slow or unreachable; that is no sign of a crash.
+	ErrHeaderTimeout = errors.New("response did not start in time")
+)
 
 // Call is one attempt to execute a request on one upstream.
 type Call struct {
@@ -41,7 +48,10 @@
 	NotExecuted bool        // the upstream states that it did not execute the request
 	Signed      bool        // carries the upstream's signature; a 2xx response without one did not come from the upstream
 	EventStream bool        // the body is an event stream
-	Body        io.ReadCloser
+	// EndsWithConnection: the body has neither a length nor a closing mark, so its end
+	// cannot be told from a connection that was closed early.
+	EndsWithConnection bool
+	Body               io.ReadCloser
 }
 
 // Upstreams sends calls to upstreams. After an error other than ErrNotSent it is
@@ -52,9 +62,10 @@
 
 const (
 	// StreamIdleTimeout is the time without an event after which a resumable
-	// stream is moved to another upstream. Engines send an event every 30 ms; a
-	// long prompt can delay one by 200 ms.
-	StreamIdleTimeout = 700 * time.Millisecond
+	// stream is moved to another upstream. It exceeds the second that a slow but
+	// sound upstream may take for an event, and stays below the two seconds after
+	// which callers give a silent stream up.
+	StreamIdleTimeout = 1200 * time.Millisecond
 	// ResponseHeaderTimeout is the corresponding limit for the start of the
 	// response, which may be queued at the upstream behind a request that takes a
 	// second.
@@ -62,19 +73,23 @@
 )
 
 // CallWithHeaderTimeout makes a call and cancels it if the response does not
-// start within headerTimeout. The timeout does not apply to reading the body,
-// which only ctx limits.
+// start within headerTimeout, with ErrHeaderTimeout. The timeout does not apply to
+// reading the body, which only ctx limits.
 func CallWithHeaderTimeout(ctx context.Context, upstreams Upstreams, u *fleet.Upstream, c *Call, headerTimeout time.Duration) (*Response, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	timer := time.AfterFunc(headerTimeout, cancel)
 	response, err := upstreams.Call(ctx, u, c)
+	inTime := timer.Stop()
 	if err != nil {
 		cancel()
+		if !inTime && !errors.Is(err, ErrNotSent) {
+			return nil, ErrHeaderTimeout
+		}
 		return nil, err
 	}
-	if !timer.Stop() {
-		response.Body.Close()
-		return nil, context.DeadlineExceeded
+	if !inTime {
+		_ = response.Body.Close() // the call is given up
+		return nil, ErrHeaderTimeout
 	}
 	response.Body = &cancelOnCloseBody{response.Body, cancel}
 	return response, nil
@@ -127,8 +142,12 @@
 
 const (
 	// maxBufferedBytes is the largest response body that is buffered in full;
-	// larger ones are streamed to the caller.
-	maxBufferedBytes = 1 << 20
+	// larger ones are streamed to the caller. 200 bodies of this size fit the memory
+	// of the smallest instances.
+	maxBufferedBytes = 256 << 10
+	// maxBodyBytes limits a response body that is no event stream. A longer one is
+	// cut off and counts as broken.
+	maxBodyBytes = 64 << 20
 	// defaultTimeout is the time limit of requests whose caller sets none, and the
 	// header and idle timeout where a request cannot be resumed elsewhere.
 	defaultTimeout = 60 * time.Second
@@ -268,10 +287,28 @@
 	}
 	x.possibleRuns++
 	x.failedUpstreams[grant.Upstream.ID] = true
-	x.cfg.CrashTracker.RecordCrash(grant.Upstream, x.Fingerprint)
+	if mayBeCrash(err) {
+		x.cfg.CrashTracker.RecordCrash(grant.Upstream, x.Fingerprint)
+	}
 	return dispatch.Broken
 }
 
+// mayBeCrash reports whether the error can come from a crash of the upstream.
+// Silence and unusable bytes do not.
+func mayBeCrash(err error) bool {
+	for _, other := range []error{ErrHeaderTimeout, context.DeadlineExceeded, event.ErrIdle, event.ErrTooLong, errOutOfOrder} {
+		if errors.Is(err, other) {
+			return false
+		}
+	}
+	return true
+}
+
+// canMove reports whether another attempt may follow one that breaks.
+func (x *exchange) canMove() bool {
+	return x.Route.Repeatable() && x.possibleRuns < x.Route.MaxAttempts
+}
+
 // retryOrFail returns nil if the request may be sent to another upstream, and
 // ends the exchange otherwise.
 func (x *exchange) retryOrFail(notExecuted bool, reason string) error {
@@ -285,7 +322,7 @@
 		metric.Retried(x.Service, x.Route.Name, "not_run")
 		return nil
 	}
-	if x.Route.Repeatable() && x.possibleRuns < x.Route.MaxAttempts && !x.cfg.CrashTracker.Blocked(x.Fingerprint) {
+	if x.canMove() && !x.cfg.CrashTracker.Blocked(x.Fingerprint) {
 		metric.Retried(x.Service, x.Route.Name, "broken")
 		return nil
 	}
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -96,12 +96,12 @@
 }
 
 // serve forwards one request of a route to a fleet of three upstreams.
-func serve(t *testing.T, route fleet.Route, s *scriptedUpstreams, tracker CrashTracker) result {
+func serve(t *testing.T, route fleet.Route, s Upstreams, tracker CrashTracker) result {
 	t.Helper()
 	return serveWithTimeout(t, route, s, tracker, time.Second)
 }
 
-func serveWithTimeout(t *testing.T, route fleet.Route, s *scriptedUpstreams, tracker CrashTracker, callerTimeout time.Duration) result {
+func serveWithTimeout(t *testing.T, route fleet.Route, s Upstreams, tracker CrashTracker, callerTimeout time.Duration) result {
 	t.Helper()
 	h := fleet.NewHolder()
 	h.Configure(fleet.NewConfiguration(1, nil, fleet.Limits{}))
