Agree on the collectors while gateways start together; keep test processes apart

Cause of the red TestDataCentresHearOfEachOther, from traces of failing runs: 1. A process knew its own start, but first heard gateways that started with it up to a heartbeat later. Test processes reuse each other's ports. Reports that another process still sends to a stopped node's port arrive under the same names. The machine was not loaded (load average 2 to 4).

Change: what a process first hears within a heartbeat of its start counts from its start. Test nodes listen on a loopback address of their process.

--- a/peer/centres_test.go
+++ b/peer/centres_test.go
@@ -78,20 +78,30 @@
 // the same time.
 func TestDataCentresHearOfEachOther(t *testing.T) {
 	x, y := startDataCentres(t, reliableNetwork{}, 4)
-	nonCollector := func(list []*node) *node {
-		var found *node
-		eventually(t, "a gateway that is not a collector", 3*time.Second, func() bool {
+	// Until the gateways have heard each other, more or other gateways take the role.
+	// The test stops the collectors, which must not include the two that it watches.
+	settled, since := "", time.Now()
+	eventually(t, "the same two collectors in each data centre for two heartbeats", 5*time.Second, func() bool {
+		roles := ""
+		for _, list := range [][]*node{x, y} {
 			collectors := 0
 			for _, n := range list {
 				if n.isCollector() {
 					collectors++
-				} else {
-					found = n
+					roles += n.cfg.Self.Name + " "
 				}
 			}
-			return collectors == 2
-		})
-		return found
+			if collectors != 2 {
+				roles, since = "", time.Now()
+			}
+		}
+		if roles != settled {
+			settled, since = roles, time.Now()
+		}
+		return time.Since(since) > 2*heartbeatInterval
+	})
+	nonCollector := func(list []*node) *node {
+		return list[slices.IndexFunc(list, func(n *node) bool { return !n.isCollector() })]
 	}
 	worker, observer := nonCollector(x), nonCollector(y)
 	grants := worker.acquire(t, 2)
--- a/peer/collector.go
+++ b/peer/collector.go
@@ -20,6 +20,9 @@
 	// warmUpTime is how long a process receives reports before it counts as warmed
 	// up, so that a collector knows the work of the other gateways.
 	warmUpTime = 2 * heartbeatInterval
+	// startTolerance is how much later than its own start a process first hears
+	// gateways that run already or start with it: a heartbeat and its delay.
+	startTolerance = heartbeatInterval + 50*time.Millisecond
 	// remoteCollectorTimeout is the silence after which a remote collector gets
 	// no more digests. If a data centre has no active collector, all its members
 	// get them until a collector reports.
@@ -43,6 +46,17 @@
 	Leaving    bool
 }
 
+// alignFirstHeard returns the time from which a gateway counts as heard for a process
+// that began at started. What was heard first within startTolerance counts from the
+// start: otherwise processes that start together would all warm up before those that
+// they hear, and each would be a collector for a heartbeat.
+func alignFirstHeard(firstHeard, started time.Time) time.Time {
+	if firstHeard.Sub(started) <= startTolerance {
+		return started
+	}
+	return firstHeard
+}
+
 // chooseRole returns the role of self. Gateways that see the same members reach
 // the same result.
 func chooseRole(self candidate, others []candidate, now time.Time) role {
--- a/peer/collector_test.go
+++ b/peer/collector_test.go
@@ -54,6 +54,35 @@
 	}
 }
 
+// Guards against gateways that start together and are all collectors for a heartbeat,
+// because each knows its own start and hears the others up to a heartbeat later.
+func TestRolesAgreeAfterCommonStart(t *testing.T) {
+	started := time.Now()
+	const gateways = 8
+	for age := time.Duration(0); age < 2*time.Second; age += 10 * time.Millisecond {
+		count := map[role]int{}
+		for i := range gateways {
+			now := started.Add(heartbeatInterval + age)
+			self := candidate{Name: fmt.Sprint("g", i), LastHeard: now, FirstHeard: started}
+			var others []candidate
+			for j := range gateways {
+				if i != j {
+					heard := started.Add(time.Duration((7*i+11*j)%gateways) * heartbeatInterval / gateways)
+					others = append(others, candidate{Name: fmt.Sprint("g", j), LastHeard: now, FirstHeard: alignFirstHeard(heard, started)})
+				}
+			}
+			count[chooseRole(self, others, now)]++
+		}
+		if count[rolePrimary] != 1 || count[roleBackup] != 1 {
+			t.Fatalf("%v after the start: %d primary and %d backup collectors", age, count[rolePrimary], count[roleBackup])
+		}
+	}
+	late := started.Add(time.Second)
+	if got := alignFirstHeard(late, started); got != late {
+		t.Errorf("a gateway that started later counts from %v", got.Sub(started))
+	}
+}
+
 // Guards against data centres that lose contact when the known collectors are
 // gone, and against digests to every gateway while collectors are active.
 func TestSelectRemoteReceivers(t *testing.T) {
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -89,12 +91,26 @@
 	return inside
 }
 
+// processHost returns a loopback address that other processes of this test do not
+// use. Ports are reused soon, and the reports that another process still sends to a
+// stopped node's port would reach a node of this one, under the same names.
+func processHost() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>16&0x7f, pid>>8&0xff, pid&0xff)
+}
+
 func newNodeIn(t *testing.T, network testNetwork, dataCentre, name string, incarnation uint64, seeds ...string) *node {
 	t.Helper()
 	n := &node{holder: fleet.NewHolder(), suspects: poison.NewTable(poison.Config{BlockAfter: 3})}
 	n.dispatcher = dispatch.New(dispatch.Config{Self: name, DataCentre: dataCentre, Holder: n.holder})
 	server := httptest.NewUnstartedServer(nil)
-	address := server.Listener.Addr().String()
+	server.Listener.Close()
+	listener, err := net.Listen("tcp", processHost()+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server.Listener = listener
+	address := listener.Addr().String()
 	n.Exchange = New(Config{Self: Member{Name: name, Incarnation: incarnation, Address: address, DataCentre: dataCentre}, Holder: n.holder,
 		Dispatcher: n.dispatcher, Suspects: n.suspects, Log: zerolog.Nop()})
 	n.dispatcher.OnChange(n.NotifyChange)
--- a/peer/send.go
+++ b/peer/send.go
@@ -140,7 +140,7 @@
 	var others []candidate
 	for _, p := range e.peers {
 		if e.isLocal(&p.MemberStatus) {
-			others = append(others, candidate{Name: p.Name, LastHeard: p.LastHeard, FirstHeard: p.firstHeard, Leaving: p.Leaving})
+			others = append(others, candidate{Name: p.Name, LastHeard: p.LastHeard, FirstHeard: alignFirstHeard(p.firstHeard, e.started), Leaving: p.Leaving})
 		}
 	}
 	r := chooseRole(self, others, now)
