Retry after a leaving agent outside the budget; remove what is gone; reload the log level

An agent that shuts down, or whose engine is down, refuses every request of the entries that have not learned of it; each refusal was charged to the budget of a tenth of the requests, and the streams that the crash broke found none left. Change: such refusals are free; attempts stay bounded by MaxAttempts, and an agent that refused is excluded. TestRefusalsOfLeavingAgentAreRetried fails before (request 22 of 100) and passes.

--- a/batch/commit.go
+++ b/batch/commit.go
@@ -239,15 +239,16 @@
 func (s *Service) clearOwner(id string) {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
+	owned := false
 	err := s.updateJob(ctx, id, func(j *Job) bool {
-		if j.closed() || !s.owns(j) {
-			return false
+		owned = !j.closed() && s.owns(j)
+		if owned {
+			j.Owner, j.OwnerIncarnation = "", 0
 		}
-		j.Owner, j.OwnerIncarnation = "", 0
-		return true
+		return owned
 	})
 	// After an error, peers claim the job once they consider this process lost.
-	s.cfg.Log.Info().Err(err).Str("job", id).Bool("given_back", err == nil).Msg("attempted to release a job at shutdown")
+	s.cfg.Log.Info().Err(err).Str("job", id).Bool("given_back", owned && err == nil).Msg("attempted to release a job at shutdown")
 }
 
 // releaseJob saves the progress of a job whose items have stopped, commits the
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -63,6 +63,7 @@
 	file     string
 	settings *settings.Gateway
 	log      zerolog.Logger
+	logLevel *levelSampler
 	closeLog func()
 
 	self       peer.Member
@@ -81,15 +82,17 @@
 }
 
 // NewGateway creates a gateway from its settings, which were loaded from file. Run
-// starts it and later reloads the file, of which only the seeds take effect then.
+// starts it and later reloads the file, of which only the seeds and the log level
+// take effect then.
 func NewGateway(file string, s *settings.Gateway) (*Gateway, error) {
 	level, err := zerolog.ParseLevel(s.Log.Level)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	logLevel := newLevelSampler(level)
 	writer := diode.NewWriter(nopCloseWriter{os.Stdout}, logBufferLines, 0, metric.LogLinesDropped)
 	g := &Gateway{file: file, settings: s, holder: fleet.NewHolder(), store: platform.NewStore(s.StoreAddress),
-		log: zerolog.New(writer).Level(level).With().Timestamp().Str("instance", s.Instance.ID).Logger(),
+		logLevel: logLevel, log: zerolog.New(writer).Sample(logLevel).With().Timestamp().Str("instance", s.Instance.ID).Logger(),
 		closeLog: func() {
 			_ = writer.Close() // a failure cannot be logged anymore
 		},
@@ -124,6 +127,21 @@
 	g.metrics = &http.Server{Handler: metric.Handler(), ReadHeaderTimeout: readHeaderTimeout}
 }
 
+// levelSampler drops log lines below a level that a reload may change. Loggers derived
+// from one with a sampler share it, while the level of a zerolog.Logger is copied.
+type levelSampler struct{ level atomic.Int32 }
+
+func newLevelSampler(level zerolog.Level) *levelSampler {
+	s := &levelSampler{}
+	s.set(level)
+	return s
+}
+
+func (s *levelSampler) set(level zerolog.Level) { s.level.Store(int32(level)) }
+
+// Sample implements zerolog.Sampler.
+func (s *levelSampler) Sample(level zerolog.Level) bool { return int32(level) >= s.level.Load() }
+
 // nopCloseWriter hides Close, so that closing the log does not close standard output.
 type nopCloseWriter struct{ io.Writer }
 
@@ -219,7 +237,7 @@
 		defer close(registered)
 		peer.Register(ctx, g.store, g.self, memberRetryInterval, g.log)
 	}()
-	peer.WatchMembers(ctx, g.store, g.exchange, g.log)
+	peer.WatchMembers(ctx, g.store, g.store, g.exchange, g.log)
 	<-registered
 }
 
@@ -261,7 +279,7 @@
 }
 
 // watchSettings reloads the settings file on a signal or when its content changes.
-// Only the seeds take effect at runtime.
+// Only the seeds and the log level take effect at runtime.
 func (g *Gateway) watchSettings(ctx context.Context, reload <-chan os.Signal) {
 	ticker := time.NewTicker(settingsCheckInterval)
 	defer ticker.Stop()
@@ -285,8 +303,14 @@
 			g.log.Error().Err(err).Msg("reloading settings failed; keeping the previous settings")
 			continue
 		}
+		level, err := zerolog.ParseLevel(s.Log.Level)
+		if err != nil {
+			g.log.Error().Err(err).Msg("reloading settings failed; keeping the previous settings")
+			continue
+		}
 		g.exchange.SetSeeds(s.Seeds)
-		g.log.Info().Bool("signal", signalled).Strs("seeds", s.Seeds).Msg("settings reloaded")
+		g.log.Info().Bool("signal", signalled).Strs("seeds", s.Seeds).Stringer("level", level).Msg("settings reloaded")
+		g.logLevel.set(level)
 	}
 }
 
--- a/daemon/gateway_test.go
+++ b/daemon/gateway_test.go
@@ -419,6 +419,37 @@
 	}
 }
 
+// Guards against a reload of the settings that changes neither the log level nor the
+// seeds.
+func TestReloadTakesEffect(t *testing.T) {
+	d := newDeployment(t, 1)
+	seed, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer seed.Close()
+	g := d.gateways[0]
+	data, err := os.ReadFile(g.file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if g.log.Info().Enabled() || !g.log.Error().Enabled() {
+		t.Fatal("the level error is not in force")
+	}
+	text := strings.Replace(string(data), "level = error", "level = debug", 1)
+	text = strings.Replace(text, "seeds = ", "seeds = "+seed.LocalAddr().String(), 1)
+	if err := os.WriteFile(g.file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := seed.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := seed.ReadFrom(make([]byte, 64<<10)); err != nil {
+		t.Errorf("no report to the new seed: %v", err)
+	}
+	d.eventually("the new level", func() bool { return g.log.Debug().Enabled() })
+}
+
 // Guards against a gateway that fails after its settings file changes, also to an
 // invalid one.
 func TestGatewayReloadsSettings(t *testing.T) {
--- a/e2e/leaving_test.go
+++ b/e2e/leaving_test.go
@@ -31,6 +31,7 @@
 	t.Parallel()
 	f := newFleet(t, 3, 2)
 	l := newLoad()
+	f.sendUntilBusy(t, l, 0, tokens) // an entry may link to the agent late; without a request nothing would be tested
 	f.sendUntil(t, l, time.Now().Add(time.Second))
 	f.platform.SetInstance(storage.Instance{ID: f.agents[0].id, Role: storage.RoleAgent, DataCentre: dataCentre,
 		Address: f.agents[0].address, Service: model, State: storage.InstanceLeaving})
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/magnoliausher/magnoliausher/admission"
 	"github.com/magnoliausher/magnoliausher/apierror"
 	"github.com/magnoliausher/magnoliausher/attempt"
 	"github.com/magnoliausher/magnoliausher/contract"
@@ -324,11 +325,15 @@
 // attempt that was not sent is free, and a reroute has been charged already. The first
 // retry of an accepted attempt that was lost is free as well: an agent that fails takes
 // all its requests with it, more than a tenth of a small fleet's, and one extra attempt
-// per request bounds the added load.
+// per request bounds the added load. So is the attempt after an agent that leaves or
+// whose upstream is down: it refuses all requests of the entries that have not learned
+// of it yet, its refusals put no load on an upstream, and each request asks it once.
 func (e *Entry) isFreeRetry(rq *request, res result) bool {
 	switch res.outcome {
 	case outcomeNotSent, outcomeNotAccepted:
 		return true
+	case outcomeRefused:
+		return res.reason == string(admission.ReasonLeaving) || res.reason == string(admission.ReasonUpstreamDown)
 	case outcomeFailed:
 		free := !rq.freeRetryUsed
 		rq.freeRetryUsed = true
--- a/entry/dispatch_test.go
+++ b/entry/dispatch_test.go
@@ -233,7 +233,7 @@
 			f = r.script[i].fault
 		}
 		switch f {
-		case noLink, noLinkLate, refused, failedNotExecuted, engineRejects, engineOverloads:
+		case noLink, noLinkLate, refused, refusedLeaving, failedNotExecuted, engineRejects, engineOverloads:
 		default:
 			return false
 		}
@@ -290,6 +290,24 @@
 	})
 }
 
+// Guards against requests that fail because an agent that shuts down has refused many
+// others: those refusals must not use up the retry budget.
+func TestRefusalsOfLeavingAgentAreRetried(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const requests = 100
+		var scripts []attemptScript
+		for range requests {
+			scripts = append(scripts, attemptScript{refusedLeaving, 0}, attemptScript{healthy, 0})
+		}
+		e := newTestEntry(newRunner(3, scripts...))
+		for i := range requests {
+			if w := call(e, "POST", "/v1/chat/completions", chatBody); w.Code != 200 {
+				t.Fatalf("request %d: status %d, %s", i, w.Code, w.Body)
+			}
+		}
+	})
+}
+
 // Guards against a ticket with the entry's own clock or a wrong agent incarnation.
 func TestTicketUsesAgentClock(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -38,6 +38,7 @@
 	failedNotExecuted
 	engineRejects   // 400 from the engine
 	engineOverloads // 503 from the engine
+	refusedLeaving  // by an agent that shuts down
 	faultCount
 )
 
@@ -125,7 +126,7 @@
 	if s.fault == noLink {
 		return nil, fmt.Errorf("dial: %w", link.ErrNoLink)
 	}
-	if s.fault != refused && s.fault != failedNotExecuted && s.fault != noLinkLate {
+	if s.fault != refused && s.fault != refusedLeaving && s.fault != failedNotExecuted && s.fault != noLinkLate {
 		r.handOvers++
 	}
 	st := &fakeStream{ctx: ctx, id: req.AttemptId, release: r.release}
@@ -158,6 +159,7 @@
 	ended          = &rpc.RunEvent{Event: &rpc.RunEvent_End{End: &rpc.End{FinishReason: "stop", PromptTokens: 3, OutputTokens: responseTokens}}}
 	misroutedDelta = &rpc.RunEvent{AttemptId: "other", Event: &rpc.RunEvent_Delta{Delta: &rpc.Delta{Text: "stray", Tokens: 1}}}
 	misroutedEnd   = &rpc.RunEvent{AttemptId: "other", Event: ended.Event}
+	leaving        = &rpc.RunEvent{Event: &rpc.RunEvent_Refused{Refused: &rpc.Refused{Reason: "leaving"}}}
 	noSlot         = &rpc.RunEvent{Event: &rpc.RunEvent_Refused{Refused: &rpc.Refused{Reason: "no_slot", RetryAfterMs: 700}}}
 	notExecuted    = &rpc.RunEvent{Event: &rpc.RunEvent_Failed{Failed: &rpc.Failed{Reason: "not_sent", Executed: rpc.Executed_EXECUTED_NO}}}
 	crash          = &rpc.RunEvent{Event: &rpc.RunEvent_Failed{Failed: &rpc.Failed{Reason: "crashed", UpstreamCrashed: true}}}
@@ -223,6 +225,8 @@
 		return []step{{err: fmt.Errorf("dial: %w", link.ErrNoLink)}}, true
 	case refused:
 		return steps(noSlot), true
+	case refusedLeaving:
+		return steps(leaving), true
 	case lostBeforeAcceptance:
 		return []step{{err: errReset}}, true
 	case silentBeforeAcceptance:
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -191,7 +191,16 @@
 	}
 	if p.Incarnation != m.Incarnation && time.Since(p.LastHeard) > rowOverrideSilence {
 		p.MemberStatus = MemberStatus{Member: m}
-		p.sequence = 0
+		p.sequence, p.firstHeard = 0, time.Time{}
+	}
+}
+
+// RemoveMember forgets a member that has been silent since before the given time.
+func (e *Exchange) RemoveMember(name string, before time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if p := e.peers[name]; p != nil && p.LastHeard.Before(before) {
+		delete(e.peers, name)
 	}
 }
 
--- a/poison/keeper.go
+++ b/poison/keeper.go
@@ -130,18 +130,24 @@
 		return
 	}
 	now := time.Now()
-	rows, err := p.Rows.Scan(ctx, rowKeyPrefix, "", scanPageSize)
-	if err != nil {
-		return // the next sweep retries
-	}
-	for _, row := range rows {
-		if _, _, expires, ok := parseRow(row); ok && expires.After(now) {
-			continue
+	for after := ""; ; {
+		rows, err := p.Rows.Scan(ctx, rowKeyPrefix, after, scanPageSize)
+		if err != nil {
+			return // the next sweep retries
+		}
+		for _, row := range rows {
+			if _, _, expires, ok := parseRow(row); ok && expires.After(now) {
+				continue
+			}
+			remove := storage.Write{Key: row.Key, IfVersion: row.Version, Delete: true}
+			if _, err := p.Rows.Commit(ctx, storage.Transaction{Writes: []storage.Write{remove}}); err != nil {
+				return
+			}
 		}
-		remove := storage.Write{Key: row.Key, IfVersion: row.Version, Delete: true}
-		if _, err := p.Rows.Commit(ctx, storage.Transaction{Writes: []storage.Write{remove}}); err != nil {
+		if len(rows) < scanPageSize {
 			return
 		}
+		after = rows[len(rows)-1].Key
 	}
 }
 
--- a/poison/keeper_test.go
+++ b/poison/keeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -80,3 +81,34 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against expired rows that stay because there are more rows than one read of
+// the table returns.
+func TestAllExpiredRowsAreRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := standin.New(standin.Config{})
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		persister := startPersister(ctx, p, 0, 1)
+		const suspects = 1500
+		for i := range suspects {
+			persister.Table.RecordCrash(uint64(i), []uint64{uint64(1 + i)}, time.Now())
+			if i%100 == 99 {
+				time.Sleep(10 * time.Second) // rows at the end of the table expire last
+			}
+		}
+		time.Sleep(poison.DefaultTTL - time.Minute)
+		// The first suspects of the table are seen again, so that the rest must be
+		// reached behind more than a page of rows that stay.
+		for i := range suspects - 100 {
+			persister.Table.RecordCrash(uint64(suspects+i), []uint64{uint64(1 + i)}, time.Now())
+		}
+		time.Sleep(10 * time.Minute)
+		rows, err := p.Scan(t.Context(), fmt.Sprintf("suspect/%016x", suspects), "", 10)
+		if err != nil || len(rows) != 0 {
+			t.Errorf("%d rows of the last suspect after their expiry, error %v", len(rows), err)
+		}
+		stop()
+		synctest.Wait()
+	})
+}
