--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -76,6 +76,7 @@
 	jobs       *batch.Service
 	draining   atomic.Bool
 	ingress    *http.Server
+	callers    *drainingListener // of ingress
 	readiness  *http.Server
 	peers      *http.Server
 	metrics    *http.Server
@@ -212,6 +213,10 @@
 		if err != nil {
 			return trace.Wrap(err, "listening on %s", s.address)
 		}
+		if s.server == g.ingress {
+			g.callers = newDrainingListener(l)
+			l = g.callers
+		}
 		group.Go(func() error { return serve(s.server, l) })
 		group.Go(func() error {
 			<-ctx.Done()
@@ -270,6 +275,9 @@
 	time.Sleep(loadBalancerDelay)
 	limited, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
+	if err := g.callers.finish(); err != nil {
+		g.log.Error().Err(err).Msg("connections that wait to be accepted may be reset")
+	}
 	err := g.ingress.Shutdown(limited)
 	select {
 	case <-released:
--- /dev/null
+++ b/daemon/shutdown_test.go
@@ -0,0 +1,199 @@
+package daemon
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/magnoliausher/magnoliausher/platform/platformtest"
+)
+
+// stopLoad sends requests to one gateway on new and on kept connections, and opens
+// connections as the load balancer does: until two readiness probes in a row failed.
+type stopLoad struct {
+	gateway            *runningGateway
+	routed             atomic.Bool // new connections still go to the gateway
+	ended              atomic.Bool
+	answered, rejected atomic.Int64
+	crossed            atomic.Int64 // sent on an idle kept connection while the gateway closed it
+	mu                 sync.Mutex
+	lost               []string
+	clients            sync.WaitGroup
+}
+
+func startStopLoad(d *deployment, g *runningGateway) *stopLoad {
+	l := &stopLoad{gateway: g}
+	l.routed.Store(true)
+	go func() {
+		for misses := 0; !l.ended.Load(); time.Sleep(time.Second) {
+			if d.status(g.settings.ReadyListen, platformtest.ReadinessPath) == 200 {
+				misses = 0
+			} else if misses++; misses == 2 {
+				l.routed.Store(false)
+			}
+		}
+	}()
+	for range 125 { // 250 requests a second, each on a new connection
+		l.clients.Go(func() {
+			for !l.ended.Load() && l.routed.Load() {
+				l.exchange(1, 0)
+				time.Sleep(time.Duration(400+rand.IntN(200)) * time.Millisecond)
+			}
+		})
+	}
+	for range 125 { // 250 a second on kept connections
+		l.clients.Go(func() {
+			for !l.ended.Load() && l.routed.Load() {
+				l.exchange(1000, time.Duration(400+rand.IntN(200))*time.Millisecond)
+			}
+		})
+	}
+	return l
+}
+
+// exchange sends up to n requests on one connection, with a pause between them.
+func (l *stopLoad) exchange(n int, pause time.Duration) {
+	conn, err := net.Dial("tcp", l.gateway.settings.Instance.Listen)
+	if err != nil {
+		if l.routed.Load() {
+			l.lose("connection refused while the load balancer still sends: %v", err)
+		}
+		return
+	}
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for i := range n {
+		if l.ended.Load() {
+			return
+		}
+		id := nextID()
+		request, err := http.NewRequest("POST", "http://h/status/x", nil)
+		if err != nil {
+			panic(err) // unreachable: the request is constant
+		}
+		platformtest.PrepareRequest(request, id, "h", 5000)
+		if err := request.Write(conn); err != nil {
+			l.breakOff(i, id, err)
+			return
+		}
+		response, err := http.ReadResponse(reader, request)
+		if err != nil {
+			l.breakOff(i, id, err)
+			return
+		}
+		body, err := io.ReadAll(response.Body)
+		switch {
+		case err != nil:
+			l.lose("request %d of a connection: body: %v", i, err)
+			return
+		case response.StatusCode == 200 && string(body) == "answer to "+id:
+			l.answered.Add(1)
+		case response.StatusCode == 503:
+			l.rejected.Add(1)
+		default:
+			l.lose("request %d of a connection: status %d, %q", i, response.StatusCode, body)
+		}
+		if response.Close {
+			return
+		}
+		time.Sleep(pause)
+	}
+}
+
+// breakOff records a request that got no answer. The gateway may close an idle
+// connection while a request is on its way; it has not read that one.
+func (l *stopLoad) breakOff(i int, id string, err error) {
+	if i > 0 {
+		l.crossed.Add(1)
+		return
+	}
+	l.lose("request %s on a new connection: %v", id, err)
+}
+
+func (l *stopLoad) lose(format string, values ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lost = append(l.lost, fmt.Sprintf(format, values...))
+}
+
+// Guards against requests that were accepted and get no answer while a gateway shuts
+// down under 500 requests a second, on connections accepted until its last moment.
+func TestShutdownUnderLoadLosesNoRequest(t *testing.T) {
+	d := newDeployment(t, 2)
+	for _, e := range d.engines {
+		e.Slots = 64
+		e.Register(d.store, "ready", e.Address())
+	}
+	g := d.gateways[0]
+	load := startStopLoad(d, g)
+	time.Sleep(2 * time.Second)
+	started := time.Now()
+	g.stop()
+	if err := <-g.done; err != nil {
+		t.Error(err)
+	}
+	took := time.Since(started)
+	load.ended.Store(true)
+	load.clients.Wait()
+	t.Logf("%d answered, %d rejected, %d crossed the close of an idle connection; stopped in %v",
+		load.answered.Load(), load.rejected.Load(), load.crossed.Load(), took)
+	for _, lost := range load.lost {
+		t.Error(lost)
+	}
+	if load.answered.Load() < 1000 || load.rejected.Load() > 0 {
+		t.Errorf("%d answered, %d rejected", load.answered.Load(), load.rejected.Load())
+	}
+	// A kept connection that is used within a second learns of the shutdown from its
+	// next answer, long before the gateway closes it.
+	if load.crossed.Load() > 0 {
+		t.Errorf("%d requests crossed the close", load.crossed.Load())
+	}
+}
+
+// Guards against connections that wait to be accepted when the gateway stops listening
+// and are reset unanswered.
+func TestAcceptBacklogIsServed(t *testing.T) {
+	l, err := listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })}
+	const waiting = 50
+	var conns []net.Conn
+	for range waiting {
+		conn, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, conn)
+	}
+	draining := newDrainingListener(l)
+	served := make(chan error, 1)
+	go func() { served <- serve(server, draining) }()
+	if err := draining.finish(); err != nil {
+		t.Fatal(err)
+	}
+	if err := server.Shutdown(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	for i, conn := range conns {
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil || response.StatusCode != 200 {
+			t.Errorf("connection %d: %v", i, err)
+		}
+	}
+	if err := <-served; err != nil {
+		t.Error(err)
+	}
+}
