Keep the jobs of an owner that lists results but does not report

Cause: a gateway whose reports do not arrive for 1.5 s lost its jobs, though its writes of their rows showed that it ran them; their items then ran twice until it noticed. Change: a row that its owner writes counts as a sign of the owner. TestOwnerThatWritesIsAlive fails before ("claimed a second after the owner listed a result"). TestSilentOwner guards the stated time: silences of 0.5 and 1 s start nothing elsewhere, 2 and 5 s start work after 1.5 s at the earliest; each item is done once, with the same results at both gateways. It passed before as well.

--- a/batch/claim.go
+++ b/batch/claim.go
@@ -25,7 +25,8 @@
 
 // ShouldClaim reports whether the gateway self should claim a job now. It covers
 // jobs whose owner was killed, frozen, partitioned or shut down. seen is the time
-// when this gateway first saw the job with its current owner. A job that another
+// when this gateway last saw the owner claim or write the job's row: an owner that
+// only does not report, but lists results, keeps its job. A job that another
 // gateway has taken over is left to that gateway, even while it cannot write the
 // job's row.
 func ShouldClaim(j *Job, seen time.Time, self peer.Member, members []peer.MemberStatus, now time.Time) bool {
--- a/batch/mirror.go
+++ b/batch/mirror.go
@@ -18,8 +18,10 @@
 // mirroredJob is the latest known version of a job's row.
 type mirroredJob struct {
 	Job
-	version   uint64
-	firstSeen time.Time // when this process first saw the job with this owner
+	version uint64
+	// ownerSeen is when this process last saw a sign of the owner in the row: its claim,
+	// or a later write. Only the owner writes the row of an open job.
+	ownerSeen time.Time
 }
 
 // mirror is an in-memory copy of all job rows, updated from the feed and by this
@@ -167,9 +169,9 @@
 	if old != nil && old.version >= version {
 		return
 	}
-	e := &mirroredJob{Job: j, version: version, firstSeen: now}
-	if old != nil && old.Owner == j.Owner && old.OwnerIncarnation == j.OwnerIncarnation {
-		e.firstSeen = old.firstSeen
+	e := &mirroredJob{Job: j, version: version, ownerSeen: now}
+	if old != nil && old.Owner == "" && j.Owner == "" {
+		e.ownerSeen = old.ownerSeen // released then
 	}
 	m.jobs[j.ID] = e
 }
--- a/batch/ownership.go
+++ b/batch/ownership.go
@@ -86,7 +86,7 @@
 			e := &open[i]
 			if s.owns(&e.Job) {
 				s.startJob(e.ID, true)
-			} else if !s.isRunning(e.ID) && ShouldClaim(&e.Job, e.firstSeen, s.cfg.Self, members, now) {
+			} else if !s.isRunning(e.ID) && ShouldClaim(&e.Job, e.ownerSeen, s.cfg.Self, members, now) {
 				s.claim(ctx, *e)
 			}
 		}
