Count output, not bytes, as progress of a completion

Cause: the watchdog of package upstream was restarted by each byte, so that an engine which sends comments, or one byte now and then, kept a completion for good; the agent's own check of output ended it after its progress timeout. TestEndlessResponses: "comments", "comments now and then" and "event, byte by byte" did not end in 10 s. Change: the watchdog of a completion runs while its reader waits for output. An event has 256 KiB instead of 1 MiB.

Guards that passed before as well: headers, 1xx responses, chunk extensions, trailers and error bodies without end, a completion with one event a second, answers cut at each byte, and a second copy of an answer.

--- /dev/null
+++ b/upstream/broken_test.go
@@ -0,0 +1,172 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/magnoliausher/magnoliausher/upstream"
+)
+
+// startRawServer answers each request with what respond writes, and closes the
+// connection.
+func startRawServer(t *testing.T, respond func(w io.Writer) error) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var connections sync.WaitGroup
+	t.Cleanup(func() { l.Close(); connections.Wait() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			connections.Go(func() {
+				defer conn.Close()
+				r, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, r.Body)
+				for err == nil {
+					err = respond(conn)
+				}
+			})
+		}
+	}()
+	return "http://" + l.Addr().String()
+}
+
+// endless returns a response with a beginning and a part that repeats until the
+// connection is closed.
+func endless(beginning, part string, pause time.Duration) func(io.Writer) error {
+	if pause == 0 {
+		part = strings.Repeat(part, 1+(16<<10)/len(part))
+	}
+	return func(w io.Writer) error {
+		if _, err := io.WriteString(w, beginning); err != nil {
+			return err
+		}
+		for {
+			if _, err := io.WriteString(w, part); err != nil {
+				return err
+			}
+			time.Sleep(pause)
+		}
+	}
+}
+
+const streamHeader = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+
+// readCompletion makes a completion and reads it to the end.
+func readCompletion(ctx context.Context, url string, timeout time.Duration) (tokens int, err error) {
+	client := upstream.NewEngineClient(upstream.EngineConfig{BaseURL: url, ProgressTimeout: timeout})
+	stream, err := client.Generate(ctx, completionRequest("p", 5))
+	if err != nil {
+		return 0, err
+	}
+	defer stream.Close()
+	_, tokens, err = readAll(stream)
+	return tokens, err
+}
+
+// Guards against attempts that never end, or whose memory grows without limit, while an
+// engine sends bytes that are no answer, fast or one now and then.
+func TestEndlessResponses(t *testing.T) {
+	const timeout = 700 * time.Millisecond
+	for name, respond := range map[string]func(io.Writer) error{
+		"status line":           endless("", "x", 0),
+		"header lines":          endless("HTTP/1.1 200 OK\r\n", "X: y\r\n", 0),
+		"header, byte by byte":  endless("HTTP/1.1 200 OK\r\nX: ", "y", 100*time.Millisecond),
+		"1xx responses":         endless("", "HTTP/1.1 102 Processing\r\n\r\n", 0),
+		"line of an event":      endless(streamHeader+"\r\n", "x", 0),
+		"data of an event":      endless(streamHeader+"\r\n", "data: x\n", 0),
+		"comments":              endless(streamHeader+"\r\n", ": wait\n\n", 0),
+		"comments now and then": endless(streamHeader+"\r\n", ": wait\n\n", 100*time.Millisecond),
+		"event, byte by byte":   endless(streamHeader+"\r\ndata: ", "x", 100*time.Millisecond),
+		"chunk extension":       endless(streamHeader+"Transfer-Encoding: chunked\r\n\r\n5;", "x", 0),
+		"trailer":               endless(streamHeader+"Transfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n", 0),
+		"error body":            endless("HTTP/1.1 500 No\r\n\r\n", "x", 0),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			url := startRawServer(t, respond)
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			started := time.Now()
+			if _, err := readCompletion(ctx, url, timeout); err == nil || ctx.Err() != nil {
+				t.Errorf("ended with %v after %v", err, time.Since(started))
+			}
+		})
+	}
+}
+
+// Guards against cutting a completion that is slow but sound.
+func TestSlowCompletion(t *testing.T) {
+	url := startRawServer(t, func(w io.Writer) error {
+		_, _ = io.WriteString(w, streamHeader+"\r\n")
+		for _, e := range completionEvents {
+			time.Sleep(time.Second)
+			if _, err := io.WriteString(w, e); err != nil {
+				return err
+			}
+		}
+		return io.EOF
+	})
+	if tokens, err := readCompletion(t.Context(), url, 1500*time.Millisecond); err != nil || tokens != 2 {
+		t.Errorf("%d tokens, %v", tokens, err)
+	}
+}
+
+var completionEvents = []string{
+	"data: {\"choices\":[{\"index\":0,\"text\":\"a\"}]}\n\n",
+	"data: {\"choices\":[{\"index\":0,\"text\":\"b\",\"finish_reason\":\"stop\"}]}\n\n",
+	"data: [DONE]\n\n",
+}
+
+// Guards against a completion or an answer that was cut at any byte and is reported
+// as complete, and against a second copy that changes it.
+func TestCutAnswers(t *testing.T) {
+	text := strings.Join(completionEvents, "")
+	for name, answer := range map[string]string{
+		"chunked":                  streamHeader + "Transfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n", len(text), text) + "0\r\n\r\n",
+		"ends with the connection": streamHeader + "\r\n" + text,
+	} {
+		end := strings.Index(answer, "[DONE]\n\n") + len("[DONE]\n") // the end mark is complete with its line
+		for cut := range len(answer) + 1 {
+			url := startRawServer(t, func(w io.Writer) error { _, _ = io.WriteString(w, answer[:cut]); return io.EOF })
+			_, err := readCompletion(t.Context(), url, time.Second)
+			if complete := err == nil; complete && cut < end || !complete && cut == len(answer) {
+				t.Errorf("%s: %v after %d of %d bytes", name, err, cut, len(answer))
+			}
+		}
+		url := startRawServer(t, func(w io.Writer) error { _, _ = io.WriteString(w, answer+answer); return io.EOF })
+		if tokens, err := readCompletion(t.Context(), url, time.Second); err != nil || tokens != 2 {
+			t.Errorf("%s, two copies: %d tokens, %v", name, tokens, err)
+		}
+	}
+	plain := "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nanswer"
+	for cut := range len(plain) {
+		url := startRawServer(t, func(w io.Writer) error { _, _ = io.WriteString(w, plain[:cut]); return io.EOF })
+		client := upstream.NewPlainClient(upstream.PlainConfig{BaseURL: url, ProgressTimeout: time.Second})
+		resp, err := client.Call(t.Context(), "GET", "/", nil, nil)
+		if err != nil {
+			continue
+		}
+		if _, err = io.ReadAll(resp.Body); err == nil || !errors.Is(err, upstream.ErrTruncated) && !errors.Is(err, upstream.ErrCrashed) {
+			t.Errorf("plain: %v after %d of %d bytes", err, cut, len(plain))
+		}
+		resp.Body.Close()
+	}
+}
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -23,7 +23,7 @@
 // EngineConfig configures an EngineClient.
 type EngineConfig struct {
 	BaseURL         string        // a trailing slash is ignored
-	ProgressTimeout time.Duration // maximum time without receiving a byte; 0 means DefaultProgressTimeout
+	ProgressTimeout time.Duration // maximum time without output of a completion, or without a byte of another response; 0 means DefaultProgressTimeout
 	DialTimeout     time.Duration // 0 means DefaultDialTimeout
 	Dial            DialFunc      // nil dials TCP
 }
@@ -57,7 +57,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return newTokenStream(resp.Body, req.DeliveredTokens), nil
+	stream := newTokenStream(resp.Body, req.DeliveredTokens)
+	if body, ok := resp.Body.(*responseBody); ok {
+		body.manual, stream.watchdog = true, body.exchange.watchdog
+	}
+	return stream, nil
 }
 
 // streamingBody returns the caller's body with the streaming, usage and resume
--- a/upstream/sse.go
+++ b/upstream/sse.go
@@ -8,10 +8,11 @@
 	"io"
 )
 
-// maxEventBytes limits the size of a line and of an event in a stream.
-const maxEventBytes = 1 << 20
+// maxEventBytes limits the size of a line and of an event in a stream. 200 of them fit
+// the memory of the smallest instances.
+const maxEventBytes = 256 << 10
 
-// ErrEventTooLong means that a line or an event of a stream exceeds 1 MiB.
+// ErrEventTooLong means that a line or an event of a stream exceeds maxEventBytes.
 var ErrEventTooLong = errors.New("stream event too long")
 
 // eventReader reads the data fields of server-sent events. It skips comments and
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -69,6 +69,9 @@
 	usage  Usage
 	err    error // first error, returned by all later calls of Next
 	closed atomic.Bool
+	// watchdog runs while Next waits for output, since comments, blank lines and
+	// single bytes are no progress. May be nil.
+	watchdog *watchdog
 }
 
 var _ TokenStream = (*tokenStream)(nil)
@@ -81,6 +84,10 @@
 // errors are ErrTruncated, ErrCrashed, ErrProgressTimeout, ErrEventTooLong, an
 // EngineError or the cause of the cancellation of the context.
 func (s *tokenStream) Next() (Delta, error) {
+	if s.watchdog != nil {
+		s.watchdog.start()
+		defer s.watchdog.stop()
+	}
 	for s.err == nil {
 		if s.closed.Load() {
 			return Delta{}, errClosed
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -222,12 +222,15 @@
 	body          io.ReadCloser
 	exchange      *exchange
 	truncationErr error // error for a body that ends before its declared length
+	manual        bool  // the reader of the body starts and stops the watchdog
 }
 
 func (b *responseBody) Read(p []byte) (int, error) {
-	b.exchange.watchdog.start()
+	if !b.manual {
+		b.exchange.watchdog.start()
+		defer b.exchange.watchdog.stop()
+	}
 	n, err := b.body.Read(p)
-	b.exchange.watchdog.stop()
 	switch {
 	case err == nil || err == io.EOF:
 		return n, err
