--- a/upstream/broken_test.go
+++ b/upstream/broken_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -85,6 +86,9 @@
 // engine sends bytes that are no answer, fast or one now and then.
 func TestEndlessResponses(t *testing.T) {
 	const timeout = 700 * time.Millisecond
+	// What a client may read of an answer, apart from comments, and what the kernel
+	// buffers for it.
+	const maxSentBytes = 16 << 20
 	for name, respond := range map[string]func(io.Writer) error{
 		"status line":           endless("", "x", 0),
 		"header lines":          endless("HTTP/1.1 200 OK\r\n", "X: y\r\n", 0),
@@ -101,17 +105,33 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			url := startRawServer(t, respond)
+			var sent atomic.Int64
+			url := startRawServer(t, func(w io.Writer) error { return respond(countingWriter{w, &sent}) })
 			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 			defer cancel()
 			started := time.Now()
 			if _, err := readCompletion(ctx, url, timeout); err == nil || ctx.Err() != nil {
 				t.Errorf("ended with %v after %v", err, time.Since(started))
 			}
+			if n := sent.Load(); n > maxSentBytes && name != "comments" {
+				t.Errorf("%d bytes sent", n)
+			}
 		})
 	}
 }
 
+// countingWriter counts the bytes written.
+type countingWriter struct {
+	io.Writer
+	n *atomic.Int64
+}
+
+func (c countingWriter) Write(p []byte) (int, error) {
+	n, err := c.Writer.Write(p)
+	c.n.Add(int64(n))
+	return n, err
+}
+
 // Guards against cutting a completion that is slow but sound.
 func TestSlowCompletion(t *testing.T) {
 	url := startRawServer(t, func(w io.Writer) error {
