--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -40,6 +40,15 @@
 	// Repeatable: may be sent again although an earlier attempt may have run.
 	Repeatable bool
 	Avoid      map[string]bool // ids of upstreams to use only as a last resort
+	// Wait is set by Acquire if the request has to wait for a slot.
+	Wait *Wait
+}
+
+// Wait describes what a gateway knew when a request had to wait, for its log line.
+type Wait struct {
+	Ahead     int           // requests that waited at this gateway already
+	FreeSlots int           // slots of the service believed free, at all upstreams in use
+	ReportAge time.Duration // age of the oldest report that counts, of a gateway or a data centre
 }
 
 type queue struct {
@@ -97,6 +106,8 @@
 		request: r,
 		granted: make(chan *Grant, 1),
 	}
+	r.Wait = &Wait{Ahead: len(q.waiters), ReportAge: d.oldestReport(now),
+		FreeSlots: placement.FreeSlots(d.snapshot(d.cfg.Holder.View().Usable(r.Service), r.Repeatable, now))}
 	q.waiters = append(q.waiters, w)
 	d.mu.Unlock()
 	d.notifyChange(false)
@@ -146,6 +157,22 @@
 	return n
 }
 
+// oldestReport returns the age of the oldest report that counts. d.mu must be held.
+func (d *Dispatcher) oldestReport(now time.Time) time.Duration {
+	oldest := now
+	for _, p := range d.peers {
+		if p.lastHeard.Before(oldest) {
+			oldest = p.lastHeard
+		}
+	}
+	for _, g := range d.dataCentres {
+		if g.lastHeard.Before(oldest) {
+			oldest = g.lastHeard
+		}
+	}
+	return now.Sub(oldest)
+}
+
 func (d *Dispatcher) waitForGrant(ctx context.Context, w *waiter, latest time.Time) (*Grant, error) {
 	check := time.NewTicker(queuePollInterval)
 	defer check.Stop()
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -228,8 +228,13 @@
 		outcome = "caller_gone: " + outcome
 	}
 	metric.Answered(x.Service, x.Route.Name, status, time.Since(x.Arrived).Seconds())
-	x.cfg.Log.Info().Str("request", x.ID).Str("route", x.Route.Name).Str("service", x.Service).
+	line := x.cfg.Log.Info().Str("request", x.ID).Str("route", x.Route.Name).Str("service", x.Service).
 		Uint64("configuration", x.ConfigVersion).Uint64("list", x.UpstreamListVersion).Int("status", status).Str("outcome", outcome).
 		Int("may_have_run", x.possibleRuns).Int("events", x.eventsSent).Int64("first_ms", x.timeToFirstByte.Milliseconds()).
-		Int64("total_ms", time.Since(x.Arrived).Milliseconds()).Array("attempts", x.attemptLog).Msg("request")
+		Int64("total_ms", time.Since(x.Arrived).Milliseconds()).Array("attempts", x.attemptLog)
+	if x.wait != nil {
+		line = line.Int64("waited_ms", x.waited.Milliseconds()).Int("waiting_before", x.wait.Ahead).
+			Int("free_slots", x.wait.FreeSlots).Int64("report_age_ms", x.wait.ReportAge.Milliseconds())
+	}
+	line.Msg("request")
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -173,6 +173,8 @@
 	eventsSent      int
 	timeToFirstByte time.Duration // from arrival until the response header is passed on
 	attemptLog      *zerolog.Array
+	wait            *dispatch.Wait // of the first attempt that had to wait for a slot
+	waited          time.Duration  // for slots, of all attempts
 }
 
 // errDone ends the attempts: the caller has been answered or has disconnected.
@@ -240,7 +242,8 @@
 }
 
 func (x *exchange) acquire() (*dispatch.Grant, error) {
-	return x.cfg.Dispatcher.Acquire(x.ctx, &dispatch.Request{
+	started := time.Now()
+	request := &dispatch.Request{
 		Service:   x.Service,
 		Priority:  x.Route.Priority,
 		Arrived:   x.Arrived,
@@ -249,7 +252,15 @@
 		// The last attempt must not go to an upstream that is on probation.
 		Repeatable: x.Route.Repeatable() && x.possibleRuns+1 < x.Route.MaxAttempts,
 		Avoid:      x.failedUpstreams,
-	})
+	}
+	grant, err := x.cfg.Dispatcher.Acquire(x.ctx, request)
+	if request.Wait != nil {
+		x.waited += time.Since(started)
+		if x.wait == nil {
+			x.wait = request.Wait
+		}
+	}
+	return grant, err
 }
 
 // attemptContext limits an attempt of a repeatable request so that time remains
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -257,3 +257,36 @@
 		}
 	})
 }
+
+// Guards against a log line that does not tell why a request was late: how long it
+// waited for a slot, and what the gateway knew of the slots then.
+func TestLogTellsWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := fleet.NewHolder()
+		h.Configure(fleet.NewConfiguration(1, nil, fleet.Limits{}))
+		h.Replace([]fleet.Record{{Version: 1, Upstream: fleet.Upstream{ID: "a", Service: "s", Slots: 1}}}, 10, time.Now())
+		d := dispatch.New(dispatch.Config{Self: "g", Holder: h})
+		d.MergeReport("other", dispatch.Report{}, time.Now().Add(-40*time.Millisecond))
+		var log strings.Builder
+		s := &scriptedUpstreams{t: t, steps: steps{respondWith(200, "x"), respondWith(200, "x")}}
+		f := New(Config{Dispatcher: d, Upstreams: s, CrashTracker: fakeCrashTracker{}, Log: zerolog.New(&log)})
+		call := func(id string) {
+			f.Serve(t.Context(), httptest.NewRecorder(), &Request{Call: Call{ID: id}, Route: &fleet.Route{Kind: fleet.AtMostOnce, MaxAttempts: 1,
+				Objective: 300 * time.Millisecond}, Service: "s", Arrived: time.Now(), CallerTimeout: 5 * time.Second})
+		}
+		call("free")
+		if strings.Contains(log.String(), "waited_ms") {
+			t.Errorf("a request that did not wait: %s", log.String())
+		}
+		log.Reset()
+		g, err := d.Acquire(t.Context(), &dispatch.Request{Service: "s", Arrived: time.Now(), Deadline: time.Now().Add(5 * time.Second)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.AfterFunc(200*time.Millisecond, func() { g.Release(dispatch.Served) })
+		call("waits")
+		if want := `"waited_ms":200,"waiting_before":0,"free_slots":0,"report_age_ms":40`; !strings.Contains(log.String(), want) {
+			t.Errorf("no %s in %s", want, log.String())
+		}
+	})
+}
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -95,6 +95,20 @@
 	metrics.GetOrCreateHistogram(fmt.Sprintf(`magnoliausher_store_call_seconds{call=%q}`, call)).Update(seconds)
 }
 
+// StoreBytes counts the bytes of the bodies that calls of the platform's store sent
+// and received.
+func StoreBytes(call string, sent, received int) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`magnoliausher_store_bytes_sent_total{call=%q}`, call)).Add(sent)
+	metrics.GetOrCreateCounter(fmt.Sprintf(`magnoliausher_store_bytes_received_total{call=%q}`, call)).Add(received)
+}
+
+// ReportsReceived counts datagrams from other gateways and their bytes. The label
+// "from" has the values of "to" in ReportsSent.
+func ReportsReceived(from string, bytes int) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`magnoliausher_reports_received_total{from=%q}`, from)).Inc()
+	metrics.GetOrCreateCounter(fmt.Sprintf(`magnoliausher_report_bytes_received_total{from=%q}`, from)).Add(bytes)
+}
+
 // ReportsName is the name of the counter of datagrams between gateways. The label
 // "to" says whether the receiver is in the same data centre ("near") or in
 // another one ("far").
--- a/peer/receive.go
+++ b/peer/receive.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/magnoliausher/magnoliausher/dispatch"
+	"github.com/magnoliausher/magnoliausher/metric"
 	"github.com/magnoliausher/magnoliausher/pause"
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
 )
@@ -39,6 +40,11 @@
 			e.cfg.Log.Warn().Err(err).Stringer("from", from).Msg("failed to decode a report")
 			continue
 		}
+		scope := scopeRemote
+		if report.DataCentre == e.cfg.Self.DataCentre {
+			scope = scopeLocal
+		}
+		metric.ReportsReceived(scope, n)
 		e.applyReport(&report, from.Addr().Unmap())
 	}
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -125,6 +125,10 @@
 	return total
 }
 
+// FreeSlots returns the slots that neither online nor batch work holds, of the
+// upstreams that are in use.
+func FreeSlots(list []Upstream) int { return tierCapacity(list, tier{remote: true}) }
+
 // drawUpstream returns a random upstream of a tier, weighted by its free capacity.
 func drawUpstream(list []Upstream, t tier, random Random) int {
 	point := random(tierCapacity(list, t))
