Let gateways stand in for collectors that other data centres do not hear

Cause: both collectors of a data centre can be cut off from the others and not from their own. They keep the role, the others hear nothing, count all gateways of that data centre as lost after 1.5 s, and claim their jobs, whose items then run twice (TestCollectorsCutFromOtherDataCentres: silent for 5 s). Change: the other data centres send to all its gateways after 1 s without a collector, instead of 1.5; a gateway that gets a refresh straight from elsewhere and is no collector answers with digests for half a second. It announces itself as no collector; before, whoever sent a digest called itself one, which would have kept two stand-ins sending to each other.

--- a/peer/collector.go
+++ b/peer/collector.go
@@ -25,10 +25,18 @@
 	startTolerance = heartbeatInterval + 50*time.Millisecond
 	// remoteCollectorTimeout is the silence after which a remote collector gets
 	// no more digests. If a data centre has no active collector, all its members
-	// get them until a collector reports.
-	remoteCollectorTimeout = 1500 * time.Millisecond
+	// get them until a collector reports. The rest of the 1.5 s after which the owner
+	// of a job counts as lost is for their answers.
+	remoteCollectorTimeout = time.Second
+	// standInPeriod is how long a gateway that is no collector sends digests after one
+	// that another data centre sent straight to it.
+	standInPeriod = 2*heartbeatInterval + 50*time.Millisecond
 )
 
+// Collectors may be cut off from the other data centres and not from their own, where
+// they keep the role. The others then send their digests to all gateways of that data
+// centre; whoever gets one answers with a digest, and so on for standInPeriod.
+
 // role is the part of a gateway in the exchange between data centres.
 type role uint8
 
--- a/peer/digest.go
+++ b/peer/digest.go
@@ -117,10 +117,11 @@
 // membersToAnnounce returns the gateways of the local data centre whose state has
 // changed. In a refresh it adds recently heard unchanged ones in rotation.
 func (s *sendLoop) membersToAnnounce(now time.Time, refresh bool) []*rpc.GatewayMember {
-	self := MemberStatus{Member: s.cfg.Self, LastHeard: now, StoreReached: s.storeReachable(), Collector: true}
+	self := MemberStatus{Member: s.cfg.Self, LastHeard: now, StoreReached: s.storeReachable()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	self.Leaving, self.TakenJobs = s.leaving, s.takenJobs
+	// A gateway that stands in is no collector: others must not keep sending to it.
+	self.Leaving, self.TakenJobs, self.Collector = s.leaving, s.takenJobs, s.role != roleNone
 	all, announced := []*MemberStatus{&self}, []*announcedState{&s.announced}
 	for _, p := range s.peers {
 		if s.isLocal(&p.MemberStatus) && now.Sub(p.LastHeard) <= unreachableAfter {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -91,6 +91,7 @@
 	reportReceivedUrgent chan struct{} // same, and other data centres must yield to it
 	forward              chan struct{} // groups of other data centres are pending
 	forwardUrgent        chan struct{} // same, and the local data centre must yield to them
+	standIn              chan struct{} // another data centre has sent a refresh to this gateway, which is no collector
 	newerPeer            chan string   // address of a peer with newer versions
 	relay                atomic.Pointer[Relay]
 
@@ -102,6 +103,7 @@
 	sequence      uint64
 	role          role
 	roleUpdated   time.Time
+	standInUntil  time.Time      // this gateway sends digests until then, though it is no collector
 	announced     announcedState // state of this process in the last digest
 	leaving       bool
 	takenJobs     []uint64
@@ -130,6 +132,7 @@
 		reportReceivedUrgent: signal(),
 		forward:              signal(),
 		forwardUrgent:        signal(),
+		standIn:              signal(),
 		newerPeer:            make(chan string, 1),
 		peers:                make(map[string]*peerState),
 		lastForwarded:        make(map[string]time.Time),
--- a/peer/receive.go
+++ b/peer/receive.go
@@ -97,6 +97,11 @@
 	if forwarded {
 		e.lastForwarded[g.DataCentre] = now
 	}
+	standIn := !forwarded && g.Refresh && e.role == roleNone
+	begins := standIn && now.After(e.standInUntil)
+	if standIn {
+		e.standInUntil = now.Add(standInPeriod)
+	}
 	needed := e.role == rolePrimary || g.Refresh && now.Sub(e.lastForwarded[g.DataCentre]) > forwardTimeout
 	forwards := !forwarded && needed && len(e.pendingGroups) < maxPendingGroups
 	if forwards {
@@ -106,6 +111,9 @@
 	if forwards {
 		notify(e.forward, e.forwardUrgent, g.Urgent)
 	}
+	if begins {
+		notify(e.standIn, e.standIn, false)
+	}
 	e.requestNewerState(g.ConfigurationVersion, g.ListVersion, g.Source)
 }
 
--- a/peer/send.go
+++ b/peer/send.go
@@ -66,6 +66,8 @@
 			startTimer(&s.localReport, s.localMergeInterval())
 		case <-e.forwardUrgent:
 			startTimer(&s.localReportUrgent, urgentInterval)
+		case <-e.standIn:
+			s.sendDigest(false, true)
 		case <-s.localReport:
 			s.reportLocally(false, false)
 		case <-s.localReportUrgent:
@@ -86,7 +88,11 @@
 					s.sendDigest(false, true)
 				}
 			case roleNone:
-				s.reportToSeeds()
+				if s.standsIn(now) {
+					s.sendDigest(false, true)
+				} else {
+					s.reportToSeeds()
+				}
 			}
 		}
 	}
@@ -100,6 +106,14 @@
 	return e.role == rolePrimary
 }
 
+// standsIn reports whether this gateway sends digests for collectors that another data
+// centre does not hear.
+func (e *Exchange) standsIn(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return now.Before(e.standInUntil)
+}
+
 // scheduleDigest schedules a digest if this gateway is the primary collector.
 func (s *sendLoop) scheduleDigest(urgent bool) {
 	if s.updateRole(time.Now()) != rolePrimary {
