--- a/daemon/listener.go
+++ b/daemon/listener.go
@@ -10,8 +10,8 @@
 	"github.com/gravitational/trace"
 )
 
-// backlogTimeout is how long a listener that stops waits for another connection.
-// Accepting one that is in the backlog takes far less.
+// backlogTimeout is how long a listener that stops goes on accepting. Accepting what
+// is in the backlog takes far less.
 const backlogTimeout = 20 * time.Millisecond
 
 // drainingListener accepts what is in its backlog before it is closed. The kernel
@@ -20,7 +20,7 @@
 type drainingListener struct {
 	net.Listener
 	closeOnce sync.Once
-	drained   chan struct{} // closed when no connection has arrived for backlogTimeout
+	drained   chan struct{} // closed at the end of backlogTimeout
 	closed    chan struct{}
 }
 
@@ -28,7 +28,8 @@
 	return &drainingListener{Listener: l, drained: make(chan struct{}), closed: make(chan struct{})}
 }
 
-// finish waits until the backlog is empty. Close should follow at once.
+// finish accepts for backlogTimeout more and then no longer. Close should follow at
+// once, since connections that arrive in between are reset.
 func (l *drainingListener) finish() error {
 	tcp, ok := l.Listener.(*net.TCPListener)
 	if !ok {
