Let two gateways stand in, and only for those that addressed them

Change: the two gateways that come next by the collectors' rule stand in, and they send to the collectors that sent them a refresh. Result: go test ./peer passes; TestCollectorsCutFromOtherDataCentres with six gateways in each data centre counts at most two stand-ins.

--- a/peer/centres_test.go
+++ b/peer/centres_test.go
@@ -169,9 +169,9 @@
 func TestCollectorsCutFromOtherDataCentres(t *testing.T) {
 	const ownerTimeout = 1500 * time.Millisecond // as in package batch
 	network := cutNetwork{new(atomic.Pointer[func(string, string) bool])}
-	x, y := startDataCentres(t, network, 4)
+	x, y := startDataCentres(t, network, 6)
 	observer := y[0]
-	eventually(t, "members", 5*time.Second, func() bool { return len(observer.Members()) == 7 })
+	eventually(t, "members", 5*time.Second, func() bool { return len(observer.Members()) == 11 })
 	time.Sleep(remoteCollectorTimeout)
 	collectors, names, addresses := 0, make(map[string]bool), make(map[string]bool)
 	for _, n := range x {
@@ -197,6 +197,15 @@
 			longest[m.Name] = max(longest[m.Name], time.Since(m.LastHeard))
 		}
 	}
+	standIns := 0
+	for _, n := range slices.Concat(x, y) {
+		if len(n.standInReceivers(time.Now())) > 0 {
+			standIns++
+		}
+	}
+	if standIns == 0 || standIns > maxStandIns {
+		t.Errorf("%d gateways stand in, want at most %d", standIns, maxStandIns)
+	}
 	for name, silence := range longest {
 		if silence >= ownerTimeout {
 			t.Errorf("%s counted as silent for %v", name, silence)
@@ -209,9 +218,9 @@
 	}
 	network.cut.Store(nil)
 	time.Sleep(2 * remoteCollectorTimeout)
-	for _, n := range x {
-		if n.standsIn(time.Now()) {
-			t.Errorf("%s still stands in after the cut", n.cfg.Self.Name)
+	for _, n := range slices.Concat(x, y) {
+		if receivers := n.standInReceivers(time.Now()); len(receivers) > 0 {
+			t.Errorf("%s still stands in after the cut, for %v", n.cfg.Self.Name, receivers)
 		}
 	}
 }
--- a/peer/collector.go
+++ b/peer/collector.go
@@ -35,7 +35,9 @@
 
 // Collectors may be cut off from the other data centres and not from their own, where
 // they keep the role. The others then send their digests to all gateways of that data
-// centre; whoever gets one answers with a digest, and so on for standInPeriod.
+// centre. Two gateways that come next by the rule answer those that sent them one,
+// for standInPeriod. More would multiply the traffic when all processes start at once
+// and no data centre knows the collectors of another.
 
 // role is the part of a gateway in the exchange between data centres.
 type role uint8
@@ -46,6 +48,10 @@
 	roleNone                // not a collector
 )
 
+// maxStandIns is the number of gateways of a data centre that stand in for its
+// collectors.
+const maxStandIns = 2
+
 // candidate is a gateway of the local data centre that may be a collector.
 type candidate struct {
 	Name       string
@@ -65,16 +71,17 @@
 	return firstHeard
 }
 
-// chooseRole returns the role of self. Gateways that see the same members reach
-// the same result.
-func chooseRole(self candidate, others []candidate, now time.Time) role {
+// chooseRole returns the role of self, and whether it may stand in for the
+// collectors. Gateways that see the same members reach the same result.
+func chooseRole(self candidate, others []candidate, now time.Time) (r role, standIn bool) {
 	preceding := 0
 	for _, c := range others {
 		if now.Sub(c.LastHeard) <= candidateTimeout && c.precedes(&self, now) {
 			preceding++
 		}
 	}
-	return role(min(preceding, int(roleNone)))
+	r = role(min(preceding, int(roleNone)))
+	return r, r == roleNone && preceding < int(roleNone)+maxStandIns
 }
 
 // precedes reports whether c takes precedence over o as a collector. Gateways
--- a/peer/digest.go
+++ b/peer/digest.go
@@ -29,13 +29,21 @@
 // full state.
 func (s *sendLoop) sendDigest(urgent, refresh bool) {
 	s.remoteDigest, s.remoteDigestUrgent = nil, nil
+	s.sendDigestTo(nil, urgent, refresh)
+}
+
+// sendDigestTo sends a digest to the given addresses; nil stands for those that get
+// the digests of a collector.
+func (s *sendLoop) sendDigestTo(receivers []string, urgent, refresh bool) {
 	now := time.Now()
 	sum, changed := s.cfg.Dispatcher.Digest(refresh)
 	members := s.membersToAnnounce(now, refresh)
 	if !changed && len(members) == 0 && !refresh {
 		return
 	}
-	receivers := s.remoteReceivers(now)
+	if receivers == nil {
+		receivers = s.remoteReceivers(now)
+	}
 	groups := s.splitDigest(sum, members)
 	if refresh {
 		groups[0].Alive, groups[0].AgeMs = s.aliveMembers(now)
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -103,8 +103,9 @@
 	sequence      uint64
 	role          role
 	roleUpdated   time.Time
-	standInUntil  time.Time      // this gateway sends digests until then, though it is no collector
-	announced     announcedState // state of this process in the last digest
+	mayStandIn    bool
+	standInFor    map[string]time.Time // collectors elsewhere that get digests of this gateway, though it is none, until a time
+	announced     announcedState       // state of this process in the last digest
 	leaving       bool
 	takenJobs     []uint64
 	onHandOver    func(job []byte) error
@@ -137,6 +138,7 @@
 		peers:                make(map[string]*peerState),
 		lastForwarded:        make(map[string]time.Time),
 		role:                 roleNone,
+		standInFor:           make(map[string]time.Time),
 	}
 }
 
--- a/peer/send.go
+++ b/peer/send.go
@@ -67,7 +67,7 @@
 		case <-e.forwardUrgent:
 			startTimer(&s.localReportUrgent, urgentInterval)
 		case <-e.standIn:
-			s.sendDigest(false, true)
+			s.standInDigest(time.Now())
 		case <-s.localReport:
 			s.reportLocally(false, false)
 		case <-s.localReportUrgent:
@@ -88,11 +88,8 @@
 					s.sendDigest(false, true)
 				}
 			case roleNone:
-				if s.standsIn(now) {
-					s.sendDigest(false, true)
-				} else {
-					s.reportToSeeds()
-				}
+				s.reportToSeeds()
+				s.standInDigest(now)
 			}
 		}
 	}
@@ -106,12 +103,28 @@
 	return e.role == rolePrimary
 }
 
-// standsIn reports whether this gateway sends digests for collectors that another data
-// centre does not hear.
-func (e *Exchange) standsIn(now time.Time) bool {
+// standInDigest sends a refresh to the collectors of other data centres for which this
+// gateway stands in.
+func (s *sendLoop) standInDigest(now time.Time) {
+	if receivers := s.standInReceivers(now); len(receivers) > 0 {
+		s.sendDigestTo(receivers, false, true)
+	}
+}
+
+// standInReceivers returns the collectors of other data centres that still address this
+// gateway, and forgets the others.
+func (e *Exchange) standInReceivers(now time.Time) []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return now.Before(e.standInUntil)
+	var list []string
+	for address, until := range e.standInFor {
+		if e.mayStandIn && now.Before(until) {
+			list = append(list, address)
+		} else {
+			delete(e.standInFor, address)
+		}
+	}
+	return list
 }
 
 // scheduleDigest schedules a digest if this gateway is the primary collector.
@@ -157,11 +170,11 @@
 			others = append(others, candidate{Name: p.Name, LastHeard: p.LastHeard, FirstHeard: alignFirstHeard(p.firstHeard, e.started), Leaving: p.Leaving})
 		}
 	}
-	r := chooseRole(self, others, now)
+	r, mayStandIn := chooseRole(self, others, now)
 	if (r == roleNone) != (e.role == roleNone) {
 		e.cfg.Log.Info().Bool("collector", r != roleNone).Int("members", len(others)+1).Msg("cross-data-centre role changed")
 	}
-	e.role = r
+	e.role, e.mayStandIn = r, mayStandIn
 	return r
 }
 
