Answer requests that are read while a gateway shuts down

Cause: http.Server.Shutdown closes a connection without an answer if it reads its request after the call began (server.go, "if c.server.shuttingDown() return"), and the backlog was accepted for 20 ms only, however long the process was not scheduled. Change: gracefulServer accepts until no connection has come for 50 ms, closes idle connections, and calls Shutdown only when no request is in progress and no connection is younger than 1 s without one.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -75,8 +75,7 @@
 	exchange   *peer.Exchange
 	jobs       *batch.Service
 	draining   atomic.Bool
-	ingress    *http.Server
-	callers    *drainingListener // of ingress
+	ingress    *gracefulServer
 	readiness  *http.Server
 	peers      *http.Server
 	metrics    *http.Server
@@ -121,8 +120,8 @@
 }
 
 func (g *Gateway) assembleServers(ingress http.Handler) {
-	g.ingress = &http.Server{Handler: g.closeWhenDraining(ingress), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: gatewayIdleTimeout,
-		MaxHeaderBytes: 64 << 10}
+	g.ingress = newGracefulServer(&http.Server{Handler: g.closeWhenDraining(ingress), ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout: gatewayIdleTimeout, MaxHeaderBytes: 64 << 10})
 	g.readiness = &http.Server{Handler: platform.ReadinessHandler(g.ready), ReadHeaderTimeout: readHeaderTimeout}
 	g.peers = &http.Server{Handler: g.exchange.Handler(), ReadHeaderTimeout: readHeaderTimeout}
 	g.metrics = &http.Server{Handler: metric.Handler(), ReadHeaderTimeout: readHeaderTimeout}
@@ -200,7 +199,7 @@
 		server  *http.Server
 		address string
 	}{
-		{g.ingress, g.settings.Instance.Listen},
+		{g.ingress.Server, g.settings.Instance.Listen},
 		{g.readiness, g.settings.ReadyListen},
 		{g.peers, g.settings.Instance.PeerListen},
 		{g.metrics, g.settings.MetricsListen},
@@ -213,9 +212,8 @@
 		if err != nil {
 			return trace.Wrap(err, "listening on %s", s.address)
 		}
-		if s.server == g.ingress {
-			g.callers = newDrainingListener(l)
-			l = g.callers
+		if s.server == g.ingress.Server {
+			l = g.ingress.listen(l)
 		}
 		group.Go(func() error { return serve(s.server, l) })
 		group.Go(func() error {
@@ -275,10 +273,7 @@
 	time.Sleep(loadBalancerDelay)
 	limited, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
-	if err := g.callers.finish(); err != nil {
-		g.log.Error().Err(err).Msg("connections that wait to be accepted may be reset")
-	}
-	err := g.ingress.Shutdown(limited)
+	err := g.ingress.stop(limited)
 	select {
 	case <-released:
 	case <-limited.Done():
--- a/daemon/listener.go
+++ b/daemon/listener.go
@@ -1,57 +1,138 @@
 package daemon
 
 import (
+	"context"
 	"errors"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/magnoliausher/magnoliausher/pause"
 )
 
-// backlogTimeout is how long a listener that stops goes on accepting. Accepting what
-// is in the backlog takes far less.
-const backlogTimeout = 20 * time.Millisecond
+// backlogTimeout is how long a listener that stops waits for one more connection.
+// Accepting one that is in the backlog takes far less.
+const backlogTimeout = 50 * time.Millisecond
+
+// newConnectionTimeout is how long a connection without a request is waited for at
+// shutdown. Callers send at once; some connections are never used.
+const newConnectionTimeout = time.Second
+
+// quiescencePollInterval is how often a server that stops looks for requests.
+const quiescencePollInterval = 5 * time.Millisecond
+
+// gracefulServer is an http.Server that answers each request on a connection that it
+// accepted. http.Server.Shutdown alone does not: it closes a connection whose request
+// it reads after the call began, and the kernel resets those that wait to be accepted.
+type gracefulServer struct {
+	*http.Server
+	mu          sync.Mutex
+	listener    *drainingListener
+	connections map[net.Conn]connectionState // not idle
+}
+
+type connectionState struct {
+	http.ConnState
+	since time.Time
+}
 
-// drainingListener accepts what is in its backlog before it is closed. The kernel
-// resets the connections that wait there when a listening socket is closed, and their
-// callers' requests with them.
+func newGracefulServer(server *http.Server) *gracefulServer {
+	g := &gracefulServer{Server: server, connections: make(map[net.Conn]connectionState)}
+	server.ConnState = g.track
+	return g
+}
+
+// track implements the ConnState hook of http.Server.
+func (g *gracefulServer) track(conn net.Conn, state http.ConnState) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if state == http.StateNew || state == http.StateActive {
+		g.connections[conn] = connectionState{state, time.Now()}
+	} else {
+		delete(g.connections, conn)
+	}
+}
+
+// listen returns the listener to serve on.
+func (g *gracefulServer) listen(l net.Listener) net.Listener {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.listener = &drainingListener{Listener: l, drained: make(chan struct{}), closed: make(chan struct{})}
+	return g.listener
+}
+
+// quiescent reports whether no request is in progress or about to arrive.
+func (g *gracefulServer) quiescent(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, c := range g.connections {
+		if c.ConnState == http.StateActive || now.Sub(c.since) < newConnectionTimeout {
+			return false
+		}
+	}
+	return true
+}
+
+// stop accepts what waits to be accepted, closes idle connections, and ends when all
+// requests are answered or ctx ends.
+func (g *gracefulServer) stop(ctx context.Context) error {
+	g.mu.Lock()
+	listener := g.listener
+	g.mu.Unlock()
+	if listener != nil {
+		if err := listener.finish(); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	g.SetKeepAlivesEnabled(false)
+	for !g.quiescent(time.Now()) && pause.For(ctx, quiescencePollInterval) {
+	}
+	return trace.Wrap(g.Shutdown(ctx))
+}
+
+// drainingListener accepts what is in its backlog before it is closed.
 type drainingListener struct {
 	net.Listener
 	closeOnce sync.Once
-	drained   chan struct{} // closed at the end of backlogTimeout
+	drained   chan struct{} // closed when the backlog is empty
 	closed    chan struct{}
 }
 
-func newDrainingListener(l net.Listener) *drainingListener {
-	return &drainingListener{Listener: l, drained: make(chan struct{}), closed: make(chan struct{})}
-}
-
-// finish accepts for backlogTimeout more and then no longer. Close should follow at
-// once, since connections that arrive in between are reset.
+// finish accepts until no connection has arrived for backlogTimeout, then closes the
+// socket. A server goes on to wait in Accept until Close.
 func (l *drainingListener) finish() error {
 	tcp, ok := l.Listener.(*net.TCPListener)
 	if !ok {
 		return trace.BadParameter("a listener of type %T has no deadline", l.Listener)
 	}
-	if err := tcp.SetDeadline(time.Now().Add(backlogTimeout)); err != nil {
+	if err := tcp.SetDeadline(time.Now()); err != nil { // wakes Accept
 		return trace.Wrap(err)
 	}
 	select {
 	case <-l.drained:
 	case <-l.closed:
 	}
-	return nil
+	return trace.Wrap(tcp.Close())
 }
 
-// Accept implements net.Listener. After finish it blocks until Close instead of
-// returning a timeout, since a server that is not shutting down would retry.
+// Accept implements net.Listener.
 func (l *drainingListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 		return conn, err
 	}
+	// An expired deadline keeps Accept from looking at the backlog. The deadline is
+	// set anew for each connection, however long the process was not scheduled.
+	if tcp, ok := l.Listener.(*net.TCPListener); ok && tcp.SetDeadline(time.Now().Add(backlogTimeout)) == nil {
+		conn, err = l.Listener.Accept()
+		if expired := tcp.SetDeadline(time.Now()); err == nil && expired == nil {
+			return conn, nil
+		}
+	}
 	close(l.drained)
 	<-l.closed
 	return nil, net.ErrClosed
@@ -60,5 +141,9 @@
 // Close implements net.Listener.
 func (l *drainingListener) Close() error {
 	l.closeOnce.Do(func() { close(l.closed) })
-	return l.Listener.Close()
+	err := l.Listener.Close()
+	if errors.Is(err, net.ErrClosed) {
+		return nil // closed by finish
+	}
+	return err
 }
--- a/daemon/shutdown_test.go
+++ b/daemon/shutdown_test.go
@@ -158,13 +158,14 @@
 }
 
 // Guards against connections that wait to be accepted when the gateway stops listening
-// and are reset unanswered.
+// and are reset unanswered, and against requests that are read after the shutdown began
+// and dropped.
 func TestAcceptBacklogIsServed(t *testing.T) {
 	l, err := listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })}
+	server := newGracefulServer(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })})
 	const waiting = 50
 	var conns []net.Conn
 	for range waiting {
@@ -178,13 +179,18 @@
 		}
 		conns = append(conns, conn)
 	}
-	draining := newDrainingListener(l)
 	served := make(chan error, 1)
-	go func() { served <- serve(server, draining) }()
-	if err := draining.finish(); err != nil {
+	listener := server.listen(l)
+	go func() { served <- serve(server.Server, listener) }()
+	// The last one is accepted before the shutdown, and sends its request during it.
+	late, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
 		t.Fatal(err)
 	}
-	if err := server.Shutdown(t.Context()); err != nil {
+	defer late.Close()
+	conns = append(conns, late)
+	time.AfterFunc(200*time.Millisecond, func() { _, _ = io.WriteString(late, "GET / HTTP/1.1\r\nHost: h\r\n\r\n") })
+	if err := server.stop(t.Context()); err != nil {
 		t.Fatal(err)
 	}
 	for i, conn := range conns {
