--- a/job/bench_test.go
+++ b/job/bench_test.go
@@ -39,13 +39,17 @@
 			if err != nil {
 				t.Fatal(err)
 			}
+			f.mu.Lock()
 			parts := f.puts
+			f.mu.Unlock()
 			start := time.Now()
 			job, err := s.Submit(t.Context(), submission(file, ""))
 			if err != nil {
 				t.Fatal(err)
 			}
+			f.mu.Lock() // runners read while the test does
 			reads := f.reads
+			f.mu.Unlock()
 			j := awaitJob(t, s, job.ID, 5*time.Hour)
 			took := time.Since(start)
 			polls := int(took / time.Second) // of awaitJob, one read each
--- a/peer/collector.go
+++ b/peer/collector.go
@@ -25,20 +25,10 @@
 	startTolerance = heartbeatInterval + 50*time.Millisecond
 	// remoteCollectorTimeout is the silence after which a remote collector gets
 	// no more digests. If a data centre has no active collector, all its members
-	// get them until a collector reports. The rest of the 1.5 s after which the owner
-	// of a job counts as lost is for their answers.
-	remoteCollectorTimeout = time.Second
-	// standInPeriod is how long a gateway that is no collector sends digests after one
-	// that another data centre sent straight to it.
-	standInPeriod = 2*heartbeatInterval + 50*time.Millisecond
+	// get them until a collector reports.
+	remoteCollectorTimeout = 1500 * time.Millisecond
 )
 
-// Collectors may be cut off from the other data centres and not from their own, where
-// they keep the role. The others then send their digests to all gateways of that data
-// centre. Two gateways that come next by the rule answer those that sent them one,
-// for standInPeriod. More would multiply the traffic when all processes start at once
-// and no data centre knows the collectors of another.
-
 // role is the part of a gateway in the exchange between data centres.
 type role uint8
 
@@ -48,10 +38,6 @@
 	roleNone                // not a collector
 )
 
-// maxStandIns is the number of gateways of a data centre that stand in for its
-// collectors.
-const maxStandIns = 2
-
 // candidate is a gateway of the local data centre that may be a collector.
 type candidate struct {
 	Name       string
@@ -71,17 +57,16 @@
 	return firstHeard
 }
 
-// chooseRole returns the role of self, and whether it may stand in for the
-// collectors. Gateways that see the same members reach the same result.
-func chooseRole(self candidate, others []candidate, now time.Time) (r role, standIn bool) {
+// chooseRole returns the role of self. Gateways that see the same members reach
+// the same result.
+func chooseRole(self candidate, others []candidate, now time.Time) role {
 	preceding := 0
 	for _, c := range others {
 		if now.Sub(c.LastHeard) <= candidateTimeout && c.precedes(&self, now) {
 			preceding++
 		}
 	}
-	r = role(min(preceding, int(roleNone)))
-	return r, r == roleNone && preceding < int(roleNone)+maxStandIns
+	return role(min(preceding, int(roleNone)))
 }
 
 // precedes reports whether c takes precedence over o as a collector. Gateways
--- a/peer/digest.go
+++ b/peer/digest.go
@@ -29,21 +29,13 @@
 // full state.
 func (s *sendLoop) sendDigest(urgent, refresh bool) {
 	s.remoteDigest, s.remoteDigestUrgent = nil, nil
-	s.sendDigestTo(nil, urgent, refresh)
-}
-
-// sendDigestTo sends a digest to the given addresses; nil stands for those that get
-// the digests of a collector.
-func (s *sendLoop) sendDigestTo(receivers []string, urgent, refresh bool) {
 	now := time.Now()
 	sum, changed := s.cfg.Dispatcher.Digest(refresh)
 	members := s.membersToAnnounce(now, refresh)
 	if !changed && len(members) == 0 && !refresh {
 		return
 	}
-	if receivers == nil {
-		receivers = s.remoteReceivers(now)
-	}
+	receivers := s.remoteReceivers(now)
 	groups := s.splitDigest(sum, members)
 	if refresh {
 		groups[0].Alive, groups[0].AgeMs = s.aliveMembers(now)
@@ -125,11 +117,10 @@
 // membersToAnnounce returns the gateways of the local data centre whose state has
 // changed. In a refresh it adds recently heard unchanged ones in rotation.
 func (s *sendLoop) membersToAnnounce(now time.Time, refresh bool) []*rpc.GatewayMember {
-	self := MemberStatus{Member: s.cfg.Self, LastHeard: now, StoreReached: s.storeReachable()}
+	self := MemberStatus{Member: s.cfg.Self, LastHeard: now, StoreReached: s.storeReachable(), Collector: true}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	// A gateway that stands in is no collector: others must not keep sending to it.
-	self.Leaving, self.TakenJobs, self.Collector = s.leaving, s.takenJobs, s.role != roleNone
+	self.Leaving, self.TakenJobs = s.leaving, s.takenJobs
 	all, announced := []*MemberStatus{&self}, []*announcedState{&s.announced}
 	for _, p := range s.peers {
 		if s.isLocal(&p.MemberStatus) && now.Sub(p.LastHeard) <= unreachableAfter {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -91,7 +91,6 @@
 	reportReceivedUrgent chan struct{} // same, and other data centres must yield to it
 	forward              chan struct{} // groups of other data centres are pending
 	forwardUrgent        chan struct{} // same, and the local data centre must yield to them
-	standIn              chan struct{} // another data centre has sent a refresh to this gateway, which is no collector
 	newerPeer            chan string   // address of a peer with newer versions
 	relay                atomic.Pointer[Relay]
 
@@ -103,9 +102,7 @@
 	sequence      uint64
 	role          role
 	roleUpdated   time.Time
-	mayStandIn    bool
-	standInFor    map[string]time.Time // collectors elsewhere that get digests of this gateway, though it is none, until a time
-	announced     announcedState       // state of this process in the last digest
+	announced     announcedState // state of this process in the last digest
 	leaving       bool
 	takenJobs     []uint64
 	onHandOver    func(job []byte) error
@@ -133,12 +130,10 @@
 		reportReceivedUrgent: signal(),
 		forward:              signal(),
 		forwardUrgent:        signal(),
-		standIn:              signal(),
 		newerPeer:            make(chan string, 1),
 		peers:                make(map[string]*peerState),
 		lastForwarded:        make(map[string]time.Time),
 		role:                 roleNone,
-		standInFor:           make(map[string]time.Time),
 	}
 }
 
--- a/peer/receive.go
+++ b/peer/receive.go
@@ -69,7 +69,7 @@
 	}
 	for _, g := range report.Groups {
 		if g.DataCentre != e.cfg.Self.DataCentre && (local || g.DataCentre == report.DataCentre) {
-			e.applyGroup(g, local, address, now)
+			e.applyGroup(g, local, now)
 		}
 	}
 	e.requestNewerState(report.ConfigurationVersion, report.ListVersion, address)
@@ -83,7 +83,7 @@
 // applyGroup applies a group of another data centre. A group received from that
 // data centre is forwarded locally by the primary collector, or a refresh by any
 // receiver if no other gateway forwards.
-func (e *Exchange) applyGroup(g *rpc.GatewayGroup, forwarded bool, sender string, now time.Time) {
+func (e *Exchange) applyGroup(g *rpc.GatewayGroup, forwarded bool, now time.Time) {
 	if len(g.Online) != len(g.Upstreams) || len(g.Batch) != len(g.Upstreams) || len(g.Alive) != len(g.AgeMs) {
 		e.cfg.Log.Warn().Str("data_centre", g.DataCentre).Msg("invalid group of a data centre: lists differ in length")
 		return
@@ -97,11 +97,6 @@
 	if forwarded {
 		e.lastForwarded[g.DataCentre] = now
 	}
-	standIn := !forwarded && g.Refresh && e.mayStandIn
-	begins := standIn && now.After(e.standInFor[sender])
-	if standIn {
-		e.standInFor[sender] = now.Add(standInPeriod)
-	}
 	needed := e.role == rolePrimary || g.Refresh && now.Sub(e.lastForwarded[g.DataCentre]) > forwardTimeout
 	forwards := !forwarded && needed && len(e.pendingGroups) < maxPendingGroups
 	if forwards {
@@ -111,9 +106,6 @@
 	if forwards {
 		notify(e.forward, e.forwardUrgent, g.Urgent)
 	}
-	if begins {
-		notify(e.standIn, e.standIn, false)
-	}
 	e.requestNewerState(g.ConfigurationVersion, g.ListVersion, g.Source)
 }
 
--- a/peer/send.go
+++ b/peer/send.go
@@ -66,8 +66,6 @@
 			startTimer(&s.localReport, s.localMergeInterval())
 		case <-e.forwardUrgent:
 			startTimer(&s.localReportUrgent, urgentInterval)
-		case <-e.standIn:
-			s.standInDigest(time.Now())
 		case <-s.localReport:
 			s.reportLocally(false, false)
 		case <-s.localReportUrgent:
@@ -89,7 +87,6 @@
 				}
 			case roleNone:
 				s.reportToSeeds()
-				s.standInDigest(now)
 			}
 		}
 	}
@@ -103,30 +100,6 @@
 	return e.role == rolePrimary
 }
 
-// standInDigest sends a refresh to the collectors of other data centres for which this
-// gateway stands in.
-func (s *sendLoop) standInDigest(now time.Time) {
-	if receivers := s.standInReceivers(now); len(receivers) > 0 {
-		s.sendDigestTo(receivers, false, true)
-	}
-}
-
-// standInReceivers returns the collectors of other data centres that still address this
-// gateway, and forgets the others.
-func (e *Exchange) standInReceivers(now time.Time) []string {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	var list []string
-	for address, until := range e.standInFor {
-		if e.mayStandIn && now.Before(until) {
-			list = append(list, address)
-		} else {
-			delete(e.standInFor, address)
-		}
-	}
-	return list
-}
-
 // scheduleDigest schedules a digest if this gateway is the primary collector.
 func (s *sendLoop) scheduleDigest(urgent bool) {
 	if s.updateRole(time.Now()) != rolePrimary {
@@ -170,11 +143,11 @@
 			others = append(others, candidate{Name: p.Name, LastHeard: p.LastHeard, FirstHeard: alignFirstHeard(p.firstHeard, e.started), Leaving: p.Leaving})
 		}
 	}
-	r, mayStandIn := chooseRole(self, others, now)
+	r := chooseRole(self, others, now)
 	if (r == roleNone) != (e.role == roleNone) {
 		e.cfg.Log.Info().Bool("collector", r != roleNone).Int("members", len(others)+1).Msg("cross-data-centre role changed")
 	}
-	e.role, e.mayStandIn = r, mayStandIn
+	e.role = r
 	return r
 }
 
