--- a/batch/broken_test.go
+++ b/batch/broken_test.go
@@ -58,8 +58,8 @@
 			var calls atomic.Int32
 			broken := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				calls.Add(1)
-				id := r.Header.Get("Attempt-Id")
-				w.Header().Set("Attempt-Id", id)
+				id := r.Header.Get(platformtest.RequestIDHeader)
+				w.Header().Set(platformtest.RequestIDHeader, id)
 				w.Header().Set(platformtest.SignatureHeader, "seal-"+id)
 				w.Header().Set("Content-Type", "text/event-stream")
 				for r.Context().Err() == nil {
