Compare the settings file with what was loaded

Change: settings.Gateway carries the hash of the text it was parsed from, and the watch compares with that.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -286,7 +286,7 @@
 func (g *Gateway) watchSettings(ctx context.Context, reload <-chan os.Signal) {
 	ticker := time.NewTicker(settingsCheckInterval)
 	defer ticker.Stop()
-	last := g.settingsHash()
+	last := g.settings.Hash // of what was loaded, or a change before this call would be missed
 	for {
 		signalled := false
 		select {
--- a/daemon/gateway_test.go
+++ b/daemon/gateway_test.go
@@ -450,6 +450,31 @@
 	d.eventually("the new level", func() bool { return g.log.Debug().Enabled() })
 }
 
+// Guards against a change that is never noticed because the file was written after the
+// gateway had loaded it and before it watched it.
+func TestChangeBeforeWatchTakesEffect(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "gateway.ini")
+	const text = "[instance]\nrole = gateway\nid = g\ndata_centre = z\nlisten = 127.0.0.1:1\nready_listen = 127.0.0.1:2\n" +
+		"peer_listen = 127.0.0.1:3\n[platform]\naddress = 127.0.0.1:4\n[log]\nlevel = error\n"
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s, err := settings.LoadGateway(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g, err := NewGateway(file, s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(file, []byte(strings.Replace(text, "error", "debug", 1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	go g.watchSettings(t.Context(), nil)
+	d := &deployment{t: t}
+	d.eventually("the new level", func() bool { return g.log.Debug().Enabled() })
+}
+
 // Guards against a gateway that fails after its settings file changes, also to an
 // invalid one.
 func TestGatewayReloadsSettings(t *testing.T) {
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -4,6 +4,7 @@
 	"os"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 )
 
@@ -12,6 +13,7 @@
 
 // Gateway holds the settings of a gateway.
 type Gateway struct {
+	Hash     uint64   // of the text of the file
 	Instance Instance // Listen is HTTP for callers; PeerListen is for datagrams and calls from other gateways
 	Log      Log
 
@@ -39,6 +41,7 @@
 func ParseGateway(file string, data []byte) (*Gateway, error) {
 	r := newReader(file, data)
 	g := &Gateway{
+		Hash:          xxhash.Sum64(data),
 		Instance:      r.instance(RoleGateway),
 		Log:           r.log(),
 		ReadyListen:   r.address("instance", "ready_listen", true),
