Send 500 requests a second in TestShutdownUnderLoadLosesNoRequest

Logs of six failing runs: the service time rose from 2 to 200-285 ms within a second after the stop. A gateway that shuts down closes each kept connection after its answer, and 125 of the test's clients then connected and sent again without a pause: not 500 requests a second but as many as the machine could serve. At the start all 250 clients sent at once, while the gateway knew 4 slots instead of 64: 122 were refused there in one run. The refusals were true, their load was not the stated one. Change: clients pause after a closed connection too, start over half a second, and load begins when the slots are in force. Bounds are unchanged.

--- a/daemon/shutdown_test.go
+++ b/daemon/shutdown_test.go
@@ -42,24 +42,30 @@
 	}()
 	for range 125 { // 250 requests a second, each on a new connection
 		l.clients.Go(func() {
+			time.Sleep(rand.N(500 * time.Millisecond))
 			for !l.ended.Load() && l.routed.Load() {
-				l.exchange(1, 0)
-				time.Sleep(time.Duration(400+rand.IntN(200)) * time.Millisecond)
+				l.exchange(1)
+				time.Sleep(nextPause())
 			}
 		})
 	}
 	for range 125 { // 250 a second on kept connections
 		l.clients.Go(func() {
+			time.Sleep(rand.N(500 * time.Millisecond))
 			for !l.ended.Load() && l.routed.Load() {
-				l.exchange(1000, time.Duration(400+rand.IntN(200))*time.Millisecond)
+				l.exchange(1000)
+				time.Sleep(nextPause()) // without it, a closed connection would double the load
 			}
 		})
 	}
 	return l
 }
 
+// nextPause returns the time from an answer to a client's next request.
+func nextPause() time.Duration { return 400*time.Millisecond + rand.N(200*time.Millisecond) }
+
 // exchange sends up to n requests on one connection, with a pause between them.
-func (l *stopLoad) exchange(n int, pause time.Duration) {
+func (l *stopLoad) exchange(n int) {
 	conn, err := net.Dial("tcp", l.gateway.settings.Instance.Listen)
 	if err != nil {
 		if l.routed.Load() {
@@ -70,6 +76,9 @@
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for i := range n {
+		if i > 0 {
+			time.Sleep(nextPause())
+		}
 		if l.ended.Load() {
 			return
 		}
@@ -103,7 +112,6 @@
 		if response.Close {
 			return
 		}
-		time.Sleep(pause)
 	}
 }
 
@@ -132,6 +140,10 @@
 		e.Register(d.store, "ready", e.Address())
 	}
 	g := d.gateways[0]
+	d.eventually("the slots in force", func() bool {
+		usable := g.holder.View().Usable("app")
+		return len(usable) == 1 && usable[0].Slots == 64
+	})
 	load := startStopLoad(d, g)
 	time.Sleep(2 * time.Second)
 	started := time.Now()
