Answer what an entry reads while it closes its server

Change: the entry serves callers on a gracefulServer, as the gateway does; what still arrives is refused as not executed. Result: TestEntryAnswersDuringShutdown fails on the parent (unexpected EOF on new connections) and passes now.

--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -58,7 +58,7 @@
 	operator *operator.API
 	suspects *poison.Persister
 
-	server       *http.Server
+	server       *gracefulServer
 	listener     net.Listener
 	peerServer   *http.Server // nil if no peer address is set
 	peerListener net.Listener
@@ -99,7 +99,7 @@
 		Log:           logger,
 	})
 	d.entry = d.newEntry(jobs.Handler(), suspects)
-	d.server = &http.Server{Handler: d.entry.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	d.server = newGracefulServer(&http.Server{Handler: d.entry.Handler(), ReadHeaderTimeout: readHeaderTimeout})
 	return d, d.openListeners()
 }
 
@@ -241,7 +241,7 @@
 	group.Go(func() error { return ignoreCancellation(background, d.runner.Run(background)) })
 	group.Go(func() error { d.sweeper.Run(background); return nil })
 	group.Go(func() error { d.operator.Run(background); return nil })
-	group.Go(func() error { return serve(d.server, d.listener) })
+	group.Go(func() error { return serve(d.server.Server, d.server.listen(d.listener)) })
 	if d.peerServer != nil {
 		group.Go(func() error { return serve(d.peerServer, d.peerListener) })
 	}
@@ -315,7 +315,7 @@
 }
 
 func (d *Entry) shutdown() {
-	shutdown(d.server)
+	d.stopServer()
 	if d.peerServer != nil {
 		shutdown(d.peerServer)
 	}
@@ -324,6 +324,16 @@
 	d.intents.Close(ctx)
 }
 
+// stopServer rejects what still arrives as not executed, and closes the server.
+func (d *Entry) stopServer() {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if err := d.server.stop(ctx); err != nil {
+		d.logger.Warn().Err(err).Msg("connections were still open at the end of the shutdown")
+		_ = d.server.Close()
+	}
+}
+
 // ignoreCancellation returns nil if err was caused by the end of ctx.
 func ignoreCancellation(ctx context.Context, err error) error {
 	if ctx.Err() != nil && errors.Is(err, ctx.Err()) {
--- a/daemon/shutdown_test.go
+++ b/daemon/shutdown_test.go
@@ -2,17 +2,22 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/magnoliausher/magnoliausher/platform/platformtest"
+	"github.com/magnoliausher/magnoliausher/settings"
 )
 
 // stopLoad sends requests to one gateway on new and on kept connections, and opens
@@ -215,3 +220,53 @@
 		t.Error(err)
 	}
 }
+
+// Guards against requests that an entry drops because they arrive while it closes its
+// server: they get a response that says that they were not executed.
+func TestEntryAnswersDuringShutdown(t *testing.T) {
+	s, err := settings.ParseEntry("entry.ini", []byte("[instance]\nid = e\ndata_centre = z\nlisten = 127.0.0.1:0\n[platform]\naddress = 127.0.0.1:1\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	e, err := NewEntry(s, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- e.Run(ctx) }()
+	if response, err := http.Get("http://" + e.Address() + "/healthz"); err != nil {
+		t.Fatal(err)
+	} else {
+		response.Body.Close()
+	}
+	var conns []net.Conn
+	for range 20 {
+		conn, err := net.Dial("tcp", e.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		conns = append(conns, conn)
+	}
+	cancel()
+	time.Sleep(200 * time.Millisecond)
+	for i, conn := range conns {
+		if _, err := io.WriteString(conn, "GET /v1/models HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+			t.Errorf("connection %d: %v", i, err)
+			continue
+		}
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Errorf("connection %d: %v", i, err)
+			continue
+		}
+		body, err := io.ReadAll(response.Body)
+		if err != nil || response.StatusCode != http.StatusServiceUnavailable || !strings.Contains(string(body), `"executed":"no"`) {
+			t.Errorf("connection %d: %d %s, %v", i, response.StatusCode, body, err)
+		}
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
