Label the gateway's metrics by class, not by route

Cause: first_token, refused and retried of package forward held the route's name in the label 'class'. A configuration that grows by many routes made a time series for each, and entries and jobs hold a class there.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -137,6 +137,10 @@
 // Forwarder forwards requests to upstreams. It is safe for concurrent use.
 type Forwarder struct{ cfg Config }
 
+// classOnline is the class label of the metrics of this package. The name of a route
+// would make a time series for each route that a configuration brings.
+const classOnline = "online"
+
 // New returns a forwarder.
 func New(cfg Config) *Forwarder { return &Forwarder{cfg: cfg} }
 
@@ -330,11 +334,11 @@
 		return x.failWithoutUpstream(dispatch.ErrNoCapacity)
 	}
 	if notExecuted {
-		metric.Retried(x.Service, x.Route.Name, "not_run")
+		metric.Retried(x.Service, classOnline, "not_run")
 		return nil
 	}
 	if x.canMove() && !x.cfg.CrashTracker.Blocked(x.Fingerprint) {
-		metric.Retried(x.Service, x.Route.Name, "broken")
+		metric.Retried(x.Service, classOnline, "broken")
 		return nil
 	}
 	return x.failIncomplete(reason)
