--- a/instance/cache.go
+++ b/instance/cache.go
@@ -47,12 +47,12 @@
 	return sortedByID(chosen)
 }
 
-// hashInstances hashes the fields that the matching depends on, and the addresses,
-// which are part of the cached result.
+// hashInstances hashes the fields that the matching depends on, and the addresses and
+// states, which are part of the cached result.
 func hashInstances(list []storage.Instance) uint64 {
 	d := xxhash.New()
 	for _, in := range list {
-		for _, part := range []string{in.ID, in.DataCentre, in.Address} {
+		for _, part := range []string{in.ID, in.DataCentre, in.Address, string(in.State)} {
 			_, _ = d.WriteString(part)
 			_, _ = d.Write([]byte{0})
 		}
--- a/instance/subset_test.go
+++ b/instance/subset_test.go
@@ -186,6 +186,7 @@
 		}
 		agents[random.IntN(60)].ID = fmt.Sprintf("agent-%d", random.Uint64())
 		agents[random.IntN(60)].Address = fmt.Sprintf("10.0.0.1:%d", random.Uint32())
+		agents[random.IntN(60)].State = []storage.InstanceState{storage.InstanceLive, storage.InstanceLeaving}[random.IntN(2)]
 		got := cache.Subset(entries, agents, entries[0].ID, 3)
 		if want := Subset(entries, agents, entries[0].ID, 3); !slices.Equal(got, want) {
 			t.Fatalf("cached subset %v, want %v", got, want)
