--- a/metric/metric.go
+++ b/metric/metric.go
@@ -102,6 +102,12 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf(`magnoliausher_store_bytes_received_total{call=%q}`, call)).Add(received)
 }
 
+// StoreResponseRejected counts responses of the platform's store to a transaction that
+// belonged to another one.
+func StoreResponseRejected() {
+	metrics.GetOrCreateCounter("magnoliausher_store_responses_rejected_total").Inc()
+}
+
 // ReportsReceived counts datagrams from other gateways and their bytes. The label
 // "from" has the values of "to" in ReportsSent.
 func ReportsReceived(from string, bytes int) {
