--- a/forward/answer.go
+++ b/forward/answer.go
@@ -227,7 +227,7 @@
 	if errors.Is(x.ctx.Err(), context.Canceled) && outcome != "served" {
 		outcome = "caller_gone: " + outcome
 	}
-	metric.Answered(x.Service, x.Route.Name, status, time.Since(x.Arrived).Seconds())
+	metric.Answered(x.Service, classOnline, status, time.Since(x.Arrived).Seconds())
 	line := x.cfg.Log.Info().Str("request", x.ID).Str("route", x.Route.Name).Str("service", x.Service).
 		Uint64("configuration", x.ConfigVersion).Uint64("list", x.UpstreamListVersion).Int("status", status).Str("outcome", outcome).
 		Int("may_have_run", x.possibleRuns).Int("events", x.eventsSent).Int64("first_ms", x.timeToFirstByte.Milliseconds()).
