Bound a read of the instance list that gets no response

Cause: the list is read every 1.2 to 1.8 s so that a leaving upstream gets nothing new after 3 s, also if one read fails. A read that gets no response, on a dead connection or from a starved process, took 4 s before the next one. Change: a read is ended after 0.7 s, and the next one, with 4 s for a slow platform, is sent at once. Result: TestLeavingIsKnownWithinBound with reads that hang fails on the parent at its first such step and passes.

--- a/instance/poll.go
+++ b/instance/poll.go
@@ -12,7 +12,7 @@
 
 // PollInterval is the mean time between reads of the platform's instance list.
 // An upstream must not get new work later than 3 s after the list shows it as
-// leaving, even if one read fails within this time. 330 entries make 220 reads
+// leaving, even if one read fails or gets no response. 330 entries make 220 reads
 // per second; the platform sustains about 2,000.
 const PollInterval = 1500 * time.Millisecond
 
@@ -26,21 +26,33 @@
 // links.
 const initialInterval = 500 * time.Millisecond
 
-// pollTimeout limits the duration of one read, so that a slow platform delays at
-// most one poll.
+// pollTimeout limits the duration of a read after one that failed, so that a slow
+// platform delays at most one poll.
 const pollTimeout = 4 * time.Second
 
+// firstPollTimeout limits the duration of other reads. One that gets no response, for
+// instance on a dead connection, must not use up the 3 s of PollInterval.
+const firstPollTimeout = 700 * time.Millisecond
+
 // Poll reads the platform's instance list periodically until ctx ends. When a read
 // fails, the table keeps the last list.
 func (t *Table) Poll(ctx context.Context, list storage.InstanceList, logger zerolog.Logger) error {
 	failures := 0
 	for {
-		if err := t.Refresh(ctx, list); err == nil {
+		timeout := pollTimeout
+		if failures == 0 {
+			timeout = firstPollTimeout
+		}
+		started := time.Now()
+		if err := t.Refresh(ctx, list, timeout); err == nil {
 			failures = 0
 		} else if ctx.Err() == nil {
 			failures++
 			logger.Warn().Err(err).Msg("failed to read the instance list")
 		}
+		if failures == 1 && time.Since(started) >= retryInterval {
+			continue
+		}
 		timer := time.NewTimer(jitter(t.pollInterval(failures)))
 		select {
 		case <-ctx.Done():
@@ -62,8 +74,8 @@
 }
 
 // Refresh reads the platform's instance list once and applies it.
-func (t *Table) Refresh(ctx context.Context, list storage.InstanceList) error {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+func (t *Table) Refresh(ctx context.Context, list storage.InstanceList, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	instances, revision, err := list.Instances(ctx, t.Revision())
 	if err != nil {
--- a/instance/poll_test.go
+++ b/instance/poll_test.go
@@ -16,10 +16,11 @@
 type changingList struct {
 	leavesAt time.Time
 	fail     bool // the first read after leavesAt fails
+	hang     bool // the first read after leavesAt gets no response
 	reads    int
 }
 
-func (l *changingList) Instances(_ context.Context, _ uint64) ([]storage.Instance, uint64, error) {
+func (l *changingList) Instances(ctx context.Context, _ uint64) ([]storage.Instance, uint64, error) {
 	l.reads++
 	in := storage.Instance{ID: "agent", Role: storage.RoleAgent, State: storage.InstanceLive}
 	if time.Now().Before(l.leavesAt) {
@@ -29,19 +30,24 @@
 		l.fail = false
 		return nil, 0, errors.New("response lost")
 	}
+	if l.hang {
+		l.hang = false
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
 	in.State = storage.InstanceLeaving
 	return []storage.Instance{in}, 2, nil
 }
 
 // Guards against new work for an upstream more than 3 s after the platform's
-// list shows it as leaving, also when one read of the list fails. The steps and
+// list shows it as leaving, also when one read of the list fails or gets no response. The steps and
 // the random jitter place the change at different points of the poll interval.
 func TestLeavingIsKnownWithinBound(t *testing.T) {
 	const bound = 3 * time.Second
 	for step := range 50 {
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
-			list := &changingList{leavesAt: time.Now().Add(10*time.Second + time.Duration(step)*40*time.Millisecond), fail: step%2 == 0}
+			list := &changingList{leavesAt: time.Now().Add(10*time.Second + time.Duration(step)*40*time.Millisecond), fail: step%3 == 0, hang: step%3 == 1}
 			table := NewTable(Config{})
 			done := make(chan error)
 			go func() { done <- table.Poll(ctx, list, zerolog.Nop()) }()
