Log what was running when an upstream crashed

The log had a line for each broken request and only its hash. Now a crash has one line for each gateway that saw it, with the id of the crash and, of each request that it broke, the events received, the parts of the prompt and the status. Checks that find the upstream up are logged and counted as well. One check serves all answers that an upstream breaks within 50 ms; each broken answer opened a connection of its own before. Decisions are unchanged.

--- a/batch/attempt.go
+++ b/batch/attempt.go
@@ -15,6 +15,7 @@
 	"github.com/magnoliausher/magnoliausher/event"
 	"github.com/magnoliausher/magnoliausher/forward"
 	"github.com/magnoliausher/magnoliausher/metric"
+	"github.com/magnoliausher/magnoliausher/poison"
 )
 
 const (
@@ -38,8 +39,8 @@
 func (s *Service) runItem(r *runningJob, ri *runningItem, grant *dispatch.Grant) {
 	defer r.activeItems.Done()
 	item := &r.submission.Items[ri.index]
-	fingerprint := xxhash.Sum64String(r.submission.ID + "\x00" + item.ID)
-	if remaining := blockedRetryInterval - time.Since(ri.lastAttempt); remaining > 0 && s.cfg.CrashTracker.Blocked(fingerprint) {
+	subject := poison.Subject{RequestID: item.ID, Request: xxhash.Sum64String(r.submission.ID + "\x00" + item.ID)}
+	if remaining := blockedRetryInterval - time.Since(ri.lastAttempt); remaining > 0 && s.cfg.CrashTracker.Blocked(&subject) {
 		grant.Release(dispatch.Cancelled)
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -69,7 +70,7 @@
 	s.cfg.Log.Info().Str("request", item.ID).Str("job", r.submission.ID).Str("upstream", grant.Upstream.ID).
 		Int("from_event", eventsBefore).Int("events", ri.events()).Bool("preempted", preempted).Str("outcome", status).
 		Int64("ms", time.Since(started).Milliseconds()).Msg("item attempt")
-	s.handleAttemptResult(r, ri, grant, attemptResult{outcome: outcome, status: status, eventsBefore: eventsBefore, duration: time.Since(started)}, fingerprint)
+	s.handleAttemptResult(r, ri, grant, attemptResult{outcome: outcome, status: status, eventsBefore: eventsBefore, duration: time.Since(started)}, &subject)
 }
 
 // attemptResult describes how an attempt ended.
@@ -171,7 +172,7 @@
 }
 
 // handleAttemptResult finishes or requeues an item after an attempt.
-func (s *Service) handleAttemptResult(r *runningJob, ri *runningItem, grant *dispatch.Grant, result attemptResult, fingerprint uint64) {
+func (s *Service) handleAttemptResult(r *runningJob, ri *runningItem, grant *dispatch.Grant, result attemptResult, subject *poison.Subject) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	done, _ := ri.snapshot()
@@ -196,7 +197,7 @@
 	if result.outcome == dispatch.Broken && done.Events == result.eventsBefore {
 		ri.brokenInRow++
 		if result.status != attemptSilent && result.status != attemptUnusable {
-			s.cfg.CrashTracker.RecordCrash(grant.Upstream, fingerprint)
+			s.cfg.CrashTracker.RecordBroken(grant.Upstream, subject, 0)
 		}
 		s.requeue(ri, backoffAfter(ri.brokenInRow))
 		return
--- a/batch/service_test.go
+++ b/batch/service_test.go
@@ -18,6 +18,7 @@
 	"github.com/magnoliausher/magnoliausher/peer"
 	"github.com/magnoliausher/magnoliausher/platform"
 	"github.com/magnoliausher/magnoliausher/platform/platformtest"
+	"github.com/magnoliausher/magnoliausher/poison"
 )
 
 var route = fleet.Route{Name: "notes", Host: "h", Prefix: "/n/", Kind: fleet.Batch, MaxAttempts: 3, TokenQuota: 1000,
@@ -33,8 +34,8 @@
 
 type noCrashTracker struct{}
 
-func (noCrashTracker) Blocked(uint64) bool                 { return false }
-func (noCrashTracker) RecordCrash(*fleet.Upstream, uint64) {}
+func (noCrashTracker) Blocked(*poison.Subject) bool                       { return false }
+func (noCrashTracker) RecordBroken(*fleet.Upstream, *poison.Subject, int) {}
 
 // start runs a gateway whose live peers are those that members returns.
 func start(t *testing.T, store *platformtest.Store, name string, incarnation uint64, members func() []peer.MemberStatus, engines ...*platformtest.Engine) *gateway {
@@ -460,7 +461,7 @@
 // allBlocked reports every request as blocked.
 type allBlocked struct{ noCrashTracker }
 
-func (allBlocked) Blocked(uint64) bool { return true }
+func (allBlocked) Blocked(*poison.Subject) bool { return true }
 
 // Guards against an item that is never attempted because it is suspected of
 // crashing engines.
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -106,7 +106,7 @@
 	g.dispatcher.OnChange(g.exchange.NotifyChange)
 	g.relay = peer.NewRelay(g.store, g.exchange)
 	engines := platform.NewEngineClient()
-	tracker := crashTracker{table: g.suspects, accepts: engines.AcceptsConnections, log: g.log}
+	tracker := newCrashTracker(g.suspects, engines.AcceptsConnections, g.log)
 	g.jobs, err = batch.New(batch.Config{Self: g.self, Table: g.relay, Feed: g.relay, Objects: g.relay.Objects(),
 		Holder: g.holder, Dispatcher: g.dispatcher, Upstreams: engines, CrashTracker: tracker,
 		Members: g.exchange.Members, HandOver: g.exchange.HandOver, AnnounceTakenOver: g.exchange.SetTakenJobs, JobRetention: s.JobRetention, Log: g.log})
@@ -326,43 +326,3 @@
 	}
 	return xxhash.Sum64(data)
 }
-
-// crashCheckDelay is the time from a broken response to the check whether its
-// upstream has crashed. A crashed upstream is down for seconds.
-const crashCheckDelay = 50 * time.Millisecond
-
-// crashTracker implements forward.CrashTracker with a poison.Table. A broken response
-// counts as a crash only if its upstream accepts no connections afterwards;
-// otherwise connection failures would make suspects of harmless requests.
-type crashTracker struct {
-	table   *poison.Table
-	accepts func(context.Context, *fleet.Upstream) bool
-	log     zerolog.Logger
-}
-
-var _ forward.CrashTracker = crashTracker{}
-
-// Blocked implements forward.CrashTracker.
-func (c crashTracker) Blocked(fingerprint uint64) bool {
-	return c.table.Status(fingerprint, time.Now()) == poison.Blocked
-}
-
-// RecordCrash implements forward.CrashTracker.
-func (c crashTracker) RecordCrash(u *fleet.Upstream, fingerprint uint64) {
-	time.AfterFunc(crashCheckDelay, func() {
-		if c.accepts(context.Background(), u) {
-			return
-		}
-		now := time.Now()
-		c.table.RecordCrash(crashID(u, now), []uint64{fingerprint}, now)
-		c.log.Info().Str("upstream", u.ID).Uint64("fingerprint", fingerprint).
-			Stringer("status", c.table.Status(fingerprint, now)).Msg("recorded a request that was running when its upstream crashed")
-	})
-}
-
-// crashID returns an id by which the connections broken by one crash are counted
-// once. It covers the upstream's incarnation and the time in seconds, since the
-// connections of a crashed upstream break one after the other.
-func crashID(u *fleet.Upstream, now time.Time) uint64 {
-	return xxhash.Sum64String(u.ID) ^ uint64(u.Started) ^ uint64(now.Unix())<<20
-}
--- a/daemon/gateway_test.go
+++ b/daemon/gateway_test.go
@@ -424,17 +424,18 @@
 func TestCrashIsCountedOnlyIfUpstreamIsDown(t *testing.T) {
 	for _, accepts := range []bool{true, false} {
 		synctest.Test(t, func(t *testing.T) {
-			c := crashTracker{table: poison.NewTable(poison.Config{BlockAfter: crashesToBlock}), log: zerolog.Nop(),
-				accepts: func(context.Context, *fleet.Upstream) bool { return accepts }}
+			c := newCrashTracker(poison.NewTable(poison.Config{BlockAfter: crashesToBlock}),
+				func(context.Context, *fleet.Upstream) bool { return accepts }, zerolog.Nop())
+			subject := &poison.Subject{Request: 7}
 			for range crashesToBlock {
 				for range 8 { // connections broken by one crash
-					c.RecordCrash(&fleet.Upstream{ID: "e"}, 7)
+					c.RecordBroken(&fleet.Upstream{ID: "e"}, subject, 0)
 				}
 				time.Sleep(2 * time.Second)
 				synctest.Wait()
 			}
-			if c.Blocked(7) == accepts {
-				t.Errorf("upstream accepts %v: blocked %v", accepts, c.Blocked(7))
+			if c.Blocked(subject) == accepts {
+				t.Errorf("upstream accepts %v: blocked %v", accepts, c.Blocked(subject))
 			}
 		})
 	}
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -171,7 +171,7 @@
 // failStream handles a stream that ended before its upstream completed it.
 func (x *exchange) failStream(grant *dispatch.Grant, started time.Time, err error) error {
 	if x.ctx.Err() == nil && mayBeCrash(err) {
-		x.cfg.CrashTracker.RecordCrash(grant.Upstream, x.Fingerprint)
+		x.cfg.CrashTracker.RecordBroken(grant.Upstream, &x.Subject, x.eventsSent-x.eventsBefore)
 	}
 	return x.failAttempt(grant, started, "cut: "+err.Error())
 }
--- a/forward/broken_test.go
+++ b/forward/broken_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/magnoliausher/magnoliausher/fleet"
+	"github.com/magnoliausher/magnoliausher/poison"
 )
 
 // trickle returns a response whose body yields one part after each pause and then
@@ -45,8 +46,8 @@
 // recordingTracker counts the crashes that were recorded.
 type recordingTracker struct{ crashes int }
 
-func (*recordingTracker) Blocked(uint64) bool                   { return false }
-func (r *recordingTracker) RecordCrash(*fleet.Upstream, uint64) { r.crashes++ }
+func (*recordingTracker) Blocked(*poison.Subject) bool                         { return false }
+func (r *recordingTracker) RecordBroken(*fleet.Upstream, *poison.Subject, int) { r.crashes++ }
 
 // Guards against cutting a stream that is slow but sound, and against keeping one
 // that has stalled and sends comments or single bytes.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -18,6 +18,7 @@
 	"github.com/magnoliausher/magnoliausher/event"
 	"github.com/magnoliausher/magnoliausher/fleet"
 	"github.com/magnoliausher/magnoliausher/metric"
+	"github.com/magnoliausher/magnoliausher/poison"
 )
 
 // Errors of a call.
@@ -109,9 +110,10 @@
 // CrashTracker tracks which requests have crashed upstreams.
 type CrashTracker interface {
 	// Blocked reports whether the request must not be sent again.
-	Blocked(fingerprint uint64) bool
-	// RecordCrash records that an upstream failed while executing the request.
-	RecordCrash(upstream *fleet.Upstream, fingerprint uint64)
+	Blocked(subject *poison.Subject) bool
+	// RecordBroken records that an upstream broke off its answer to the request after
+	// a number of events, so that it may have crashed.
+	RecordBroken(upstream *fleet.Upstream, subject *poison.Subject, events int)
 }
 
 // Request is a caller's request with its complete body.
@@ -123,7 +125,7 @@
 	UpstreamListVersion uint64 // version of the upstream list at arrival
 	Arrived             time.Time
 	CallerTimeout       time.Duration // time limit set by the caller; 0 if none
-	Fingerprint         uint64        // hash that is equal for resends of the same request
+	Subject             poison.Subject
 }
 
 // Config is the configuration of a Forwarder.
@@ -175,6 +177,7 @@
 	headerSent      bool
 	lastEventID     string
 	eventsSent      int
+	eventsBefore    int           // events sent before the current attempt
 	timeToFirstByte time.Duration // from arrival until the response header is passed on
 	attemptLog      *zerolog.Array
 	wait            *dispatch.Wait // of the first attempt that had to wait for a slot
@@ -198,7 +201,7 @@
 	deadlineCtx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
 	x.ctx = deadlineCtx
-	if f.cfg.CrashTracker.Blocked(r.Fingerprint) {
+	if f.cfg.CrashTracker.Blocked(&r.Subject) {
 		x.writeError(http.StatusBadGateway, "blocked")
 		return
 	}
@@ -214,6 +217,7 @@
 		return x.failWithoutUpstream(err)
 	}
 	x.calls++
+	x.eventsBefore = x.eventsSent
 	started := time.Now()
 	ctx, cancel := x.attemptContext()
 	defer cancel()
@@ -303,7 +307,7 @@
 	x.possibleRuns++
 	x.failedUpstreams[grant.Upstream.ID] = true
 	if mayBeCrash(err) {
-		x.cfg.CrashTracker.RecordCrash(grant.Upstream, x.Fingerprint)
+		x.cfg.CrashTracker.RecordBroken(grant.Upstream, &x.Subject, 0)
 	}
 	return dispatch.Broken
 }
@@ -337,7 +341,7 @@
 		metric.Retried(x.Service, classOnline, "not_run")
 		return nil
 	}
-	if x.canMove() && !x.cfg.CrashTracker.Blocked(x.Fingerprint) {
+	if x.canMove() && !x.cfg.CrashTracker.Blocked(&x.Subject) {
 		metric.Retried(x.Service, classOnline, "broken")
 		return nil
 	}
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/magnoliausher/magnoliausher/dispatch"
 	"github.com/magnoliausher/magnoliausher/fleet"
+	"github.com/magnoliausher/magnoliausher/poison"
 )
 
 // scriptedUpstreams handles each call with the next of its steps.
@@ -85,8 +86,8 @@
 
 type fakeCrashTracker struct{ blocked bool }
 
-func (n fakeCrashTracker) Blocked(uint64) bool               { return n.blocked }
-func (fakeCrashTracker) RecordCrash(*fleet.Upstream, uint64) {}
+func (n fakeCrashTracker) Blocked(*poison.Subject) bool                     { return n.blocked }
+func (fakeCrashTracker) RecordBroken(*fleet.Upstream, *poison.Subject, int) {}
 
 type result struct {
 	status  int
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -125,3 +125,9 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf(`%s{to=%q}`, ReportsName, to)).Add(datagrams)
 	metrics.GetOrCreateCounter(fmt.Sprintf(`magnoliausher_report_bytes_sent_total{to=%q}`, to)).Add(bytes)
 }
+
+// CrashChecked counts checks whether an upstream that broke answers has crashed, by
+// whether it still accepts connections.
+func CrashChecked(accepts bool) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`magnoliausher_crash_checks_total{accepts="%t"}`, accepts)).Inc()
+}
--- /dev/null
+++ b/poison/subject.go
@@ -0,0 +1,43 @@
+package poison
+
+import (
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// MaxParts limits the parts of a prompt that are tracked. Of longer prompts the first
+// ones are, which more requests share.
+const MaxParts = 64
+
+// Subject is what may make a request crash upstreams: the request as a whole, and the
+// parts of its prompt that other requests share.
+type Subject struct {
+	RequestID string // for logs
+	Request   uint64 // hash that resends of the request share; 0 if it is not tracked
+	Parts     []Part
+}
+
+// Part is a part of a prompt that requests may share.
+type Part struct {
+	Name        string // for logs
+	Fingerprint uint64
+}
+
+// NewPart returns the part with the given name. Its fingerprint differs from that of a
+// request whose hash was computed over the same bytes.
+func NewPart(name string) Part {
+	return Part{Name: name, Fingerprint: xxhash.Sum64String("part\x00" + name)}
+}
+
+// PartNames returns the names of the parts, joined by commas.
+func (s *Subject) PartNames() string {
+	var b strings.Builder
+	for i, p := range s.Parts {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(p.Name)
+	}
+	return b.String()
+}
