--- /dev/null
+++ b/daemon/deadlypart_test.go
@@ -0,0 +1,145 @@
+package daemon
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/magnoliausher/magnoliausher/platform/platformtest"
+)
+
+const (
+	deadlyPart = "dead0000"
+	// contactTime is the users' bound on the time within which gateways learn of each
+	// other's crashes, and maxRunsAfterwards the requests with a deadly part that may
+	// still reach upstreams after five crashes and that time.
+	contactTime       = 3 * time.Second
+	crashesTolerated  = 5
+	maxRunsAfterwards = 3
+)
+
+// promptResult is the outcome of one request with the given parts in its prompt.
+type promptResult struct {
+	id     string
+	sentAt time.Time
+	status int
+	served bool
+}
+
+func (g *runningGateway) sendPrompt(parts ...string) promptResult {
+	r := promptResult{id: nextID(), sentAt: time.Now()}
+	request, err := http.NewRequest(http.MethodPost, "http://"+g.settings.Instance.Listen+"/ask/x", strings.NewReader("prompt of "+r.id))
+	if err != nil {
+		return r
+	}
+	platformtest.PrepareRequest(request, r.id, "h", 5000)
+	platformtest.SetPromptParts(request, append(parts, "own"+r.id)...)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return r
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	r.status, r.served = response.StatusCode, err == nil && string(body) == expectedStream(r.id, 5)
+	return r
+}
+
+// promptLoad sends prompts to all gateways in turn until it is stopped.
+type promptLoad struct {
+	mu      sync.Mutex
+	results []promptResult
+	senders sync.WaitGroup
+	stop    chan struct{}
+}
+
+func (l *promptLoad) start(d *deployment, interval time.Duration, parts func(n int) []string) {
+	l.senders.Go(func() {
+		ticker := time.NewTicker(interval)
+		defer ticker.Stop()
+		for n := 0; ; n++ {
+			select {
+			case <-l.stop:
+				return
+			case <-ticker.C:
+			}
+			l.senders.Go(func() {
+				r := d.gateways[n%len(d.gateways)].sendPrompt(parts(n)...)
+				l.mu.Lock()
+				defer l.mu.Unlock()
+				l.results = append(l.results, r)
+			})
+		}
+	})
+}
+
+// crashTimes returns the times of all engines' crashes in order.
+func (d *deployment) crashTimes() []time.Time {
+	var all []time.Time
+	for _, e := range d.engines {
+		all = append(all, e.Crashes()...)
+	}
+	slices.SortFunc(all, time.Time.Compare)
+	return all
+}
+
+func (d *deployment) runsOf(id string) int {
+	runs := 0
+	for _, e := range d.engines {
+		runs += e.Runs(id)
+	}
+	return runs
+}
+
+// Guards against a part of prompts that crashes one engine after the other because no
+// two requests with it are alike.
+func TestPartThatCrashesEnginesIsBlocked(t *testing.T) {
+	d := newDeployment(t, 3)
+	for _, e := range d.engines {
+		e.DeadlyPart, e.RestartDelay, e.Store, e.Interval = deadlyPart, 400*time.Millisecond, d.store, 15*time.Millisecond
+	}
+	sound, deadly := &promptLoad{stop: make(chan struct{})}, &promptLoad{stop: make(chan struct{})}
+	sound.start(d, 40*time.Millisecond, func(n int) []string { return []string{"f1", fmt.Sprint("aa", n%5)} })
+	time.Sleep(500 * time.Millisecond)
+	deadly.start(d, 130*time.Millisecond, func(n int) []string { return []string{"f1", fmt.Sprint("aa", n%5), deadlyPart} })
+	time.Sleep(9 * time.Second)
+	for _, l := range []*promptLoad{deadly, sound} {
+		close(l.stop)
+		l.senders.Wait()
+	}
+	crashes := d.crashTimes()
+	if len(crashes) == 0 {
+		t.Fatal("no crash")
+	}
+	last := crashes[min(crashesTolerated, len(crashes))-1]
+	reached, rejected := 0, 0
+	for _, r := range deadly.results {
+		if r.sentAt.After(last.Add(contactTime)) && d.runsOf(r.id) > 0 {
+			reached++
+		}
+		if d.runsOf(r.id) == 0 && r.status == http.StatusServiceUnavailable {
+			rejected++
+		}
+	}
+	late, served := 0, 0
+	for _, r := range sound.results {
+		if r.sentAt.After(last.Add(2 * contactTime)) {
+			late++
+			if r.served {
+				served++
+			}
+		}
+	}
+	t.Logf("%d crashes; %d of %d requests with the part rejected, %d ran late; %d of %d sound requests served late",
+		len(crashes), rejected, len(deadly.results), reached, served, late)
+	if reached > maxRunsAfterwards {
+		t.Errorf("%d requests with the part reached engines after %d crashes and %v, want at most %d", reached, crashesTolerated, contactTime, maxRunsAfterwards)
+	}
+	if late < 20 || served < late*9/10 {
+		t.Errorf("%d of %d sound requests with the same first part were served", served, late)
+	}
+}
