--- a/agent/control.go
+++ b/agent/control.go
@@ -40,11 +40,11 @@
 
 // SuspectTable records crashes and the requests suspected of causing them.
 type SuspectTable interface {
-	RecordCrash(crashID uint64, fingerprints []uint64, now time.Time)
+	RecordCrash(crashID uint64, fingerprints []uint64, now time.Time) []uint64
 	Status(fingerprint uint64, now time.Time) poison.Status
 }
 
 type noSuspects struct{}
 
-func (noSuspects) RecordCrash(uint64, []uint64, time.Time) {}
-func (noSuspects) Status(uint64, time.Time) poison.Status  { return poison.Clear }
+func (noSuspects) RecordCrash(uint64, []uint64, time.Time) []uint64 { return nil }
+func (noSuspects) Status(uint64, time.Time) poison.Status           { return poison.Clear }
--- a/agent/fake_test.go
+++ b/agent/fake_test.go
@@ -162,10 +162,11 @@
 	status  map[uint64]poison.Status
 }
 
-func (f *fakeSuspects) RecordCrash(_ uint64, fingerprints []uint64, _ time.Time) {
+func (f *fakeSuspects) RecordCrash(_ uint64, fingerprints []uint64, _ time.Time) []uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.crashes = append(f.crashes, fingerprints)
+	return fingerprints
 }
 
 func (f *fakeSuspects) Status(fp uint64, _ time.Time) poison.Status {
--- a/batch/attempt.go
+++ b/batch/attempt.go
@@ -40,7 +40,7 @@
 	defer r.activeItems.Done()
 	item := &r.submission.Items[ri.index]
 	subject := poison.Subject{RequestID: item.ID, Request: xxhash.Sum64String(r.submission.ID + "\x00" + item.ID)}
-	if remaining := blockedRetryInterval - time.Since(ri.lastAttempt); remaining > 0 && s.cfg.CrashTracker.Blocked(&subject) {
+	if remaining := blockedRetryInterval - time.Since(ri.lastAttempt); remaining > 0 && s.cfg.CrashTracker.Recheck(&subject).Blocked {
 		grant.Release(dispatch.Cancelled)
 		s.mu.Lock()
 		defer s.mu.Unlock()
--- a/batch/service_test.go
+++ b/batch/service_test.go
@@ -34,7 +34,9 @@
 
 type noCrashTracker struct{}
 
-func (noCrashTracker) Blocked(*poison.Subject) bool                       { return false }
+func (noCrashTracker) Admit(*poison.Subject) poison.Admission             { return poison.Admission{} }
+func (noCrashTracker) Recheck(*poison.Subject) poison.Admission           { return poison.Admission{} }
+func (noCrashTracker) RecordSound(*poison.Subject)                        {}
 func (noCrashTracker) RecordBroken(*fleet.Upstream, *poison.Subject, int) {}
 
 // start runs a gateway whose live peers are those that members returns.
@@ -461,7 +463,7 @@
 // allBlocked reports every request as blocked.
 type allBlocked struct{ noCrashTracker }
 
-func (allBlocked) Blocked(*poison.Subject) bool { return true }
+func (allBlocked) Recheck(*poison.Subject) poison.Admission { return poison.Admission{Blocked: true} }
 
 // Guards against an item that is never attempted because it is suspected of
 // crashing engines.
--- a/daemon/crashes.go
+++ b/daemon/crashes.go
@@ -25,9 +25,10 @@
 // count as a crash only if their upstream accepts no connections afterwards;
 // otherwise connection failures would make suspects of harmless requests.
 type crashTracker struct {
-	table   *poison.Table
-	accepts func(context.Context, *fleet.Upstream) bool
-	log     zerolog.Logger
+	table     *poison.Table
+	accepts   func(context.Context, *fleet.Upstream) bool
+	trialRank func(fingerprint uint64) int // rank of this gateway for trials
+	log       zerolog.Logger
 
 	mu      sync.Mutex
 	pending map[string][]brokenAnswer // by upstream id; waiting for the check
@@ -41,13 +42,49 @@
 
 var _ forward.CrashTracker = (*crashTracker)(nil)
 
-func newCrashTracker(table *poison.Table, accepts func(context.Context, *fleet.Upstream) bool, log zerolog.Logger) *crashTracker {
-	return &crashTracker{table: table, accepts: accepts, log: log, pending: make(map[string][]brokenAnswer)}
+func newCrashTracker(table *poison.Table, accepts func(context.Context, *fleet.Upstream) bool, trialRank func(uint64) int, log zerolog.Logger) *crashTracker {
+	return &crashTracker{table: table, accepts: accepts, trialRank: trialRank, log: log, pending: make(map[string][]brokenAnswer)}
 }
 
-// Blocked implements forward.CrashTracker.
-func (c *crashTracker) Blocked(subject *poison.Subject) bool {
-	return c.table.Status(subject.Request, time.Now()) == poison.Blocked
+// Admit implements forward.CrashTracker.
+func (c *crashTracker) Admit(subject *poison.Subject) poison.Admission {
+	a := c.table.Admit(subject.Fingerprints(), c.trialRank, time.Now())
+	switch {
+	case a.Blocked:
+		metric.SuspectRejected()
+		c.log.Info().Str("request", subject.RequestID).Str("cause", formatHash(a.Cause)).Str("part", subject.PartName(a.Cause)).
+			Dur("retry_after", a.RetryAfter).Msg("request blocked after upstream crashes")
+	case a.Trial:
+		metric.TrialStarted()
+		c.log.Info().Str("request", subject.RequestID).Str("cause", formatHash(a.Cause)).Str("part", subject.PartName(a.Cause)).
+			Msg("sending a blocked request as a trial")
+	}
+	return a
+}
+
+// Recheck implements forward.CrashTracker.
+func (c *crashTracker) Recheck(subject *poison.Subject) poison.Admission {
+	return c.table.Recheck(subject.Fingerprints(), time.Now())
+}
+
+// RecordSound implements forward.CrashTracker.
+func (c *crashTracker) RecordSound(subject *poison.Subject) { c.table.RecordSound(subject, time.Now()) }
+
+// logChange is the poison.Config.OnChange of the table.
+func logChange(log zerolog.Logger) func(poison.Change) {
+	return func(change poison.Change) {
+		metric.SuspectChanged(change.Blocked, string(change.Evidence.Kind))
+		crashes := zerolog.Arr()
+		for _, id := range change.Crashes {
+			crashes.Str(formatHash(id))
+		}
+		message := "released a request or part of prompts"
+		if change.Blocked {
+			message = "blocked a request or part of prompts"
+		}
+		log.Info().Str("cause", formatHash(change.Fingerprint)).Array("crashes", crashes).Str("evidence", string(change.Evidence.Kind)).
+			Str("request", change.Evidence.RequestID).Msg(message)
+	}
 }
 
 // RecordBroken implements forward.CrashTracker. One check serves all answers that an
@@ -78,17 +115,51 @@
 }
 
 func (c *crashTracker) recordCrash(u *fleet.Upstream, broken []brokenAnswer, now time.Time) {
-	var fingerprints []uint64
+	id := crashID(u, now)
+	blamed := c.table.RecordCrash(id, suspectFingerprints(broken), now)
+	c.logCrash(u, id, broken, blamed, now)
+}
+
+// maxEventsOfSuspectPart is the largest number of events of an answer whose parts may
+// have crashed the upstream: it crashes when it begins to answer.
+const maxEventsOfSuspectPart = 1
+
+// suspectFingerprints returns what may have caused a crash: any request that was
+// running, and the parts of those whose answer had hardly begun.
+func suspectFingerprints(broken []brokenAnswer) []uint64 {
+	seen := make(map[uint64]bool)
+	var list []uint64
+	add := func(fingerprint uint64) {
+		if fingerprint != 0 && !seen[fingerprint] {
+			seen[fingerprint] = true
+			list = append(list, fingerprint)
+		}
+	}
 	for _, b := range broken {
-		fingerprints = append(fingerprints, b.subject.Request)
+		add(b.subject.Request)
+		if b.events > maxEventsOfSuspectPart {
+			continue
+		}
+		for _, p := range b.subject.Parts {
+			add(p.Fingerprint)
+		}
 	}
-	id := crashID(u, now)
-	c.table.RecordCrash(id, fingerprints, now)
-	c.logCrash(u, id, broken, now)
+	return list
 }
 
-// logCrash writes one line for a crash with all requests of this gateway that it broke.
-func (c *crashTracker) logCrash(u *fleet.Upstream, id uint64, broken []brokenAnswer, now time.Time) {
+// logCrash writes one line for a crash with all requests of this gateway that it broke,
+// and the parts that are blamed.
+func (c *crashTracker) logCrash(u *fleet.Upstream, id uint64, broken []brokenAnswer, blamed []uint64, now time.Time) {
+	parts, logged := zerolog.Arr(), make(map[uint64]bool)
+	for _, b := range broken {
+		for _, p := range b.subject.Parts {
+			if slices.Contains(blamed, p.Fingerprint) && !logged[p.Fingerprint] {
+				logged[p.Fingerprint] = true
+				parts.Dict(zerolog.Dict().Str("part", p.Name).Str("cause", formatHash(p.Fingerprint)).
+					Stringer("status", c.table.Status(p.Fingerprint, now)))
+			}
+		}
+	}
 	requests := zerolog.Arr()
 	slices.SortStableFunc(broken, func(a, b brokenAnswer) int { return a.events - b.events })
 	for _, b := range broken {
@@ -96,7 +167,7 @@
 			Str("parts", b.subject.PartNames()).Str("fingerprint", formatHash(b.subject.Request)).
 			Stringer("status", c.table.Status(b.subject.Request, now)))
 	}
-	c.log.Info().Str("upstream", u.ID).Str("crash", formatHash(id)).Int("broken", len(broken)).Array("requests", requests).
+	c.log.Info().Str("upstream", u.ID).Str("crash", formatHash(id)).Int("broken", len(broken)).Array("blamed_parts", parts).Array("requests", requests).
 		Msg("upstream crashed while it ran requests")
 }
 
--- a/daemon/deadlypart_test.go
+++ b/daemon/deadlypart_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/magnoliausher/magnoliausher/platform/platformtest"
+	"github.com/magnoliausher/magnoliausher/poison"
 )
 
 const (
@@ -106,7 +107,7 @@
 	sound.start(d, 40*time.Millisecond, func(n int) []string { return []string{"f1", fmt.Sprint("aa", n%5)} })
 	time.Sleep(500 * time.Millisecond)
 	deadly.start(d, 130*time.Millisecond, func(n int) []string { return []string{"f1", fmt.Sprint("aa", n%5), deadlyPart} })
-	time.Sleep(9 * time.Second)
+	time.Sleep(13500 * time.Millisecond)
 	for _, l := range []*promptLoad{deadly, sound} {
 		close(l.stop)
 		l.senders.Wait()
@@ -143,3 +144,32 @@
 		t.Errorf("%d of %d sound requests with the same first part were served", served, late)
 	}
 }
+
+// Guards against a block that is lost when all gateways restart at once.
+func TestBlockSurvivesRestartOfAllGateways(t *testing.T) {
+	d := newDeployment(t, 2)
+	part := poison.NewPart(deadlyPart)
+	for id := range uint64(crashesToBlock) {
+		d.gateways[id%2].suspects.RecordCrash(id+1, []uint64{part.Fingerprint}, time.Now())
+	}
+	blocked := func() bool {
+		return !slices.ContainsFunc(d.gateways, func(g *runningGateway) bool {
+			return g.suspects.Status(part.Fingerprint, time.Now()) != poison.Blocked
+		})
+	}
+	d.eventually("blocked at both", blocked)
+	time.Sleep(500 * time.Millisecond) // for the write
+	for _, g := range d.gateways {
+		g.stop()
+	}
+	for _, g := range d.gateways {
+		<-g.done
+	}
+	d.gateways = nil
+	d.start("g0")
+	d.start("g1")
+	d.eventually("blocked after the restart", blocked)
+	if r := d.gateways[0].sendPrompt("f1", deadlyPart); r.status != http.StatusServiceUnavailable || d.runsOf(r.id) != 0 {
+		t.Errorf("status %d, ran %d times", r.status, d.runsOf(r.id))
+	}
+}
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -52,10 +52,13 @@
 	memberRetryInterval = 300 * time.Millisecond
 	// expiryCheckInterval is how often upstream records are checked for expiry.
 	expiryCheckInterval = 100 * time.Millisecond
-	// crashesToBlock is the number of upstream crashes after which a request that was
-	// running at each of them is blocked. Usually seven unrelated requests run beside
-	// the one that causes a crash.
+	// crashesToBlock is the number of upstream crashes after which a request, or a part
+	// of prompts, that was running at each of them is blocked. Usually seven unrelated
+	// requests run beside the one that causes a crash.
 	crashesToBlock = 3
+	// suspectRowPrefix is the prefix of the rows of blocked requests and parts: the
+	// partition and the table.
+	suspectRowPrefix = "poison/suspects/"
 )
 
 // Gateway is the process that serves callers' requests and batch jobs.
@@ -71,6 +74,7 @@
 	relay      *peer.Relay
 	holder     *fleet.Holder
 	suspects   *poison.Table
+	persister  *poison.Persister
 	dispatcher *dispatch.Dispatcher
 	exchange   *peer.Exchange
 	jobs       *batch.Service
@@ -96,17 +100,19 @@
 		closeLog: func() {
 			_ = writer.Close() // a failure cannot be logged anymore
 		},
-		suspects: poison.NewTable(poison.Config{BlockAfter: crashesToBlock}),
 		self: peer.Member{Name: s.Instance.ID, Incarnation: peer.NewIncarnation(), Address: s.Instance.PeerListen,
 			DataCentre: s.Instance.DataCentre},
 	}
+	g.suspects = poison.NewTable(poison.Config{BlockAfter: crashesToBlock, OnChange: logChange(g.log)})
 	g.dispatcher = dispatch.New(dispatch.Config{Self: g.self.Name, DataCentre: g.self.DataCentre, Holder: g.holder, Log: g.log})
 	g.exchange = peer.New(peer.Config{Self: g.self, Holder: g.holder, Suspects: g.suspects, Dispatcher: g.dispatcher, Log: g.log})
 	g.exchange.SetSeeds(s.Seeds)
 	g.dispatcher.OnChange(g.exchange.NotifyChange)
 	g.relay = peer.NewRelay(g.store, g.exchange)
+	g.persister = &poison.Persister{Table: g.suspects, Rows: g.relay, Rank: g.exchange.Rank, Log: g.log,
+		Prefix: suspectRowPrefix, MinCrashes: crashesToBlock}
 	engines := platform.NewEngineClient()
-	tracker := newCrashTracker(g.suspects, engines.AcceptsConnections, g.log)
+	tracker := newCrashTracker(g.suspects, engines.AcceptsConnections, g.exchange.TrialRank, g.log)
 	g.jobs, err = batch.New(batch.Config{Self: g.self, Table: g.relay, Feed: g.relay, Objects: g.relay.Objects(),
 		Holder: g.holder, Dispatcher: g.dispatcher, Upstreams: engines, CrashTracker: tracker,
 		Members: g.exchange.Members, HandOver: g.exchange.HandOver, AnnounceTakenOver: g.exchange.SetTakenJobs, JobRetention: s.JobRetention, Log: g.log})
@@ -177,6 +183,7 @@
 	group.Go(func() error { platform.WatchEngines(background, g.store, g.holder, g.relay, g.log); return nil })
 	group.Go(func() error { return g.jobs.Run(background) })
 	group.Go(func() error { g.followMembers(background); return nil })
+	group.Go(func() error { g.persister.Run(background); return nil })
 	group.Go(func() error { g.expireUpstreams(background); return nil })
 	group.Go(func() error { g.watchSettings(background, reload); return nil })
 	group.Go(func() error {
--- a/daemon/gateway_test.go
+++ b/daemon/gateway_test.go
@@ -425,7 +425,7 @@
 	for _, accepts := range []bool{true, false} {
 		synctest.Test(t, func(t *testing.T) {
 			c := newCrashTracker(poison.NewTable(poison.Config{BlockAfter: crashesToBlock}),
-				func(context.Context, *fleet.Upstream) bool { return accepts }, zerolog.Nop())
+				func(context.Context, *fleet.Upstream) bool { return accepts }, func(uint64) int { return 0 }, zerolog.Nop())
 			subject := &poison.Subject{Request: 7}
 			for range crashesToBlock {
 				for range 8 { // connections broken by one crash
@@ -434,8 +434,8 @@
 				time.Sleep(2 * time.Second)
 				synctest.Wait()
 			}
-			if c.Blocked(subject) == accepts {
-				t.Errorf("upstream accepts %v: blocked %v", accepts, c.Blocked(subject))
+			if c.Recheck(subject).Blocked == accepts {
+				t.Errorf("upstream accepts %v: blocked %v", accepts, c.Recheck(subject).Blocked)
 			}
 		})
 	}
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -42,6 +42,9 @@
 			return x.abortResponse("copy")
 		}
 	}
+	if response.Status/100 == 2 {
+		x.cfg.CrashTracker.RecordSound(&x.Subject)
+	}
 	grant.Release(outcomeForStatus(response.Status))
 	x.recordAttempt(grant, started, "served")
 	x.logRequest(response.Status, "served")
@@ -107,6 +110,10 @@
 // as the first one of a second copy of the answer.
 var errOutOfOrder = errors.New("event out of order")
 
+// soundEvents is the number of events after which a request counts as sound. An
+// upstream that crashes when it begins to answer may still send the first.
+const soundEvents = 3
+
 // forwardStream passes events on to the caller as they arrive. Only a stream that
 // can go on elsewhere is given up for its upstream's silence; the last attempt has
 // until the deadline.
@@ -130,6 +137,10 @@
 		}
 		if !e.Empty() {
 			grant.Progress()
+			x.attemptEvents++
+		}
+		if n := x.attemptEvents; n == soundEvents && !e.Empty() || err != nil && n > 0 && n < soundEvents {
+			x.cfg.CrashTracker.RecordSound(&x.Subject)
 		}
 		if writeErr := x.writeEvent(response, e); writeErr != nil {
 			grant.Release(dispatch.Cancelled)
@@ -171,7 +182,7 @@
 // failStream handles a stream that ended before its upstream completed it.
 func (x *exchange) failStream(grant *dispatch.Grant, started time.Time, err error) error {
 	if x.ctx.Err() == nil && mayBeCrash(err) {
-		x.cfg.CrashTracker.RecordBroken(grant.Upstream, &x.Subject, x.eventsSent-x.eventsBefore)
+		x.cfg.CrashTracker.RecordBroken(grant.Upstream, &x.Subject, x.attemptEvents)
 	}
 	return x.failAttempt(grant, started, "cut: "+err.Error())
 }
@@ -190,8 +201,7 @@
 
 // rejectUnexecuted responds with 503 to a request that was not executed and will
 // not be.
-func (x *exchange) rejectUnexecuted(reason string) {
-	retryAfter := x.cfg.Dispatcher.RetryAfter(x.Service)
+func (x *exchange) rejectUnexecuted(reason string, retryAfter time.Duration) {
 	x.w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	x.writeError(http.StatusServiceUnavailable, reason)
 	metric.Refused("gateway", x.Service, classOnline, reason)
--- a/forward/broken_test.go
+++ b/forward/broken_test.go
@@ -46,7 +46,9 @@
 // recordingTracker counts the crashes that were recorded.
 type recordingTracker struct{ crashes int }
 
-func (*recordingTracker) Blocked(*poison.Subject) bool                         { return false }
+func (*recordingTracker) Admit(*poison.Subject) poison.Admission               { return poison.Admission{} }
+func (*recordingTracker) Recheck(*poison.Subject) poison.Admission             { return poison.Admission{} }
+func (*recordingTracker) RecordSound(*poison.Subject)                          {}
 func (r *recordingTracker) RecordBroken(*fleet.Upstream, *poison.Subject, int) { r.crashes++ }
 
 // Guards against cutting a stream that is slow but sound, and against keeping one
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -109,11 +109,15 @@
 
 // CrashTracker tracks which requests have crashed upstreams.
 type CrashTracker interface {
-	// Blocked reports whether the request must not be sent again.
-	Blocked(subject *poison.Subject) bool
+	// Admit decides whether a request that has arrived may be sent.
+	Admit(subject *poison.Subject) poison.Admission
+	// Recheck decides whether an admitted request may still be sent. It starts no trial.
+	Recheck(subject *poison.Subject) poison.Admission
 	// RecordBroken records that an upstream broke off its answer to the request after
 	// a number of events, so that it may have crashed.
 	RecordBroken(upstream *fleet.Upstream, subject *poison.Subject, events int)
+	// RecordSound records that an upstream answers the request without crashing.
+	RecordSound(subject *poison.Subject)
 }
 
 // Request is a caller's request with its complete body.
@@ -177,7 +181,8 @@
 	headerSent      bool
 	lastEventID     string
 	eventsSent      int
-	eventsBefore    int           // events sent before the current attempt
+	attemptEvents   int           // events of the current attempt, without empty ones
+	trial           bool          // tests whether a part is blocked rightly, so that it is sent once only
 	timeToFirstByte time.Duration // from arrival until the response header is passed on
 	attemptLog      *zerolog.Array
 	wait            *dispatch.Wait // of the first attempt that had to wait for a slot
@@ -201,14 +206,30 @@
 	deadlineCtx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
 	x.ctx = deadlineCtx
-	if f.cfg.CrashTracker.Blocked(&r.Subject) {
-		x.writeError(http.StatusBadGateway, "blocked")
+	admission := f.cfg.CrashTracker.Admit(&r.Subject)
+	if admission.Blocked {
+		x.rejectBlocked(admission)
 		return
 	}
+	x.trial = admission.Trial
 	for x.attempt() == nil {
 	}
 }
 
+// reasonBlockedPart is the reason for rejecting a request with a part of its prompt that
+// crashes upstreams.
+const reasonBlockedPart = "blocked_part"
+
+// rejectBlocked answers a request that is known to crash upstreams and has not run. One
+// that is blocked as a whole ran before, under another id.
+func (x *exchange) rejectBlocked(a poison.Admission) {
+	if a.Cause == x.Subject.Request {
+		x.writeError(http.StatusBadGateway, "blocked")
+		return
+	}
+	x.rejectUnexecuted(reasonBlockedPart, a.RetryAfter)
+}
+
 // attempt sends the request to one more upstream. It returns errDone when the
 // exchange has ended and nil when another attempt should follow.
 func (x *exchange) attempt() error {
@@ -216,8 +237,12 @@
 	if err != nil {
 		return x.failWithoutUpstream(err)
 	}
+	if a := x.cfg.CrashTracker.Recheck(&x.Subject); a.Blocked && !x.trial {
+		grant.Release(dispatch.Cancelled)
+		return x.failBlocked(a)
+	}
 	x.calls++
-	x.eventsBefore = x.eventsSent
+	x.attemptEvents = 0
 	started := time.Now()
 	ctx, cancel := x.attemptContext()
 	defer cancel()
@@ -325,7 +350,7 @@
 
 // canMove reports whether another attempt may follow one that breaks.
 func (x *exchange) canMove() bool {
-	return x.Route.Repeatable() && x.possibleRuns < x.Route.MaxAttempts
+	return x.Route.Repeatable() && !x.trial && x.possibleRuns < x.Route.MaxAttempts
 }
 
 // retryOrFail returns nil if the request may be sent to another upstream, and
@@ -341,7 +366,7 @@
 		metric.Retried(x.Service, classOnline, "not_run")
 		return nil
 	}
-	if x.canMove() && !x.cfg.CrashTracker.Blocked(&x.Subject) {
+	if x.canMove() && !x.cfg.CrashTracker.Recheck(&x.Subject).Blocked {
 		metric.Retried(x.Service, classOnline, "broken")
 		return nil
 	}
@@ -357,7 +382,16 @@
 	if x.possibleRuns > 0 || x.headerSent {
 		return x.failIncomplete(err.Error())
 	}
-	x.rejectUnexecuted(err.Error())
+	x.rejectUnexecuted(err.Error(), x.cfg.Dispatcher.RetryAfter(x.Service))
+	return errDone
+}
+
+// failBlocked ends an exchange whose request was blocked after it was admitted.
+func (x *exchange) failBlocked(a poison.Admission) error {
+	if x.possibleRuns > 0 || x.headerSent {
+		return x.failIncomplete(reasonBlockedPart)
+	}
+	x.rejectBlocked(a)
 	return errDone
 }
 
@@ -369,7 +403,7 @@
 		return errDone
 	}
 	if x.possibleRuns == 0 && !x.headerSent {
-		x.rejectUnexecuted("deadline")
+		x.rejectUnexecuted("deadline", x.cfg.Dispatcher.RetryAfter(x.Service))
 		return errDone
 	}
 	if x.headerSent {
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -86,7 +86,13 @@
 
 type fakeCrashTracker struct{ blocked bool }
 
-func (n fakeCrashTracker) Blocked(*poison.Subject) bool                     { return n.blocked }
+func (n fakeCrashTracker) Admit(*poison.Subject) poison.Admission {
+	return poison.Admission{Blocked: n.blocked}
+}
+func (n fakeCrashTracker) Recheck(*poison.Subject) poison.Admission {
+	return poison.Admission{Blocked: n.blocked}
+}
+func (fakeCrashTracker) RecordSound(*poison.Subject)                        {}
 func (fakeCrashTracker) RecordBroken(*fleet.Upstream, *poison.Subject, int) {}
 
 type result struct {
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -131,3 +131,16 @@
 func CrashChecked(accepts bool) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`magnoliausher_crash_checks_total{accepts="%t"}`, accepts)).Inc()
 }
+
+// SuspectRejected counts requests rejected because they, or a part of their prompt,
+// crash upstreams.
+func SuspectRejected() { metrics.GetOrCreateCounter("magnoliausher_suspects_rejected_total").Inc() }
+
+// TrialStarted counts requests sent to test whether a block is right.
+func TrialStarted() { metrics.GetOrCreateCounter("magnoliausher_suspect_trials_total").Inc() }
+
+// SuspectChanged counts requests and parts of prompts that were blocked or released, by
+// the evidence: a crash, a peer, an expiry or an answer.
+func SuspectChanged(blocked bool, evidence string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`magnoliausher_suspect_changes_total{blocked="%t",evidence=%q}`, blocked, evidence)).Inc()
+}
--- a/peer/digest.go
+++ b/peer/digest.go
@@ -45,7 +45,7 @@
 		report := s.newReport()
 		report.Groups = []*rpc.GatewayGroup{group}
 		if refresh && i == 0 {
-			report.Suspects = repeatSuspects(s.cfg.Suspects.Export(now))
+			report.Suspects = s.remoteSuspects.Next(true, now)
 		}
 		s.writeReport(report, scopeRemote, receivers)
 	}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -45,8 +45,9 @@
 	// of another incarnation replaces it. Reports between data centres are up to
 	// 750 ms old.
 	rowOverrideSilence = time.Second
-	// maxReportSuspects limits the suspects in one report to about 500 bytes.
-	maxReportSuspects = 16
+	// livePeerTimeout is the silence after which a peer takes no part in what gateways
+	// divide by rank. Reports between data centres are up to 750 ms old.
+	livePeerTimeout = time.Second
 	// maxTakenJobs limits the jobs in one report to 512 bytes.
 	maxTakenJobs = 64
 	// maxDatagramBytes is the size of the receive buffer.
@@ -216,6 +217,37 @@
 	return list
 }
 
+// TrialRank returns the rank of this gateway among the live ones for a trial of a
+// blocked fingerprint.
+func (e *Exchange) TrialRank(fingerprint uint64) int {
+	return poison.TrialRank(fingerprint, e.cfg.Self.Name, e.livePeers())
+}
+
+// Rank returns the rank of this gateway by name among the live ones, and their number.
+func (e *Exchange) Rank() (rank, gateways int) {
+	others := e.livePeers()
+	for _, name := range others {
+		if name < e.cfg.Self.Name {
+			rank++
+		}
+	}
+	return rank, len(others) + 1
+}
+
+// livePeers returns the names of the other gateways that were heard lately and stay.
+func (e *Exchange) livePeers() []string {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var names []string
+	for name, p := range e.peers {
+		if !p.Leaving && now.Sub(p.LastHeard) <= livePeerTimeout {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // Run sends and receives reports until ctx is done.
 func (e *Exchange) Run(ctx context.Context, conn *net.UDPConn) error {
 	group, ctx := errgroup.WithContext(ctx)
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -269,3 +269,18 @@
 	restarted.Leave()
 	eventually(t, "leaving", time.Second, func() bool { return a.Members()[0].Leaving })
 }
+
+// Guards against crashes that no gateway adds up because each saw one of them.
+func TestCrashesAtDifferentGatewaysAddUp(t *testing.T) {
+	a := newNodeIn(t, reliableNetwork{}, "z", "a", 1)
+	b := newNodeIn(t, reliableNetwork{}, "z", "b", 1, a.address())
+	c := newNodeIn(t, reliableNetwork{}, "y", "c", 1, a.address())
+	for crash, n := range []*node{a, b, c} {
+		n.suspects.RecordCrash(uint64(crash+1), []uint64{77}, time.Now())
+	}
+	for _, n := range []*node{a, b, c} {
+		eventually(t, "blocked", 3*time.Second, func() bool { return n.suspects.Status(77, time.Now()) == poison.Blocked })
+	}
+	late := newNodeIn(t, reliableNetwork{}, "y", "d", 1, a.address())
+	eventually(t, "blocked at a gateway that started later", 3*time.Second, func() bool { return late.suspects.Status(77, time.Now()) == poison.Blocked })
+}
--- a/peer/send.go
+++ b/peer/send.go
@@ -4,13 +4,13 @@
 	"context"
 	"net"
 	"net/netip"
-	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"github.com/magnoliausher/magnoliausher/dispatch"
 	"github.com/magnoliausher/magnoliausher/metric"
+	"github.com/magnoliausher/magnoliausher/poison"
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
 )
 
@@ -34,6 +34,7 @@
 	localReportUrgent, remoteDigestUrgent <-chan time.Time
 	heartbeats                            int
 	refreshIndex                          int // member last sent in a refresh
+	localSuspects, remoteSuspects         *poison.Outbox
 }
 
 // startTimer starts a timer unless it is already running.
@@ -47,7 +48,7 @@
 func (e *Exchange) sendReports(ctx context.Context, conn *net.UDPConn) error {
 	heartbeat := time.NewTicker(heartbeatInterval)
 	defer heartbeat.Stop()
-	s := &sendLoop{Exchange: e, conn: conn}
+	s := &sendLoop{Exchange: e, conn: conn, localSuspects: poison.NewOutbox(e.cfg.Suspects), remoteSuspects: poison.NewOutbox(e.cfg.Suspects)}
 	for {
 		select {
 		case <-ctx.Done():
@@ -100,6 +101,14 @@
 	return e.role == rolePrimary
 }
 
+// isCollector reports whether this gateway was a collector at the last update of its
+// role.
+func (e *Exchange) isCollector() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.role != roleNone
+}
+
 // scheduleDigest schedules a digest if this gateway is the primary collector.
 func (s *sendLoop) scheduleDigest(urgent bool) {
 	if s.updateRole(time.Now()) != rolePrimary {
@@ -154,7 +163,7 @@
 // reportLocally sends the work of this gateway and the pending groups of other
 // data centres to the gateways of the local data centre. Only heartbeats carry
 // suspects: these are few and can wait, while changes are reported many times a
-// second.
+// second. A collector passes on those of other data centres.
 func (s *sendLoop) reportLocally(urgent, heartbeat bool) {
 	s.localReport, s.localReportUrgent = nil, nil
 	now := time.Now()
@@ -164,7 +173,7 @@
 		report.Urgent = urgent && i == 0
 		report.Groups = groups
 		if heartbeat && i == 0 {
-			report.Suspects = repeatSuspects(s.cfg.Suspects.Export(now))
+			report.Suspects = s.localSuspects.Next(s.isCollector(), now)
 		}
 		s.writeReport(report, scopeLocal, receivers)
 	}
@@ -237,13 +246,6 @@
 	return relay != nil && relay.StoreReachable()
 }
 
-// repeatSuspects returns the suspects with more than one crash, at most
-// maxReportSuspects. Most requests in progress at a single crash did not cause it.
-func repeatSuspects(all []*rpc.Suspect) []*rpc.Suspect {
-	list := slices.DeleteFunc(all, func(s *rpc.Suspect) bool { return len(s.CrashIds) < 2 })
-	return list[:min(len(list), maxReportSuspects)]
-}
-
 func (e *Exchange) takePendingGroups() []*rpc.GatewayGroup {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/poison/keeper.go
+++ b/poison/keeper.go
@@ -15,7 +15,10 @@
 )
 
 const (
-	rowKeyPrefix  = "suspect/" // followed by FINGERPRINT/CRASHID in hexadecimal
+	// DefaultRowPrefix is followed by FINGERPRINT/CRASHID in hexadecimal.
+	DefaultRowPrefix = "suspect/"
+	// clearedCrash is the crash id in the row of a cleared record.
+	clearedCrash  = 0
 	scanPageSize  = 1000
 	rowsPerCommit = 50
 	// writersPerSuspect is the number of entries that write a suspect, so that it is
@@ -29,17 +32,29 @@
 
 // Persister stores suspects in the platform's table, so that they survive the loss
 // of all processes at once. A row records that a request was in progress at one
-// crash, and when the record expires. Rows never conflict, so they are written
-// unconditionally. The expiry is a wall-clock time; a clock difference shifts the
-// end of a block by the same amount.
+// crash, when the record expires, and its generation. Rows never conflict, so they are
+// written unconditionally. The expiry is a wall-clock time; a clock difference shifts
+// the end of a block by the same amount.
 type Persister struct {
-	Table *Table
-	Rows  storage.Table
-	Rank  func() (rank, entries int) // rank of this entry among all entries
-	Log   zerolog.Logger
+	Table  *Table
+	Rows   storage.Table
+	Rank   func() (rank, entries int) // rank of this entry among all entries
+	Log    zerolog.Logger
+	Prefix string // of row keys; empty means DefaultRowPrefix
+	// MinCrashes is the number of crashes from which a record is stored, so that only
+	// blocked ones cost writes. 0 stores all.
+	MinCrashes int
 
 	loaded        bool
-	savedSequence uint64 // sequence number of Table up to which rows have been written
+	savedSequence uint64          // sequence number of Table up to which rows have been written
+	stored        map[uint64]bool // fingerprints with rows that do not say cleared
+}
+
+func (p *Persister) prefix() string {
+	if p.Prefix == "" {
+		return DefaultRowPrefix
+	}
+	return p.Prefix
 }
 
 // Load merges the stored suspects into the table. Run writes those that this entry
@@ -48,11 +63,15 @@
 	now := time.Now()
 	after := ""
 	for {
-		rows, err := p.Rows.Scan(ctx, rowKeyPrefix, after, scanPageSize)
+		rows, err := p.Rows.Scan(ctx, p.prefix(), after, scanPageSize)
 		if err != nil {
 			return trace.Wrap(err, "failed to read suspects")
 		}
-		p.Table.Merge(decodeRows(rows, now), now)
+		suspects := p.decodeRows(rows, now)
+		for _, s := range suspects {
+			p.markStored(s.GetFingerprint(), len(s.GetCrashIds()) > 0)
+		}
+		p.Table.Merge(suspects, now)
 		if len(rows) < scanPageSize {
 			p.loaded = true
 			return nil
@@ -102,18 +121,28 @@
 func (p *Persister) save(ctx context.Context, suspects []*rpc.Suspect, now time.Time) error {
 	rank, entries := p.Rank()
 	var writes []storage.Write
+	var written []*rpc.Suspect
 	for _, s := range suspects {
 		if !isWriter(s.GetFingerprint(), rank, entries) {
 			continue
 		}
+		crashes := s.GetCrashIds()
+		if len(crashes) < max(p.MinCrashes, 1) && !p.stored[s.GetFingerprint()] {
+			continue
+		}
 		expires := now.Add(time.Duration(s.GetExpiresInMs()) * time.Millisecond)
-		for _, crash := range s.GetCrashIds() {
+		if len(crashes) == 0 {
+			crashes = []uint64{clearedCrash}
+			expires = now.Add(p.Table.cfg.TTL) // outlives the rows of the earlier generation
+		}
+		for _, crash := range crashes {
 			writes = append(writes, storage.Write{
-				Key:    rowKey(s.GetFingerprint(), crash),
-				Value:  strconv.AppendInt(nil, expires.UnixMilli(), 10),
+				Key:    p.rowKey(s.GetFingerprint(), crash),
+				Value:  rowValue(expires, s.GetGeneration()),
 				Always: true,
 			})
 		}
+		written = append(written, s)
 	}
 	for start := 0; start < len(writes); start += rowsPerCommit {
 		part := writes[start:min(start+rowsPerCommit, len(writes))]
@@ -121,6 +150,9 @@
 			return trace.Wrap(err, "failed to write suspects")
 		}
 	}
+	for _, s := range written {
+		p.markStored(s.GetFingerprint(), len(s.GetCrashIds()) > 0)
+	}
 	return nil
 }
 
@@ -131,12 +163,12 @@
 	}
 	now := time.Now()
 	for after := ""; ; {
-		rows, err := p.Rows.Scan(ctx, rowKeyPrefix, after, scanPageSize)
+		rows, err := p.Rows.Scan(ctx, p.prefix(), after, scanPageSize)
 		if err != nil {
 			return // the next sweep retries
 		}
 		for _, row := range rows {
-			if _, _, expires, ok := parseRow(row); ok && expires.After(now) {
+			if r, ok := p.parseRow(row); ok && r.expires.After(now) {
 				continue
 			}
 			remove := storage.Write{Key: row.Key, IfVersion: row.Version, Delete: true}
@@ -160,31 +192,64 @@
 	return (rank-first+entries)%entries < writersPerSuspect
 }
 
-func rowKey(fingerprint, crash uint64) string {
-	return fmt.Sprintf("%s%016x/%016x", rowKeyPrefix, fingerprint, crash)
+func (p *Persister) markStored(fingerprint uint64, stored bool) {
+	if !stored {
+		delete(p.stored, fingerprint)
+		return
+	}
+	if p.stored == nil {
+		p.stored = make(map[uint64]bool)
+	}
+	p.stored[fingerprint] = true
+}
+
+func (p *Persister) rowKey(fingerprint, crash uint64) string {
+	return fmt.Sprintf("%s%016x/%016x", p.prefix(), fingerprint, crash)
+}
+
+// rowValue encodes a row's expiry and, unless it is 0, its generation.
+func rowValue(expires time.Time, generation uint32) []byte {
+	value := strconv.AppendInt(nil, expires.UnixMilli(), 10)
+	if generation > 0 {
+		value = strconv.AppendUint(append(value, ' '), uint64(generation), 10)
+	}
+	return value
+}
+
+type suspectRow struct {
+	fingerprint, crash uint64
+	expires            time.Time
+	generation         uint32
 }
 
-func parseRow(row storage.Row) (fingerprint, crash uint64, expires time.Time, ok bool) {
-	first, second, found := strings.Cut(strings.TrimPrefix(row.Key, rowKeyPrefix), "/")
+func (p *Persister) parseRow(row storage.Row) (r suspectRow, ok bool) {
+	first, second, found := strings.Cut(strings.TrimPrefix(row.Key, p.prefix()), "/")
+	ms, generation, _ := strings.Cut(string(row.Value), " ")
+	if generation == "" {
+		generation = "0"
+	}
 	fingerprint, err1 := strconv.ParseUint(first, 16, 64)
 	crash, err2 := strconv.ParseUint(second, 16, 64)
-	ms, err3 := strconv.ParseInt(string(row.Value), 10, 64)
-	return fingerprint, crash, time.UnixMilli(ms), found && err1 == nil && err2 == nil && err3 == nil
+	expires, err3 := strconv.ParseInt(ms, 10, 64)
+	n, err4 := strconv.ParseUint(generation, 10, 32)
+	ok = found && err1 == nil && err2 == nil && err3 == nil && err4 == nil
+	return suspectRow{fingerprint, crash, time.UnixMilli(expires), uint32(n)}, ok
 }
 
 // decodeRows decodes the rows that are valid and have not expired.
-func decodeRows(rows []storage.Row, now time.Time) []*rpc.Suspect {
+func (p *Persister) decodeRows(rows []storage.Row, now time.Time) []*rpc.Suspect {
 	var suspects []*rpc.Suspect
 	for _, row := range rows {
-		fingerprint, crash, expires, ok := parseRow(row)
-		if !ok || !expires.After(now) {
+		r, ok := p.parseRow(row)
+		if !ok || !r.expires.After(now) {
 			continue
 		}
-		suspects = append(suspects, &rpc.Suspect{
-			Fingerprint: fingerprint,
-			CrashIds:    []uint64{crash},
-			ExpiresInMs: uint32(min(expires.Sub(now), DefaultTTL) / time.Millisecond),
-		})
+		s := &rpc.Suspect{Fingerprint: r.fingerprint, Generation: r.generation,
+			ExpiresInMs: uint32(min(r.expires.Sub(now), DefaultTTL) / time.Millisecond)}
+		if r.crash != clearedCrash {
+			s.CrashIds = []uint64{r.crash}
+		}
+		suspects = append(suspects, s)
 	}
 	return suspects
 }
--- a/poison/keeper_test.go
+++ b/poison/keeper_test.go
@@ -112,3 +112,35 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a block that a full restart forgets, one that it restores after a sound
+// answer, and against rows of requests that are not blocked.
+func TestStoredBlocksFollowReleases(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := standin.New(standin.Config{})
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		newPersister := func() *poison.Persister {
+			return &poison.Persister{Table: poison.NewTable(poison.Config{}), Rows: p, Prefix: "poison/suspects/", MinCrashes: 2,
+				Rank: func() (int, int) { return 0, 1 }}
+		}
+		first := newPersister()
+		go first.Run(ctx)
+		first.Table.RecordCrash(1, []uint64{once, twice, 13}, time.Now())
+		first.Table.RecordCrash(2, []uint64{twice, 13}, time.Now())
+		time.Sleep(time.Second)
+		first.Table.RecordSound(&poison.Subject{Parts: []poison.Part{{Fingerprint: 13}}}, time.Now())
+		time.Sleep(time.Second)
+		restarted := newPersister()
+		if err := restarted.Load(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		for fp, want := range map[uint64]poison.Status{once: poison.Clear, twice: poison.Blocked, 13: poison.Clear} {
+			if got := restarted.Table.Status(fp, time.Now()); got != want {
+				t.Errorf("fingerprint %d: %v after the restart, want %v", fp, got, want)
+			}
+		}
+		stop()
+		synctest.Wait()
+	})
+}
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -1,6 +1,6 @@
-// Package poison records the requests that were in progress when an upstream
-// crashed. Processes exchange and merge their tables, so that every process
-// refuses a request that crashes upstreams.
+// Package poison records the requests, and the parts of their prompts, that were in
+// progress when an upstream crashed. Processes exchange and merge their tables, so that
+// every process refuses a request that crashes upstreams, or one with a part that does.
 package poison
 
 import (
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
 )
 
@@ -24,8 +26,17 @@
 	// exceeds the transit time of a message on a live connection, so that a copy
 	// expires before its source without synchronized clocks.
 	DefaultHopAllowance = 2 * time.Second
+	// DefaultSoundTTL is how long an answer shows that the parts of its prompt are sound.
+	// It bounds the time until a part is noticed that began to crash upstreams.
+	DefaultSoundTTL = 30 * time.Second
+	// DefaultMaxSound limits the parts that are known to be sound.
+	DefaultMaxSound = 4096
 )
 
+// clearedTTL is how long a cleared record is kept, so that copies of its earlier state
+// that are still exchanged do not restore it.
+const clearedTTL = time.Minute
+
 // maxCrashIDs limits the crash IDs of a fingerprint. The smallest IDs are kept,
 // which makes the union of limited sets independent of the merge order.
 const maxCrashIDs = 8
@@ -63,14 +74,50 @@
 	BlockAfter      int
 	MaxFingerprints int
 	HopAllowance    time.Duration
+	SoundTTL        time.Duration
+	MaxSound        int
+	// OnChange is called, without locks held, after a fingerprint was blocked or
+	// released. May be nil.
+	OnChange func(Change)
+}
+
+// Change describes that a fingerprint was blocked or released.
+type Change struct {
+	Fingerprint uint64
+	Blocked     bool
+	Crashes     []uint64 // ids of the crashes that count, before a release
+	Evidence    Evidence
 }
 
-// record is the state of a fingerprint. Merging two records yields the union of
-// their crash IDs and the later expiry.
+// Evidence is the reason for a change.
+type Evidence struct {
+	Kind      EvidenceKind
+	RequestID string // of the request whose answer cleared the fingerprint, if Kind is EvidenceAnswer
+}
+
+// EvidenceKind is a kind of Evidence, as it is logged.
+type EvidenceKind string
+
+// Kinds of Evidence.
+const (
+	EvidenceCrash   EvidenceKind = "crash"          // at this process
+	EvidenceAnswer  EvidenceKind = "answer"         // at this process
+	EvidenceEarlier EvidenceKind = "earlier_answer" // at this process, not long ago
+	EvidencePeer    EvidenceKind = "peer"
+	EvidenceExpired EvidenceKind = "expired"
+)
+
+// record is the state of a fingerprint. Of two records that are merged, the one of the
+// higher generation holds; those of the same generation yield the union of their crash
+// IDs and the later expiry.
 type record struct {
-	crashIDs []uint64 // sorted, at most maxCrashIDs
-	expires  time.Time
-	sequence uint64 // sequence number of the last change, for ExportSince
+	generation uint32
+	crashIDs   []uint64 // sorted, at most maxCrashIDs
+	expires    time.Time
+	sequence   uint64    // sequence number of the last change, for ExportSince
+	own        uint64    // sequence number of the last change by this process rather than a peer
+	crashedAt  time.Time // when this process learned of the last crash
+	trialAt    time.Time // start of this process's last trial since then; zero for none
 }
 
 // Table holds the suspects known to a process.
@@ -80,7 +127,9 @@
 	mu       sync.Mutex
 	records  map[uint64]*record // by fingerprint
 	sequence uint64
-	changed  chan struct{} // closed at the next change
+	changed  chan struct{}                     // closed at the next change
+	sound    *simplelru.LRU[uint64, time.Time] // last answer with a part, by fingerprint
+	changes  []Change                          // not yet passed to OnChange
 }
 
 // NewTable returns an empty table.
@@ -97,24 +146,96 @@
 	if cfg.HopAllowance <= 0 {
 		cfg.HopAllowance = DefaultHopAllowance
 	}
+	if cfg.SoundTTL <= 0 {
+		cfg.SoundTTL = DefaultSoundTTL
+	}
+	if cfg.MaxSound <= 0 {
+		cfg.MaxSound = DefaultMaxSound
+	}
+	sound, err := simplelru.NewLRU[uint64, time.Time](cfg.MaxSound, nil)
+	if err != nil {
+		panic(err) // unreachable: the size is positive
+	}
 	return &Table{
 		cfg:     cfg,
 		records: make(map[uint64]*record),
 		changed: make(chan struct{}),
+		sound:   sound,
 	}
 }
 
-// RecordCrash records that the requests were in progress at a crash.
-func (t *Table) RecordCrash(crashID uint64, fingerprints []uint64, now time.Time) {
+// unlock releases t.mu and passes the changes on.
+func (t *Table) unlock() {
+	changes := t.changes
+	t.changes = nil
+	t.mu.Unlock()
+	if t.cfg.OnChange == nil {
+		return
+	}
+	for _, c := range changes {
+		t.cfg.OnChange(c)
+	}
+}
+
+// RecordCrash records that the fingerprints were in progress at a crash, except for
+// parts that are known to be sound. It returns the fingerprints that were recorded.
+func (t *Table) RecordCrash(crashID uint64, fingerprints []uint64, now time.Time) []uint64 {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	changed := false
+	var recorded []uint64
 	for _, fp := range fingerprints {
-		if t.mergeRecord(fp, []uint64{crashID}, now.Add(t.cfg.TTL), now) {
+		if t.isSound(fp, now) {
+			continue
+		}
+		recorded = append(recorded, fp)
+		var generation uint32
+		if r := t.live(fp, now); r != nil {
+			generation = r.generation
+		}
+		if t.mergeRecord(fp, record{generation: generation, crashIDs: []uint64{crashID}, expires: now.Add(t.cfg.TTL)}, Evidence{Kind: EvidenceCrash}, now) {
 			changed = true
 		}
 	}
 	t.evictAndNotify(changed, now)
+	return recorded
+}
+
+// RecordSound records an answer to a request. Its parts did not crash the upstream, so
+// earlier crashes are no evidence against them, nor against the request.
+func (t *Table) RecordSound(s *Subject, now time.Time) {
+	t.mu.Lock()
+	defer t.unlock()
+	evidence := Evidence{Kind: EvidenceAnswer, RequestID: s.RequestID}
+	changed := t.clear(s.Request, evidence, now)
+	for _, p := range s.Parts {
+		t.sound.Add(p.Fingerprint, now)
+		changed = t.clear(p.Fingerprint, evidence, now) || changed
+	}
+	t.evictAndNotify(changed, now)
+}
+
+// isSound reports whether a recent answer shows that a part is sound.
+func (t *Table) isSound(fp uint64, now time.Time) bool {
+	at, known := t.sound.Peek(fp)
+	return known && now.Sub(at) < t.cfg.SoundTTL
+}
+
+// live returns the record of a fingerprint, or nil.
+func (t *Table) live(fp uint64, now time.Time) *record {
+	if r := t.records[fp]; r != nil && r.expires.After(now) {
+		return r
+	}
+	return nil
+}
+
+// clear removes the crashes of a fingerprint and reports whether there were any.
+func (t *Table) clear(fp uint64, evidence Evidence, now time.Time) bool {
+	r := t.live(fp, now)
+	if r == nil || len(r.crashIDs) == 0 {
+		return false
+	}
+	return t.mergeRecord(fp, record{generation: r.generation + 1, expires: now.Add(clearedTTL)}, evidence, now)
 }
 
 // Merge merges suspects of another process and reports whether the table has
@@ -125,16 +246,20 @@
 		return false
 	}
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	for _, s := range suspects {
 		remaining := time.Duration(s.GetExpiresInMs()) * time.Millisecond
 		remaining = min(remaining, t.cfg.TTL)
-		if remaining <= 0 || len(s.GetCrashIds()) == 0 {
+		if remaining <= 0 || len(s.GetCrashIds()) == 0 && s.GetGeneration() == 0 {
 			continue
 		}
-		if t.mergeRecord(s.GetFingerprint(), s.GetCrashIds(), now.Add(remaining), now) {
+		fp := s.GetFingerprint()
+		if t.mergeRecord(fp, record{generation: s.GetGeneration(), crashIDs: s.GetCrashIds(), expires: now.Add(remaining)}, Evidence{Kind: EvidencePeer}, now) {
 			changed = true
 		}
+		if t.isSound(fp, now) {
+			changed = t.clear(fp, Evidence{Kind: EvidenceEarlier}, now) || changed
+		}
 	}
 	t.evictAndNotify(changed, now)
 	return changed
@@ -142,28 +267,53 @@
 
 // mergeRecord merges a record and reports whether the change must be propagated
 // to peers.
-func (t *Table) mergeRecord(fp uint64, crashes []uint64, expires, now time.Time) bool {
-	r := t.records[fp]
-	if r == nil || !r.expires.After(now) {
-		r = &record{}
+func (t *Table) mergeRecord(fp uint64, other record, evidence Evidence, now time.Time) bool {
+	r := t.live(fp, now)
+	if r == nil {
+		r = &record{generation: other.generation}
 		t.records[fp] = r
 	}
-	union := unionIDs(r.crashIDs, crashes)
-	changed := !slices.Equal(union, r.crashIDs)
-	if expires.Sub(r.expires) > t.cfg.TTL/expiryChangeDivisor {
+	before := r.crashIDs
+	switch {
+	case other.generation < r.generation:
+		return false
+	case other.generation > r.generation:
+		r.generation, r.crashIDs, r.expires, r.trialAt = other.generation, nil, time.Time{}, time.Time{}
+	}
+	union := unionIDs(r.crashIDs, other.crashIDs)
+	changed := !slices.Equal(union, before)
+	if len(union) > len(r.crashIDs) {
+		r.crashedAt, r.trialAt = now, time.Time{}
+	}
+	if other.expires.Sub(r.expires) > t.cfg.TTL/expiryChangeDivisor {
 		changed = true
 	}
 	r.crashIDs = union
-	if expires.After(r.expires) {
-		r.expires = expires
+	if other.expires.After(r.expires) {
+		r.expires = other.expires
 	}
 	if changed {
 		t.sequence++
 		r.sequence = t.sequence
+		if evidence.Kind != EvidencePeer {
+			r.own = t.sequence
+		}
 	}
+	t.noteChange(fp, before, union, evidence)
 	return changed
 }
 
+// noteChange records that a fingerprint was blocked or released, for OnChange.
+func (t *Table) noteChange(fp uint64, before, after []uint64, evidence Evidence) {
+	was, is := len(before) >= t.cfg.BlockAfter, len(after) >= t.cfg.BlockAfter
+	switch {
+	case is && !was:
+		t.changes = append(t.changes, Change{Fingerprint: fp, Blocked: true, Crashes: slices.Clone(after), Evidence: evidence})
+	case was && !is:
+		t.changes = append(t.changes, Change{Fingerprint: fp, Crashes: slices.Clone(before), Evidence: evidence})
+	}
+}
+
 // unionIDs returns the maxCrashIDs smallest IDs of both sets in ascending order.
 func unionIDs(a, b []uint64) []uint64 {
 	union := make([]uint64, 0, len(a)+len(b))
@@ -231,6 +381,7 @@
 func (t *Table) removeExpired(now time.Time) {
 	for fp, r := range t.records {
 		if !r.expires.After(now) {
+			t.noteChange(fp, r.crashIDs, nil, Evidence{Kind: EvidenceExpired})
 			delete(t.records, fp)
 		}
 	}
@@ -246,7 +397,7 @@
 // number to pass in the next call. 0 selects all suspects.
 func (t *Table) ExportSince(sequence uint64, now time.Time) ([]*rpc.Suspect, uint64) {
 	t.mu.Lock()
-	defer t.mu.Unlock()
+	defer t.unlock()
 	if sequence == t.sequence {
 		return nil, sequence
 	}
@@ -256,20 +407,24 @@
 		if r.sequence <= sequence {
 			continue
 		}
-		remaining := r.expires.Sub(now) - t.cfg.HopAllowance
-		if remaining < time.Millisecond {
-			continue
+		if s := t.export(fp, r, now); s != nil {
+			suspects = append(suspects, s)
 		}
-		suspects = append(suspects, &rpc.Suspect{
-			Fingerprint: fp,
-			CrashIds:    slices.Clone(r.crashIDs),
-			ExpiresInMs: uint32(remaining / time.Millisecond),
-		})
 	}
 	slices.SortFunc(suspects, compareFingerprint)
 	return suspects, t.sequence
 }
 
+// export returns a record as it is sent, or nil if it expires on the way.
+func (t *Table) export(fp uint64, r *record, now time.Time) *rpc.Suspect {
+	remaining := r.expires.Sub(now) - t.cfg.HopAllowance
+	if remaining < time.Millisecond {
+		return nil
+	}
+	return &rpc.Suspect{Fingerprint: fp, CrashIds: slices.Clone(r.crashIDs), Generation: r.generation,
+		ExpiresInMs: uint32(remaining / time.Millisecond)}
+}
+
 func compareFingerprint(a, b *rpc.Suspect) int {
 	if a.Fingerprint < b.Fingerprint {
 		return -1
@@ -292,11 +447,11 @@
 func (t *Table) Status(fingerprint uint64, now time.Time) Status {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.records[fingerprint]
-	if r == nil || !r.expires.After(now) {
+	r := t.live(fingerprint, now)
+	switch {
+	case r == nil || len(r.crashIDs) == 0:
 		return Clear
-	}
-	if len(r.crashIDs) >= t.cfg.BlockAfter {
+	case len(r.crashIDs) >= t.cfg.BlockAfter:
 		return Blocked
 	}
 	return Suspect
@@ -307,11 +462,11 @@
 func (t *Table) Remaining(fingerprint uint64, now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.records[fingerprint]
-	if r == nil {
+	r := t.live(fingerprint, now)
+	if r == nil || len(r.crashIDs) == 0 {
 		return 0
 	}
-	return max(0, r.expires.Sub(now))
+	return r.expires.Sub(now)
 }
 
 // Len returns the number of fingerprints in the table, including expired ones.
--- a/poison/subject.go
+++ b/poison/subject.go
@@ -41,3 +41,25 @@
 	}
 	return b.String()
 }
+
+// Fingerprints returns the fingerprints of the request and its parts.
+func (s *Subject) Fingerprints() []uint64 {
+	list := make([]uint64, 0, 1+len(s.Parts))
+	if s.Request != 0 {
+		list = append(list, s.Request)
+	}
+	for _, p := range s.Parts {
+		list = append(list, p.Fingerprint)
+	}
+	return list
+}
+
+// PartName returns the name of the part with the fingerprint, or "".
+func (s *Subject) PartName(fingerprint uint64) string {
+	for _, p := range s.Parts {
+		if p.Fingerprint == fingerprint {
+			return p.Name
+		}
+	}
+	return ""
+}
