Stop sending to an engine that says it leaves

Cause: the list alone decided which upstreams are in use. Change: an answer with the header, a refusal as well, takes that incarnation out of use in the holder, whatever the list or a peer says later; one that started later is in use again.

TestLeavingUpstreamStaysOutOfUse covers returning entries and late answers. Entries and agents need no change: their upstreams are local to an agent, which announces its own leaving.

--- a/batch/attempt.go
+++ b/batch/attempt.go
@@ -121,6 +121,9 @@
 		return dispatch.Broken, attemptBroken
 	}
 	defer answer.Body.Close()
+	if answer.Leaving {
+		grant.MarkLeaving()
+	}
 	switch {
 	case answer.NotExecuted:
 		return dispatch.Full, attemptNotRun
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -174,6 +174,14 @@
 	}
 }
 
+// MarkLeaving records that the upstream has said that it shuts down, so that it gets no
+// new requests whatever the list says.
+func (g *Grant) MarkLeaving() {
+	if g.dispatcher.cfg.Holder.MarkLeaving(g.Upstream, time.Now()) {
+		g.dispatcher.cfg.Log.Info().Str("upstream", g.Upstream.ID).Str("service", g.Upstream.Service).Msg("upstream says that it leaves")
+	}
+}
+
 // Release returns the slot and records the outcome in the upstream's health.
 func (g *Grant) Release(outcome Outcome) {
 	d, s, now := g.dispatcher, g.state, time.Now()
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -157,3 +157,34 @@
 		t.Errorf("after two changes: %d upstreams, list %d", usable(behind), behind.View().ListVersion)
 	}
 }
+
+// Guards against an expired entry that returns, or a copy of a peer, and puts an
+// upstream that leaves in use again.
+func TestLeavingUpstreamStaysOutOfUse(t *testing.T) {
+	h, now := NewHolder(), time.Now()
+	entry := ready("a", 5)
+	entry.Started = 1000
+	h.Replace([]Record{entry}, 5, now)
+	if !h.MarkLeaving(&entry.Upstream, now) || h.MarkLeaving(&entry.Upstream, now) {
+		t.Error("not new once, then known")
+	}
+	h.StoreRecovered(now)
+	h.Apply([]Record{{Upstream: Upstream{ID: "a"}, Version: 6, Removed: true}}, now)
+	if usable(h) != 0 {
+		t.Error("in use in the grace period")
+	}
+	entry.Version = 7
+	h.Apply([]Record{entry}, now)
+	h.MergeState(State{Listed: true, Records: []Record{entry}}, now)
+	if usable(h) != 0 {
+		t.Error("in use after its entry returned")
+	}
+	entry.Version, entry.Started = 8, 2000
+	h.Apply([]Record{entry}, now)
+	if usable(h) != 1 {
+		t.Error("the next incarnation is not in use")
+	}
+	if h.MarkLeaving(&Upstream{ID: "a", Started: 1000}, now) || usable(h) != 1 {
+		t.Error("a late answer of the earlier incarnation took the next one out of use")
+	}
+}
--- a/fleet/holder.go
+++ b/fleet/holder.go
@@ -41,7 +41,8 @@
 
 	mu         sync.Mutex
 	records    map[string]*recordState
-	graceUntil time.Time // removals before this time keep the upstream in use until then
+	leaving    map[string]int64 // start of the incarnation that said that it leaves, by upstream id
+	graceUntil time.Time        // removals before this time keep the upstream in use until then
 }
 
 type recordState struct {
@@ -52,7 +53,7 @@
 
 // NewHolder returns a holder with an empty view.
 func NewHolder() *Holder {
-	h := &Holder{records: make(map[string]*recordState)}
+	h := &Holder{records: make(map[string]*recordState), leaving: make(map[string]int64)}
 	h.view.Store(&View{})
 	return h
 }
@@ -113,6 +114,27 @@
 	h.rebuild(now)
 }
 
+// MarkLeaving stops the use of an incarnation that has said that it leaves, until a
+// later one is registered. It reports whether this was not known.
+func (h *Holder) MarkLeaving(u *Upstream, now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	held := h.records[u.ID]
+	if held == nil || held.Started > u.Started || h.isLeaving(held) {
+		return false
+	}
+	h.leaving[u.ID] = u.Started
+	h.rebuild(now)
+	return true
+}
+
+// isLeaving reports whether the incarnation has said that it leaves. The caller holds
+// the lock.
+func (h *Holder) isLeaving(held *recordState) bool {
+	started, said := h.leaving[held.ID]
+	return said && held.Started <= started
+}
+
 // Expire ends elapsed grace periods and drops old tombstones.
 func (h *Holder) Expire(now time.Time) {
 	h.mu.Lock()
@@ -125,6 +147,7 @@
 		}
 		if held.Removed && now.Sub(held.removedAt) > tombstoneTTL {
 			delete(h.records, id)
+			delete(h.leaving, id)
 		}
 	}
 	if due {
@@ -142,6 +165,9 @@
 		return
 	}
 	next := &recordState{Record: r}
+	if r.Removed && held.Started == 0 {
+		delete(h.leaving, r.ID) // nothing else tells a later incarnation from this one
+	}
 	if r.Removed {
 		next.Upstream = held.Upstream
 		next.removedAt = now
@@ -166,6 +192,9 @@
 		if !held.Removed {
 			next.listedIDs[held.ID] = true
 		}
+		if h.isLeaving(held) {
+			continue
+		}
 		if held.usable() || held.keptUntil.After(now) && !held.Draining {
 			u := held.Upstream
 			next.upstreams[u.Service] = append(next.upstreams[u.Service], &u)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -47,6 +47,7 @@
 	Status      int
 	Header      http.Header // end-to-end headers only
 	NotExecuted bool        // the upstream states that it did not execute the request
+	Leaving     bool        // the upstream states that it shuts down and must get no new requests
 	Signed      bool        // carries the upstream's signature; a 2xx response without one did not come from the upstream
 	EventStream bool        // the body is an event stream
 	// EndsWithConnection: the body has neither a length nor a closing mark, so its end
@@ -259,6 +260,9 @@
 		return x.retryOrFail(outcome == dispatch.ConnectFailed, err.Error())
 	}
 	defer response.Body.Close()
+	if response.Leaving {
+		grant.MarkLeaving()
+	}
 	if response.NotExecuted {
 		grant.Release(dispatch.Full)
 		x.recordAttempt(grant, started, "not run")
