Take a stream that ends inside an event as broken off, however it is framed

Callers could get a stream with half an event at its end as complete, if the engine closed its chunks properly, and an empty one as complete, if an answer without length ended with its connection before the first event.

Cause: only answers that end with their connection were checked for a partial event, and none for a first one. Now any stream that ends inside an event is broken off, and one that ends with its connection must have an event.

TestEventCutByConnectionEnd expected that an answer cut after 0 bytes is complete. Nothing tells it from one broken off before its first event, so the test now asks that it isn't.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -129,8 +129,8 @@
 		switch {
 		case err == nil && !event.Follows(x.lastEventID, e.ID):
 			err = errOutOfOrder
-		case err != nil && response.EndsWithConnection && len(bytes.TrimSpace(e.Raw)) > 0:
-			err = io.ErrUnexpectedEOF // closed in the middle of an event
+		case errors.Is(err, io.EOF) && x.endsEarly(response, &e):
+			err = io.ErrUnexpectedEOF
 		}
 		if err != nil && !errors.Is(err, io.EOF) {
 			return x.failStream(grant, started, err)
@@ -156,6 +156,16 @@
 	}
 }
 
+// endsEarly reports whether a stream whose last bytes are rest was broken off: in the
+// middle of an event, or, where nothing but the end of the connection marks its end,
+// before the first one.
+func (x *exchange) endsEarly(response *Response, rest *event.Event) bool {
+	if len(bytes.TrimSpace(rest.Raw)) > 0 {
+		return true
+	}
+	return response.EndsWithConnection && x.lastEventID == "" && x.attemptEvents == 0
+}
+
 // writeEvent writes one event to the caller, preceded by the response header if
 // it has not been sent.
 func (x *exchange) writeEvent(response *Response, e event.Event) error {
--- a/forward/broken_test.go
+++ b/forward/broken_test.go
@@ -136,7 +136,7 @@
 				Body: io.NopCloser(strings.NewReader(text[:cut]))}, nil
 		}}}
 		o := serve(t, fleet.Route{Kind: fleet.Stream, MaxAttempts: 1}, s, fakeCrashTracker{})
-		atBoundary := cut == 0 || strings.HasSuffix(text[:cut], "\n\n")
+		atBoundary := strings.HasSuffix(text[:cut], "\n\n")
 		complete := o.status == 200 && !o.aborted
 		if complete != atBoundary {
 			t.Errorf("cut after %d bytes: status %d, aborted %v, %q", cut, o.status, o.aborted, o.body)
@@ -190,3 +190,30 @@
 	clear(p)
 	return len(p), nil
 }
+
+// Guards against a stream that ends inside an event, or before the first one, and looks
+// complete to the caller.
+func TestStreamThatEndsEarlyIsNotComplete(t *testing.T) {
+	route := fleet.Route{Kind: fleet.Stream, MaxAttempts: 1}
+	whole := strings.Join(eventTexts(1, 2), "")
+	for _, c := range []struct {
+		name, body         string
+		endsWithConnection bool
+		status             int
+		aborted            bool
+	}{
+		{"chunked, inside an event", whole + "id: 3\ndata: x", false, 200, true},
+		{"closed inside an event", whole + "id: 3\ndata: x", true, 200, true},
+		{"closed after an event", whole, true, 200, false},
+		{"closed before the first event", "", true, 502, false},
+	} {
+		s := &scriptedUpstreams{t: t, steps: steps{func(ctx context.Context, call *Call) (*Response, error) {
+			response, err := respondWithEvents(c.body)(ctx, call)
+			response.EndsWithConnection = c.endsWithConnection
+			return response, err
+		}}}
+		if o := serve(t, route, s, fakeCrashTracker{}); o.status != c.status || o.aborted != c.aborted {
+			t.Errorf("%s: status %d, aborted %v", c.name, o.status, o.aborted)
+		}
+	}
+}
