Place an item again soon after engines crashed under it

What callers saw: a sound item that was running at three crashes came back only 12 s after its last attempt, at each further attempt, though its engines were free; jobs are due in 18 s.

Cause: the crash tracker that blocks requests counted items as well. Items are never the cause of a crash. They are no longer recorded or blocked, and wait for the usual backoff of at most 3 s.

An answer that ends with its connection before the first event counted as a whole empty result of an item; it is broken off now, as for streams.

--- a/batch/attempt.go
+++ b/batch/attempt.go
@@ -9,13 +9,10 @@
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/magnoliausher/magnoliausher/dispatch"
 	"github.com/magnoliausher/magnoliausher/event"
 	"github.com/magnoliausher/magnoliausher/forward"
 	"github.com/magnoliausher/magnoliausher/metric"
-	"github.com/magnoliausher/magnoliausher/poison"
 )
 
 const (
@@ -23,11 +20,6 @@
 	// doubles with each failed attempt, up to failureBackoffMax.
 	failureBackoff    = 100 * time.Millisecond
 	failureBackoffMax = 3 * time.Second
-	// blockedRetryInterval is the minimum time between attempts of an item that is
-	// suspected of crashing engines. Such an item is still retried, since only an
-	// answer or the retention ends an item. An engine takes some seconds to restart
-	// after a crash.
-	blockedRetryInterval = 12 * time.Second
 	// maxTimeoutDoublings limits the growth of an item's timeouts to a factor of 4.
 	maxTimeoutDoublings = 2
 	// maxItemOutputBytes limits the output of an item. The longest answers hold a few
@@ -39,15 +31,6 @@
 func (s *Service) runItem(r *runningJob, ri *runningItem, grant *dispatch.Grant) {
 	defer r.activeItems.Done()
 	item := &r.submission.Items[ri.index]
-	subject := poison.Subject{RequestID: item.ID, Request: xxhash.Sum64String(r.submission.ID + "\x00" + item.ID)}
-	if remaining := blockedRetryInterval - time.Since(ri.lastAttempt); remaining > 0 && s.cfg.CrashTracker.Recheck(&subject).Blocked {
-		grant.Release(dispatch.Cancelled)
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.requeue(ri, remaining)
-		return
-	}
-	ri.lastAttempt = time.Now()
 	ctx, cancel := context.WithCancel(r.ctx)
 	defer cancel()
 	go func() {
@@ -70,7 +53,7 @@
 	s.cfg.Log.Info().Str("request", item.ID).Str("job", r.submission.ID).Str("upstream", grant.Upstream.ID).
 		Int("from_event", eventsBefore).Int("events", ri.events()).Bool("preempted", preempted).Str("outcome", status).
 		Int64("ms", time.Since(started).Milliseconds()).Msg("item attempt")
-	s.handleAttemptResult(r, ri, grant, attemptResult{outcome: outcome, status: status, eventsBefore: eventsBefore, duration: time.Since(started)}, &subject)
+	s.handleAttemptResult(r, ri, attemptResult{outcome: outcome, status: status, eventsBefore: eventsBefore, duration: time.Since(started)})
 }
 
 // attemptResult describes how an attempt ended.
@@ -143,6 +126,8 @@
 	for {
 		e, err := events.Next()
 		switch {
+		case errors.Is(err, io.EOF) && answer.EndsWithConnection && ri.events() == 0:
+			return dispatch.Broken, attemptBroken // broken off before the first event
 		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.Raw)) == 0:
 			return dispatch.Served, attemptDone
 		case errors.Is(err, event.ErrIdle):
@@ -174,8 +159,10 @@
 	return base << min(ri.brokenInRow, maxTimeoutDoublings)
 }
 
-// handleAttemptResult finishes or requeues an item after an attempt.
-func (s *Service) handleAttemptResult(r *runningJob, ri *runningItem, grant *dispatch.Grant, result attemptResult, subject *poison.Subject) {
+// handleAttemptResult finishes or requeues an item after an attempt. An item is never
+// the cause of a crash, however many happen while it runs: it is tried again until it
+// is done or may be given up.
+func (s *Service) handleAttemptResult(r *runningJob, ri *runningItem, result attemptResult) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	done, _ := ri.snapshot()
@@ -199,9 +186,6 @@
 	}
 	if result.outcome == dispatch.Broken && done.Events == result.eventsBefore {
 		ri.brokenInRow++
-		if result.status != attemptSilent && result.status != attemptUnusable {
-			s.cfg.CrashTracker.RecordBroken(grant.Upstream, subject, 0)
-		}
 		s.requeue(ri, backoffAfter(ri.brokenInRow))
 		return
 	}
--- a/batch/running.go
+++ b/batch/running.go
@@ -23,7 +23,6 @@
 	failures    int // attempts that the engine answered with a failure
 	brokenInRow int // consecutive attempts that broke without a new event
 	notBefore   time.Time
-	lastAttempt time.Time // start of the last attempt
 	result      Result
 }
 
--- a/batch/service.go
+++ b/batch/service.go
@@ -51,15 +51,14 @@
 
 // Config configures a Service.
 type Config struct {
-	Self         peer.Member
-	Table        storage.Table
-	Feed         storage.Feed
-	Objects      storage.Objects
-	Holder       *fleet.Holder
-	Dispatcher   *dispatch.Dispatcher
-	Upstreams    forward.Upstreams
-	CrashTracker forward.CrashTracker
-	Members      func() []peer.MemberStatus
+	Self       peer.Member
+	Table      storage.Table
+	Feed       storage.Feed
+	Objects    storage.Objects
+	Holder     *fleet.Holder
+	Dispatcher *dispatch.Dispatcher
+	Upstreams  forward.Upstreams
+	Members    func() []peer.MemberStatus
 	// HandOver passes a job to the peer at an address; nil if there are no peers.
 	HandOver func(ctx context.Context, address string, job []byte) error
 	// AnnounceTakenOver tells the peers which jobs this process has taken over but not
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -114,7 +114,7 @@
 	engines := platform.NewEngineClient()
 	tracker := newCrashTracker(g.suspects, engines.AcceptsConnections, g.exchange.TrialRank, g.log)
 	g.jobs, err = batch.New(batch.Config{Self: g.self, Table: g.relay, Feed: g.relay, Objects: g.relay.Objects(),
-		Holder: g.holder, Dispatcher: g.dispatcher, Upstreams: engines, CrashTracker: tracker,
+		Holder: g.holder, Dispatcher: g.dispatcher, Upstreams: engines,
 		Members: g.exchange.Members, HandOver: g.exchange.HandOver, AnnounceTakenOver: g.exchange.SetTakenJobs, JobRetention: s.JobRetention, Log: g.log})
 	if err != nil {
 		return nil, trace.Wrap(err)
