Keep running items of the entries' way under which upstreams crashed

What callers saw: an item that was running at two crashes, or whose body was a suspect of two, ended with upstream_crashes and was never placed again.

Items are never the cause. A crash no longer counts as an attempt; the item waits 1 s, doubled with each crash up to a minute, and stays owed until the job's deadline. Items carry no fingerprint, so agents don't count them.

--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -92,7 +92,7 @@
 	d.links = d.newLinks(config, suspects)
 	d.poller = contract.NewPoller(store, d.holder, contract.PollerConfig{Log: logger})
 	d.suspects = &poison.Persister{Table: suspects, Rows: limited, Rank: d.rank, Log: logger}
-	jobs := d.newBatchAPI(suspects)
+	jobs := d.newBatchAPI()
 	d.operator = operator.New(operator.Config{
 		ID: s.Instance.ID, Store: store, Holder: d.holder, Fleet: d.links,
 		PossiblyStale: func() bool { return time.Since(d.configConfirmedAt()) > entry.ConfigStaleAfter },
--- a/daemon/jobs.go
+++ b/daemon/jobs.go
@@ -4,18 +4,16 @@
 	"time"
 
 	"github.com/magnoliausher/magnoliausher/job"
-	"github.com/magnoliausher/magnoliausher/poison"
 	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // newBatchAPI creates the batch runner and the sweeper and returns the batch API.
-func (d *Entry) newBatchAPI(suspects *poison.Table) *job.API {
+func (d *Entry) newBatchAPI() *job.API {
 	d.runner = job.NewRunner(job.RunnerConfig{
 		Platform:    d.platform,
 		Links:       d.links,
 		Port:        d.links,
 		Contract:    d.holder,
-		Suspects:    suspects,
 		InstanceID:  d.settings.Instance.ID,
 		Rank:        d.rank,
 		MemoryBytes: d.settings.MaxBatchBytes,
--- a/job/execute.go
+++ b/job/execute.go
@@ -15,7 +15,6 @@
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/link"
 	"github.com/magnoliausher/magnoliausher/metric"
-	"github.com/magnoliausher/magnoliausher/poison"
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
 )
 
@@ -49,7 +48,6 @@
 	if up == nil {
 		return nil
 	}
-	fingerprint := r.fingerprint(h, it)
 	return &rpc.RunRequest{
 		AttemptId: string(id),
 		Ticket: &rpc.Ticket{
@@ -58,7 +56,6 @@
 		},
 		Caller: h.job.Caller, Service: h.service, Class: rpc.Class_CLASS_BATCH,
 		Repeatable: it.repeatable, DeadlineMs: clampMS(h.job.Deadline.Sub(now)),
-		Fingerprint: fingerprint, Suspect: r.cfg.Suspects.Status(fingerprint, now) != poison.Clear,
 		ConfigVersion: r.cfg.Contract.Version(), Method: it.Method, Path: h.path,
 		Headers: []*rpc.Header{{Name: "Content-Type", Value: "application/json"}}, Body: it.Body,
 		PromptTokens: uint32(len(it.Body) / bytesPerToken), OutputTokens: it.outputTokens,
@@ -232,7 +229,7 @@
 // applyOutcome updates the item after an attempt.
 func (r *Runner) applyOutcome(h *heldChunk, it *item, o outcome) {
 	r.mu.Lock()
-	v := decide(it.attempts, it.crashes, it.repeatable, o)
+	v := decide(it.attempts, it.repeatable, o)
 	if h.dropped {
 		r.mu.Unlock()
 		return
@@ -247,6 +244,7 @@
 		}
 		if v.countsCrash {
 			it.crashes++
+			r.delayItem(h, it, crashDelay(it.crashes))
 		}
 	})
 	r.mu.Unlock()
@@ -270,8 +268,6 @@
 	switch code {
 	case codeUnknown:
 		return "the call may have had an effect and must not be repeated: " + reason
-	case codeCrashes:
-		return "upstreams crashed twice while the item was in progress"
 	}
 	return "no attempt succeeded; the last one ended with: " + reason
 }
--- a/job/held.go
+++ b/job/held.go
@@ -4,9 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/magnoliausher/magnoliausher/attempt"
 	"github.com/magnoliausher/magnoliausher/contract"
-	"github.com/magnoliausher/magnoliausher/poison"
 )
 
 // heldChunk is the in-memory state of a chunk that this entry holds. Runner.mu guards
@@ -38,7 +36,7 @@
 
 // canStart reports whether the item is ready to run.
 func (h *heldChunk) canStart(it *item) bool {
-	return !it.done && !it.running && (it.intended || it.repeatable)
+	return !it.done && !it.running && !it.delayed && (it.intended || it.repeatable)
 }
 
 // updateReady recounts the items that can start and stores the number in ready. It
@@ -111,30 +109,30 @@
 }
 
 // takeItem reserves the next ready item of a service and returns the context to run
-// it in. Items blocked after upstream crashes are finished with an error.
+// it in.
 func (r *Runner) takeItem(service string, now time.Time) (*heldChunk, *item, context.Context) {
-	for {
-		h, it := r.reserveItem(service, now)
-		if it == nil {
-			return nil, nil, nil
-		}
-		if r.cfg.Suspects.Status(r.fingerprint(h, it), now) != poison.Blocked {
-			ctx := h.ctx
-			if it.repeatable {
-				ctx = h.repeatableCtx
-			}
-			return h, it, ctx
-		}
-		countItem(h.service, codeCrashes)
-		r.finishItem(h, it, errorLine(it.CustomID, string(attempt.NewID()), codeCrashes,
-			"not run: upstreams crashed twice while the item was in progress"), true)
-		r.releaseItem(h, it)
-		r.tasks.Done()
+	h, it := r.reserveItem(service, now)
+	if it == nil {
+		return nil, nil, nil
 	}
+	ctx := h.ctx
+	if it.repeatable {
+		ctx = h.repeatableCtx
+	}
+	return h, it, ctx
 }
 
-func (r *Runner) fingerprint(h *heldChunk, it *item) uint64 {
-	return attempt.Fingerprint(h.job.Caller, h.service, it.Body)
+// delayItem keeps an item from starting for a time. The caller must hold mu.
+func (r *Runner) delayItem(h *heldChunk, it *item, delay time.Duration) {
+	it.delayed = true
+	time.AfterFunc(delay, func() {
+		r.mu.Lock()
+		it.delayed = false
+		h.updateReady()
+		r.mu.Unlock()
+		signal(r.wakeDemand)
+		signal(r.wakeClaim)
+	})
 }
 
 // reserveItem marks the next item of a service as running.
--- a/job/item.go
+++ b/job/item.go
@@ -17,6 +17,7 @@
 	repeatable   bool
 	outputTokens uint32 // upper bound or estimate
 	running      bool
+	delayed      bool // waits after a crash
 	done         bool
 
 	attempts int // counted against MaxAttempts
--- a/job/result.go
+++ b/job/result.go
@@ -10,7 +10,6 @@
 // Error codes in result lines.
 const (
 	codeAttempts  = "attempts_exhausted"
-	codeCrashes   = "upstream_crashes"
 	codeUnknown   = "outcome_unknown"
 	codeExpired   = "batch_expired"
 	codeCancelled = "batch_cancelled"
--- a/job/runner.go
+++ b/job/runner.go
@@ -12,22 +12,15 @@
 
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/link"
-	"github.com/magnoliausher/magnoliausher/poison"
 	"github.com/magnoliausher/magnoliausher/storage"
 )
 
-// Suspects reports which requests were in progress when upstreams crashed.
-type Suspects interface {
-	Status(fingerprint uint64, now time.Time) poison.Status
-}
-
 // RunnerConfig configures a Runner.
 type RunnerConfig struct {
 	Platform    storage.Platform
 	Links       link.Runner
 	Port        link.BatchCoordinator
 	Contract    *contract.Holder
-	Suspects    Suspects
 	InstanceID  string
 	Rank        func() (rank, entries int) // of this entry among all entries
 	MemoryBytes int64                      // memory limit for held items and results
--- a/job/verdict.go
+++ b/job/verdict.go
@@ -2,12 +2,26 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/magnoliausher/magnoliausher/attempt"
 )
 
-// maxUpstreamCrashes is the number of upstream crashes after which an item fails.
-const maxUpstreamCrashes = 2
+// Delay before an item runs again after an upstream crashed under it. It doubles with
+// each crash, so that an item does little harm even if it should be the cause.
+const (
+	crashRetryDelay    = time.Second
+	maxCrashRetryDelay = time.Minute
+)
+
+// crashDelay returns the delay after a number of crashes.
+func crashDelay(crashes int) time.Duration {
+	delay := crashRetryDelay
+	for n := 1; n < crashes && delay < maxCrashRetryDelay; n++ {
+		delay *= 2
+	}
+	return min(delay, maxCrashRetryDelay)
+}
 
 // outcomeKind classifies how an attempt of an item ended.
 type outcomeKind int
@@ -35,17 +49,18 @@
 
 // decision is the next step for an item after an attempt.
 type decision struct {
-	retry         bool // the item becomes ready again
-	countsAttempt bool // the attempt counts against MaxAttempts
-	countsCrash   bool
+	retry         bool   // the item becomes ready again
+	countsAttempt bool   // the attempt counts against MaxAttempts
+	countsCrash   bool   // the next attempt waits for crashDelay
 	keepOutput    bool   // keep the output, so that the next attempt resumes from it
 	code          string // error code of an item that ends without a response
 }
 
-// decide returns the next step after an attempt of an item; attempts and crashes
-// are the counts before it. Non-repeatable items are retried only if the attempt
-// certainly had no effect.
-func decide(attempts, crashes int, repeatable bool, o outcome) decision {
+// decide returns the next step after an attempt of an item; attempts is the count
+// before it. Non-repeatable items are retried only if the attempt certainly had no
+// effect. An item is not to blame for crashes, however many happen while it runs: it
+// stays owed until the job's deadline.
+func decide(attempts int, repeatable bool, o outcome) decision {
 	switch o.kind {
 	case outcomeNotSent, outcomeRefused:
 		return decision{retry: true}
@@ -61,13 +76,13 @@
 	if o.kind == outcomePreempted {
 		return decision{retry: true, keepOutput: true}
 	}
-	v := decision{countsAttempt: true, countsCrash: o.crashed, keepOutput: true}
-	switch {
-	case o.crashed && crashes+1 >= maxUpstreamCrashes:
-		v.code = codeCrashes
-	case attempts+1 >= MaxAttempts:
+	if o.crashed {
+		return decision{retry: true, countsCrash: true, keepOutput: true}
+	}
+	v := decision{countsAttempt: true, keepOutput: true}
+	if attempts+1 >= MaxAttempts {
 		v.code = codeAttempts
-	default:
+	} else {
 		v.retry = true
 	}
 	return v
--- a/replay/item.go
+++ b/replay/item.go
@@ -50,11 +50,10 @@
 		it.requeue()
 		return
 	}
-	it.attempts++
-	if f.crashed {
-		it.crashes++
+	if !f.crashed {
+		it.attempts++
 	}
-	if it.crashes >= maxItemCrashes || it.attempts >= job.MaxAttempts {
+	if it.attempts >= job.MaxAttempts {
 		it.fail()
 		return
 	}
--- a/replay/runner.go
+++ b/replay/runner.go
@@ -17,7 +17,6 @@
 	indexInterval       = 5 * time.Second // between reads of the job index
 	claimInterval       = time.Second     // between attempts to claim a chunk without another trigger
 	exhaustedRetryDelay = 5 * time.Second // before the next scan of a job without a free chunk
-	maxItemCrashes      = 2               // upstream crashes after which an item is not retried
 )
 
 // item is an item of a claimed chunk.
@@ -27,7 +26,6 @@
 	fingerprint    uint64
 	delivered      int
 	attempts       int
-	crashes        int
 	currentAttempt *simAttempt
 	done           bool
 	failed         bool
