Follow the instance list although one entry is odd

Entries of the agents' way would have stopped following the list: one entry that is nested too deeply, or has a field of another type, failed the decoding of the whole list, at each read, so that agents that leave or come were not seen.

Cause: the list was decoded as one value. Its entries are now read one by one, at any depth, and an entry without id, with an unknown role or state or an address that is none is left out with a log line.

TestOddInstanceEntryDoesNotStopTheList: eight kinds of odd entry; before, the list failed for four of them, and held the odd entry for the other four.

--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -70,7 +70,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	client, err := storage.NewClient(storage.ClientConfig{BaseURL: "http://" + s.Platform.Address, Timeout: s.Platform.Timeout})
+	client, err := storage.NewClient(storage.ClientConfig{BaseURL: "http://" + s.Platform.Address, Timeout: s.Platform.Timeout, Log: logger})
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/storage/client.go
+++ b/storage/client.go
@@ -13,6 +13,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/rs/zerolog"
 )
 
 // Defaults and limits of the client.
@@ -37,6 +39,8 @@
 	Connections int
 	// Transport replaces the client's own transport, for tests.
 	Transport http.RoundTripper
+	// Log gets a line for each invalid entry of the instance list.
+	Log zerolog.Logger
 }
 
 // Client calls the platform over HTTP with JSON bodies. It does not retry; wrap
@@ -45,6 +49,7 @@
 	base    string
 	timeout time.Duration
 	http    *http.Client
+	log     zerolog.Logger
 }
 
 var _ Platform = (*Client)(nil)
@@ -82,6 +87,7 @@
 	return &Client{
 		base:    strings.TrimRight(config.BaseURL, "/"),
 		timeout: config.Timeout,
+		log:     config.Log,
 		http:    &http.Client{Transport: config.Transport, CheckRedirect: disableRedirects},
 	}, nil
 }
@@ -135,11 +141,17 @@
 
 // Instances implements InstanceList.
 func (c *Client) Instances(ctx context.Context, since uint64) ([]Instance, uint64, error) {
-	var body InstancesBody
+	var data rawBody
 	query := url.Values{ParamSince: {strconv.FormatUint(since, 10)}}
-	if err := c.call(ctx, http.MethodGet, PathInstances, query, nil, &body); err != nil {
+	if err := c.call(ctx, http.MethodGet, PathInstances, query, nil, &data); err != nil {
 		return nil, 0, err
 	}
+	body, err := decodeInstances(data, func(err error) {
+		c.log.Warn().Err(err).Msg("ignoring invalid entry of the instance list")
+	})
+	if err != nil {
+		return nil, 0, c.transportError(ctx, fmt.Errorf("decode instance list: %w", err))
+	}
 	if body.Unchanged {
 		return nil, body.Revision, nil
 	}
@@ -156,6 +168,9 @@
 	return url.Values{ParamPrefix: {prefix}, ParamAfter: {after}, ParamLimit: {strconv.Itoa(limit)}}
 }
 
+// rawBody as the result of a call takes the response without decoding it.
+type rawBody []byte
+
 // call sends one request with a JSON body and decodes the JSON response into result.
 func (c *Client) call(ctx context.Context, method, path string, query url.Values, body []byte, result any) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
@@ -178,6 +193,14 @@
 	if result == nil {
 		return nil
 	}
+	if raw, ok := result.(*rawBody); ok {
+		data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+		if err != nil {
+			return c.transportError(ctx, fmt.Errorf("read response: %w", err))
+		}
+		*raw = data
+		return nil
+	}
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(result); err != nil {
 		return c.transportError(ctx, fmt.Errorf("decode response: %w", err))
 	}
--- a/storage/client_test.go
+++ b/storage/client_test.go
@@ -3,14 +3,18 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/magnoliausher/magnoliausher/storage"
 )
 
@@ -184,3 +188,35 @@
 		t.Fatalf("call after the first timeout: %v", err)
 	}
 }
+
+// Guards against an odd entry of another writer in the instance list that keeps the
+// list from being followed.
+func TestOddInstanceEntryDoesNotStopTheList(t *testing.T) {
+	deep := strings.Repeat("[", 50_000) + strings.Repeat("]", 50_000)
+	good := `{"id":"a","role":"agent","data_centre":"z","address":"10.0.0.1:80","service":"s","state":"leaving"}`
+	for name, odd := range map[string]string{
+		"deep": deep, "deep field": `{"id":"b","extra":` + deep + `}`, "number": `{"id":1e999}`, "null": `null`,
+		"large number": `{"id":"b","role":"agent","address":"10.0.0.2:80","state":123456789012345678901234567890}`,
+		"port":         `{"id":"b","role":"agent","address":"10.0.0.2:70000","state":"live"}`,
+		"state":        `{"id":"b","role":"agent","address":"10.0.0.2:80","state":"resting"}`,
+		"role":         `{"id":"b","role":"clerk","address":"10.0.0.2:80","state":"live"}`,
+	} {
+		var invalid strings.Builder
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = fmt.Fprintf(w, `{"revision":7,"other":[{}], "instances":[%s, %s,%s]}`, odd, good, odd)
+		}))
+		client, err := storage.NewClient(storage.ClientConfig{BaseURL: server.URL, Log: zerolog.New(&invalid)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		list, revision, err := client.Instances(t.Context(), 0)
+		if err != nil || revision != 7 || len(list) != 1 || list[0].ID != "a" || list[0].State != storage.InstanceLeaving {
+			t.Errorf("%s: %v, revision %d, %v", name, list, revision, err)
+		}
+		if n := strings.Count(invalid.String(), "ignoring invalid entry"); n != 2 || invalid.Len() > 4096 {
+			t.Errorf("%s: %d log lines, %d bytes", name, n, invalid.Len())
+		}
+		client.Close()
+		server.Close()
+	}
+}
