Block parts of prompts that crash upstreams in the entries' way too

What callers would have seen: the same as at the gateways. A system message or an earlier message that crashes each engine that answers it took one engine after the other; in the test the fleet was down for all callers.

Cause: suspects were hashes of caller, service and whole body there as well. The hashes of a prompt's messages but the last (without messages: of the cacheable prefix) now travel with the attempt; the agent reports those of online attempts that had hardly begun to answer; entries reject a request with a blocked part before its first and each further attempt (blocked_part, 503 with X-Request-Executed: no), send single ones as trials, and vouch for parts whose answers they have seen.

At gateways an answer in progress no longer clears the request as a whole, which may crash an upstream later; a complete one does.

--- a/agent/control.go
+++ b/agent/control.go
@@ -41,10 +41,13 @@
 // SuspectTable records crashes and the requests suspected of causing them.
 type SuspectTable interface {
 	RecordCrash(crashID uint64, fingerprints []uint64, now time.Time) []uint64
+	// RecordSound records that the upstream answers a request without crashing.
+	RecordSound(s *poison.Subject, now time.Time)
 	Status(fingerprint uint64, now time.Time) poison.Status
 }
 
 type noSuspects struct{}
 
 func (noSuspects) RecordCrash(uint64, []uint64, time.Time) []uint64 { return nil }
+func (noSuspects) RecordSound(*poison.Subject, time.Time)           {}
 func (noSuspects) Status(uint64, time.Time) poison.Status           { return poison.Clear }
--- a/agent/fake_test.go
+++ b/agent/fake_test.go
@@ -169,6 +169,8 @@
 	return fingerprints
 }
 
+func (f *fakeSuspects) RecordSound(*poison.Subject, time.Time) {}
+
 func (f *fakeSuspects) Status(fp uint64, _ time.Time) poison.Status {
 	return locked(&f.mu, func() poison.Status { return f.status[fp] })
 }
--- a/agent/fault_test.go
+++ b/agent/fault_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/poison"
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
 	"github.com/magnoliausher/magnoliausher/upstream"
@@ -241,3 +242,22 @@
 		o.cancel()
 	})
 }
+
+// Guards against blaming the parts of a prompt whose answer had begun, or of an item.
+func TestSuspectsOfTask(t *testing.T) {
+	req := &rpc.RunRequest{Fingerprint: 1, Parts: []uint64{5, 6}}
+	for _, c := range []struct {
+		class   contract.Class
+		outputs int32
+		want    string
+	}{
+		{contract.ClassOnline, 0, "[1 5 6]"}, {contract.ClassOnline, poison.SuspectOutputs, "[1 5 6]"},
+		{contract.ClassOnline, poison.SuspectOutputs + 1, "[1]"}, {contract.ClassBatch, 0, "[1]"},
+	} {
+		task := &task{req: req, class: c.class}
+		task.outputs.Store(c.outputs)
+		if got := fmt.Sprint(task.suspects()); got != c.want {
+			t.Errorf("%s after %d outputs: %s, want %s", c.class, c.outputs, got, c.want)
+		}
+	}
+}
--- a/agent/health.go
+++ b/agent/health.go
@@ -11,6 +11,7 @@
 
 	"github.com/magnoliausher/magnoliausher/admission"
 	"github.com/magnoliausher/magnoliausher/contract"
+	"github.com/magnoliausher/magnoliausher/poison"
 	"github.com/magnoliausher/magnoliausher/upstream"
 )
 
@@ -236,8 +237,8 @@
 	a.brokenCalls = nil
 	for _, q := range a.snap.Running {
 		t := a.running[q]
-		if t.sent && !t.crashed && t.req.Fingerprint != 0 {
-			fingerprints = append(fingerprints, t.req.Fingerprint)
+		if t.sent && !t.crashed {
+			fingerprints = append(fingerprints, t.suspects()...)
 		}
 		t.crashed = true // the call may return later
 		a.cancelSequence(q, errCrashed)
@@ -258,6 +259,19 @@
 	a.notify()
 }
 
+// suspects returns the fingerprints that may have caused a crash during the attempt: of
+// the request, and of the parts of its prompt if the answer had hardly begun.
+func (t *task) suspects() []uint64 {
+	var list []uint64
+	if t.req.Fingerprint != 0 {
+		list = append(list, t.req.Fingerprint)
+	}
+	if t.class == contract.ClassOnline && t.outputs.Load() <= poison.SuspectOutputs {
+		list = append(list, t.req.Parts...)
+	}
+	return list
+}
+
 // watchLoop cancels attempts without progress, removes queued ones that cannot
 // meet their deadline and frees slots whose upstream call hangs.
 func (a *Agent) watchLoop(ctx context.Context) error {
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -15,6 +15,7 @@
 	"github.com/magnoliausher/magnoliausher/admission"
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/metric"
+	"github.com/magnoliausher/magnoliausher/poison"
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
 	"github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1/magnoliausherv1connect"
 	"github.com/magnoliausher/magnoliausher/upstream"
@@ -248,6 +249,7 @@
 	for {
 		d, err := stream.Next()
 		if err == io.EOF {
+			a.recordSound(t)
 			return t.endEvent(stream.Usage()), nil
 		}
 		if err == nil {
@@ -257,6 +259,9 @@
 			return nil, err
 		}
 		a.recordTokens(t, d.Tokens)
+		if t.outputs.Add(1) == poison.SoundOutputs {
+			a.recordSound(t)
+		}
 		e := t.event()
 		e.Event = &rpc.RunEvent_Delta{Delta: &rpc.Delta{Text: d.Text, Tokens: uint32(d.Tokens)}}
 		if !t.out.put(e, len(d.Text)) {
@@ -266,6 +271,13 @@
 	}
 }
 
+// recordSound records that the parts of the attempt's prompt do not crash the upstream.
+func (a *Agent) recordSound(t *task) {
+	if len(t.req.Parts) > 0 {
+		a.cfg.Suspects.RecordSound(poison.PartsOf(t.req.AttemptId, t.req.Parts), time.Now())
+	}
+}
+
 // putStatus forwards an error response, so that the caller sees the upstream's
 // own error message.
 func putStatus(t *task, err error) {
--- a/agent/task.go
+++ b/agent/task.go
@@ -54,6 +54,7 @@
 	// Written by the worker, read by the watch loop.
 	progress atomic.Int64 // agent's monotonic time of the last output
 	answered atomic.Bool  // the upstream has sent a response
+	outputs  atomic.Int32 // pieces of output that the upstream has sent
 
 	// Guarded by Agent.mu.
 	seq                 *admission.Sequence
--- a/daemon/crashes.go
+++ b/daemon/crashes.go
@@ -68,7 +68,13 @@
 }
 
 // RecordSound implements forward.CrashTracker.
-func (c *crashTracker) RecordSound(subject *poison.Subject) { c.table.RecordSound(subject, time.Now()) }
+func (c *crashTracker) RecordSound(subject *poison.Subject, complete bool) {
+	sound := *subject
+	if !complete {
+		sound.Request = 0 // it may still crash the upstream
+	}
+	c.table.RecordSound(&sound, time.Now())
+}
 
 // logChange is the poison.Config.OnChange of the table.
 func logChange(log zerolog.Logger) func(poison.Change) {
@@ -120,10 +126,6 @@
 	c.logCrash(u, id, broken, blamed, now)
 }
 
-// maxEventsOfSuspectPart is the largest number of events of an answer whose parts may
-// have crashed the upstream: it crashes when it begins to answer.
-const maxEventsOfSuspectPart = 1
-
 // suspectFingerprints returns what may have caused a crash: any request that was
 // running, and the parts of those whose answer had hardly begun.
 func suspectFingerprints(broken []brokenAnswer) []uint64 {
@@ -137,7 +139,7 @@
 	}
 	for _, b := range broken {
 		add(b.subject.Request)
-		if b.events > maxEventsOfSuspectPart {
+		if b.events > poison.SuspectOutputs {
 			continue
 		}
 		for _, p := range b.subject.Parts {
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -87,7 +87,7 @@
 		intents:  idempotency.New(idempotency.Config{Table: limited, Objects: limited.Objects()}),
 		fetcher:  link.Fetcher{TLS: config},
 	}
-	suspects := poison.NewTable(poison.Config{})
+	suspects := poison.NewTable(poison.Config{OnChange: logChange(logger)})
 	store := contract.NewStore(limited)
 	d.links = d.newLinks(config, suspects)
 	d.poller = contract.NewPoller(store, d.holder, contract.PollerConfig{Log: logger})
@@ -124,7 +124,7 @@
 		Runner:                d.links,
 		Holder:                d.holder,
 		Idempotency:           d.intents,
-		Suspects:              suspectsAdapter{suspects},
+		Suspects:              suspectsAdapter{suspects, d.trialRank},
 		Jobs:                  jobs,
 		Operator:              d.operator.Handler(),
 		ParsePrompt:           parsePrompt,
@@ -139,12 +139,12 @@
 // parsePrompt returns the prefix hash and token count of a request. They are the
 // same values that engines compute, so that routing finds the engine with the
 // prefix in its cache.
-func parsePrompt(body []byte) (prefix uint64, tokens int) {
+func parsePrompt(body []byte) (prefix uint64, tokens int, parts []uint64) {
 	p, err := upstream.ParsePrompt(body)
 	if err != nil {
-		return 0, 0
+		return 0, 0, nil
 	}
-	return p.Prefix, p.Tokens
+	return p.Prefix, p.Tokens, p.Parts
 }
 
 // configConfirmedAt returns the last time an agent confirmed the configuration.
@@ -343,7 +343,27 @@
 }
 
 // suspectsAdapter adapts poison.Table to the interface of package entry.
-type suspectsAdapter struct{ *poison.Table }
+type suspectsAdapter struct {
+	*poison.Table
+	trialRank func(fingerprint uint64) int
+}
+
+// Admit implements entry.Suspects.
+func (s suspectsAdapter) Admit(parts []uint64, now time.Time) poison.Admission {
+	return s.Table.Admit(parts, s.trialRank, now)
+}
+
+// trialRank returns the rank of this entry among all entries for a trial of a blocked
+// fingerprint.
+func (d *Entry) trialRank(fingerprint uint64) int {
+	var others []string
+	for _, m := range d.members.Members(storage.RoleEntry, time.Now()) {
+		if m.ID != d.settings.Instance.ID && !m.Leaving {
+			others = append(others, m.ID)
+		}
+	}
+	return poison.TrialRank(fingerprint, d.settings.Instance.ID, others)
+}
 
 const blockedReason = "the request was in progress at two upstream crashes"
 
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -9,6 +9,7 @@
 
 	"github.com/magnoliausher/magnoliausher/attempt"
 	"github.com/magnoliausher/magnoliausher/link"
+	"github.com/magnoliausher/magnoliausher/poison"
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
 )
 
@@ -80,7 +81,7 @@
 		return classifyStreamError(ctx, err, false)
 	}
 	defer stream.Close()
-	a := receiver{rq: rq, id: msg.AttemptId, out: out, watch: watch}
+	a := receiver{rq: rq, id: msg.AttemptId, out: out, watch: watch, suspects: e.config.Suspects}
 	for {
 		ev, err := stream.Recv()
 		if err != nil {
@@ -129,6 +130,8 @@
 	accepted  bool
 	status    uint32 // of the head event, 0 before it
 	hasOutput bool   // the upstream has produced output
+	outputs   int    // pieces of text
+	suspects  Suspects
 }
 
 // handleEvent handles one event. ended is true after the last one of the attempt.
@@ -185,6 +188,9 @@
 	}
 	a.rq.deliveredText.WriteString(d.Text)
 	a.rq.deliveredTokens += int(d.Tokens)
+	if a.outputs++; a.outputs == poison.SoundOutputs && a.suspects != nil && len(a.rq.parts) > 0 {
+		a.suspects.RecordSound(poison.PartsOf(a.rq.id, a.rq.parts), now)
+	}
 	return nil
 }
 
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/magnoliausher/magnoliausher/admission"
@@ -14,6 +15,7 @@
 	"github.com/magnoliausher/magnoliausher/limit"
 	"github.com/magnoliausher/magnoliausher/link"
 	"github.com/magnoliausher/magnoliausher/metric"
+	"github.com/magnoliausher/magnoliausher/poison"
 	"github.com/magnoliausher/magnoliausher/routing"
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
 )
@@ -49,6 +51,9 @@
 func (e *Entry) dispatch(ctx context.Context, rq *request, out sink) (*rpc.End, *apierror.Error) {
 	budget := &e.service(rq.service, time.Now()).budget
 	budget.RecordRequest()
+	if fail := e.admitParts(rq, time.Now()); fail != nil {
+		return nil, fail
+	}
 	for n := 1; ; n++ {
 		c, fail := e.chooseUpstream(rq)
 		if fail != nil && c.counts.SuspectBusy > 0 && waitSuspectRetry(ctx, rq) {
@@ -99,6 +104,9 @@
 // chooseUpstream selects the upstream of the next attempt.
 func (e *Entry) chooseUpstream(rq *request) (choice, *apierror.Error) {
 	now := time.Now()
+	if fail := e.recheckParts(rq, now); fail != nil {
+		return choice{}, fail
+	}
 	suspect, fail := e.checkSuspect(rq, now)
 	if fail != nil {
 		return choice{}, fail
@@ -144,6 +152,45 @@
 	return suspect, nil
 }
 
+// admitParts returns the error of a request with a part that crashes upstreams, or marks
+// the request as the trial of such a part.
+func (e *Entry) admitParts(rq *request, now time.Time) *apierror.Error {
+	if e.config.Suspects == nil || len(rq.parts) == 0 {
+		return nil
+	}
+	a := e.config.Suspects.Admit(rq.parts, now)
+	rq.trial = a.Trial
+	if a.Trial {
+		metric.TrialStarted()
+		rq.log.Info().Str("cause", strconv.FormatUint(a.Cause, 16)).Msg("sending a request with a blocked part as a trial")
+	}
+	return blockedPartError(rq, a)
+}
+
+// recheckParts is admitParts before an attempt, since the request may have waited.
+func (e *Entry) recheckParts(rq *request, now time.Time) *apierror.Error {
+	if e.config.Suspects == nil || len(rq.parts) == 0 || rq.trial {
+		return nil
+	}
+	return blockedPartError(rq, e.config.Suspects.Recheck(rq.parts, now))
+}
+
+// blockedPartError returns the error of a request with a blocked part, or nil. The
+// request may come again, since a wrong block ends with the next trial.
+func blockedPartError(rq *request, a poison.Admission) *apierror.Error {
+	if !a.Blocked {
+		return nil
+	}
+	metric.SuspectRejected()
+	rq.log.Info().Str("cause", strconv.FormatUint(a.Cause, 16)).Dur("retry_after", a.RetryAfter).Msg("request has a blocked part")
+	err := unavailable(codeBlockedPart, "A part of the prompt was in progress at several upstream crashes.", a.RetryAfter)
+	err.Executed = rq.executed()
+	if rq.handedOver {
+		err.Status, err.Type = http.StatusBadGateway, typeServer
+	}
+	return err
+}
+
 func blockedError(rq *request, retryAfter time.Duration, reason string) *apierror.Error {
 	err := refusal(http.StatusUnprocessableEntity, typeInvalid, codeBlocked, "The request is blocked: "+reason+".")
 	err.Executed = rq.executed()
@@ -267,6 +314,7 @@
 		Prefix:          rq.prefix,
 		DeliveredTokens: uint32(rq.deliveredTokens),
 		DeliveredText:   rq.deliveredText.String(),
+		Parts:           rq.parts,
 	}
 }
 
@@ -305,6 +353,9 @@
 	if !rq.repeatable && res.outcome == outcomeFailed {
 		return e.nonRepeatableError(rq, res)
 	}
+	if rq.trial && res.outcome == outcomeFailed {
+		return e.attemptError(rq, codeUpstreamFailed, "The answer broke off: "+res.reason+".", 0)
+	}
 	if rq.singleAttempt && res.outcome == outcomeRefused {
 		return e.attemptError(rq, codeUpstreamRefused, "The upstream refused the request: "+res.reason+".", e.retryAfter(res))
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/magnoliausher/magnoliausher/idempotency"
 	"github.com/magnoliausher/magnoliausher/limit"
 	"github.com/magnoliausher/magnoliausher/link"
+	"github.com/magnoliausher/magnoliausher/poison"
 	"github.com/magnoliausher/magnoliausher/routing"
 )
 
@@ -26,6 +27,12 @@
 	// request is blocked, it also returns the remaining time and the reason of the
 	// block; blockedFor is 0 otherwise.
 	Status(fingerprint uint64, now time.Time) (suspect bool, blockedFor time.Duration, reason string)
+	// Admit decides on a request with the given parts of its prompt, once before its
+	// first attempt. Recheck decides before the others and starts no trial.
+	Admit(parts []uint64, now time.Time) poison.Admission
+	Recheck(parts []uint64, now time.Time) poison.Admission
+	// RecordSound records that an upstream answers a request without crashing.
+	RecordSound(s *poison.Subject, now time.Time)
 }
 
 // Config configures an Entry. Limits that are zero are replaced by the defaults.
@@ -45,9 +52,9 @@
 	ConfigConfirmedAt func() time.Time
 
 	// ParsePrompt returns the hash of the cacheable prefix of a generation request, as
-	// reported by engines, and the estimated number of prompt tokens. If it is nil,
-	// routing uses no prefix affinity.
-	ParsePrompt func(body []byte) (prefix uint64, tokens int)
+	// reported by engines, the estimated number of prompt tokens, and hashes of the
+	// parts that other prompts may share. If it is nil, routing uses no prefix affinity.
+	ParsePrompt func(body []byte) (prefix uint64, tokens int, parts []uint64)
 
 	Weights               routing.Weights
 	MaxBodyBytes          int64         // of a request body
--- a/entry/refusal.go
+++ b/entry/refusal.go
@@ -31,6 +31,7 @@
 	codeNoUpstream           = "no_upstream"
 	codeUpstreamRefused      = "upstream_refused"
 	codeRetryBudget          = "retry_budget"
+	codeBlockedPart          = "blocked_part"
 	codeBlocked              = "blocked_suspect"
 	codeUpstreamFailed       = "upstream_failed"
 	codeUpstreamError        = "upstream_error"
--- a/entry/request.go
+++ b/entry/request.go
@@ -52,6 +52,8 @@
 	singleAttempt bool // no retry, even after a refusal
 
 	fingerprint  uint64
+	parts        []uint64 // hashes of the parts of the prompt that other requests may share
+	trial        bool     // tests whether a part is blocked rightly, so that it is sent once only
 	prefix       uint64
 	promptTokens uint32
 	outputTokens uint32
--- a/entry/respond.go
+++ b/entry/respond.go
@@ -92,8 +92,8 @@
 	rq.fingerprint = attempt.Fingerprint(rq.caller.ID, rq.service.Name, body)
 	rq.promptTokens = uint32(len(body)/bytesPerToken) + 1
 	if e.config.ParsePrompt != nil {
-		prefix, tokens := e.config.ParsePrompt(body)
-		rq.prefix = prefix
+		prefix, tokens, parts := e.config.ParsePrompt(body)
+		rq.prefix, rq.parts = prefix, parts
 		rq.promptTokens = uint32(max(tokens, 0))
 	}
 	rq.outputTokens = g.outputTokens()
--- a/entry/server_test.go
+++ b/entry/server_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/magnoliausher/magnoliausher/apierror"
 	"github.com/magnoliausher/magnoliausher/contract"
+	"github.com/magnoliausher/magnoliausher/poison"
 	standin "github.com/magnoliausher/magnoliausher/standin/platform"
 )
 
@@ -24,6 +25,10 @@
 	blocked time.Duration
 }
 
+func (f fixedSuspects) Admit([]uint64, time.Time) poison.Admission   { return poison.Admission{} }
+func (f fixedSuspects) Recheck([]uint64, time.Time) poison.Admission { return poison.Admission{} }
+func (f fixedSuspects) RecordSound(*poison.Subject, time.Time)       {}
+
 func (f fixedSuspects) Status(uint64, time.Time) (bool, time.Duration, string) {
 	return f.suspect, f.blocked, "two upstreams crashed"
 }
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -12,6 +12,7 @@
 	"github.com/magnoliausher/magnoliausher/dispatch"
 	"github.com/magnoliausher/magnoliausher/event"
 	"github.com/magnoliausher/magnoliausher/metric"
+	"github.com/magnoliausher/magnoliausher/poison"
 )
 
 // forwardBuffered reads a response, up to maxBufferedBytes, before it passes any
@@ -43,7 +44,7 @@
 		}
 	}
 	if response.Status/100 == 2 {
-		x.cfg.CrashTracker.RecordSound(&x.Subject)
+		x.cfg.CrashTracker.RecordSound(&x.Subject, true)
 	}
 	grant.Release(outcomeForStatus(response.Status))
 	x.recordAttempt(grant, started, "served")
@@ -110,10 +111,6 @@
 // as the first one of a second copy of the answer.
 var errOutOfOrder = errors.New("event out of order")
 
-// soundEvents is the number of events after which a request counts as sound. An
-// upstream that crashes when it begins to answer may still send the first.
-const soundEvents = 3
-
 // forwardStream passes events on to the caller as they arrive. Only a stream that
 // can go on elsewhere is given up for its upstream's silence; the last attempt has
 // until the deadline.
@@ -139,8 +136,8 @@
 			grant.Progress()
 			x.attemptEvents++
 		}
-		if n := x.attemptEvents; n == soundEvents && !e.Empty() || err != nil && n > 0 && n < soundEvents {
-			x.cfg.CrashTracker.RecordSound(&x.Subject)
+		if ended := err != nil; ended || x.attemptEvents == poison.SoundOutputs && !e.Empty() {
+			x.cfg.CrashTracker.RecordSound(&x.Subject, ended)
 		}
 		if writeErr := x.writeEvent(response, e); writeErr != nil {
 			grant.Release(dispatch.Cancelled)
--- a/forward/broken_test.go
+++ b/forward/broken_test.go
@@ -48,7 +48,7 @@
 
 func (*recordingTracker) Admit(*poison.Subject) poison.Admission               { return poison.Admission{} }
 func (*recordingTracker) Recheck(*poison.Subject) poison.Admission             { return poison.Admission{} }
-func (*recordingTracker) RecordSound(*poison.Subject)                          {}
+func (*recordingTracker) RecordSound(*poison.Subject, bool)                    {}
 func (r *recordingTracker) RecordBroken(*fleet.Upstream, *poison.Subject, int) { r.crashes++ }
 
 // Guards against cutting a stream that is slow but sound, and against keeping one
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -118,8 +118,9 @@
 	// RecordBroken records that an upstream broke off its answer to the request after
 	// a number of events, so that it may have crashed.
 	RecordBroken(upstream *fleet.Upstream, subject *poison.Subject, events int)
-	// RecordSound records that an upstream answers the request without crashing.
-	RecordSound(subject *poison.Subject)
+	// RecordSound records that an upstream answers the request without crashing, in
+	// full or so far.
+	RecordSound(subject *poison.Subject, complete bool)
 }
 
 // Request is a caller's request with its complete body.
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -92,7 +92,7 @@
 func (n fakeCrashTracker) Recheck(*poison.Subject) poison.Admission {
 	return poison.Admission{Blocked: n.blocked}
 }
-func (fakeCrashTracker) RecordSound(*poison.Subject)                        {}
+func (fakeCrashTracker) RecordSound(*poison.Subject, bool)                  {}
 func (fakeCrashTracker) RecordBroken(*fleet.Upstream, *poison.Subject, int) {}
 
 type result struct {
--- a/poison/subject.go
+++ b/poison/subject.go
@@ -10,6 +10,16 @@
 // ones are, which more requests share.
 const MaxParts = 64
 
+// An upstream that crashes when it begins to answer may still send the first piece of
+// its answer: an event of a stream or a piece of text.
+const (
+	// SuspectOutputs is the largest number of pieces at which the parts of a prompt may
+	// have caused a crash.
+	SuspectOutputs = 1
+	// SoundOutputs is the number of pieces from which the parts count as sound.
+	SoundOutputs = 3
+)
+
 // Subject is what may make a request crash upstreams: the request as a whole, and the
 // parts of its prompt that other requests share.
 type Subject struct {
@@ -63,3 +73,12 @@
 	}
 	return ""
 }
+
+// PartsOf returns a subject of parts without names.
+func PartsOf(requestID string, fingerprints []uint64) *Subject {
+	s := &Subject{RequestID: requestID}
+	for _, fp := range fingerprints {
+		s.Parts = append(s.Parts, Part{Fingerprint: fp})
+	}
+	return s
+}
--- a/upstream/prompt.go
+++ b/upstream/prompt.go
@@ -15,6 +15,9 @@
 // a system message.
 const prefixWords = 128
 
+// maxParts limits the parts of a prompt.
+const maxParts = 64
+
 // ErrBadBody means that the body is not a valid completion request.
 var ErrBadBody = errors.New("body is not a completion request")
 
@@ -27,6 +30,9 @@
 	MaxTokens    int    // upper bound of the output
 	Prefix       uint64 // hash of the cacheable prefix; 0 for none
 	PrefixTokens int
+	// Parts are hashes of the parts that other prompts may share, in order: the messages
+	// but the last, or without messages the cacheable prefix.
+	Parts        []uint64
 	Stream       bool
 	IncludeUsage bool // stream_options.include_usage
 	Resume       Resume
@@ -93,6 +99,9 @@
 	}
 	p.Tokens = countWords(p.Text)
 	p.setPrefix(in.PromptCacheKey, system)
+	if len(in.Messages) == 0 && p.Prefix != 0 && p.PrefixTokens < p.Tokens {
+		p.Parts = []uint64{p.Prefix}
+	}
 	return p, nil
 }
 
@@ -105,12 +114,15 @@
 	}
 	var joined strings.Builder
 	leading := true
-	for _, m := range in.Messages {
+	for i, m := range in.Messages {
 		text, err := decodeText(m.Content)
 		if err != nil {
 			return "", err
 		}
 		joined.WriteString(m.Role + ": " + text + "\n")
+		if i < len(in.Messages)-1 && len(p.Parts) < maxParts {
+			p.Parts = append(p.Parts, xxhash.Sum64String(m.Role+"\x00"+text))
+		}
 		leading = leading && m.Role == "system"
 		if leading {
 			system = joined.String()
--- a/upstream/prompt_test.go
+++ b/upstream/prompt_test.go
@@ -56,3 +56,32 @@
 		}
 	})
 }
+
+// Guards against blaming what is a request's own, and against requests that share a
+// part but not its hash.
+func TestPromptParts(t *testing.T) {
+	parts := func(body string) []uint64 {
+		t.Helper()
+		p, err := ParsePrompt([]byte(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return p.Parts
+	}
+	a := parts(`{"messages":[{"role":"system","content":"s"},{"role":"user","content":"q1"},{"role":"user","content":"own"}]}`)
+	b := parts(`{"messages":[{"role":"system","content":"s"},{"role":"user","content":"other"}]}`)
+	if len(a) != 2 || len(b) != 1 || a[0] != b[0] || a[0] == a[1] {
+		t.Errorf("parts %v and %v", a, b)
+	}
+	if own := parts(`{"messages":[{"role":"user","content":"own"}]}`); len(own) != 0 {
+		t.Errorf("a prompt of one message has the parts %v", own)
+	}
+	long := strings.Repeat("word ", 200)
+	if p, q := parts(`{"prompt":"`+long+`a"}`), parts(`{"prompt":"`+long+`b"}`); len(p) != 1 || len(q) != 1 || p[0] != q[0] {
+		t.Errorf("parts of long prompts %v and %v", p, q)
+	}
+	many := strings.Repeat(`{"role":"user","content":"q"},`, 500)
+	if p := parts(`{"messages":[` + many + `{"role":"user","content":"own"}]}`); len(p) != maxParts {
+		t.Errorf("%d parts of a long chat", len(p))
+	}
+}
