Let tests seed the placement decisions of a dispatcher

TestLowFailureRateDoesNotEject has fixed seeds and virtual time, yet its counts differ from run to run. What it took from outside: placement drew from the process-wide random source, and goroutines that are due at one moment run in any order. The first is now a field of the configuration, seeded in the test.

--- a/dispatch/contention.go
+++ b/dispatch/contention.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/magnoliausher/magnoliausher/placement"
@@ -136,7 +135,7 @@
 		q.quotaTime = now
 		list := d.snapshot(d.cfg.Holder.View().Usable(service), true, now)
 		waiting := max(len(q.waiters), 1)
-		q.startQuota = placement.OnlineStartQuota(list, waiting, waiting+atPeers, rand.Float64())
+		q.startQuota = placement.OnlineStartQuota(list, waiting, waiting+atPeers, d.cfg.Random.Float64())
 	}
 	return q.startQuota > 0
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -76,6 +76,9 @@
 	DataCentre string
 	Holder     *fleet.Holder
 	Log        zerolog.Logger
+	// Random is the source of placement decisions. If it is nil, one with a random
+	// seed is used.
+	Random *rand.Rand
 }
 
 // Dispatcher grants slots of upstreams. It is safe for concurrent use.
@@ -103,6 +106,9 @@
 
 // New returns a dispatcher.
 func New(cfg Config) *Dispatcher {
+	if cfg.Random == nil {
+		cfg.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
 	return &Dispatcher{
 		cfg:          cfg,
 		onChange:     func(bool) {},
@@ -146,7 +152,7 @@
 		all += g.Backlog
 	}
 	list := d.snapshot(d.cfg.Holder.View().Usable(service), true, time.Now())
-	return placement.BatchStartQuota(list, waiting, all, rand.Float64())
+	return placement.BatchStartQuota(list, waiting, all, d.cfg.Random.Float64())
 }
 
 // TryAcquireBatch returns a grant for a batch item, or nil if no slot is free.
@@ -154,7 +160,7 @@
 	d.mu.Lock()
 	now := time.Now()
 	usable := d.cfg.Holder.View().Usable(service)
-	i := placement.PickBatch(d.snapshot(usable, true, now), rand.IntN)
+	i := placement.PickBatch(d.snapshot(usable, true, now), d.cfg.Random.IntN)
 	if i < 0 {
 		d.mu.Unlock()
 		return nil
--- a/dispatch/evidence_test.go
+++ b/dispatch/evidence_test.go
@@ -36,7 +36,8 @@
 		h := holder(records...)
 		gateways := make([]*Dispatcher, b.gateways)
 		for i := range gateways {
-			gateways[i] = New(Config{Self: fmt.Sprint("g", i), DataCentre: fmt.Sprint("z", i%2), Holder: h})
+			gateways[i] = New(Config{Self: fmt.Sprint("g", i), DataCentre: fmt.Sprint("z", i%2), Holder: h,
+				Random: rand.New(rand.NewPCG(seed, uint64(i+2)))})
 		}
 		start := time.Now()
 		end := start.Add(b.duration)
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 
 	"time"
@@ -232,7 +231,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	wait := d.estimateWait(d.queue(service), service)
-	return wait/2 + rand.N(wait+retryJitter)
+	return wait/2 + time.Duration(d.cfg.Random.Int64N(int64(wait+retryJitter)))
 }
 
 // serve grants slots to waiters in order as long as slots are free.
@@ -278,7 +277,7 @@
 	for i := range list {
 		list[i].Degraded = list[i].Degraded || r.Avoid[list[i].ID]
 	}
-	i := placement.PickOnline(list, d.contention(d.queue(r.Service), now), rand.IntN)
+	i := placement.PickOnline(list, d.contention(d.queue(r.Service), now), d.cfg.Random.IntN)
 	if i < 0 {
 		return nil
 	}
