Soak with prompts that crash engines, engines that leave, and more processes

Seeds from 700 on: a part of prompts crashes engines while the other faults go on, engines say that they leave and are replaced, and callers keep using open connections to a gateway until its process is gone, also in the seeds with planned operations only. Odd seeds reach engines without a relay, since a relay accepts connections for an engine that is down. -soak.gateways sets the number of processes.

--- a/e2e/soak/callers_test.go
+++ b/e2e/soak/callers_test.go
@@ -23,6 +23,7 @@
 	body      string
 	err       error // of the connection or a truncated response
 	faultFree bool  // sent while no fault was active, and not cancelled by its caller
+	deadly    bool  // its prompt has the part that crashes engines
 }
 
 // job is a batch job with the results of its submissions.
@@ -56,8 +57,8 @@
 	}
 }
 
-// call sends requests over keep-alive connections. In seeds with planned operations
-// only it avoids gateways that are not ready, like a load balancer.
+// call sends requests over keep-alive connections. Earlier seeds with planned operations
+// only avoid gateways that are not ready, like a load balancer.
 func (d *deployment) call(caller int) {
 	random := rand.New(rand.NewPCG(d.seed, uint64(100+caller)))
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
@@ -65,14 +66,15 @@
 	for n := 0; d.running(); n++ {
 		kind := []string{"once", "once", "resume", "call"}[random.IntN(4)]
 		g := d.gateways[random.IntN(len(d.gateways))]
-		if d.plannedOnly && !g.ready() {
+		if d.plannedOnly && d.seed < firstDeadlyPartSeed && !g.ready() {
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
 		r := &request{id: fmt.Sprintf("%s-%d-%d", kind, caller, n), kind: kind, gateway: g.name}
+		r.deadly = d.seed >= firstDeadlyPartSeed && random.IntN(4) == 0 && d.deadlyPrompts.Load() > 0
 		faultFree, cancelsEarly := d.faultFree.Load(), random.IntN(10) == 0
 		r.send(client, g, cancelsEarly)
-		r.faultFree = faultFree && !cancelsEarly
+		r.faultFree = faultFree && !cancelsEarly && !r.deadly
 		d.mu.Lock()
 		d.sent = append(d.sent, r)
 		d.mu.Unlock()
@@ -97,6 +99,11 @@
 		return
 	}
 	platformtest.PrepareRequest(httpRequest, r.id, "h", 4000)
+	parts := []string{sharedPart, "own" + r.id}
+	if r.deadly {
+		parts = []string{sharedPart, deadlyPart, "own" + r.id}
+	}
+	platformtest.SetPromptParts(httpRequest, parts...)
 	response, err := client.Do(httpRequest)
 	if err != nil {
 		r.err = err
--- a/e2e/soak/soak_test.go
+++ b/e2e/soak/soak_test.go
@@ -6,6 +6,7 @@
 //
 //	go test ./e2e/soak                                  the short run in CI
 //	go test ./e2e/soak -soak.first 100 -soak.seeds 50   fifty seeds, run manually
+//	go test ./e2e/soak -soak.gateways 16 -soak.seeds 4  many processes
 //	go test ./e2e/soak -soak.previous /path/to/program  mixed with an earlier build
 package soak
 
@@ -24,9 +25,10 @@
 )
 
 var (
-	firstSeed     = flag.Uint64("soak.first", firstTwoDataCentreSeed, "first seed")
-	seedCount     = flag.Uint64("soak.seeds", 3, "number of seeds")
+	firstSeed     = flag.Uint64("soak.first", firstDeadlyPartSeed, "first seed")
+	seedCount     = flag.Uint64("soak.seeds", 4, "number of seeds")
 	parallel      = flag.Int("soak.parallel", 3, "maximum number of seeds run in parallel")
+	gateways      = flag.Int("soak.gateways", 0, "number of gateways; 0 for that of the seed")
 	logs          = flag.String("soak.logs", "", "directory for the logs of the gateways")
 	previousBuild = flag.String("soak.previous", "", "path of an earlier build, which runs about half of the gateways")
 )
@@ -40,6 +42,18 @@
 // centres. Their gateways exchange reports through collectors.
 const firstTwoDataCentreSeed = 600
 
+// firstDeadlyPartSeed is the first seed in which a part of prompts crashes engines,
+// engines say that they leave, and callers use open connections until the process is
+// gone.
+const firstDeadlyPartSeed = 700
+
+// deadlyPart and sharedPart are parts of prompts: the one that crashes engines, and one
+// that all prompts share.
+const (
+	deadlyPart = "dead"
+	sharedPart = "aa"
+)
+
 // regressions maps seeds that failed in the past to the cause of the failure. Every
 // run includes them.
 var regressions = map[uint64]string{
@@ -96,6 +110,10 @@
 func runSeed(t *testing.T, seed uint64) {
 	d := newDeployment(t, seed, seed%4 == 0)
 	d.startCallers()
+	if seed >= firstDeadlyPartSeed && !d.plannedOnly {
+		d.logEvent("prompts crash engines for %v", faultTime)
+		d.applyFor(faultTime, func() { d.deadlyPrompts.Add(1) }, func() { d.deadlyPrompts.Add(-1) })
+	}
 	end := time.Now().Add(faultTime)
 	for time.Now().Before(end) {
 		d.injectFault()
@@ -167,6 +185,15 @@
 			d.applyFor(duration, func() { d.store.SetUnresponsive(true) }, func() { d.store.SetUnresponsive(false) })
 		})
 	}
+	if d.seed >= firstDeadlyPartSeed {
+		unplanned = append(unplanned, func() {
+			d.logEvent("prompts crash engines for %v", duration)
+			d.applyFor(duration, func() { d.deadlyPrompts.Add(1) }, func() { d.deadlyPrompts.Add(-1) })
+		}, func() {
+			d.logEvent("engine %d says that it leaves and is replaced after %v", e, duration)
+			d.applyFor(duration, d.engines[e].SetLeaving, d.engines[e].Crash)
+		})
+	}
 	if d.plannedOnly || d.random.IntN(4) == 0 {
 		planned[d.random.IntN(len(planned))]()
 		return
--- a/e2e/soak/world_test.go
+++ b/e2e/soak/world_test.go
@@ -36,6 +36,8 @@
 	stop        chan struct{}
 	faultFree   atomic.Bool // no fault is active and all gateways serve
 
+	deadlyPrompts atomic.Int32 // faults in progress during which some prompts crash engines
+
 	mu     sync.Mutex
 	events []string
 	sent   []*request
@@ -63,15 +65,22 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(relay.Close)
+		if seed >= firstDeadlyPartSeed {
+			e.DeadlyPart, e.RestartDelay, e.Store = deadlyPart, 700*time.Millisecond, d.store
+		}
 		d.engines, d.relays = append(d.engines, e), append(d.relays, relay)
+		e.Advertised = d.engineAddress(i)
 		d.registerEngine(i, "ready")
 	}
 	d.reconfigure()
-	gateways := gatewayCount
+	count := gatewayCount
 	if seed >= firstTwoDataCentreSeed {
-		gateways++
+		count++
+	}
+	if *gateways > 0 {
+		count = *gateways
 	}
-	for i := range gateways {
+	for i := range count {
 		d.startGateway(i)
 	}
 	for _, g := range d.gateways {
@@ -86,9 +95,19 @@
 	d.events = append(d.events, fmt.Sprintf("%6.2f ", time.Since(d.started).Seconds())+fmt.Sprintf(format, args...))
 }
 
-// registerEngine writes the store's row of an engine, with the address of its relay.
+// engineAddress returns the address that gateways connect to: of the engine's relay, or
+// of the engine in odd seeds with deadly prompts, since a relay accepts connections for
+// an engine that has crashed.
+func (d *deployment) engineAddress(i int) string {
+	if d.seed >= firstDeadlyPartSeed && d.seed%2 == 1 {
+		return d.engines[i].Address()
+	}
+	return d.relays[i].Address()
+}
+
+// registerEngine writes the store's row of an engine.
 func (d *deployment) registerEngine(i int, state string) {
-	d.engines[i].Register(d.store, state, d.relays[i].Address())
+	d.engines[i].Register(d.store, state, d.engineAddress(i))
 }
 
 func (d *deployment) reconfigure() {
