Count a crash once although the clocks of gateways differ

A crash id held the second at which a gateway noticed the crash. Gateways whose clocks differ, or that saw one crash on both sides of a second, counted it two or three times, enough to block a sound part after one crash. An incarnation crashes once, so its start identifies the crash; the time stands in only where an entry reports no start.

TestCrashIsCountedOnceByAllGateways: blocked after one crash before.

--- a/daemon/crashes.go
+++ b/daemon/crashes.go
@@ -175,9 +175,12 @@
 
 func formatHash(hash uint64) string { return strconv.FormatUint(hash, 16) }
 
-// crashID returns an id by which the answers broken by one crash are counted once. It
-// covers the upstream's incarnation and the time in seconds, since the connections of
-// a crashed upstream break one after the other.
+// crashID returns an id by which the answers that one crash breaks at all gateways are
+// counted once. An incarnation crashes once; the clocks of gateways differ, so the time
+// in seconds only stands in for a start that is not reported.
 func crashID(u *fleet.Upstream, now time.Time) uint64 {
-	return xxhash.Sum64String(u.ID) ^ uint64(u.Started) ^ uint64(now.Unix())<<20
+	if u.Started > 0 {
+		return xxhash.Sum64String(u.ID) ^ uint64(u.Started)
+	}
+	return xxhash.Sum64String(u.ID) ^ uint64(now.Unix())<<20
 }
--- a/daemon/deadlypart_test.go
+++ b/daemon/deadlypart_test.go
@@ -10,6 +10,9 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"github.com/magnoliausher/magnoliausher/fleet"
 	"github.com/magnoliausher/magnoliausher/platform/platformtest"
 	"github.com/magnoliausher/magnoliausher/poison"
 )
@@ -173,3 +176,17 @@
 		t.Errorf("status %d, ran %d times", r.status, d.runsOf(r.id))
 	}
 }
+
+// Guards against one crash that counts several times because gateways whose clocks
+// differ see it.
+func TestCrashIsCountedOnceByAllGateways(t *testing.T) {
+	table, now := poison.NewTable(poison.Config{BlockAfter: crashesToBlock}), time.Now()
+	u := &fleet.Upstream{ID: "e", Started: 1700000000000}
+	for skew := range 2 * crashesToBlock {
+		c := newCrashTracker(table, nil, nil, zerolog.Nop())
+		c.recordCrash(u, []brokenAnswer{{subject: &poison.Subject{Parts: []poison.Part{poison.NewPart(deadlyPart)}}}}, now.Add(time.Duration(skew)*time.Second))
+	}
+	if got := table.Status(poison.NewPart(deadlyPart).Fingerprint, now); got != poison.Suspect {
+		t.Errorf("after one crash: %v", got)
+	}
+}
