Report requests that hardly caused a crash only from their second crash on

Since single crashes are reported, each crash sent up to eight requests of each gateway whose answers were well under way, besides the one or two that may have caused it. At many gateways they would have taken the place of parts in the reports. Requests whose answer had hardly begun, and parts, are still reported from the first crash on, so that requests that crash engines at different gateways add up as well.

Also, suspects that could not be read from the store are read again after 2 s at most instead of 10.

TestLateCrashesAreReportedFromTheSecondOn.

--- a/daemon/crashes.go
+++ b/daemon/crashes.go
@@ -122,31 +122,25 @@
 
 func (c *crashTracker) recordCrash(u *fleet.Upstream, broken []brokenAnswer, now time.Time) {
 	id := crashID(u, now)
-	blamed := c.table.RecordCrash(id, suspectFingerprints(broken), now)
+	likely, unlikely := suspectFingerprints(broken)
+	blamed := c.table.RecordCrash(id, likely, now)
+	c.table.RecordLateCrash(id, unlikely, now)
 	c.logCrash(u, id, broken, blamed, now)
 }
 
-// suspectFingerprints returns what may have caused a crash: any request that was
-// running, and the parts of those whose answer had hardly begun.
-func suspectFingerprints(broken []brokenAnswer) []uint64 {
-	seen := make(map[uint64]bool)
-	var list []uint64
-	add := func(fingerprint uint64) {
-		if fingerprint != 0 && !seen[fingerprint] {
-			seen[fingerprint] = true
-			list = append(list, fingerprint)
-		}
-	}
+// suspectFingerprints returns what may have caused a crash: the requests whose answers
+// had hardly begun and their parts, and, less likely, the other requests.
+func suspectFingerprints(broken []brokenAnswer) (likely, unlikely []uint64) {
 	for _, b := range broken {
-		add(b.subject.Request)
-		if b.events > poison.SuspectOutputs {
-			continue
-		}
-		for _, p := range b.subject.Parts {
-			add(p.Fingerprint)
+		switch {
+		case b.events <= poison.SuspectOutputs:
+			likely = append(likely, b.subject.Fingerprints()...)
+		case b.subject.Request != 0:
+			unlikely = append(unlikely, b.subject.Request)
 		}
 	}
-	return list
+	slices.Sort(likely)
+	return slices.Compact(likely), unlikely
 }
 
 // logCrash writes one line for a crash with all requests of this gateway that it broke,
--- a/poison/keeper.go
+++ b/poison/keeper.go
@@ -28,7 +28,7 @@
 )
 
 // saveBackoff is the delay after a failed load or write.
-var saveBackoff = storage.Backoff{Base: 100 * time.Millisecond, Max: 10 * time.Second}
+var saveBackoff = storage.Backoff{Base: 100 * time.Millisecond, Max: 2 * time.Second}
 
 // Persister stores suspects in the platform's table, so that they survive the loss
 // of all processes at once. A row records that a request was in progress at one
--- a/poison/outbox.go
+++ b/poison/outbox.go
@@ -45,7 +45,7 @@
 	for fp, r := range t.records {
 		changed := r.own
 		if relay {
-			changed = r.sequence
+			changed = max(r.own, r.heard)
 		}
 		if changed > o.sequence && len(o.pending) < maxOutboxRecords {
 			o.pending[fp] = changeRepeats
--- a/poison/outbox_test.go
+++ b/poison/outbox_test.go
@@ -180,3 +180,18 @@
 		t.Errorf("%d changes pending, want at most %d", len(o.pending), maxOutboxRecords)
 	}
 }
+
+// Guards against reports filled with requests that hardly caused a crash, and against
+// never reporting one that was running at two.
+func TestLateCrashesAreReportedFromTheSecondOn(t *testing.T) {
+	table := NewTable(Config{BlockAfter: 3})
+	o := NewOutbox(table)
+	table.RecordLateCrash(1, []uint64{fp}, start)
+	if list := o.Next(true, start); len(list) != 0 {
+		t.Errorf("after one crash: %v", list)
+	}
+	table.RecordLateCrash(2, []uint64{fp}, start)
+	if list := o.Next(false, start); len(list) != 1 {
+		t.Errorf("after two crashes: %v", list)
+	}
+}
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -100,11 +100,14 @@
 
 // Kinds of Evidence.
 const (
-	EvidenceCrash   EvidenceKind = "crash"          // at this process
-	EvidenceAnswer  EvidenceKind = "answer"         // at this process
-	EvidenceEarlier EvidenceKind = "earlier_answer" // at this process, not long ago
-	EvidencePeer    EvidenceKind = "peer"
-	EvidenceExpired EvidenceKind = "expired"
+	EvidenceCrash EvidenceKind = "crash" // at this process
+	// EvidenceLateCrash is a crash at this process well after the answer had begun. Peers
+	// learn of it only together with a second crash.
+	EvidenceLateCrash EvidenceKind = "late_crash"
+	EvidenceAnswer    EvidenceKind = "answer"         // at this process
+	EvidenceEarlier   EvidenceKind = "earlier_answer" // at this process, not long ago
+	EvidencePeer      EvidenceKind = "peer"
+	EvidenceExpired   EvidenceKind = "expired"
 )
 
 // record is the state of a fingerprint. Of two records that are merged, the one of the
@@ -115,7 +118,7 @@
 	crashIDs   []uint64 // sorted, at most maxCrashIDs
 	expires    time.Time
 	sequence   uint64    // sequence number of the last change, for ExportSince
-	own        uint64    // sequence number of the last change by this process rather than a peer
+	own, heard uint64    // sequence numbers of the last changes for peers by this process, and by a peer
 	crashedAt  time.Time // when this process learned of the last crash
 	trialAt    time.Time // start of this process's last trial since then; zero for none
 }
@@ -180,6 +183,15 @@
 // RecordCrash records that the fingerprints were in progress at a crash, except for
 // parts that are known to be sound. It returns the fingerprints that were recorded.
 func (t *Table) RecordCrash(crashID uint64, fingerprints []uint64, now time.Time) []uint64 {
+	return t.recordCrash(crashID, fingerprints, Evidence{Kind: EvidenceCrash}, now)
+}
+
+// RecordLateCrash is RecordCrash for requests whose answers were well under way.
+func (t *Table) RecordLateCrash(crashID uint64, fingerprints []uint64, now time.Time) {
+	t.recordCrash(crashID, fingerprints, Evidence{Kind: EvidenceLateCrash}, now)
+}
+
+func (t *Table) recordCrash(crashID uint64, fingerprints []uint64, evidence Evidence, now time.Time) []uint64 {
 	t.mu.Lock()
 	defer t.unlock()
 	changed := false
@@ -193,7 +205,7 @@
 		if r := t.live(fp, now); r != nil {
 			generation = r.generation
 		}
-		if t.mergeRecord(fp, record{generation: generation, crashIDs: []uint64{crashID}, expires: now.Add(t.cfg.TTL)}, Evidence{Kind: EvidenceCrash}, now) {
+		if t.mergeRecord(fp, record{generation: generation, crashIDs: []uint64{crashID}, expires: now.Add(t.cfg.TTL)}, evidence, now) {
 			changed = true
 		}
 	}
@@ -295,7 +307,10 @@
 	if changed {
 		t.sequence++
 		r.sequence = t.sequence
-		if evidence.Kind != EvidencePeer {
+		switch {
+		case evidence.Kind == EvidencePeer:
+			r.heard = t.sequence
+		case evidence.Kind != EvidenceLateCrash || len(union) > 1:
 			r.own = t.sequence
 		}
 	}
