Try a part soon whose crashes another blocked part may explain

Sound requests that share a cold part with deadly ones were rejected until a trial: if none of them had been answered lately, three crashes block both parts, and nothing tells which is to blame.

A part that another blocked one was in progress with at all of its crashes is now tried after 1 s instead of 5: if it is sound the trial costs nothing, and a request with both parts is no trial. TestExplainedPartIsTriedSoon.

--- a/poison/admission.go
+++ b/poison/admission.go
@@ -1,6 +1,9 @@
 package poison
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // minRetryAfter is the least time after which a rejected request may come again.
 const minRetryAfter = time.Second
@@ -50,7 +53,7 @@
 			continue
 		}
 		if n == 0 {
-			cause, due = fp, t.trialDue(r, 0)
+			cause, due = fp, t.trialDue(fp, r, 0, now)
 		}
 		n++
 	}
@@ -59,20 +62,39 @@
 
 // trialDue returns when a process of the given rank may start the next trial of a
 // blocked record.
-func (t *Table) trialDue(r *record, rank int) time.Time {
-	due := r.crashedAt.Add(trialDelay(len(r.crashIDs)-t.cfg.BlockAfter) + rankDelay(rank))
+func (t *Table) trialDue(fp uint64, r *record, rank int, now time.Time) time.Time {
+	delay := trialDelay(len(r.crashIDs) - t.cfg.BlockAfter)
+	if t.isExplained(fp, r, now) {
+		delay = min(delay, explainedTrialDelay)
+	}
+	due := r.crashedAt.Add(delay + rankDelay(rank))
 	if next := r.trialAt.Add(trialTimeout); !r.trialAt.IsZero() && next.After(due) {
 		return next
 	}
 	return due
 }
 
+// isExplained reports whether another blocked fingerprint was in progress at all crashes
+// of a blocked record.
+func (t *Table) isExplained(fp uint64, r *record, now time.Time) bool {
+	for otherFP, other := range t.records {
+		if otherFP == fp || len(other.crashIDs) < len(r.crashIDs) || !other.expires.After(now) {
+			continue
+		}
+		missing := func(id uint64) bool { return !slices.Contains(other.crashIDs, id) }
+		if !slices.ContainsFunc(r.crashIDs, missing) {
+			return true
+		}
+	}
+	return false
+}
+
 // startTrial reports whether this process starts a trial now.
 func (t *Table) startTrial(fp uint64, rank int, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.live(fp, now)
-	if r == nil || len(r.crashIDs) < t.cfg.BlockAfter || now.Before(t.trialDue(r, rank)) {
+	if r == nil || len(r.crashIDs) < t.cfg.BlockAfter || now.Before(t.trialDue(fp, r, rank, now)) {
 		return false
 	}
 	r.trialAt = now
--- a/poison/trial.go
+++ b/poison/trial.go
@@ -22,6 +22,9 @@
 	firstTrialDelay  = 5 * time.Second
 	trialDelayFactor = 3
 	maxTrialDelay    = 5 * time.Minute
+	// explainedTrialDelay replaces firstTrialDelay for a fingerprint whose crashes another
+	// blocked one was in progress at as well, which may be their only cause.
+	explainedTrialDelay = time.Second
 	// trialStagger is the time that the processes of a lower rank wait for the result
 	// of the trial of a higher one. It covers the start of an answer, the check for a
 	// crash and the exchange of its result.
--- a/poison/trial_test.go
+++ b/poison/trial_test.go
@@ -91,3 +91,28 @@
 		t.Errorf("%d processes of rank 0; the last may start %v after the first", firsts, first)
 	}
 }
+
+// Guards against sound requests that wait for long because a part of theirs was in
+// progress at the crashes of a deadly one, before any of them was answered.
+func TestExplainedPartIsTriedSoon(t *testing.T) {
+	const sound, deadly = uint64(1), uint64(2)
+	table := NewTable(Config{BlockAfter: 3})
+	for id := range uint64(3) {
+		table.RecordCrash(id+1, []uint64{sound, deadly}, start)
+	}
+	now := start.Add(explainedTrialDelay)
+	if a := table.Admit([]uint64{sound, deadly}, rankZero, now); !a.Blocked {
+		t.Fatalf("both parts: %+v", a)
+	}
+	if a := table.Admit([]uint64{sound}, rankZero, now); !a.Trial {
+		t.Fatalf("the sound part alone: %+v", a)
+	}
+	table.RecordSound(&Subject{Parts: []Part{{Fingerprint: sound}}}, now)
+	if a := table.Admit([]uint64{sound, deadly}, rankZero, now); !a.Blocked || a.Cause != deadly {
+		t.Errorf("after the answer: %+v", a)
+	}
+	table.RecordCrash(9, []uint64{deadly}, now)
+	if a := table.Admit([]uint64{deadly}, rankZero, now.Add(firstTrialDelay)); !a.Blocked {
+		t.Errorf("the deadly part, whose crashes nothing else explains: %+v", a)
+	}
+}
