Blame a part of prompts for each service apart

What callers would have seen: a part that crashes the engines of one service was released at all gateways as soon as another service answered a request with it, and went on crashing engines. A route whose traffic is split over a service of engines and a plain one does that on its own.

Cause: a part was one thing for all services, though only the upstreams of one may crash on it. The service is now part of its fingerprint, in both ways.

The failure that the soak reported had a cause of its own: a request with the deadly part that was sent before the end of the faults crashed an engine in the time in which every request must be served. The trace (resume-4-36 and once-5-39 at engine e0) shows that this is allowed, so the harness now waits for these requests and the engines' restart.

--- a/daemon/deadlypart_test.go
+++ b/daemon/deadlypart_test.go
@@ -36,8 +36,12 @@
 }
 
 func (g *runningGateway) sendPrompt(parts ...string) promptResult {
+	return g.sendPromptTo("/ask/x", parts...)
+}
+
+func (g *runningGateway) sendPromptTo(path string, parts ...string) promptResult {
 	r := promptResult{id: nextID(), sentAt: time.Now()}
-	request, err := http.NewRequest(http.MethodPost, "http://"+g.settings.Instance.Listen+"/ask/x", strings.NewReader("prompt of "+r.id))
+	request, err := http.NewRequest(http.MethodPost, "http://"+g.settings.Instance.Listen+path, strings.NewReader("prompt of "+r.id))
 	if err != nil {
 		return r
 	}
@@ -151,7 +155,7 @@
 // Guards against a block that is lost when all gateways restart at once.
 func TestBlockSurvivesRestartOfAllGateways(t *testing.T) {
 	d := newDeployment(t, 2)
-	part := poison.NewPart(deadlyPart)
+	part := poison.NewPart("llm", deadlyPart)
 	for id := range uint64(crashesToBlock) {
 		d.gateways[id%2].suspects.RecordCrash(id+1, []uint64{part.Fingerprint}, time.Now())
 	}
@@ -184,9 +188,26 @@
 	u := &fleet.Upstream{ID: "e", Started: 1700000000000}
 	for skew := range 2 * crashesToBlock {
 		c := newCrashTracker(table, nil, nil, zerolog.Nop())
-		c.recordCrash(u, []brokenAnswer{{subject: &poison.Subject{Parts: []poison.Part{poison.NewPart(deadlyPart)}}}}, now.Add(time.Duration(skew)*time.Second))
+		c.recordCrash(u, []brokenAnswer{{subject: &poison.Subject{Parts: []poison.Part{poison.NewPart("llm", deadlyPart)}}}}, now.Add(time.Duration(skew)*time.Second))
 	}
-	if got := table.Status(poison.NewPart(deadlyPart).Fingerprint, now); got != poison.Suspect {
+	if got := table.Status(poison.NewPart("llm", deadlyPart).Fingerprint, now); got != poison.Suspect {
 		t.Errorf("after one crash: %v", got)
 	}
 }
+
+// Guards against a block that ends because another service, which the part doesn't
+// crash, answers a request with it.
+func TestAnswerOfAnotherServiceDoesNotReleaseAPart(t *testing.T) {
+	d := newDeployment(t, 1)
+	g := d.gateways[0]
+	part := poison.NewPart("llm", deadlyPart)
+	for id := range uint64(crashesToBlock) {
+		g.suspects.RecordCrash(id+1, []uint64{part.Fingerprint}, time.Now())
+	}
+	if r := g.sendPromptTo("/status/x", "f1", deadlyPart); r.status != http.StatusOK {
+		t.Errorf("at the other service: status %d", r.status)
+	}
+	if got := g.suspects.Status(part.Fingerprint, time.Now()); got != poison.Blocked {
+		t.Errorf("after the answer: %v", got)
+	}
+}
--- a/e2e/soak/callers_test.go
+++ b/e2e/soak/callers_test.go
@@ -73,7 +73,13 @@
 		r := &request{id: fmt.Sprintf("%s-%d-%d", kind, caller, n), kind: kind, gateway: g.name}
 		r.deadly = d.seed >= firstDeadlyPartSeed && random.IntN(4) == 0 && d.deadlyPrompts.Load() > 0
 		faultFree, cancelsEarly := d.faultFree.Load(), random.IntN(10) == 0
+		if r.deadly {
+			d.deadlyInProgress.Add(1)
+		}
 		r.send(client, g, cancelsEarly)
+		if r.deadly {
+			d.deadlyInProgress.Add(-1)
+		}
 		r.faultFree = faultFree && !cancelsEarly && !r.deadly
 		d.mu.Lock()
 		d.sent = append(d.sent, r)
--- a/e2e/soak/soak_test.go
+++ b/e2e/soak/soak_test.go
@@ -76,6 +76,7 @@
 	gatewayCount = 3 // 4 from firstTwoDataCentreSeed on, two per data centre
 	engineCount  = 4
 	faultTime    = 7 * time.Second
+	restartDelay = 700 * time.Millisecond // of an engine that crashed
 	// recoveryTime is the maximum time from the end of the faults to full service.
 	recoveryTime = 12 * time.Second
 	// faultFreeTime is the time without faults after the recovery, in which every
--- a/e2e/soak/world_test.go
+++ b/e2e/soak/world_test.go
@@ -36,7 +36,8 @@
 	stop        chan struct{}
 	faultFree   atomic.Bool // no fault is active and all gateways serve
 
-	deadlyPrompts atomic.Int32 // faults in progress during which some prompts crash engines
+	deadlyPrompts    atomic.Int32 // faults in progress during which some prompts crash engines
+	deadlyInProgress atomic.Int32 // such prompts that callers wait for
 
 	mu     sync.Mutex
 	events []string
@@ -66,7 +67,7 @@
 		}
 		t.Cleanup(relay.Close)
 		if seed >= firstDeadlyPartSeed {
-			e.DeadlyPart, e.RestartDelay, e.Store = deadlyPart, 700*time.Millisecond, d.store
+			e.DeadlyPart, e.RestartDelay, e.Store = deadlyPart, restartDelay, d.store
 		}
 		d.engines, d.relays = append(d.engines, e), append(d.relays, relay)
 		e.Advertised = d.engineAddress(i)
@@ -141,6 +142,8 @@
 // awaitFaultsEnd waits until all faults have ended.
 func (d *deployment) awaitFaultsEnd() {
 	d.pending.Wait()
+	d.await("end of the prompts that crash engines", recoveryTime, func() bool { return d.deadlyInProgress.Load() == 0 })
+	time.Sleep(restartDelay + 300*time.Millisecond) // and the registration of the engines that they crashed
 	d.store.LoseResponses(0)
 	d.store.DropCommits(0)
 	d.logEvent("all faults ended")
--- a/entry/respond.go
+++ b/entry/respond.go
@@ -5,12 +5,14 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/magnoliausher/magnoliausher/apierror"
 	"github.com/magnoliausher/magnoliausher/attempt"
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/metric"
+	"github.com/magnoliausher/magnoliausher/poison"
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
 )
 
@@ -93,7 +95,10 @@
 	rq.promptTokens = uint32(len(body)/bytesPerToken) + 1
 	if e.config.ParsePrompt != nil {
 		prefix, tokens, parts := e.config.ParsePrompt(body)
-		rq.prefix, rq.parts = prefix, parts
+		rq.prefix = prefix
+		for _, hash := range parts {
+			rq.parts = append(rq.parts, poison.NewPart(rq.service.Name, strconv.FormatUint(hash, 16)).Fingerprint)
+		}
 		rq.promptTokens = uint32(max(tokens, 0))
 	}
 	rq.outputTokens = g.outputTokens()
--- a/poison/subject.go
+++ b/poison/subject.go
@@ -28,16 +28,17 @@
 	Parts     []Part
 }
 
-// Part is a part of a prompt that requests may share.
+// Part is a part of a prompt that requests to one service may share. The upstreams of
+// another service may answer what crashes those of this one.
 type Part struct {
 	Name        string // for logs
 	Fingerprint uint64
 }
 
-// NewPart returns the part with the given name. Its fingerprint differs from that of a
-// request whose hash was computed over the same bytes.
-func NewPart(name string) Part {
-	return Part{Name: name, Fingerprint: xxhash.Sum64String("part\x00" + name)}
+// NewPart returns the part of prompts for a service with the given name. Its fingerprint
+// differs from that of a request whose hash was computed over the same bytes.
+func NewPart(service, name string) Part {
+	return Part{Name: name, Fingerprint: xxhash.Sum64String("part\x00" + service + "\x00" + name)}
 }
 
 // PartNames returns the names of the parts, joined by commas.
