Keep trials rare for a part with more crashes than a record holds

A record holds eight crash ids. With more, a new crash no longer moved the time from which the next trial counts, so that from five minutes on each gateway could have sent a request with a deadly part every 10 s. Such a crash still extends the record's expiry, at peers too; a later expiry now counts as a new crash. Found by reading. TestTrialsStayRareAfterManyCrashes.

--- a/poison/poison.go
+++ b/poison/poison.go
@@ -294,12 +294,11 @@
 	}
 	union := unionIDs(r.crashIDs, other.crashIDs)
 	changed := !slices.Equal(union, before)
-	if len(union) > len(r.crashIDs) {
+	later := other.expires.Sub(r.expires) > t.cfg.TTL/expiryChangeDivisor
+	changed = changed || later
+	if len(union) > len(r.crashIDs) || later { // a full record shows a new crash by its expiry only
 		r.crashedAt, r.trialAt = now, time.Time{}
 	}
-	if other.expires.Sub(r.expires) > t.cfg.TTL/expiryChangeDivisor {
-		changed = true
-	}
 	r.crashIDs = union
 	if other.expires.After(r.expires) {
 		r.expires = other.expires
--- a/poison/trial_test.go
+++ b/poison/trial_test.go
@@ -116,3 +116,24 @@
 		t.Errorf("the deadly part, whose crashes nothing else explains: %+v", a)
 	}
 }
+
+// Guards against trials without end of a part with more crashes than a record holds.
+func TestTrialsStayRareAfterManyCrashes(t *testing.T) {
+	tables := []*Table{NewTable(Config{BlockAfter: 3}), NewTable(Config{BlockAfter: 3})}
+	trials, now := 0, start
+	for id := range uint64(maxCrashIDs + 3) {
+		tables[0].RecordCrash(1000+id, []uint64{fp}, now)
+	}
+	for end := start.Add(time.Hour); now.Before(end); now = now.Add(time.Second) {
+		for rank, table := range tables {
+			if table.Admit([]uint64{fp}, func(uint64) int { return rank }, now).Trial {
+				trials++
+				table.RecordCrash(5000+uint64(trials), []uint64{fp}, now)
+			}
+		}
+		exchange(tables[0], tables[1], now)
+	}
+	if limit := int(time.Hour/maxTrialDelay) + 1; trials > limit {
+		t.Errorf("%d trials in an hour, want at most %d", trials, limit)
+	}
+}
