--- a/review/standin/case_backlog.go
+++ b/review/standin/case_backlog.go
@@ -24,7 +24,7 @@
 // for the other one, whose engine is idle, come at another gateway.
 func backlog(w *world) []string {
 	route := func(name, service string) map[string]any {
-		return map[string]any{"name": "r-" + name, "host": lastSlotHost, "path-prefix": "/" + name + "/", "kind": "batch", "timeout-ms": 15000, "target-latency-ms": 400,
+		return map[string]any{"name": "r-" + name, "host": routeHost, "path-prefix": "/" + name + "/", "kind": "batch", "timeout-ms": 15000, "target-latency-ms": 400,
 			"completion-target-ms": 18000, "retention-s": 600, "priority": 2, "service": service, "max-attempts": 3, "sticky": true, "resumable": true,
 			"gap-target-ms": 250, "cap": 1700000}
 	}
--- a/review/standin/case_deadly.go
+++ b/review/standin/case_deadly.go
@@ -34,7 +34,7 @@
 func deadly(w *world) []string {
 	const service = "portal"
 	beforeHeader := os.Getenv("BEFORE_HEADER") == "1" // for comparison: crashes before it writes a byte
-	w.configure(map[string]any{"name": "r-order-status", "host": lastSlotHost, "path-prefix": "/order-status/", "kind": "idempotent", "timeout-ms": 1500,
+	w.configure(map[string]any{"name": "r-order-status", "host": routeHost, "path-prefix": "/order-status/", "kind": "idempotent", "timeout-ms": 1500,
 		"target-latency-ms": 300, "priority": 2, "service": service, "max-attempts": 2})
 	var mu sync.Mutex
 	var runs []deadlyRun
--- a/review/standin/case_handover.go
+++ b/review/standin/case_handover.go
@@ -46,7 +46,7 @@
 // their writes are done late.
 func handover(w *world) []string {
 	const service = "reife-llm"
-	w.configure(map[string]any{"name": "r-night-report", "host": lastSlotHost, "path-prefix": "/night-report/", "kind": "batch", "timeout-ms": 15000,
+	w.configure(map[string]any{"name": "r-night-report", "host": routeHost, "path-prefix": "/night-report/", "kind": "batch", "timeout-ms": 15000,
 		"target-latency-ms": 500, "completion-target-ms": 18000, "retention-s": 600, "priority": 2, "service": service, "max-attempts": 3, "sticky": true,
 		"resumable": true, "gap-target-ms": 300, "cap": 1700000})
 	for n := range handoverEngines {
--- a/review/standin/case_lastslot.go
+++ b/review/standin/case_lastslot.go
@@ -7,7 +7,6 @@
 )
 
 const (
-	lastSlotHost   = "shop.example"
 	lastSlotEvents = 20
 	lastSlotPause  = 20 * time.Millisecond
 	lastSlotItems  = 10
@@ -21,7 +20,7 @@
 // good; the other one stays idle while accepted items wait.
 func lastSlot(w *world) []string {
 	const service = "notes"
-	w.configure(map[string]any{"name": "r-notes", "host": lastSlotHost, "path-prefix": "/notes/", "kind": "batch", "timeout-ms": 15000, "target-latency-ms": 400,
+	w.configure(map[string]any{"name": "r-notes", "host": routeHost, "path-prefix": "/notes/", "kind": "batch", "timeout-ms": 15000, "target-latency-ms": 400,
 		"completion-target-ms": 18000, "retention-s": 60, "priority": 2, "service": service, "max-attempts": 3, "sticky": true, "resumable": true,
 		"gap-target-ms": 250, "cap": 1400000})
 	lost := w.startEngine(&engine{id: "i-a", service: service, slots: 1, events: lastSlotEvents, pause: lastSlotPause})
--- a/review/standin/case_resume.go
+++ b/review/standin/case_resume.go
@@ -29,7 +29,7 @@
 // answer part of their requests with their own 500.
 func resume(w *world) []string {
 	const service = "reife-llm"
-	w.configure(map[string]any{"name": "r-stage-check", "host": "shop.example", "path-prefix": "/stage-check/", "kind": "stream", "timeout-ms": 5000,
+	w.configure(map[string]any{"name": "r-stage-check", "host": routeHost, "path-prefix": "/stage-check/", "kind": "stream", "timeout-ms": 5000,
 		"target-latency-ms": 300, "priority": 0, "service": service, "max-attempts": 2, "sticky": true, "resumable": true, "gap-target-ms": 300})
 	var mu sync.Mutex
 	grey := make(map[string]bool)
@@ -106,7 +106,7 @@
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
-	request, err := http.NewRequest(http.MethodPost, "http://shop.example/stage-check/2f", strings.NewReader("prompt "+id))
+	request, err := http.NewRequest(http.MethodPost, "http://"+routeHost+"/stage-check/2f", strings.NewReader("prompt "+id))
 	if err != nil {
 		cannotRun("%v", err)
 	}
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -10,13 +10,16 @@
 	"time"
 )
 
+// routeHost is the host of all routes.
+const routeHost = "shop.example"
+
 // call makes one call of a client, on a new channel.
 func call(g *gateway, method, target string, header map[string]string, body []byte) (int, []byte, error) {
 	request, err := http.NewRequest(method, "http://"+g.front+target, bytes.NewReader(body))
 	if err != nil {
 		cannotRun("%v", err)
 	}
-	request.Host = lastSlotHost
+	request.Host = routeHost
 	for name, value := range header {
 		request.Header.Set(name, value)
 	}
