batch: write a job's row only from the row it follows

Cause: a job's state and its row's version were two fields. After a conflict the owner adopted the version that it read with the state that it had, so the condition that protects listed results held for a state without them.

Evidence: in the case's log the peer's commit follows the latest version of the row while `job taken over` shows an older `row` and a lower `listed`.

Change: package batch/jobrow. A Row comes from the store only, and a write from a Row only. Resolve decides after a conflict; an owner whose earlier write took effect late reads what it listed. DecideOffer rejects stale handovers. Result rows are created and never replaced.

--- a/batch/attempt.go
+++ b/batch/attempt.go
@@ -167,6 +167,9 @@
 	defer s.mu.Unlock()
 	done, _ := ri.snapshot()
 	s.pace.recordAttempt(result.duration, max(done.Events-result.eventsBefore, 0))
+	if ri.state != itemActive {
+		return // its result was listed by a write that took effect late
+	}
 	switch result.status {
 	case attemptDone:
 		s.pace.recordItem(done.Events)
--- a/batch/claim.go
+++ b/batch/claim.go
@@ -30,7 +30,7 @@
 // gateway has taken over is left to that gateway, even while it cannot write the
 // job's row.
 func ShouldClaim(j *Job, seen time.Time, self peer.Member, members []peer.MemberStatus, now time.Time) bool {
-	if j.closed() || j.Owner == self.Name && j.OwnerIncarnation == self.Incarnation {
+	if j.Closed() || j.Owner == self.Name && j.OwnerIncarnation == self.Incarnation {
 		return false
 	}
 	for i := range members {
--- a/batch/claim_test.go
+++ b/batch/claim_test.go
@@ -60,18 +60,18 @@
 	m := newMirror(zerolog.Nop())
 	members := []peer.MemberStatus{{Member: peer.Member{Name: "b", Incarnation: 1}, LastHeard: now.Add(-time.Minute)},
 		{Member: peer.Member{Name: "c"}, LastHeard: now}}
-	m.applyJob(Job{ID: "j", Owner: "b", OwnerIncarnation: 1, Total: 3}, 1, now.Add(-time.Minute))
-	m.applyJob(Job{ID: "j", Owner: "b", OwnerIncarnation: 1, Total: 3, Listed: 1}, 2, now.Add(-time.Second))
+	m.applyJob(storedRow(t, Job{ID: "j", Owner: "b", OwnerIncarnation: 1, Total: 3}, 1), now.Add(-time.Minute))
+	m.applyJob(storedRow(t, Job{ID: "j", Owner: "b", OwnerIncarnation: 1, Total: 3, Listed: 1}, 2), now.Add(-time.Second))
 	e, _ := m.get("j")
-	if ShouldClaim(&e.Job, e.ownerSeen, peer.Member{Name: "self"}, members, now) {
+	if ShouldClaim(e.Job(), e.ownerSeen, peer.Member{Name: "self"}, members, now) {
 		t.Error("claimed a second after the owner listed a result")
 	}
 	later := now.Add(2 * time.Second)
-	if members[1].LastHeard = later; !ShouldClaim(&e.Job, e.ownerSeen, peer.Member{Name: "self"}, members, later) {
+	if members[1].LastHeard = later; !ShouldClaim(e.Job(), e.ownerSeen, peer.Member{Name: "self"}, members, later) {
 		t.Error("not claimed 3 s after the owner's last write")
 	}
 	released := now.Add(-time.Second)
-	m.applyJob(Job{ID: "j", Total: 3, Listed: 1}, 3, released)
+	m.applyJob(storedRow(t, Job{ID: "j", Total: 3, Listed: 1}, 3), released)
 	if e, _ = m.get("j"); e.ownerSeen != released {
 		t.Errorf("released at %v, seen at %v", released, e.ownerSeen)
 	}
--- a/batch/commit.go
+++ b/batch/commit.go
@@ -3,20 +3,23 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/magnoliausher/magnoliausher/batch/jobrow"
+	"github.com/magnoliausher/magnoliausher/metric"
 	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 const (
 	// commitDelay batches results that finish close together into one transaction.
 	commitDelay = 40 * time.Millisecond
-	// maxCommitBytes and maxCommitRows limit one transaction. The store accepts
-	// 1 MB and 100 entries.
+	// maxCommitBytes, maxCommitRows and maxResultRows limit one transaction. The store
+	// accepts 1 MB and 100 entries; a result row takes two, itself and its condition.
 	maxCommitBytes = 600 << 10
 	maxCommitRows  = 60
+	maxResultRows  = 45
 	// releaseTimeout limits the time to release the ownership of a job at shutdown.
 	releaseTimeout = 2 * time.Second
 	// storePollInterval is how often a commit that waits for the store checks whether
@@ -33,7 +36,7 @@
 	ri.reset()
 	r.finished = append(r.finished, ri.index)
 	if result.Abandoned {
-		s.cfg.Log.Info().Str("request", result.Item).Str("job", r.job.ID).Str("reason", reason).
+		s.cfg.Log.Info().Str("request", result.Item).Str("job", r.submission.ID).Str("reason", reason).
 			Int("failures", ri.failures).Msg("item abandoned")
 	}
 	if !r.committing && !r.dropped {
@@ -47,7 +50,7 @@
 	for failures := 0; ; {
 		err := s.commitOnce(r, false)
 		s.mu.Lock()
-		version, closed := r.version, r.job.closed()
+		version, closed := r.row.Version(), r.row.Job().Closed()
 		if r.dropped || (err == nil && len(r.finished) == 0) {
 			r.committing = false
 			s.mu.Unlock()
@@ -84,124 +87,167 @@
 // transaction, which also claims a job that was taken over. If release is set,
 // the transaction clears the job's owner as well.
 func (s *Service) commitOnce(r *runningJob, release bool) error {
-	r.commitMu.Lock()
-	defer r.commitMu.Unlock()
+	defer r.lockCommits()()
 	s.mu.Lock()
 	if r.dropped {
 		s.mu.Unlock()
 		return nil
 	}
-	next, writes, listed := r.prepareCommit()
-	claim := r.unclaimed
-	switch {
-	case release:
-		next.Owner, next.OwnerIncarnation = "", 0
-	case claim:
-		next.Owner, next.OwnerIncarnation = s.cfg.Self.Name, s.cfg.Self.Incarnation
-	}
-	version := r.version
+	held := r.row
+	claim := !s.owns(held.Job())
+	draft, results, listed := r.prepareCommit(func(next *Job) {
+		switch {
+		case release:
+			next.SetOwner(jobrow.Process{})
+		case claim:
+			next.SetOwner(s.process())
+		}
+	})
 	s.mu.Unlock()
 	if len(listed) == 0 && !release && !claim {
 		return nil
 	}
-	writes = append(writes, storage.Write{Key: jobKey(next.ID), Value: encodeJob(&next), IfVersion: version})
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	callCtx, cancelCall := s.storeContext(ctx)
-	versions, err := s.cfg.Table.Commit(callCtx, storage.Transaction{Writes: writes})
+	row, _, err := draft.Commit(callCtx, s.cfg.Table, results...)
 	cancelCall()
 	switch {
 	case err == nil:
-		s.applyCommit(r, next, versions[len(versions)-1], listed)
+		s.applyCommit(r, row, listed)
 		return nil
 	case errors.Is(err, storage.ErrThrottled):
 		return err // the store did not apply the transaction
 	}
-	return s.reconcile(ctx, r, next, listed, err)
+	return s.resolveCommit(ctx, r, held, draft, listed, err)
 }
 
-// reconcile rereads the job row after a commit that conflicted or whose outcome
+// resolveCommit rereads the job row after a commit that conflicted or whose outcome
 // is unknown, and determines whether the commit took effect.
-func (s *Service) reconcile(ctx context.Context, r *runningJob, next Job, listed []int, cause error) error {
-	e, err := s.readJob(ctx, next.ID)
+func (s *Service) resolveCommit(ctx context.Context, r *runningJob, held jobrow.Row, draft jobrow.Draft, listed []int, cause error) error {
+	id := r.submission.ID
+	e, err := s.readJob(ctx, id)
 	if errors.Is(err, ErrNotFound) {
-		s.dropJob(next.ID, "row_removed")
+		s.dropJob(id, "row_removed")
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	s.mu.Lock()
-	unchanged := e.version == r.version
-	s.mu.Unlock()
-	switch {
-	case unchanged:
-		return cause
-	case e.Ended || !s.owns(&e.Job) && e.Commit != next.Commit:
-		s.dropJob(next.ID, "closed_or_claimed")
+	outcome := jobrow.Resolve(held, draft, e.Row, s.process())
+	metric.JobCommitResolved(outcome.String())
+	s.cfg.Log.Info().Err(cause).Str("job", id).Str("outcome", outcome.String()).Uint64("row", held.Version()).Uint64("read", e.Version()).
+		Str("owner", e.Job().Owner).Int("listed", held.Job().Listed).Int("listed_read", e.Job().Listed).Msg("resolved a commit without a response")
+	switch outcome {
+	case jobrow.Performed:
+		s.applyCommit(r, e.Row, listed)
 		return nil
-	case e.Commit == next.Commit:
-		s.applyCommit(r, next, e.version, listed) // the commit took effect
+	case jobrow.Lost:
+		s.dropJob(id, "closed_or_claimed")
 		return nil
+	case jobrow.Overtaken:
+		if err := s.catchUp(ctx, r, e.Row); err != nil {
+			return err
+		}
 	}
+	return cause
+}
+
+// catchUp brings a running job up to a later row of its owner: items whose results the
+// row lists are not listed again. The caller holds r.commits.
+func (s *Service) catchUp(ctx context.Context, r *runningJob, row jobrow.Row) error {
 	s.mu.Lock()
-	r.version = e.version
+	first := r.row.Job().Listed
 	s.mu.Unlock()
-	return cause
+	listed := make(map[string]bool)
+	if err := s.collectListed(ctx, row.Job(), first, listed); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range r.items {
+		if listed[r.submission.Items[i].ID] {
+			r.items[i].state, r.items[i].result = itemListed, Result{}
+		}
+	}
+	r.finished = slices.DeleteFunc(r.finished, func(index int) bool { return r.items[index].state == itemListed })
+	r.row = row
+	return nil
+}
+
+// collectListed adds the items of the job's results from position first on.
+func (s *Service) collectListed(ctx context.Context, job *Job, first int, listed map[string]bool) error {
+	for pos := first; pos < job.Listed; {
+		results, err := s.readResults(ctx, job.ID, pos, job.Listed)
+		if err != nil {
+			return err
+		}
+		for _, r := range results[:min(len(results), job.Listed-pos)] {
+			listed[r.Item] = true
+		}
+		pos += len(results)
+	}
+	return nil
 }
 
-// prepareCommit returns the next job row, the result rows that fit into one
-// transaction, and the indexes of their items. The caller holds Service.mu.
-func (r *runningJob) prepareCommit() (Job, []storage.Write, []int) {
-	next := r.job
-	next.Commit = rand.Uint64()
-	next.Failures = nil
+// prepareCommit returns the write of the next job row, the result rows that fit into
+// one transaction with it, and the indexes of their items. The caller holds Service.mu.
+func (r *runningJob) prepareCommit(setOwner func(*Job)) (jobrow.Draft, []storage.Write, []int) {
+	held := r.row.Job()
+	position, tokens := held.Listed, held.OpenTokens
 	var writes []storage.Write
 	var listed []int
 	size := 0
 	for _, index := range r.finished {
 		result := r.items[index].result
-		if len(listed) > 0 && size+len(result.Output) > maxCommitBytes || len(writes) >= maxCommitRows {
+		values := resultRows(result)
+		if len(listed) > 0 && (size+len(result.Output) > maxCommitBytes || len(writes)+len(values) > maxResultRows) {
 			break
 		}
-		for part, value := range resultRows(result) {
-			writes = append(writes, storage.Write{Key: resultKey(next.ID, next.Listed, part), Value: value, Always: true})
+		for part, value := range values {
+			// Without a version the row must be absent: no write replaces a listed result.
+			writes = append(writes, storage.Write{Key: resultKey(held.ID, position, part), Value: value})
 		}
 		size += len(result.Output)
-		next.Listed++
-		next.OpenTokens -= r.submission.Items[index].Tokens
+		position++
+		tokens -= r.submission.Items[index].Tokens
 		listed = append(listed, index)
 	}
-	for i := range r.items {
-		if r.items[i].failures > 0 && r.items[i].state < itemFinished {
-			if next.Failures == nil {
-				next.Failures = make(map[int]int)
+	draft := r.row.Edit(func(next *Job) {
+		next.Listed, next.OpenTokens, next.Failures = position, tokens, nil
+		for i := range r.items {
+			if r.items[i].failures > 0 && r.items[i].state < itemFinished {
+				if next.Failures == nil {
+					next.Failures = make(map[int]int)
+				}
+				next.Failures[i] = r.items[i].failures
 			}
-			next.Failures[i] = r.items[i].failures
 		}
-	}
-	return next, writes, listed
+		setOwner(next)
+	})
+	return draft, writes, listed
 }
 
 // applyCommit updates the state in memory after a commit that took effect.
-func (s *Service) applyCommit(r *runningJob, next Job, version uint64, indexes []int) {
+func (s *Service) applyCommit(r *runningJob, row jobrow.Row, indexes []int) {
+	job := row.Job()
 	s.mu.Lock()
-	first := r.job.Listed
+	held := r.row.Job()
 	for i, index := range indexes {
-		s.results.Add(resultID{next.ID, first + i}, r.items[index].result)
+		s.results.Add(resultID{job.ID, held.Listed + i}, r.items[index].result)
 		r.items[index].state = itemListed
 		r.items[index].result = Result{}
 	}
 	r.finished = r.finished[len(indexes):]
-	claimed := r.unclaimed
-	r.job, r.version, r.unclaimed = next, version, false
+	claimed := !s.owns(held) && s.owns(job)
+	r.row = row
 	s.mu.Unlock()
 	if claimed {
-		s.cfg.Log.Info().Str("job", next.ID).Uint64("row", version).Msg("job claimed after it was taken over")
+		s.cfg.Log.Info().Str("job", job.ID).Uint64("row", row.Version()).Msg("job claimed after it was taken over")
 		s.announceTakenOver()
 	}
-	s.mirror.recordJob(next, version)
-	s.cfg.Log.Info().Str("job", next.ID).Int("listed", next.Listed).Int("total", next.Total).Uint64("row", version).Msg("results listed")
+	s.mirror.recordJob(row)
+	s.cfg.Log.Info().Str("job", job.ID).Int("listed", job.Listed).Int("total", job.Total).Uint64("row", row.Version()).Msg("results listed")
 }
 
 // Release stops all items and hands each job over to a peer. If no peer accepts a
@@ -228,9 +274,10 @@
 		})
 	}
 	group.Wait()
-	for _, e := range s.mirror.selectJobs(func(e *mirroredJob) bool { return !e.closed() && s.owns(&e.Job) }) {
-		if _, ok := handedOver.Load(e.ID); !ok {
-			s.clearOwner(e.ID) // accepted or claimed, but not running yet
+	for _, e := range s.mirror.selectJobs(func(e *mirroredJob) bool { return !e.Job().Closed() && s.owns(e.Job()) }) {
+		id := e.Job().ID
+		if _, ok := handedOver.Load(id); !ok {
+			s.clearOwner(id) // accepted or claimed, but not running yet
 		}
 	}
 }
@@ -241,10 +288,8 @@
 	defer cancel()
 	owned := false
 	err := s.updateJob(ctx, id, func(j *Job) bool {
-		owned = !j.closed() && s.owns(j)
-		if owned {
-			j.Owner, j.OwnerIncarnation = "", 0
-		}
+		owned = !j.Closed() && s.owns(j)
+		j.SetOwner(jobrow.Process{})
 		return owned
 	})
 	// After an error, peers claim the job once they consider this process lost.
--- a/batch/commit_test.go
+++ b/batch/commit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"sync"
 	"testing"
@@ -9,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/magnoliausher/magnoliausher/batch/jobrow"
 	"github.com/magnoliausher/magnoliausher/peer"
 	"github.com/magnoliausher/magnoliausher/storage"
 )
@@ -63,18 +65,41 @@
 	return versions, nil
 }
 
+// storedRow returns the row of a job as the store holds it.
+func storedRow(t *testing.T, job Job, version uint64) jobrow.Row {
+	t.Helper()
+	value, err := json.Marshal(&job)
+	if err != nil {
+		t.Fatal(err)
+	}
+	row, err := jobrow.Parse(storage.Row{Key: jobrow.Key(job.ID), Value: value, Version: version})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return row
+}
+
 // Guards against results that are lost or overwritten when the commit of a
 // shutdown overlaps one whose answer was lost.
 func TestCommitsOfOneJobDoNotOverlap(t *testing.T) {
 	self := peer.Member{Name: "g", Incarnation: 1}
 	job := Job{ID: "j", Owner: self.Name, OwnerIncarnation: self.Incarnation, Total: 4}
-	table := &lostAnswerTable{rows: map[string]storage.Row{jobKey("j"): {Key: jobKey("j"), Value: encodeJob(&job), Version: 1}}, version: 1}
+	row := storedRow(t, job, 1)
+	value, err := json.Marshal(&job)
+	if err != nil {
+		t.Fatal(err)
+	}
+	table := &lostAnswerTable{rows: map[string]storage.Row{jobrow.Key("j"): {Key: jobrow.Key("j"), Value: value, Version: 1}}, version: 1}
 	s, err := New(Config{Self: self, Table: table, Log: zerolog.Nop()})
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.mirror.recordJob(job, 1)
-	r := &runningJob{job: job, version: 1, submission: &Submission{ID: "j"}, items: make([]runningItem, 4)}
+	s.mirror.recordJob(row)
+	submission := &Submission{ID: "j"}
+	for i := range 4 {
+		submission.Items = append(submission.Items, Item{ID: fmt.Sprint("item", i)})
+	}
+	r := newRunningJob(row, submission)
 	finish := func(index int) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -82,9 +107,6 @@
 		r.items[index].state = itemFinished
 		r.finished = append(r.finished, index)
 	}
-	for i := range 4 {
-		r.submission.Items = append(r.submission.Items, Item{ID: fmt.Sprint("item", i)})
-	}
 	finish(0)
 	finish(1)
 	var commits sync.WaitGroup
@@ -103,8 +125,8 @@
 		left = len(r.finished)
 		s.mu.Unlock()
 	}
-	if r.job.Listed != 4 {
-		t.Errorf("%d results listed, want 4", r.job.Listed)
+	if listed := r.row.Job().Listed; listed != 4 {
+		t.Errorf("%d results listed, want 4", listed)
 	}
 	for pos := range 4 {
 		result, _, err := parseResultRow(table.rows[resultKey("j", pos, 0)].Value)
--- a/batch/handover.go
+++ b/batch/handover.go
@@ -10,6 +10,8 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/magnoliausher/magnoliausher/batch/jobrow"
+	"github.com/magnoliausher/magnoliausher/metric"
 	"github.com/magnoliausher/magnoliausher/peer"
 )
 
@@ -23,19 +25,22 @@
 // errShuttingDown rejects a handover because this process is shutting down.
 var errShuttingDown = errors.New("gateway is shutting down")
 
+// errStaleHandover rejects the handover of a job whose row another owner has changed.
+var errStaleHandover = errors.New("the job has changed since the state offered")
+
 // handover is a running job with the progress of its items. A gateway that shuts
 // down sends it to a peer as JSON, with the Go field names as keys. The peer runs
 // the items immediately, even while the store is unavailable, and becomes the
 // job's owner once it can write the job's row.
 type handover struct {
-	Job        Job
-	Version    uint64 // version of the job's row
+	Row        jobrow.Row
 	Submission *Submission
-	Items      []handoverItem // items without a listed result
+	Items      []keptItem // items without a result that the row lists
 }
 
-// handoverItem is one item of a handover. Its JSON keys are the Go field names.
-type handoverItem struct {
+// keptItem is the state of one item. Its JSON keys are the Go field names. It is valid
+// whatever the row of its job lists.
+type keptItem struct {
 	Index    int
 	Progress progress
 	Output   []byte // output of the progress or, for a finished item, of the result
@@ -44,16 +49,16 @@
 	Result   Result // result of a finished item, without its output
 }
 
-// buildHandover returns the handover of a job whose items have stopped. The
-// caller holds Service.mu.
-func (r *runningJob) buildHandover() *handover {
-	h := &handover{Job: r.job, Version: r.version, Submission: r.submission}
+// keepItems returns the state of the items without a listed result. The caller holds
+// Service.mu.
+func (r *runningJob) keepItems() []keptItem {
+	var list []keptItem
 	for i := range r.items {
 		ri := &r.items[i]
 		if ri.state == itemListed {
 			continue
 		}
-		item := handoverItem{Index: i, Failures: ri.failures}
+		item := keptItem{Index: i, Failures: ri.failures}
 		if ri.state == itemFinished {
 			item.Finished, item.Result, item.Output = true, ri.result, []byte(ri.result.Output)
 			item.Result.Output = ""
@@ -61,15 +66,15 @@
 			item.Progress, _ = ri.snapshot()
 			item.Output = item.Progress.Output
 		}
-		h.Items = append(h.Items, item)
+		list = append(list, item)
 	}
-	return h
+	return list
 }
 
-// apply restores the progress and the results of a handover into items that are
-// neither finished nor listed.
-func (h *handover) apply(r *runningJob) {
-	for _, item := range h.Items {
+// restoreItems restores the progress and the results of items that are neither
+// finished nor listed.
+func (r *runningJob) restoreItems(list []keptItem) {
+	for _, item := range list {
 		if item.Index < 0 || item.Index >= len(r.items) || r.items[item.Index].state >= itemFinished {
 			continue
 		}
@@ -88,6 +93,31 @@
 	}
 }
 
+// newTakenJob returns the running job of a handover. Its items are listed unless the
+// handover has them.
+func newTakenJob(h *handover) (*runningJob, error) {
+	if h.Submission == nil || h.Row.Version() == 0 {
+		return nil, trace.BadParameter("handover is incomplete")
+	}
+	job := h.Row.Job()
+	if h.Submission.ID != job.ID || len(h.Submission.Items) != job.Total || len(h.Items) != job.Total-job.Listed {
+		return nil, trace.BadParameter("handover of job %q has %d of %d items", job.ID, len(h.Items), job.Total-job.Listed)
+	}
+	r := newRunningJob(h.Row, h.Submission)
+	for i := range r.items {
+		r.items[i].state = itemListed
+	}
+	for _, item := range h.Items {
+		if item.Index < 0 || item.Index >= len(r.items) || r.items[item.Index].state == itemWaiting {
+			r.cancel()
+			return nil, trace.BadParameter("handover of job %q names item %d twice or in vain", job.ID, item.Index)
+		}
+		r.items[item.Index].state = itemWaiting
+	}
+	r.restoreItems(h.Items)
+	return r, nil
+}
+
 // handoverTargets returns the peers that a job is offered to, in the job's
 // rendezvous order.
 func handoverTargets(job string, members []peer.MemberStatus, now time.Time) []peer.MemberStatus {
@@ -107,15 +137,15 @@
 	if s.cfg.HandOver == nil {
 		return false
 	}
-	r.commitMu.Lock() // the row's version is only certain between commits
-	defer r.commitMu.Unlock()
+	defer r.lockCommits()() // no commit may list items that the handover has
 	s.mu.Lock()
-	if r.dropped || r.job.closed() {
+	job := r.row.Job()
+	if r.dropped || job.Closed() {
 		s.mu.Unlock()
 		return false
 	}
-	data, err := json.Marshal(r.buildHandover())
-	id, version, left := r.job.ID, r.version, r.job.Total-r.job.Listed
+	data, err := json.Marshal(&handover{Row: r.row, Submission: r.submission, Items: r.keepItems()})
+	id, version, left := job.ID, r.row.Version(), job.Total-job.Listed
 	s.mu.Unlock()
 	if err != nil {
 		s.cfg.Log.Error().Err(err).Str("job", id).Msg("cannot encode job for handover")
@@ -141,44 +171,62 @@
 	if err := json.Unmarshal(data, &h); err != nil {
 		return trace.Wrap(err, "decoding handover")
 	}
-	if h.Submission == nil || h.Submission.ID != h.Job.ID || len(h.Submission.Items) != h.Job.Total || h.Version == 0 {
-		return trace.BadParameter("handover of job %q is incomplete", h.Job.ID)
-	}
-	r := newRunningJob(h.Job, h.Version, h.Submission)
-	included := make(map[int]bool, len(h.Items))
-	for _, item := range h.Items {
-		included[item.Index] = true
-	}
-	for i := range r.items {
-		if !included[i] {
-			r.items[i].state = itemListed
-		}
+	r, err := newTakenJob(&h)
+	if err != nil {
+		return err
 	}
-	h.apply(r)
-	r.unclaimed, r.committing = true, true
-	finished := len(r.finished)
-	s.mu.Lock()
-	if s.stopping {
-		s.mu.Unlock()
+	job := h.Row.Job()
+	offer, err := s.admitHandover(r)
+	metric.HandoverOffered(offer.String())
+	log := s.cfg.Log.Info().Err(err).Str("job", job.ID).Str("owner", job.Owner).Uint64("row", h.Row.Version()).Int("listed", job.Listed).
+		Int("total", job.Total).Int("finished", len(r.finished)).Str("offer", offer.String())
+	if err != nil {
 		r.cancel()
-		return errShuttingDown
+		log.Msg("handover rejected")
+		return err
 	}
-	if s.running[h.Job.ID] != nil {
-		s.mu.Unlock()
+	if offer == jobrow.Repeat {
 		r.cancel()
-		return nil // repeated offer
+		return nil
 	}
-	s.running[h.Job.ID] = r
-	s.mu.Unlock()
-	s.submissions.Add(h.Job.ID, h.Submission)
-	s.cfg.Log.Info().Str("job", h.Job.ID).Str("owner", h.Job.Owner).Uint64("row", h.Version).Int("listed", h.Job.Listed).
-		Int("total", h.Job.Total).Int("finished", finished).Msg("job taken over")
+	s.submissions.Add(job.ID, h.Submission)
+	log.Msg("job taken over")
 	s.announceTakenOver()
 	go s.commitFinished(r) // the first commit makes this process the owner
 	s.wakeScheduler()
 	return nil
 }
 
+// admitHandover decides on the offer of a job and, if it accepts, adds the job to the
+// running jobs.
+func (s *Service) admitHandover(r *runningJob) (jobrow.Offer, error) {
+	id := r.submission.ID
+	known, _ := s.mirror.get(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping {
+		return jobrow.Stale, errShuttingDown
+	}
+	var running jobrow.Row
+	old := s.running[id]
+	if old != nil {
+		running = old.row
+	}
+	offer := jobrow.DecideOffer(r.row, known.Row, running)
+	switch offer {
+	case jobrow.Stale:
+		return offer, errStaleHandover
+	case jobrow.Repeat:
+		return offer, nil
+	case jobrow.Replace:
+		old.dropped = true
+		old.cancel()
+	}
+	r.committing = true
+	s.running[id] = r
+	return offer, nil
+}
+
 // announceTakenOver tells the peers which jobs this process has taken over but
 // not claimed yet.
 func (s *Service) announceTakenOver() {
@@ -189,18 +237,17 @@
 	defer s.mu.Unlock()
 	var hashes []uint64
 	for id, r := range s.running {
-		if r.unclaimed {
+		if !s.owns(r.row.Job()) {
 			hashes = append(hashes, jobHash(id))
 		}
 	}
 	s.cfg.AnnounceTakenOver(hashes)
 }
 
-// keepHandover caches the state of a job that was taken over but could not be
-// claimed at the version handed over, in case this process claims it later. The
-// caller holds s.mu.
-func (s *Service) keepHandover(r *runningJob) {
-	if r.unclaimed {
-		s.handovers.Add(r.job.ID, r.buildHandover())
+// keepTaken caches the items of a job that was taken over but not claimed, in case
+// this process claims it later. The caller holds s.mu.
+func (s *Service) keepTaken(r *runningJob) {
+	if job := r.row.Job(); job.Owner != "" && !s.owns(job) {
+		s.kept.Add(job.ID, r.keepItems())
 	}
 }
--- a/batch/job.go
+++ b/batch/job.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/magnoliausher/magnoliausher/batch/jobrow"
 )
 
 // Errors returned by reads and cancellations.
@@ -84,34 +86,18 @@
 	Results []Result
 }
 
-// Job is the content of a job's row. The fields are encoded under their Go names.
-type Job struct {
-	ID               string
-	Route            string
-	Owner            string `json:",omitempty"` // name of a gateway; empty after the owner released the job
-	OwnerIncarnation uint64 `json:",omitempty"`
-	Created          int64  // Unix time in ms, by the clock of the gateway that accepted the job
-	Total            int
-	Listed           int         // number of stored results, at positions 0 to Listed-1
-	OpenTokens       int64       // tokens of the items without a listed result
-	Ended            bool        `json:",omitempty"` // the client cancelled the job
-	Failures         map[int]int `json:",omitempty"` // failed attempts of unfinished items, by item index
-	Commit           uint64      // random; lets the writer of a version verify that its write took effect
-}
-
-func (j *Job) closed() bool { return j.Ended || j.Listed >= j.Total }
+// Job is the content of a job's row.
+type Job = jobrow.Job
 
 const (
 	jobTablePrefix  = "batch/jobs/"
 	quotaKeyPrefix  = jobTablePrefix + "quota:"
-	jobKeyPrefix    = jobTablePrefix + "job:"
 	resultKeyPrefix = "batch/results/"
 	objectKeyPrefix = "job-"
 	// maxPartBytes limits the output in one result row; a row holds 64 KiB in base64.
 	maxPartBytes = 40 << 10
 )
 
-func jobKey(id string) string      { return jobKeyPrefix + id }
 func quotaKey(route string) string { return quotaKeyPrefix + route }
 func objectKey(id string) string   { return objectKeyPrefix + id }
 
--- a/batch/mirror.go
+++ b/batch/mirror.go
@@ -1,13 +1,13 @@
 package batch
 
 import (
-	"encoding/json"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/magnoliausher/magnoliausher/batch/jobrow"
 	"github.com/magnoliausher/magnoliausher/storage"
 )
 
@@ -17,8 +17,7 @@
 
 // mirroredJob is the latest known version of a job's row.
 type mirroredJob struct {
-	Job
-	version uint64
+	jobrow.Row
 	// ownerSeen is when this process last saw a sign of the owner in the row: its claim,
 	// or a later write. Only the owner writes the row of an open job.
 	ownerSeen time.Time
@@ -89,8 +88,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, e := range m.jobs {
-		if e.Route == route && !e.closed() {
-			tokens += e.OpenTokens
+		if j := e.Job(); j.Route == route && !j.Closed() {
+			tokens += j.OpenTokens
 		}
 	}
 	return tokens, m.quotas[route]
@@ -113,7 +112,7 @@
 		m.applyRow(r, now)
 	}
 	for id, e := range m.jobs {
-		if e.version <= version && !seen[jobKey(id)] {
+		if e.Version() <= version && !seen[jobrow.Key(id)] {
 			delete(m.jobs, id)
 		}
 	}
@@ -129,8 +128,8 @@
 			m.applyRow(c.Row, now)
 			continue
 		}
-		id := strings.TrimPrefix(c.Key, jobKeyPrefix)
-		if e := m.jobs[id]; e != nil && e.version < c.Version {
+		id := jobrow.ID(c.Key)
+		if e := m.jobs[id]; e != nil && e.Version() < c.Version {
 			delete(m.jobs, id)
 		}
 	}
@@ -138,10 +137,10 @@
 }
 
 // recordJob records a write by this process before the feed delivers it.
-func (m *mirror) recordJob(j Job, version uint64) {
+func (m *mirror) recordJob(row jobrow.Row) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.applyJob(j, version, time.Now())
+	m.applyJob(row, time.Now())
 	m.notify()
 }
 
@@ -156,21 +155,22 @@
 		m.quotas[route] = max(m.quotas[route], r.Version)
 		return
 	}
-	var j Job
-	if err := json.Unmarshal(r.Value, &j); err != nil || jobKey(j.ID) != r.Key {
+	row, err := jobrow.Parse(r)
+	if err != nil {
 		m.log.Error().Err(err).Str("key", r.Key).Uint64("row", r.Version).Msg("malformed job row ignored")
 		return
 	}
-	m.applyJob(j, r.Version, now)
+	m.applyJob(row, now)
 }
 
-func (m *mirror) applyJob(j Job, version uint64, now time.Time) {
+func (m *mirror) applyJob(row jobrow.Row, now time.Time) {
+	j := row.Job()
 	old := m.jobs[j.ID]
-	if old != nil && old.version >= version {
+	if old != nil && old.Version() >= row.Version() {
 		return
 	}
-	e := &mirroredJob{Job: j, version: version, ownerSeen: now}
-	if old != nil && old.Owner == "" && j.Owner == "" {
+	e := &mirroredJob{Row: row, ownerSeen: now}
+	if old != nil && old.Job().Owner == "" && j.Owner == "" {
 		e.ownerSeen = old.ownerSeen // released then
 	}
 	m.jobs[j.ID] = e
--- a/batch/ownership.go
+++ b/batch/ownership.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"github.com/gravitational/trace"
 
+	"github.com/magnoliausher/magnoliausher/batch/jobrow"
 	"github.com/magnoliausher/magnoliausher/pause"
 	"github.com/magnoliausher/magnoliausher/storage"
 )
@@ -47,10 +47,12 @@
 func (s *Service) updateJob(ctx context.Context, id string, edit func(*Job) bool) error {
 	for failures := 0; ; failures++ {
 		e, known := s.mirror.get(id)
-		if !known || !edit(&e.Job) {
+		changed := false
+		draft := e.Edit(func(j *Job) { changed = known && edit(j) })
+		if !changed {
 			return nil
 		}
-		err := s.writeJob(ctx, e.Job, e.version)
+		err := s.writeJob(ctx, draft)
 		if err == nil || !storeBackoff.Wait(ctx, failures) {
 			return err
 		}
@@ -60,15 +62,12 @@
 	}
 }
 
-// writeJob writes a job's row if the row still has the given version.
-func (s *Service) writeJob(ctx context.Context, next Job, version uint64) error {
-	next.Commit = rand.Uint64()
-	versions, err := s.cfg.Table.Commit(ctx, storage.Transaction{Writes: []storage.Write{
-		{Key: jobKey(next.ID), Value: encodeJob(&next), IfVersion: version}}})
+func (s *Service) writeJob(ctx context.Context, draft jobrow.Draft) error {
+	row, _, err := draft.Commit(ctx, s.cfg.Table)
 	if err != nil {
 		return err
 	}
-	s.mirror.recordJob(next, versions[0])
+	s.mirror.recordJob(row)
 	return nil
 }
 
@@ -81,12 +80,12 @@
 			continue
 		}
 		members := s.cfg.Members()
-		open := s.mirror.selectJobs(func(e *mirroredJob) bool { return !e.closed() })
+		open := s.mirror.selectJobs(func(e *mirroredJob) bool { return !e.Job().Closed() })
 		for i := range open {
-			e := &open[i]
-			if s.owns(&e.Job) {
-				s.startJob(e.ID, true)
-			} else if !s.isRunning(e.ID) && ShouldClaim(&e.Job, e.ownerSeen, s.cfg.Self, members, now) {
+			e, job := &open[i], open[i].Job()
+			if s.owns(job) {
+				s.startJob(job.ID, true)
+			} else if !s.isRunning(job.ID) && ShouldClaim(job, e.ownerSeen, s.cfg.Self, members, now) {
 				s.claim(ctx, *e)
 			}
 		}
@@ -96,7 +95,7 @@
 }
 
 func (s *Service) owns(j *Job) bool {
-	return j.Owner == s.cfg.Self.Name && j.OwnerIncarnation == s.cfg.Self.Incarnation
+	return j.OwnedBy(s.process())
 }
 
 func (s *Service) isRunning(id string) bool {
@@ -113,9 +112,10 @@
 
 // claim makes this process the owner of a job, in the background.
 func (s *Service) claim(ctx context.Context, e mirroredJob) {
+	job := e.Job()
 	s.mu.Lock()
-	busy := s.claiming[e.ID]
-	s.claiming[e.ID] = true
+	busy := s.claiming[job.ID]
+	s.claiming[job.ID] = true
 	s.mu.Unlock()
 	if busy {
 		return
@@ -123,33 +123,36 @@
 	go func() {
 		defer func() {
 			s.mu.Lock()
-			delete(s.claiming, e.ID)
+			delete(s.claiming, job.ID)
 			s.mu.Unlock()
 		}()
-		next := e.Job
-		next.Owner, next.OwnerIncarnation = s.cfg.Self.Name, s.cfg.Self.Incarnation
-		err := s.writeJob(ctx, next, e.version)
-		log := s.cfg.Log.Info().Err(err).Str("job", e.ID).Str("owner", e.Owner).Uint64("row", e.version).
-			Int("listed", e.Listed).Int("total", e.Total)
+		err := s.writeJob(ctx, e.Edit(func(j *Job) { j.SetOwner(s.process()) }))
+		log := s.cfg.Log.Info().Err(err).Str("job", job.ID).Str("owner", job.Owner).Uint64("row", e.Version()).
+			Int("listed", job.Listed).Int("total", job.Total)
 		if err != nil {
 			log.Msg("failed to claim job") // the feed delivers the current owner
 			return
 		}
 		log.Msg("job claimed")
-		s.startJob(e.ID, true)
+		s.startJob(job.ID, true)
 	}()
 }
 
-// dropLostJobs stops running jobs that another process owns or that are closed.
+// dropLostJobs stops running jobs that another process owns or that are closed. A job
+// that was taken over still names the process that handed it over.
 func (s *Service) dropLostJobs() {
 	for _, r := range s.runningJobs() {
-		id := r.submission.ID
-		e, known := s.mirror.get(id)
+		e, known := s.mirror.get(r.submission.ID)
+		if !known {
+			continue
+		}
+		job := e.Job()
 		s.mu.Lock()
-		taken := r.unclaimed && e.version <= r.version
+		held := r.row
 		s.mu.Unlock()
-		if known && (e.closed() || !s.owns(&e.Job) && !taken) {
-			s.dropJob(id, "closed_or_claimed")
+		later := e.Version() > held.Version()
+		if job.Closed() || later && !s.owns(job) && !job.SameOwner(held.Job()) {
+			s.dropJob(r.submission.ID, "closed_or_claimed")
 		}
 	}
 }
@@ -163,11 +166,15 @@
 			continue
 		}
 		members := s.cfg.Members()
-		expired := s.mirror.selectJobs(func(e *mirroredJob) bool { return e.closed() && jobAge(&e.Job, now) > s.cfg.JobRetention })
+		expired := s.mirror.selectJobs(func(e *mirroredJob) bool {
+			job := e.Job()
+			return job.Closed() && jobAge(job, now) > s.cfg.JobRetention
+		})
 		for i := range expired {
-			if rendezvousRank(expired[i].ID, s.cfg.Self.Name, members, now) == 0 {
-				if err := s.removeJob(ctx, &expired[i]); err != nil {
-					s.cfg.Log.Warn().Err(err).Str("job", expired[i].ID).Msg("failed to remove expired job")
+			id := expired[i].Job().ID
+			if rendezvousRank(id, s.cfg.Self.Name, members, now) == 0 {
+				if err := s.removeJob(ctx, expired[i].Row); err != nil {
+					s.cfg.Log.Warn().Err(err).Str("job", id).Msg("failed to remove expired job")
 				}
 			}
 		}
@@ -177,17 +184,17 @@
 
 // removeJob deletes the checkpoints, the results, the object and finally the row
 // of a job.
-func (s *Service) removeJob(ctx context.Context, e *mirroredJob) error {
-	for _, prefix := range []string{progressPrefix(e.ID), resultKeyPrefix + e.ID + "/"} {
+func (s *Service) removeJob(ctx context.Context, row jobrow.Row) error {
+	id := row.Job().ID
+	for _, prefix := range []string{progressPrefix(id), resultKeyPrefix + id + "/"} {
 		if err := s.removeRows(ctx, prefix); err != nil {
 			return err
 		}
 	}
-	if err := s.cfg.Objects.Delete(ctx, objectKey(e.ID)); err != nil {
+	if err := s.cfg.Objects.Delete(ctx, objectKey(id)); err != nil {
 		return err
 	}
-	_, err := s.cfg.Table.Commit(ctx, storage.Transaction{Writes: []storage.Write{
-		{Key: jobKey(e.ID), IfVersion: e.version, Delete: true}}})
+	_, err := s.cfg.Table.Commit(ctx, storage.Transaction{Writes: []storage.Write{row.Removal()}})
 	return err
 }
 
--- a/batch/progress.go
+++ b/batch/progress.go
@@ -202,14 +202,14 @@
 func (s *Service) loadProgress(ctx context.Context, r *runningJob) error {
 	items, events := 0, 0
 	for after := ""; ; {
-		rows, err := s.cfg.Table.Scan(ctx, progressPrefix(r.job.ID), after, progressScanRows)
+		rows, err := s.cfg.Table.Scan(ctx, progressPrefix(r.submission.ID), after, progressScanRows)
 		if err != nil {
 			return err
 		}
 		for _, row := range rows {
-			index, p, err := decodeProgress(r.job.ID, row)
+			index, p, err := decodeProgress(r.submission.ID, row)
 			if err != nil || index >= len(r.items) {
-				s.cfg.Log.Error().Err(err).Str("job", r.job.ID).Str("key", row.Key).Msg("ignored an invalid checkpoint; its item restarts from the beginning")
+				s.cfg.Log.Error().Err(err).Str("job", r.submission.ID).Str("key", row.Key).Msg("ignored an invalid checkpoint; its item restarts from the beginning")
 				continue
 			}
 			if r.items[index].state < itemFinished {
@@ -223,7 +223,7 @@
 		after = rows[len(rows)-1].Key
 	}
 	if items > 0 {
-		s.cfg.Log.Info().Str("job", r.job.ID).Int("items", items).Int("events", events).Msg("loaded the progress of an earlier owner")
+		s.cfg.Log.Info().Str("job", r.submission.ID).Int("items", items).Int("events", events).Msg("loaded the progress of an earlier owner")
 	}
 	return nil
 }
--- a/batch/read.go
+++ b/batch/read.go
@@ -9,6 +9,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/magnoliausher/magnoliausher/batch/jobrow"
 	"github.com/magnoliausher/magnoliausher/storage"
 )
 
@@ -37,7 +38,7 @@
 func (s *Service) readJob(ctx context.Context, id string) (mirroredJob, error) {
 	ctx, cancel := s.storeContext(ctx)
 	defer cancel()
-	row, err := s.cfg.Table.Get(ctx, jobKey(id))
+	row, err := s.cfg.Table.Get(ctx, jobrow.Key(id))
 	if errors.Is(err, storage.ErrNotFound) {
 		return mirroredJob{}, ErrNotFound
 	}
@@ -62,13 +63,14 @@
 		if err != nil {
 			return Page{}, err
 		}
-		if after < e.Listed {
-			results, err := s.readResults(ctx, id, after, e.Listed)
-			return Page{Total: e.Total, Results: results}, err
+		job := e.Job()
+		if after < job.Listed {
+			results, err := s.readResults(ctx, id, after, job.Listed)
+			return Page{Total: job.Total, Results: results}, err
 		}
 		left := time.Until(deadline)
-		if e.closed() || left <= 0 {
-			return Page{Total: e.Total}, nil
+		if job.Closed() || left <= 0 {
+			return Page{Total: job.Total}, nil
 		}
 		timer := time.NewTimer(left)
 		select {
@@ -148,7 +150,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if e.Ended {
+	if e.Job().Ended {
 		return nil, ErrNotFound
 	}
 	submission, err := s.loadSubmission(ctx, id)
--- a/batch/running.go
+++ b/batch/running.go
@@ -4,6 +4,10 @@
 	"context"
 	"sync"
 	"time"
+
+	"golang.org/x/sync/semaphore"
+
+	"github.com/magnoliausher/magnoliausher/batch/jobrow"
 )
 
 type itemState uint8
@@ -29,15 +33,13 @@
 // runningJob is a job that this process runs. Its fields are guarded by
 // Service.mu, except the submission, which never changes.
 type runningJob struct {
-	job         Job
-	version     uint64
+	row         jobrow.Row // latest known row; the items are listed that it lists
 	submission  *Submission
 	items       []runningItem
 	finished    []int // indexes of finished items that are not listed yet, in order of completion
 	committing  bool
 	dropped     bool
-	unclaimed   bool       // taken over, but the row does not name this process as owner yet
-	commitMu    sync.Mutex // held during a commit and its reconciliation; locked before Service.mu
+	commits     *semaphore.Weighted // of one; held during a commit and its reconciliation, acquired before Service.mu
 	ctx         context.Context
 	cancel      context.CancelFunc
 	activeItems sync.WaitGroup
@@ -77,7 +79,8 @@
 // running jobs.
 func (s *Service) loadJob(ctx context.Context, id string, resumed bool) error {
 	e, known := s.mirror.get(id)
-	if !known || e.closed() || !s.owns(&e.Job) {
+	job := e.Job()
+	if !known || job.Closed() || !s.owns(job) {
 		return nil
 	}
 	submission, err := s.loadSubmission(ctx, id)
@@ -85,17 +88,10 @@
 		return err
 	}
 	listed := make(map[string]bool)
-	for pos := 0; pos < e.Listed; {
-		results, err := s.readResults(ctx, id, pos, e.Listed)
-		if err != nil {
-			return err
-		}
-		for _, r := range results {
-			listed[r.Item] = true
-		}
-		pos += len(results)
+	if err := s.collectListed(ctx, job, 0, listed); err != nil {
+		return err
 	}
-	r := newRunningJob(e.Job, e.version, submission)
+	r := newRunningJob(e.Row, submission)
 	for i := range r.items {
 		if listed[submission.Items[i].ID] {
 			r.items[i].state = itemListed
@@ -111,9 +107,9 @@
 	if s.running[id] != nil || s.stopping {
 		return nil
 	}
-	if kept, ok := s.handovers.Get(id); ok {
-		kept.apply(r)
-		s.handovers.Remove(id)
+	if kept, ok := s.kept.Get(id); ok {
+		r.restoreItems(kept)
+		s.kept.Remove(id)
 	}
 	s.running[id] = r
 	if len(r.finished) > 0 {
@@ -123,12 +119,14 @@
 	return nil
 }
 
-func newRunningJob(job Job, version uint64, submission *Submission) *runningJob {
-	r := &runningJob{job: job, version: version, submission: submission, items: make([]runningItem, len(submission.Items))}
+func newRunningJob(row jobrow.Row, submission *Submission) *runningJob {
+	r := &runningJob{row: row, submission: submission, items: make([]runningItem, len(submission.Items)),
+		commits: semaphore.NewWeighted(1)}
+	failures := row.Job().Failures
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	for i := range r.items {
 		r.items[i].index = i
-		r.items[i].failures = job.Failures[i]
+		r.items[i].failures = failures[i]
 	}
 	return r
 }
@@ -142,8 +140,8 @@
 	unclaimed := false
 	if r != nil {
 		r.dropped = true
-		version, unclaimed = r.version, r.unclaimed
-		s.keepHandover(r)
+		version, unclaimed = r.row.Version(), !s.owns(r.row.Job())
+		s.keepTaken(r)
 	}
 	s.mu.Unlock()
 	if r != nil {
@@ -162,3 +160,12 @@
 	default:
 	}
 }
+
+// lockCommits waits until no other commit of the job is in progress, and returns the
+// function that lets the next one begin.
+func (r *runningJob) lockCommits() (unlock func()) {
+	if err := r.commits.Acquire(context.Background(), 1); err != nil {
+		panic(err) // unreachable: the context never ends
+	}
+	return func() { r.commits.Release(1) }
+}
--- a/batch/schedule.go
+++ b/batch/schedule.go
@@ -98,21 +98,23 @@
 		return nil // without a configuration the target services are unknown
 	}
 	for _, r := range s.running {
+		created := r.row.Job().Created
 		for i := range r.items {
 			ri := &r.items[i]
 			if ri.state == itemWaiting && !ri.notBefore.After(now) {
-				list = append(list, candidate{r, ri, s.itemPriority(r, ri, now)})
+				list = append(list, candidate{r, ri, s.itemPriority(r, ri, created, now)})
 			}
 		}
 	}
 	return list
 }
 
-// itemPriority returns the priority of an item. The caller holds s.mu.
-func (s *Service) itemPriority(r *runningJob, ri *runningItem, now time.Time) ItemPriority {
-	priority := ItemPriority{Created: r.job.Created, Events: ri.events()}
+// itemPriority returns the priority of an item of a job created at a Unix time in ms.
+// The caller holds s.mu.
+func (s *Service) itemPriority(r *runningJob, ri *runningItem, created int64, now time.Time) ItemPriority {
+	priority := ItemPriority{Created: created, Events: ri.events()}
 	if route := s.itemRoute(r, ri); route != nil && route.CompletionObjective > 0 {
-		due := time.UnixMilli(r.job.Created).Add(route.CompletionObjective)
+		due := time.UnixMilli(created).Add(route.CompletionObjective)
 		priority.Late = now.Add(s.pace.remaining(priority.Events)).After(due)
 	}
 	return priority
@@ -193,7 +195,7 @@
 	switch {
 	case route == nil:
 		return "", abandonRouteRemoved
-	case route.Retention > 0 && jobAge(&c.job.job, now) > route.Retention+clockSkewAllowance:
+	case route.Retention > 0 && jobAge(c.job.row.Job(), now) > route.Retention+clockSkewAllowance:
 		return "", abandonRetention
 	}
 	return route.ServiceFor(c.job.submission.Items[c.item.index].ID), ""
--- a/batch/service.go
+++ b/batch/service.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/magnoliausher/magnoliausher/batch/jobrow"
 	"github.com/magnoliausher/magnoliausher/dispatch"
 	"github.com/magnoliausher/magnoliausher/fleet"
 	"github.com/magnoliausher/magnoliausher/forward"
@@ -75,7 +76,7 @@
 	mirror      *mirror
 	submissions *lru.Cache[string, *Submission]
 	results     *lru.Cache[resultID, Result]
-	handovers   *lru.Cache[string, *handover] // jobs taken over that could not be claimed at the version handed over
+	kept        *lru.Cache[string, []keptItem] // of jobs that were taken over and dropped before they were claimed
 
 	mu       sync.Mutex
 	running  map[string]*runningJob
@@ -101,15 +102,20 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	handovers, err := lru.New[string, *handover](cachedSubmissions)
+	kept, err := lru.New[string, []keptItem](cachedSubmissions)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return &Service{cfg: cfg, mirror: newMirror(cfg.Log), submissions: submissions, results: results, handovers: handovers,
+	return &Service{cfg: cfg, mirror: newMirror(cfg.Log), submissions: submissions, results: results, kept: kept,
 		running: make(map[string]*runningJob), claiming: make(map[string]bool), loading: make(map[string]bool),
 		pace: paceEstimate{eventInterval: initialEventInterval, itemEvents: initialItemEvents}, wake: make(chan struct{}, 1)}, nil
 }
 
+// process returns the identity under which this process owns jobs.
+func (s *Service) process() jobrow.Process {
+	return jobrow.Process{Name: s.cfg.Self.Name, Incarnation: s.cfg.Self.Incarnation}
+}
+
 // Run follows the job rows, claims jobs of lost owners, runs items and removes
 // expired jobs until ctx ends.
 func (s *Service) Run(ctx context.Context) error {
@@ -159,12 +165,12 @@
 	if err := s.putObject(ctx, job.ID, content); err != nil {
 		return NotAccepted, err // an object without a row is not a job
 	}
-	row := Job{ID: job.ID, Route: route.Name, Owner: s.cfg.Self.Name, OwnerIncarnation: s.cfg.Self.Incarnation,
-		Created: time.Now().UnixMilli(), Total: len(job.Items), OpenTokens: tokens, Commit: rand.Uint64()}
+	next := Job{ID: job.ID, Route: route.Name, Created: time.Now().UnixMilli(), Total: len(job.Items), OpenTokens: tokens}
+	next.SetOwner(s.process())
 	s.submissions.Add(job.ID, job)
-	acceptance, err := s.accept(ctx, route, row)
+	acceptance, err := s.accept(ctx, route, next)
 	if acceptance == Accepted {
-		s.startJob(row.ID, false)
+		s.startJob(next.ID, false)
 	}
 	return acceptance, err
 }
@@ -208,7 +214,8 @@
 // accept writes the job row. The write is conditional on the version of the quota
 // row, which every acceptance on the route rewrites, so that the sum of open tokens
 // used for the quota check includes every accepted job.
-func (s *Service) accept(ctx context.Context, route *fleet.Route, row Job) (SubmitOutcome, error) {
+func (s *Service) accept(ctx context.Context, route *fleet.Route, job Job) (SubmitOutcome, error) {
+	draft := jobrow.New(job)
 	uncertain := false
 	for failures := 0; ; failures++ {
 		if !s.mirror.isCurrent(time.Now()) {
@@ -216,11 +223,11 @@
 				return failureOutcome(uncertain), err
 			}
 		}
-		if _, known := s.mirror.get(row.ID); known {
+		if _, known := s.mirror.get(job.ID); known {
 			return Accepted, nil
 		}
 		_, quotaVersion := s.mirror.quota(route.Name)
-		if !s.fitsQuota(route, row.OpenTokens) {
+		if !s.fitsQuota(route, job.OpenTokens) {
 			if uncertain {
 				return Unknown, nil
 			}
@@ -228,15 +235,13 @@
 		}
 		started := time.Now()
 		callCtx, cancel := s.storeContext(ctx)
-		versions, err := s.cfg.Table.Commit(callCtx, storage.Transaction{Writes: []storage.Write{
-			{Key: jobKey(row.ID), Value: encodeJob(&row)},
-			{Key: quotaKey(route.Name), Value: []byte("{}"), IfVersion: quotaVersion},
-		}})
+		row, versions, err := draft.Commit(callCtx, s.cfg.Table,
+			storage.Write{Key: quotaKey(route.Name), Value: []byte("{}"), IfVersion: quotaVersion})
 		cancel()
 		switch {
 		case err == nil:
-			s.mirror.recordQuota(route.Name, versions[1])
-			s.mirror.recordJob(row, versions[0])
+			s.mirror.recordQuota(route.Name, versions[0])
+			s.mirror.recordJob(row)
 			return Accepted, nil
 		case errors.Is(err, storage.ErrConflict):
 			if err := s.refreshMirrorUntil(ctx); err != nil {
@@ -265,14 +270,6 @@
 	return NotAccepted
 }
 
-func encodeJob(j *Job) []byte {
-	value, err := json.Marshal(j)
-	if err != nil {
-		panic(err) // unreachable: a struct of strings and numbers always encodes
-	}
-	return value
-}
-
 // refreshMirrorUntil refreshes the mirror. It retries until ctx ends unless the
 // store throttles the call.
 func (s *Service) refreshMirrorUntil(ctx context.Context) error {
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -108,6 +108,17 @@
 	metrics.GetOrCreateCounter("magnoliausher_store_responses_rejected_total").Inc()
 }
 
+// JobCommitResolved counts commits of job rows that conflicted or got no response, by
+// what the row that was read afterwards showed.
+func JobCommitResolved(outcome string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`magnoliausher_job_commits_resolved_total{outcome=%q}`, outcome)).Inc()
+}
+
+// HandoverOffered counts jobs that a gateway which shuts down offered, by the answer.
+func HandoverOffered(answer string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`magnoliausher_job_handovers_offered_total{answer=%q}`, answer)).Inc()
+}
+
 // ReportsReceived counts datagrams from other gateways and their bytes. The label
 // "from" has the values of "to" in ReportsSent.
 func ReportsReceived(from string, bytes int) {
