batch: end the release of a job that was dropped

A gateway that shut down repeated an empty commit without a pause for up to two seconds for each job with unlisted results that another gateway had claimed meanwhile.

Cause: commitOnce returns at once for a dropped job, and releaseJob waited only after errors.

Evidence: TestListedResultsNeverChange did not come to an end in virtual time; its stack trace shows releaseJob.

Change: the release of a dropped job ends.

--- a/batch/commit.go
+++ b/batch/commit.go
@@ -303,8 +303,11 @@
 	deadline := time.Now().Add(releaseTimeout)
 	for failures := 0; time.Now().Before(deadline); failures++ {
 		s.mu.Lock()
-		left := len(r.finished)
+		left, dropped := len(r.finished), r.dropped
 		s.mu.Unlock()
+		if dropped {
+			return // another process owns the job, or it is closed
+		}
 		err := s.commitOnce(r, left == 0)
 		if err == nil && left == 0 {
 			break
