placement: let batch work use the last slot of a service

Cause: the reserve for online work was a percentage of all slots, rounded up: one slot of one. Degraded upstreams were left out even where a service had no others, and the agent reserved the slot of a plain service in the same way.

Evidence: nothing was logged; the new line "no item has started" shows one upstream, one slot, one free, one reserved.

Change: limit.Reserve takes the percentage of all slots but one; batch work uses degraded upstreams where there are no sound ones.

--- a/admission/decide.go
+++ b/admission/decide.go
@@ -4,11 +4,13 @@
 	"time"
 
 	"github.com/magnoliausher/magnoliausher/contract"
+	"github.com/magnoliausher/magnoliausher/limit"
 )
 
-// plainReserveDivisor sets the slots of a plain service that are reserved for online
-// work, one in four, because calls of plain services cannot be preempted.
-const plainReserveDivisor = 4
+// plainReservePercent is the percentage of the slots of a plain service that are reserved
+// for online work, see limit.Reserve. It is high because calls of plain services cannot
+// be preempted.
+const plainReservePercent = 25
 
 // Action says what to do with an attempt that requests a slot.
 type Action int
@@ -134,7 +136,7 @@
 func batchSlots(s *Snapshot) int {
 	used := s.Counts.Used()
 	if s.Kind == contract.KindPlain {
-		return s.Slots - (s.Slots+plainReserveDivisor-1)/plainReserveDivisor - used
+		return s.Slots - limit.Reserve(s.Slots, plainReservePercent) - used
 	}
 	free := s.Slots - used
 	if s.Counts.Online == 0 {
--- a/admission/decide_test.go
+++ b/admission/decide_test.go
@@ -178,6 +178,16 @@
 	properties.TestingRun(t)
 }
 
+// Guards against batch items that never run at a plain service with one slot.
+func TestPlainServiceWithOneSlotRunsBatch(t *testing.T) {
+	for slots, want := range []int{0, 1, 1, 2, 3} {
+		s := newSimulation(1, contract.KindPlain, slots).s
+		if got := BatchCapacity(s); got != want {
+			t.Errorf("%d slots: capacity %d, want %d", slots, got, want)
+		}
+	}
+}
+
 // Guards against granting batch work that exceeds the slots or, while online work
 // runs, the step target. With a prefill budget the target applies only to steps
 // without prefill.
--- a/batch/schedule.go
+++ b/batch/schedule.go
@@ -3,10 +3,12 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/magnoliausher/magnoliausher/fleet"
+	"github.com/magnoliausher/magnoliausher/metric"
 	"github.com/magnoliausher/magnoliausher/pause"
 )
 
@@ -16,6 +18,9 @@
 	scheduleInterval = 50 * time.Millisecond
 	// startInterval is the minimum time between two scheduling rounds.
 	startInterval = 40 * time.Millisecond
+	// withheldAfter is how long the items of a service wait without a start before that
+	// is logged, and the time between two lines.
+	withheldAfter = 2 * time.Second
 )
 
 // runScheduler assigns waiting items to free slots until ctx ends.
@@ -71,11 +76,35 @@
 		if share > 0 && s.startItem(c, service) {
 			share--
 			waiting--
+			delete(s.withheldSince, service)
 		} else {
 			share = 0 // items of other services may still start
+			s.reportWithheld(c, service, now)
 		}
 		shares[service] = share
 	}
+	maps.DeleteFunc(s.withheldSince, func(service string, _ time.Time) bool {
+		_, waits := shares[service]
+		return !waits
+	})
+}
+
+// reportWithheld logs that no item of a service has started for withheldAfter, although
+// the candidate waits. The caller holds s.mu.
+func (s *Service) reportWithheld(c candidate, service string, now time.Time) {
+	since, known := s.withheldSince[service]
+	if !known {
+		s.withheldSince[service] = now
+	}
+	if !known || now.Sub(since) < withheldAfter {
+		return
+	}
+	s.withheldSince[service] = now
+	room := s.cfg.Dispatcher.RoomForBatch(service)
+	metric.BatchWithheld(service)
+	s.cfg.Log.Info().Str("job", c.job.submission.ID).Str("request", c.job.submission.Items[c.item.index].ID).Str("service", service).
+		Int("upstreams", room.Upstreams).Int("slots", room.Slots).Int("free_slots", room.Free).Int("reserved", room.Reserved).
+		Msg("no item has started")
 }
 
 // startItem starts an attempt at an item if its service has a free slot, and
--- a/batch/service.go
+++ b/batch/service.go
@@ -83,8 +83,11 @@
 	claiming map[string]bool // by job id
 	loading  map[string]bool // by job id
 	stopping bool
-	pace     paceEstimate
-	wake     chan struct{} // buffered; signals that items may be ready to start
+	// withheldSince is since when items of a service have waited without a start, or when
+	// that was last logged.
+	withheldSince map[string]time.Time
+	pace          paceEstimate
+	wake          chan struct{} // buffered; signals that items may be ready to start
 }
 
 type resultID struct {
@@ -107,7 +110,7 @@
 		return nil, trace.Wrap(err)
 	}
 	return &Service{cfg: cfg, mirror: newMirror(cfg.Log), submissions: submissions, results: results, kept: kept,
-		running: make(map[string]*runningJob), claiming: make(map[string]bool), loading: make(map[string]bool),
+		running: make(map[string]*runningJob), claiming: make(map[string]bool), loading: make(map[string]bool), withheldSince: make(map[string]time.Time),
 		pace: paceEstimate{eventInterval: initialEventInterval, itemEvents: initialItemEvents}, wake: make(chan struct{}, 1)}, nil
 }
 
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -155,6 +155,13 @@
 	return placement.BatchStartQuota(list, waiting, all, d.cfg.Random.Float64())
 }
 
+// RoomForBatch returns what batch work may use of a service.
+func (d *Dispatcher) RoomForBatch(service string) placement.BatchRoom {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return placement.RoomForBatch(d.snapshot(d.cfg.Holder.View().Usable(service), true, time.Now()))
+}
+
 // TryAcquireBatch returns a grant for a batch item, or nil if no slot is free.
 func (d *Dispatcher) TryAcquireBatch(service string) *Grant {
 	d.mu.Lock()
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -108,6 +108,12 @@
 	metrics.GetOrCreateCounter("magnoliausher_store_responses_rejected_total").Inc()
 }
 
+// BatchWithheld counts periods of two seconds in which items of a service waited at a
+// gateway and none started.
+func BatchWithheld(service string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`magnoliausher_batch_withheld_total{service=%q}`, service)).Inc()
+}
+
 // ResponseRejected counts responses of upstreams that were not passed on, by reason.
 func ResponseRejected(reason string) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`magnoliausher_responses_rejected_total{reason=%q}`, reason)).Inc()
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -5,7 +5,12 @@
 // seconds that use the capacity online work leaves free.
 package placement
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/magnoliausher/magnoliausher/limit"
+)
 
 // Upstream is the state of one upstream in a snapshot.
 type Upstream struct {
@@ -164,8 +169,9 @@
 	return min(int(share+fraction), own)
 }
 
-// ReservePercent is the percentage of all slots that batch work leaves free. It
-// covers the arrivals of a doubled load during the 50 ms that preemption takes.
+// ReservePercent is the percentage of the slots that batch work leaves free, see
+// limit.Reserve. It covers the arrivals of a doubled load during the 50 ms that
+// preemption takes.
 const ReservePercent = 6
 
 // BatchStartQuota returns how many batch items a gateway may start until the next
@@ -173,7 +179,8 @@
 // waiting items. fraction is random in [0, 1) and rounds the share up or down, so
 // that on average the shares of all gateways add up to the spare slots.
 func BatchStartQuota(list []Upstream, own, total int, fraction float64) int {
-	spare := spareSlots(list)
+	room := RoomForBatch(list)
+	spare := room.Free - room.Reserved
 	if spare <= 0 || own <= 0 {
 		return 0
 	}
@@ -181,26 +188,44 @@
 	return min(int(share+fraction), own)
 }
 
-// spareSlots returns the free slots beyond the reserve.
-func spareSlots(list []Upstream) int {
-	free, slots := 0, 0
+// BatchRoom is what batch work may use of a service.
+type BatchRoom struct {
+	Upstreams int // that batch work may use
+	Slots     int // of these upstreams
+	Free      int // of Slots
+	Reserved  int // of Free, for online work
+}
+
+// RoomForBatch returns what batch work may use of the upstreams.
+func RoomForBatch(list []Upstream) BatchRoom {
+	usable := batchUpstreams(list)
+	var room BatchRoom
 	for i := range list {
-		if list[i].Unavailable || list[i].Degraded {
-			continue
+		if u := &list[i]; usable(u) {
+			room.Upstreams++
+			room.Slots += u.Slots
+			room.Free += max(u.free(), 0)
 		}
-		slots += list[i].Slots
-		free += max(list[i].free(), 0)
 	}
-	return free - (slots*ReservePercent+99)/100
+	room.Reserved = limit.Reserve(room.Slots, ReservePercent)
+	return room
+}
+
+// batchUpstreams returns which upstreams batch work may use: the sound ones or, if the
+// service has none, the degraded ones.
+func batchUpstreams(list []Upstream) func(*Upstream) bool {
+	sound := slices.ContainsFunc(list, func(u Upstream) bool { return !u.Unavailable && !u.Degraded })
+	return func(u *Upstream) bool { return !u.Unavailable && u.Degraded != sound }
 }
 
 // PickBatch returns the index of the upstream for a batch item, or -1 if none has a
 // free slot. It prefers local upstreams, then those with the most free slots.
 func PickBatch(list []Upstream, random Random) int {
+	usable := batchUpstreams(list)
 	best, ties := -1, 0
 	for i := range list {
 		u := &list[i]
-		if u.Unavailable || u.Degraded || u.free() <= 0 {
+		if !usable(u) || u.free() <= 0 {
 			continue
 		}
 		c := -1
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -65,6 +65,83 @@
 	}
 }
 
+// Guards against accepted items that never run: on a service with few slots, or one
+// whose upstreams are all degraded.
+func TestBatchUsesTheLastSlot(t *testing.T) {
+	degraded := Upstream{Slots: 1, Degraded: true}
+	cases := []struct {
+		name string
+		list []Upstream
+		want int // starts, and then the index of the upstream
+		pick int
+	}{
+		{"no upstream", nil, 0, -1},
+		{"no slots", []Upstream{{Slots: 0}}, 0, -1},
+		{"one slot", []Upstream{{Slots: 1}}, 1, 0},
+		{"one slot, online work on it", []Upstream{{Slots: 1, Online: 1}}, 0, -1},
+		{"two slots", []Upstream{{Slots: 2}}, 1, 0},
+		{"two slots, online work on one", []Upstream{{Slots: 2, Online: 1}}, 0, 0},
+		{"two upstreams with one slot", []Upstream{{Slots: 1, Online: 1}, {Slots: 1}}, 0, 1},
+		{"three slots, online work on one", []Upstream{{Slots: 1, Online: 1}, {Slots: 2}}, 1, 1},
+		{"the last of two is gone", []Upstream{{Slots: 1, Unavailable: true}, {Slots: 1}}, 1, 1},
+		{"degraded", []Upstream{degraded}, 1, 0},
+		{"degraded and gone", []Upstream{{Slots: 8, Unavailable: true}, degraded}, 1, 1},
+		{"degraded beside a sound one", []Upstream{degraded, {Slots: 1}}, 1, 1},
+		{"degraded beside a full one", []Upstream{degraded, {Slots: 1, Online: 1}}, 0, -1},
+	}
+	for _, c := range cases {
+		if got := BatchStartQuota(c.list, 8, 8, 0); got != c.want {
+			t.Errorf("%s: %d starts, want %d", c.name, got, c.want)
+		}
+		if got := PickBatch(c.list, first); got != c.pick {
+			t.Errorf("%s: upstream %d, want %d", c.name, got, c.pick)
+		}
+	}
+}
+
+// Guards against items that wait while the engines of their service are under half full.
+func TestBatchStartsUnderHalfLoad(t *testing.T) {
+	properties := gopter.NewProperties(nil)
+	properties.Property("an item starts", prop.ForAll(func(slots []int, used, gateways, state int) bool {
+		list := make([]Upstream, len(slots))
+		total := 0
+		for i := range list {
+			list[i] = Upstream{Slots: slots[i], Degraded: state>>i&1 == 1}
+		}
+		usable := batchUpstreams(list)
+		for i := range list {
+			if usable(&list[i]) {
+				total += list[i].Slots
+			}
+		}
+		for i, left := 0, min(used, (total-1)/2); i < len(list); i++ {
+			if usable(&list[i]) {
+				list[i].Online = min(left, list[i].Slots)
+				left -= list[i].Online
+			}
+		}
+		// The shares of all gateways, each with one waiting item, make a start.
+		spare := BatchStartQuota(list, gateways, gateways, 0)
+		return total == 0 || spare >= 1 && PickBatch(list, first) >= 0
+	}, gen.SliceOfN(3, gen.IntRange(0, 4)), gen.IntRange(0, 12), gen.IntRange(1, 40), gen.IntRange(0, 7)))
+	properties.TestingRun(t)
+}
+
+// Guards against several gateways of which none ever uses the one slot between them.
+func TestGatewaysShareTheLastSlot(t *testing.T) {
+	random := rand.New(rand.NewPCG(7, 8))
+	const gateways, rounds = 20, 2000
+	started := 0
+	for range rounds {
+		for range gateways {
+			started += BatchStartQuota([]Upstream{{Slots: 1}}, 8, 8*gateways, random.Float64())
+		}
+	}
+	if mean := float64(started) / rounds; mean < 0.9 || mean > 1.1 {
+		t.Errorf("%.2f items started a round on one slot", mean)
+	}
+}
+
 // Guards against gateways that together preempt too many or too few items. Each
 // gateway sees the gateways of other data centres only as a sum.
 func TestPreemptionsAddUpToExcess(t *testing.T) {
