memory: bound the bytes held of all answers together

Engines that sent well-formed events without end made a gateway hold up to 4 MiB for each batch item until it ran out of memory; outputs over what one transaction holds then kept the other results of their job from being listed (a report of other operators).

Cause: the limit of an item's output was for one item and above what can be listed; nothing bounded all answers together. In the entries' way the batch runner had no limit at all.

Without memory a body is passed on in parts.

--- a/batch/attempt.go
+++ b/batch/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/magnoliausher/magnoliausher/dispatch"
 	"github.com/magnoliausher/magnoliausher/event"
 	"github.com/magnoliausher/magnoliausher/forward"
+	"github.com/magnoliausher/magnoliausher/memory"
 	"github.com/magnoliausher/magnoliausher/metric"
 )
 
@@ -22,9 +23,9 @@
 	failureBackoffMax = 3 * time.Second
 	// maxTimeoutDoublings limits the growth of an item's timeouts to a factor of 4.
 	maxTimeoutDoublings = 2
-	// maxItemOutputBytes limits the output of an item. The longest answers hold a few
-	// thousand tokens.
-	maxItemOutputBytes = 4 << 20
+	// maxItemOutputBytes limits the output of an item to what one transaction can list.
+	// The longest answers hold a few thousand tokens.
+	maxItemOutputBytes = maxCommitBytes
 )
 
 // runItem makes one attempt at an item and handles its result.
@@ -73,7 +74,7 @@
 	}
 }
 
-// Statuses of an attempt, as logged.
+// Statuses of an attempt, as logged; the reason may follow.
 const (
 	attemptDone       = "done"
 	attemptImpossible = "impossible" // status 422
@@ -123,6 +124,7 @@
 func (s *Service) collectEvents(ri *runningItem, grant *dispatch.Grant, answer *forward.Response) (dispatch.Outcome, string) {
 	events := event.NewIdleTimeoutReader(answer.Body, ri.timeout(forward.StreamIdleTimeout))
 	defer events.Stop()
+	events.Account(s.cfg.Memory.Share())
 	for {
 		e, err := events.Next()
 		switch {
@@ -132,8 +134,8 @@
 			return dispatch.Served, attemptDone
 		case errors.Is(err, event.ErrIdle):
 			return dispatch.Broken, attemptSilent
-		case errors.Is(err, event.ErrTooLong):
-			return dispatch.Broken, attemptUnusable
+		case errors.Is(err, event.ErrTooLong), errors.Is(err, memory.ErrExhausted):
+			return dispatch.Broken, attemptUnusable + " " + err.Error()
 		case err != nil:
 			return dispatch.Broken, attemptBroken
 		case !event.Follows(ri.lastID(), e.ID):
@@ -145,9 +147,9 @@
 		if e.Data == nil {
 			continue
 		}
-		if ri.addEvent(e.ID, e.Data) > maxItemOutputBytes {
-			ri.reset() // an answer without end holds nothing to resume from
-			return dispatch.Broken, attemptUnusable
+		if err := ri.addEvent(e.ID, e.Data); err != nil {
+			ri.reset(0) // an answer without end holds nothing to resume from
+			return dispatch.Broken, attemptUnusable + " " + err.Error()
 		}
 	}
 }
--- a/batch/commit.go
+++ b/batch/commit.go
@@ -33,7 +33,7 @@
 	result.Item = r.submission.Items[ri.index].ID
 	ri.state = itemFinished
 	ri.result = result
-	ri.reset()
+	ri.reset(len(result.Output))
 	r.finished = append(r.finished, ri.index)
 	if result.Abandoned {
 		s.cfg.Log.Info().Str("request", result.Item).Str("job", r.submission.ID).Str("reason", reason).
@@ -167,7 +167,7 @@
 	defer s.mu.Unlock()
 	for i := range r.items {
 		if listed[r.submission.Items[i].ID] {
-			r.items[i].state, r.items[i].result = itemListed, Result{}
+			r.items[i].setListed()
 		}
 	}
 	r.finished = slices.DeleteFunc(r.finished, func(index int) bool { return r.items[index].state == itemListed })
@@ -234,9 +234,8 @@
 	s.mu.Lock()
 	held := r.row.Job()
 	for i, index := range indexes {
-		s.results.Add(resultID{job.ID, held.Listed + i}, r.items[index].result)
-		r.items[index].state = itemListed
-		r.items[index].result = Result{}
+		s.cacheResult(job.ID, held.Listed+i, r.items[index].result)
+		r.items[index].setListed()
 	}
 	r.finished = r.finished[len(indexes):]
 	claimed := !s.owns(held) && s.owns(job)
--- a/batch/handover.go
+++ b/batch/handover.go
@@ -86,7 +86,7 @@
 			ri.advance(p, 0)
 			continue
 		}
-		ri.reset()
+		ri.reset(len(item.Output))
 		ri.state, ri.result = itemFinished, item.Result
 		ri.result.Output = string(item.Output)
 		r.finished = append(r.finished, item.Index)
@@ -221,9 +221,10 @@
 	case jobrow.Replace:
 		old.dropped = true
 		old.cancel()
+		go old.releaseMemory()
 	}
 	r.committing = true
-	s.running[id] = r
+	s.addRunning(r)
 	return offer, nil
 }
 
--- a/batch/progress.go
+++ b/batch/progress.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/url"
@@ -14,6 +15,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/magnoliausher/magnoliausher/memory"
 	"github.com/magnoliausher/magnoliausher/pause"
 	"github.com/magnoliausher/magnoliausher/storage"
 )
@@ -43,13 +45,24 @@
 type itemProgress struct {
 	mu      sync.Mutex
 	current progress
-	saved   int // number of events in the last checkpoint
+	saved   int           // number of events in the last checkpoint
+	share   *memory.Share // of the output; kept until the result is listed
 }
 
-// addEvent appends one event and returns the size of the output in bytes.
-func (g *itemProgress) addEvent(id string, data []byte) int {
+// errOutputTooLong ends an attempt whose output exceeds maxItemOutputBytes.
+var errOutputTooLong = errors.New("output exceeds the maximum size")
+
+// addEvent appends one event. After an error the event is not part of the progress.
+func (g *itemProgress) addEvent(id string, data []byte) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	size := len(g.current.Output) + 1 + len(data)
+	if size > maxItemOutputBytes {
+		return errOutputTooLong
+	}
+	if err := g.share.Resize(size); err != nil {
+		return err
+	}
 	if g.current.Events > 0 {
 		g.current.Output = append(g.current.Output, '\n')
 	}
@@ -58,7 +71,7 @@
 	if id != "" {
 		g.current.LastID = id
 	}
-	return len(g.current.Output)
+	return nil
 }
 
 // snapshot returns a copy of the progress and the number of checkpointed events.
@@ -76,6 +89,12 @@
 	return g.current.Events
 }
 
+func (g *itemProgress) outputSize() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.current.Output)
+}
+
 func (g *itemProgress) lastID() string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -87,6 +106,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if p.Events > g.current.Events {
+		_ = g.share.Resize(len(p.Output)) // as in account
 		g.current, g.saved = p, saved
 	}
 }
@@ -97,10 +117,20 @@
 	g.saved = events
 }
 
-func (g *itemProgress) reset() {
+// reset discards the progress. The item goes on to hold the given bytes of a result.
+func (g *itemProgress) reset(held int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.current, g.saved = progress{}, 0
+	_ = g.share.Resize(held) // a result is no longer than the progress that it comes from
+}
+
+// account makes the item take its memory from a share of a budget.
+func (g *itemProgress) account(share *memory.Share) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.share = share
+	_ = g.share.Resize(len(g.current.Output)) // what a predecessor handed over stays; only growth fails
 }
 
 // progressPrefix returns the key prefix of a job's checkpoints. They are stored in
@@ -172,8 +202,11 @@
 		if ri.state >= itemFinished {
 			continue
 		}
+		if ri.outputSize() > maxPartBytes {
+			continue
+		}
 		p, saved := ri.snapshot()
-		if p.LastID == "" || p.Events-saved < checkpointMinEvents || len(p.Output) > maxPartBytes {
+		if p.LastID == "" || p.Events-saved < checkpointMinEvents {
 			continue
 		}
 		if len(tx.Writes) >= maxCommitRows || size > maxCommitBytes {
--- a/batch/read.go
+++ b/batch/read.go
@@ -113,6 +113,12 @@
 	return results, nil
 }
 
+func (s *Service) cacheResult(job string, position int, r Result) {
+	if len(r.Output) <= cachedResultBytes {
+		s.results.Add(resultID{job, position}, r)
+	}
+}
+
 // assembleResults joins the parts in rows into consecutive results, the first of
 // which is at position from.
 func (s *Service) assembleResults(id string, from int, rows []storage.Row) ([]Result, error) {
@@ -136,7 +142,7 @@
 			partial.Output += part.Output
 		}
 		if !more {
-			s.results.Add(resultID{id, pos}, *partial)
+			s.cacheResult(id, pos, *partial)
 			list = append(list, *partial)
 			partial = nil
 		}
--- a/batch/running.go
+++ b/batch/running.go
@@ -30,6 +30,12 @@
 	result      Result
 }
 
+// setListed records that the item's result is stored. The caller holds Service.mu.
+func (ri *runningItem) setListed() {
+	ri.state, ri.result = itemListed, Result{}
+	ri.reset(0)
+}
+
 // runningJob is a job that this process runs. Its fields are guarded by
 // Service.mu, except the submission, which never changes.
 type runningJob struct {
@@ -111,7 +117,7 @@
 		r.restoreItems(kept)
 		s.kept.Remove(id)
 	}
-	s.running[id] = r
+	s.addRunning(r)
 	if len(r.finished) > 0 {
 		r.committing = true
 		go s.commitFinished(r)
@@ -131,6 +137,23 @@
 	return r
 }
 
+// addRunning adds a job to the running ones. The caller holds s.mu.
+func (s *Service) addRunning(r *runningJob) {
+	for i := range r.items {
+		r.items[i].account(s.cfg.Memory.Share())
+	}
+	s.running[r.submission.ID] = r
+}
+
+// releaseMemory gives the memory of a job that was dropped back once its items have
+// stopped.
+func (r *runningJob) releaseMemory() {
+	r.activeItems.Wait()
+	for i := range r.items {
+		r.items[i].reset(0)
+	}
+}
+
 // dropJob stops running a job. The reason is logged.
 func (s *Service) dropJob(id, reason string) {
 	s.mu.Lock()
@@ -146,6 +169,7 @@
 	s.mu.Unlock()
 	if r != nil {
 		r.cancel()
+		go r.releaseMemory()
 		if unclaimed {
 			s.announceTakenOver()
 		}
--- a/batch/service.go
+++ b/batch/service.go
@@ -18,6 +18,7 @@
 	"github.com/magnoliausher/magnoliausher/dispatch"
 	"github.com/magnoliausher/magnoliausher/fleet"
 	"github.com/magnoliausher/magnoliausher/forward"
+	"github.com/magnoliausher/magnoliausher/memory"
 	"github.com/magnoliausher/magnoliausher/pause"
 	"github.com/magnoliausher/magnoliausher/peer"
 	"github.com/magnoliausher/magnoliausher/storage"
@@ -39,9 +40,10 @@
 	feedIntervalMax      = 600 * time.Millisecond
 	feedIntervalGateways = 64
 	// cachedSubmissions and cachedResults limit the caches; an entry takes about
-	// 150 KB and 16 KB respectively.
+	// 150 KB and 16 KB respectively. Longer results than cachedResultBytes are not cached.
 	cachedSubmissions = 24
 	cachedResults     = 512
+	cachedResultBytes = 64 << 10
 	// quotaRetryDelay is the mean delay before a client retries a job that exceeded
 	// its quota. By then, about one more item per slot has finished.
 	quotaRetryDelay = time.Second
@@ -65,7 +67,8 @@
 	// AnnounceTakenOver tells the peers which jobs this process has taken over but not
 	// claimed yet, as hashes of their IDs; nil if there are no peers.
 	AnnounceTakenOver func(jobs []uint64)
-	JobRetention      time.Duration // how long a closed job stays readable after its creation
+	Memory            *memory.Budget // for long outputs; nil for no limit
+	JobRetention      time.Duration  // how long a closed job stays readable after its creation
 	Log               zerolog.Logger
 }
 
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/magnoliausher/magnoliausher/dispatch"
 	"github.com/magnoliausher/magnoliausher/fleet"
 	"github.com/magnoliausher/magnoliausher/forward"
+	"github.com/magnoliausher/magnoliausher/memory"
 	"github.com/magnoliausher/magnoliausher/metric"
 	"github.com/magnoliausher/magnoliausher/peer"
 	"github.com/magnoliausher/magnoliausher/platform"
@@ -33,9 +34,12 @@
 	// logBufferLines is the number of buffered log lines; further lines are dropped
 	// and counted.
 	logBufferLines = 4096
-	// memoryLimitPercent is the Go soft memory limit as a percentage of the allowed
-	// memory; the rest is left for memory held by the kernel.
-	memoryLimitPercent = 60
+	// answerMemoryPercent is the share of the memory limit for the long answers of
+	// upstreams, defaultAnswerMemory the budget in bytes of a process without a limit.
+	// Usual answers need none of it.
+	answerMemoryPercent = 12
+	defaultAnswerMemory = 64 << 20
+	memoryLimitPercent  = 60
 	// loadBalancerDelay is how long the load balancer keeps opening connections after
 	// the process becomes unready: two probes, one second apart.
 	loadBalancerDelay = 2300 * time.Millisecond
@@ -113,18 +117,28 @@
 		Prefix: suspectRowPrefix, MinCrashes: crashesToBlock}
 	engines := platform.NewEngineClient()
 	tracker := newCrashTracker(g.suspects, engines.AcceptsConnections, g.exchange.TrialRank, g.log)
+	answers := memory.NewBudget(answerMemory(s.MemoryLimitMB))
 	g.jobs, err = batch.New(batch.Config{Self: g.self, Table: g.relay, Feed: g.relay, Objects: g.relay.Objects(),
 		Holder: g.holder, Dispatcher: g.dispatcher, Upstreams: engines,
-		Members: g.exchange.Members, HandOver: g.exchange.HandOver, AnnounceTakenOver: g.exchange.SetTakenJobs, JobRetention: s.JobRetention, Log: g.log})
+		Members: g.exchange.Members, HandOver: g.exchange.HandOver, AnnounceTakenOver: g.exchange.SetTakenJobs, Memory: answers, JobRetention: s.JobRetention, Log: g.log})
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
 	g.exchange.OnHandOver(g.jobs.TakeOver)
-	forwarder := forward.New(forward.Config{Dispatcher: g.dispatcher, Upstreams: engines, CrashTracker: tracker, Log: g.log})
+	forwarder := forward.New(forward.Config{Dispatcher: g.dispatcher, Upstreams: engines, CrashTracker: tracker, Memory: answers, Log: g.log})
 	g.assembleServers(&platform.Ingress{Holder: g.holder, Forwarder: forwarder, Jobs: g.jobs, Log: g.log})
 	return g, nil
 }
 
+// answerMemory returns the budget in bytes for long answers of upstreams, of a process
+// with a memory limit in MB, 0 for none.
+func answerMemory(limitMB int) int64 {
+	if limitMB == 0 {
+		return defaultAnswerMemory
+	}
+	return int64(limitMB) << 20 * answerMemoryPercent / 100
+}
+
 func (g *Gateway) assembleServers(ingress http.Handler) {
 	g.ingress = newGracefulServer(&http.Server{Handler: g.closeWhenDraining(ingress), ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout: gatewayIdleTimeout, MaxHeaderBytes: 64 << 10})
--- a/daemon/jobs.go
+++ b/daemon/jobs.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/magnoliausher/magnoliausher/job"
+	"github.com/magnoliausher/magnoliausher/memory"
 	"github.com/magnoliausher/magnoliausher/storage"
 )
 
@@ -17,6 +18,7 @@
 		InstanceID:  d.settings.Instance.ID,
 		Rank:        d.rank,
 		MemoryBytes: d.settings.MaxBatchBytes,
+		Answers:     memory.NewBudget(defaultAnswerMemory),
 		Log:         d.logger,
 	})
 	store := job.NewStore(d.platform)
--- a/event/event.go
+++ b/event/event.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"github.com/magnoliausher/magnoliausher/memory"
 )
 
 // MaxBytes limits the size of one event. The largest events carry a few kilobytes,
@@ -51,8 +53,9 @@
 type Reader struct {
 	lines       *bufio.Reader
 	idleTimeout time.Duration
-	timer       *time.Timer // closes the body when it expires; nil without an idle timeout
-	expired     atomic.Bool // the timer has closed the body
+	timer       *time.Timer   // closes the body when it expires; nil without an idle timeout
+	expired     atomic.Bool   // the timer has closed the body
+	share       *memory.Share // for the event being read; nil if it is not accounted
 }
 
 // readBufferSize holds several events of a few hundred bytes.
@@ -76,11 +79,16 @@
 	return r
 }
 
-// Stop disables the idle timeout.
+// Account makes the reader take the memory of an event from a share of a budget, which
+// Stop releases. Next returns memory.ErrExhausted if there is none.
+func (r *Reader) Account(share *memory.Share) { r.share = share }
+
+// Stop disables the idle timeout and releases the memory.
 func (r *Reader) Stop() {
 	if r.timer != nil {
 		r.timer.Stop()
 	}
+	r.share.Release()
 }
 
 // Next returns the next complete event. At the end of the stream it returns
@@ -111,6 +119,9 @@
 			if len(e.Raw) > MaxBytes {
 				return Event{}, ErrTooLong
 			}
+			if err := r.share.Resize(2 * len(e.Raw)); err != nil { // the bytes and the data in them
+				return Event{}, err
+			}
 		}
 		if err != nil {
 			if err == io.EOF {
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -6,11 +6,13 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/magnoliausher/magnoliausher/dispatch"
 	"github.com/magnoliausher/magnoliausher/event"
+	"github.com/magnoliausher/magnoliausher/memory"
 	"github.com/magnoliausher/magnoliausher/metric"
 	"github.com/magnoliausher/magnoliausher/poison"
 )
@@ -18,16 +20,18 @@
 // forwardBuffered reads a response, up to maxBufferedBytes, before it passes any
 // of it on to the caller.
 func (x *exchange) forwardBuffered(grant *dispatch.Grant, started time.Time, response *Response) error {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
+	share := x.cfg.Memory.Share()
+	defer share.Release()
+	body, whole, err := readStart(response.Body, share)
 	if err != nil {
 		return x.failAttempt(grant, started, failure{reason: "cut: " + err.Error(), err: err})
 	}
 	grant.Progress()
 	if response.Status >= 500 && x.canMove() && x.ctx.Err() == nil {
-		return x.failAttempt(grant, started, failure{reason: "status " + strconv.Itoa(response.Status), whole: len(body) <= maxBufferedBytes})
+		return x.failAttempt(grant, started, failure{reason: "status " + strconv.Itoa(response.Status), whole: whole})
 	}
 	x.recordFirstByte()
-	if len(body) <= maxBufferedBytes {
+	if whole {
 		err = x.reply.whole(response.Status, response.Header, body)
 	} else {
 		err = x.reply.bodyStart(response.Status, response.Header, body)
@@ -37,8 +41,9 @@
 		x.recordAttempt(grant, started, err.Error())
 		return x.abortResponse("caller_gone")
 	}
-	if len(body) > maxBufferedBytes {
-		if fromUpstream, err := x.copyRest(response); fromUpstream {
+	if !whole {
+		share.Release()
+		if fromUpstream, err := x.copyRest(response, maxBodyBytes-len(body)); fromUpstream {
 			return x.failAttempt(grant, started, failure{reason: "cut: " + err.Error(), err: err, outputs: poison.SoundOutputs})
 		} else if err != nil {
 			grant.Release(dispatch.Cancelled)
@@ -59,13 +64,30 @@
 // errBodyTooLong is returned for a response body over maxBodyBytes.
 var errBodyTooLong = errors.New("response body exceeds the maximum size")
 
-// copyRest passes on what follows the buffered part of a response. It tells errors of
-// the upstream from those of the caller.
-func (x *exchange) copyRest(response *Response) (fromUpstream bool, err error) {
-	const rest = maxBodyBytes - (maxBufferedBytes + 1)
-	source := &errorRecordingReader{Reader: io.LimitReader(response.Body, rest)}
+// readStart reads a body until its end, up to maxBufferedBytes, or for as long as there
+// is memory. It reports whether that is the whole body.
+func readStart(body io.Reader, share *memory.Share) (start []byte, whole bool, err error) {
+	const step = 16 << 10
+	for len(start) <= maxBufferedBytes && share.Resize(2*(len(start)+step)) == nil { // the slice and its copy as it grows
+		start = slices.Grow(start, step)
+		n, err := body.Read(start[len(start):cap(start)])
+		start = start[:len(start)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return start, true, nil
+		case err != nil:
+			return nil, false, err
+		}
+	}
+	return start, false, nil
+}
+
+// copyRest passes on what follows the buffered part of a response, up to limit bytes. It
+// tells errors of the upstream from those of the caller.
+func (x *exchange) copyRest(response *Response, limit int) (fromUpstream bool, err error) {
+	source := &errorRecordingReader{Reader: io.LimitReader(response.Body, int64(limit))}
 	n, err := x.reply.copyBody(source)
-	if err == nil && n == rest {
+	if err == nil && n == int64(limit) {
 		return true, errBodyTooLong
 	}
 	return source.err != nil, err
@@ -109,6 +131,7 @@
 	}
 	events := event.NewIdleTimeoutReader(response.Body, idleTimeout)
 	defer events.Stop()
+	events.Account(x.cfg.Memory.Share())
 	for {
 		e, err := events.Next()
 		switch {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -18,6 +18,7 @@
 	"github.com/magnoliausher/magnoliausher/dispatch"
 	"github.com/magnoliausher/magnoliausher/event"
 	"github.com/magnoliausher/magnoliausher/fleet"
+	"github.com/magnoliausher/magnoliausher/memory"
 	"github.com/magnoliausher/magnoliausher/metric"
 	"github.com/magnoliausher/magnoliausher/poison"
 )
@@ -143,6 +144,7 @@
 	Dispatcher   *dispatch.Dispatcher
 	Upstreams    Upstreams
 	CrashTracker CrashTracker
+	Memory       *memory.Budget // for long answers; nil for no limit
 	Log          zerolog.Logger
 }
 
@@ -360,7 +362,8 @@
 // mayBeCrash reports whether the failure can come from a crash of the upstream.
 // Silence and unusable bytes do not.
 func (f *failure) mayBeCrash() bool {
-	for _, other := range []error{ErrHeaderTimeout, context.DeadlineExceeded, event.ErrIdle, event.ErrTooLong, errOutOfOrder, errBodyTooLong} {
+	for _, other := range []error{ErrHeaderTimeout, context.DeadlineExceeded, event.ErrIdle, event.ErrTooLong, memory.ErrExhausted,
+		errOutOfOrder, errBodyTooLong} {
 		if errors.Is(f.err, other) {
 			return false
 		}
--- a/job/execute.go
+++ b/job/execute.go
@@ -14,6 +14,7 @@
 	"github.com/magnoliausher/magnoliausher/attempt"
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/link"
+	"github.com/magnoliausher/magnoliausher/memory"
 	"github.com/magnoliausher/magnoliausher/metric"
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
 )
@@ -101,7 +102,8 @@
 	if errors.Is(err, link.ErrNoLink) {
 		return outcome{kind: outcomeNotSent, attempt: attempt.ID(req.AttemptId)}
 	}
-	c := attemptCollector{req: req, engine: h.target.Kind == contract.KindEngine}
+	c := attemptCollector{req: req, engine: h.target.Kind == contract.KindEngine, share: r.cfg.Answers.Share()}
+	defer c.share.Release()
 	if err == nil {
 		err = c.read(stream)
 		_ = stream.Close() // the attempt has ended or is abandoned
@@ -118,8 +120,14 @@
 	tokens    int
 	data      bytes.Buffer
 	lastEvent *rpc.RunEvent // end, refused or failed
+	share     *memory.Share // of the text and the data
 }
 
+// maxAnswerBytes limits the answer to one item. The longest hold a few thousand tokens.
+const maxAnswerBytes = 4 << 20
+
+var errAnswerTooLong = errors.New("the answer exceeds the maximum size")
+
 // read receives events up to the attempt's final event. Events of other attempts
 // are ignored.
 func (c *attemptCollector) read(stream link.Stream) error {
@@ -137,15 +145,30 @@
 		case *rpc.RunEvent_Delta:
 			c.text.WriteString(e.Delta.Text)
 			c.tokens += int(e.Delta.Tokens)
+			err = c.checkSize()
 		case *rpc.RunEvent_Data:
 			c.data.Write(e.Data)
+			err = c.checkSize()
 		case *rpc.RunEvent_End, *rpc.RunEvent_Refused, *rpc.RunEvent_Failed:
 			c.lastEvent = event
 			return nil
 		}
+		if err != nil {
+			c.text, c.tokens, c.data = strings.Builder{}, 0, bytes.Buffer{} // nothing to resume from
+			return err
+		}
 	}
 }
 
+// checkSize returns an error once the answer is too long to be kept.
+func (c *attemptCollector) checkSize() error {
+	size := c.text.Len() + c.data.Len()
+	if size > maxAnswerBytes {
+		return errAnswerTooLong
+	}
+	return c.share.Resize(size)
+}
+
 // outcome returns how the attempt ended; err is the connection error, if any.
 func (c *attemptCollector) outcome(ctx context.Context, err error) outcome {
 	o := outcome{
@@ -164,6 +187,9 @@
 	case errors.Is(err, io.EOF):
 		o.reason = "the answer ended early"
 		return o
+	case errors.Is(err, errAnswerTooLong), errors.Is(err, memory.ErrExhausted):
+		o.reason = err.Error()
+		return o
 	case err != nil:
 		o.reason = "the connection to the agent failed"
 		return o
--- a/job/runner.go
+++ b/job/runner.go
@@ -12,6 +12,7 @@
 
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/link"
+	"github.com/magnoliausher/magnoliausher/memory"
 	"github.com/magnoliausher/magnoliausher/storage"
 )
 
@@ -24,6 +25,7 @@
 	InstanceID  string
 	Rank        func() (rank, entries int) // of this entry among all entries
 	MemoryBytes int64                      // memory limit for held items and results
+	Answers     *memory.Budget             // for long answers in progress; nil for no limit
 	Log         zerolog.Logger
 }
 
