drain: take late requests of a shutdown only if they can be answered

Requests that came late in the grace of a planned stop were passed on and cut at its end with no answer, among them some that may not be repeated (a report of other operators).

Cause: the listener stayed open while callers came more often than every 50 ms, and nothing compared a request's limit with the rest of the grace.

Change: package drain decides what is taken and ends what is in progress in time for an answer; a listener that stops waits at most 0.5 s. Long polls end when the shutdown begins, and one whose caller is gone is cut off.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -20,6 +20,7 @@
 
 	"github.com/magnoliausher/magnoliausher/batch"
 	"github.com/magnoliausher/magnoliausher/dispatch"
+	"github.com/magnoliausher/magnoliausher/drain"
 	"github.com/magnoliausher/magnoliausher/fleet"
 	"github.com/magnoliausher/magnoliausher/forward"
 	"github.com/magnoliausher/magnoliausher/memory"
@@ -45,6 +46,9 @@
 	loadBalancerDelay = 2300 * time.Millisecond
 	// exitReserve is the part of the grace period kept for process exit.
 	exitReserve = 400 * time.Millisecond
+	// answerReserve is the part of the grace period before it in which the last answers
+	// reach their callers.
+	answerReserve = 200 * time.Millisecond
 	// settingsCheckInterval is how often the settings file is checked for changes that
 	// come without a signal.
 	settingsCheckInterval = time.Second
@@ -83,6 +87,7 @@
 	exchange   *peer.Exchange
 	jobs       *batch.Service
 	draining   atomic.Bool
+	shutdown   *drain.State
 	ingress    *gracefulServer
 	readiness  *http.Server
 	peers      *http.Server
@@ -99,7 +104,7 @@
 	}
 	logLevel := newLevelSampler(level)
 	writer := diode.NewWriter(nopCloseWriter{os.Stdout}, logBufferLines, 0, metric.LogLinesDropped)
-	g := &Gateway{file: file, settings: s, holder: fleet.NewHolder(), store: platform.NewStore(s.StoreAddress),
+	g := &Gateway{file: file, settings: s, holder: fleet.NewHolder(), shutdown: drain.NewState(), store: platform.NewStore(s.StoreAddress),
 		logLevel: logLevel, log: zerolog.New(writer).Sample(logLevel).With().Timestamp().Str("instance", s.Instance.ID).Logger(),
 		closeLog: func() {
 			_ = writer.Close() // a failure cannot be logged anymore
@@ -125,8 +130,8 @@
 		return nil, trace.Wrap(err)
 	}
 	g.exchange.OnHandOver(g.jobs.TakeOver)
-	forwarder := forward.New(forward.Config{Dispatcher: g.dispatcher, Upstreams: engines, CrashTracker: tracker, Memory: answers, Log: g.log})
-	g.assembleServers(&platform.Ingress{Holder: g.holder, Forwarder: forwarder, Jobs: g.jobs, Log: g.log})
+	forwarder := forward.New(forward.Config{Dispatcher: g.dispatcher, Upstreams: engines, CrashTracker: tracker, Memory: answers, Shutdown: g.shutdown, Log: g.log})
+	g.assembleServers(&platform.Ingress{Holder: g.holder, Forwarder: forwarder, Jobs: g.jobs, Shutdown: g.shutdown, Log: g.log})
 	return g, nil
 }
 
@@ -283,6 +288,7 @@
 func (g *Gateway) drain(ctx context.Context) {
 	started := time.Now()
 	end := started.Add(g.settings.ShutdownGrace - exitReserve)
+	g.shutdown.Begin(drain.Plan{RoutedUntil: started.Add(loadBalancerDelay), AnsweredBy: end.Add(-answerReserve)})
 	g.draining.Store(true)
 	g.exchange.Leave()
 	g.log.Info().Dur("grace", g.settings.ShutdownGrace).Msg("gateway is shutting down")
--- a/daemon/graceful.go
+++ b/daemon/graceful.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -18,6 +19,14 @@
 // Accepting one that is in the backlog takes far less.
 const backlogTimeout = 50 * time.Millisecond
 
+// backlogLimit is how long a listener that stops waits for connections, however often
+// they come. Load balancers have left by then. After it only those are accepted that are
+// in the backlog: the next one within backlogGap.
+const (
+	backlogLimit = 500 * time.Millisecond
+	backlogGap   = 5 * time.Millisecond
+)
+
 // newConnectionTimeout is how long a connection without a request is waited for at
 // shutdown. Callers send at once; some connections are never used.
 const newConnectionTimeout = time.Second
@@ -97,18 +106,21 @@
 // drainingListener accepts what is in its backlog before it is closed.
 type drainingListener struct {
 	net.Listener
+	until     atomic.Pointer[time.Time] // of accepting; nil before finish
 	closeOnce sync.Once
 	drained   chan struct{} // closed when the backlog is empty
 	closed    chan struct{}
 }
 
-// finish accepts until no connection has arrived for backlogTimeout, then closes the
-// socket. A server goes on to wait in Accept until Close.
+// finish accepts until no connection has arrived for backlogTimeout, or after backlogLimit
+// for backlogGap, then closes the socket. A server goes on to wait in Accept until Close.
 func (l *drainingListener) finish() error {
 	tcp, ok := l.Listener.(*net.TCPListener)
 	if !ok {
 		return trace.BadParameter("a listener of type %T has no deadline", l.Listener)
 	}
+	until := time.Now().Add(backlogLimit)
+	l.until.Store(&until)
 	if err := tcp.SetDeadline(time.Now()); err != nil { // wakes Accept
 		return trace.Wrap(err)
 	}
@@ -127,7 +139,11 @@
 	}
 	// An expired deadline keeps Accept from looking at the backlog. The deadline is
 	// set anew for each connection, however long the process was not scheduled.
-	if tcp, ok := l.Listener.(*net.TCPListener); ok && tcp.SetDeadline(time.Now().Add(backlogTimeout)) == nil {
+	now, wait := time.Now(), backlogTimeout
+	if until := l.until.Load(); until != nil && now.After(*until) {
+		wait = backlogGap
+	}
+	if tcp, ok := l.Listener.(*net.TCPListener); ok && tcp.SetDeadline(now.Add(wait)) == nil {
 		conn, err = l.Listener.Accept()
 		if expired := tcp.SetDeadline(time.Now()); err == nil && expired == nil {
 			return conn, nil
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -225,7 +224,7 @@
 
 // logRequest writes the request's log line and metrics.
 func (x *exchange) logRequest(status int, outcome string) {
-	if errors.Is(x.ctx.Err(), context.Canceled) && outcome != "served" {
+	if x.callerGone() && outcome != "served" {
 		outcome = "caller_gone: " + outcome
 	}
 	metric.Answered(x.Service, classOnline, status, time.Since(x.Arrived).Seconds())
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/magnoliausher/magnoliausher/dispatch"
+	"github.com/magnoliausher/magnoliausher/drain"
 	"github.com/magnoliausher/magnoliausher/event"
 	"github.com/magnoliausher/magnoliausher/fleet"
 	"github.com/magnoliausher/magnoliausher/memory"
@@ -145,6 +146,7 @@
 	Upstreams    Upstreams
 	CrashTracker CrashTracker
 	Memory       *memory.Budget // for long answers; nil for no limit
+	Shutdown     *drain.State   // of this process; nil for none
 	Log          zerolog.Logger
 }
 
@@ -209,10 +211,21 @@
 	if r.Route.Timeout > 0 && r.Arrived.Add(r.Route.Timeout).Before(x.deadline) {
 		x.deadline = r.Arrived.Add(r.Route.Timeout)
 	}
-	deadlineCtx, cancel := context.WithDeadline(ctx, x.deadline)
+	plan := f.cfg.Shutdown.Plan()
+	limit := x.deadline
+	if plan != nil && plan.AnsweredBy.Before(x.deadline) {
+		x.deadline = plan.AnsweredBy
+	}
+	ctx, cancel := f.cfg.Shutdown.Context(ctx)
 	defer cancel()
+	deadlineCtx, cancelDeadline := context.WithDeadline(ctx, x.deadline)
+	defer cancelDeadline()
 	x.ctx = deadlineCtx
 	defer x.reply.close()
+	if plan != nil && !plan.Admits(time.Now(), limit) {
+		x.rejectUnexecuted(reasonShutdown, 0) // another gateway can take it at once
+		return
+	}
 	admission := f.cfg.CrashTracker.Admit(&r.Subject)
 	if admission.Blocked {
 		x.rejectBlocked(admission)
@@ -223,6 +236,9 @@
 	}
 }
 
+// reasonShutdown is the reason for rejecting a request, or for ending it, in a shutdown.
+const reasonShutdown = "shutting_down"
+
 // reasonBlockedPart is the reason for rejecting a request with a part of its prompt that
 // crashes upstreams.
 const reasonBlockedPart = "blocked_part"
@@ -438,21 +454,30 @@
 // failContextDone ends an exchange after its deadline or after the caller has
 // disconnected.
 func (x *exchange) failContextDone() error {
-	if errors.Is(x.ctx.Err(), context.Canceled) {
+	if x.callerGone() {
 		x.logRequest(0, "caller_gone")
 		return errDone
 	}
+	reason := "deadline"
+	if errors.Is(context.Cause(x.ctx), drain.ErrEnding) {
+		reason = reasonShutdown
+	}
 	if x.possibleRuns == 0 && !x.reply.begun() {
-		x.rejectUnexecuted("deadline", x.cfg.Dispatcher.RetryAfter(x.Service))
+		x.rejectUnexecuted(reason, x.cfg.Dispatcher.RetryAfter(x.Service))
 		return errDone
 	}
 	if x.reply.begun() {
-		return x.abortResponse("deadline")
+		return x.abortResponse(reason)
 	}
-	x.writeError(http.StatusGatewayTimeout, "deadline")
+	x.writeError(http.StatusGatewayTimeout, reason)
 	return errDone
 }
 
+// callerGone reports whether the caller has closed its connection.
+func (x *exchange) callerGone() bool {
+	return errors.Is(x.ctx.Err(), context.Canceled) && !errors.Is(context.Cause(x.ctx), drain.ErrEnding)
+}
+
 // failIncomplete ends an exchange whose request may have been executed and cannot
 // be completed.
 func (x *exchange) failIncomplete(reason string) error {
