soak: stop frozen gateways, delay commits, fail resumed streams

From seed 800 on gateways are stopped while they stand still, commits take effect late, resumed streams fail, engines send bytes without end, and results are read while faults last and must not change.

--- a/e2e/soak/callers_test.go
+++ b/e2e/soak/callers_test.go
@@ -41,6 +41,9 @@
 		d.callers.Go(func() { d.call(i) })
 	}
 	d.callers.Go(d.submitJobs)
+	if d.seed >= firstStaleOwnerSeed {
+		d.callers.Go(d.readJobs)
+	}
 }
 
 func (d *deployment) stopCallers() {
@@ -142,6 +145,40 @@
 	}
 }
 
+// readJobs reads results at random gateways while faults last.
+func (d *deployment) readJobs() {
+	random := rand.New(rand.NewPCG(d.seed, 98))
+	for d.running() {
+		d.mu.Lock()
+		jobs := d.jobs
+		d.mu.Unlock()
+		if len(jobs) > 0 {
+			j := jobs[random.IntN(len(jobs))]
+			after := random.IntN(j.items)
+			if p, err := d.readResults(d.gateways[random.IntN(len(d.gateways))], j, after); err == nil {
+				for i, r := range p.Results {
+					d.recordRead(j, after+i, r.ID+" "+r.State+" "+r.Output)
+				}
+			}
+		}
+		time.Sleep(30 * time.Millisecond)
+	}
+}
+
+// recordRead checks that a position holds what it held when it was first read.
+func (d *deployment) recordRead(j *job, position int, result string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.read[j.id] == nil {
+		d.read[j.id] = make(map[int]string)
+	}
+	if before, known := d.read[j.id][position]; known && before != result {
+		d.t.Errorf("seed %d: position %d of %s held %q, now %q", d.seed, position, j.id, before, result)
+		return
+	}
+	d.read[j.id][position] = result
+}
+
 func (d *deployment) submit(client *http.Client, j *job, g *gateway) int {
 	httpRequest, err := http.NewRequest(http.MethodPost, "http://"+g.listen+"/batch/"+j.id, strings.NewReader(platformtest.EncodeJob(j.id, "/batch/x", j.items, 10)))
 	if err != nil {
@@ -283,6 +320,7 @@
 					return false
 				}
 				for _, r := range p.Results {
+					d.recordRead(j, len(results), r.ID+" "+r.State+" "+r.Output)
 					results = append(results, r.ID+" "+r.State)
 					if r.State != "done" || r.Output != platformtest.ExpectedOutput(r.ID, 5) {
 						d.t.Errorf("seed %d: result of %s: %s %q", d.seed, r.ID, r.State, r.Output)
--- a/e2e/soak/soak_test.go
+++ b/e2e/soak/soak_test.go
@@ -25,7 +25,7 @@
 )
 
 var (
-	firstSeed     = flag.Uint64("soak.first", firstDeadlyPartSeed, "first seed")
+	firstSeed     = flag.Uint64("soak.first", firstStaleOwnerSeed, "first seed")
 	seedCount     = flag.Uint64("soak.seeds", 4, "number of seeds")
 	parallel      = flag.Int("soak.parallel", 3, "maximum number of seeds run in parallel")
 	gateways      = flag.Int("soak.gateways", 0, "number of gateways; 0 for that of the seed")
@@ -47,6 +47,11 @@
 // gone.
 const firstDeadlyPartSeed = 700
 
+// firstStaleOwnerSeed is the first seed in which gateways are stopped while they are
+// frozen, commits take effect late, resumed streams fail, engines send bytes without end,
+// and results are read while faults last.
+const firstStaleOwnerSeed = 800
+
 // deadlyPart and sharedPart are parts of prompts: the one that crashes engines, and one
 // that all prompts share.
 const (
@@ -77,6 +82,9 @@
 	engineCount  = 4
 	faultTime    = 7 * time.Second
 	restartDelay = 700 * time.Millisecond // of an engine that crashed
+	// freezeTime is how long a gateway that is stopped meanwhile stands still: others
+	// claim its jobs in that time.
+	freezeTime = 3500 * time.Millisecond
 	// recoveryTime is the maximum time from the end of the faults to full service.
 	recoveryTime = 12 * time.Second
 	// faultFreeTime is the time without faults after the recovery, in which every
@@ -195,6 +203,30 @@
 			d.applyFor(duration, d.engines[e].SetLeaving, d.engines[e].Crash)
 		})
 	}
+	if d.seed >= firstStaleOwnerSeed {
+		unplanned = append(unplanned, func() {
+			d.logEvent("SIGTERM to %s while it is frozen", g.name)
+			g.stopWhileFrozen(time.Duration(d.random.IntN(int(freezeTime))))
+		}, func() {
+			n, delay := 1+d.random.IntN(6), time.Second+time.Duration(d.random.IntN(5000))*time.Millisecond
+			d.logEvent("%d commits take effect after %v", n, delay)
+			d.store.DelayCommits(n, delay)
+		}, func() {
+			fault := platformtest.EndlessBytes + platformtest.Fault(d.random.IntN(2))
+			d.logEvent("engine %d: fault %d for %v", e, fault, duration)
+			d.applyFor(duration, func() { d.engines[e].SetFault(fault) }, func() { d.engines[e].SetFault(platformtest.NoFault) })
+		}, func() {
+			d.logEvent("engines break off, and others fail what is resumed, for %v", duration)
+			other := (e + 1) % (len(d.engines) - 1)
+			d.applyFor(duration, func() {
+				d.engines[e].SetFault(platformtest.TruncatedResponse)
+				d.engines[other].SetFault(platformtest.FailedResumption)
+			}, func() {
+				d.engines[e].SetFault(platformtest.NoFault)
+				d.engines[other].SetFault(platformtest.NoFault)
+			})
+		})
+	}
 	if d.plannedOnly || d.random.IntN(4) == 0 {
 		planned[d.random.IntN(len(planned))]()
 		return
--- a/e2e/soak/world_test.go
+++ b/e2e/soak/world_test.go
@@ -43,11 +43,12 @@
 	events []string
 	sent   []*request
 	jobs   []*job
+	read   map[string]map[int]string // results that were read, by job and position
 }
 
 func newDeployment(t *testing.T, seed uint64, plannedOnly bool) *deployment {
 	d := &deployment{t: t, random: rand.New(rand.NewPCG(seed, 1)), seed: seed, plannedOnly: plannedOnly, started: time.Now(),
-		store: platformtest.NewStore(), stop: make(chan struct{})}
+		store: platformtest.NewStore(), stop: make(chan struct{}), read: make(map[string]map[int]string)}
 	t.Cleanup(d.store.Close)
 	t.Cleanup(func() {
 		if t.Failed() {
@@ -146,6 +147,7 @@
 	time.Sleep(restartDelay + 300*time.Millisecond) // and the registration of the engines that they crashed
 	d.store.LoseResponses(0)
 	d.store.DropCommits(0)
+	d.store.DelayCommits(0, 0)
 	d.logEvent("all faults ended")
 }
 
@@ -317,6 +319,36 @@
 	})
 }
 
+// stopWhileFrozen freezes the process for freezeTime and orders its stop meanwhile. It
+// may be killed at the end of its grace, which began before it woke.
+func (g *gateway) stopWhileFrozen(after time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.stopping {
+		return
+	}
+	g.stopping = true
+	process, exited := g.cmd.Process, g.exited
+	_ = process.Signal(syscall.SIGSTOP)
+	g.d.pending.Go(func() {
+		time.Sleep(after)
+		_ = process.Signal(syscall.SIGTERM)
+		time.Sleep(freezeTime - after)
+		_ = process.Signal(syscall.SIGCONT)
+		select {
+		case <-exited:
+		case <-time.After(8*time.Second - (freezeTime - after)):
+			_ = process.Kill()
+			<-exited
+		}
+		time.Sleep(500 * time.Millisecond)
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.stopping = false
+		g.run()
+	})
+}
+
 func (g *gateway) pause(duration time.Duration) {
 	g.mu.Lock()
 	process := g.cmd.Process
