--- a/batch/history_test.go
+++ b/batch/history_test.go
@@ -329,8 +329,7 @@
 	}
 }
 
-// freeze stops a process for a time; stopAfter, unless 0, is when in it the process is
-// told to shut down.
+// freeze makes a process stand still for a time.
 func (w *world) freeze(name string, duration time.Duration) {
 	w.mu.Lock()
 	n := w.nodes[name]
