batch: read the number of finished items before the job runs

The line "job taken over" read the list of finished items after the job had been added to the running ones, whose items change it. Found by reading the diff; no run has shown the race.

--- a/batch/handover.go
+++ b/batch/handover.go
@@ -175,11 +175,11 @@
 	if err != nil {
 		return err
 	}
-	job := h.Row.Job()
+	job, finished := h.Row.Job(), len(r.finished) // its items may run once it is admitted
 	offer, err := s.admitHandover(r)
 	metric.HandoverOffered(offer.String())
 	log := s.cfg.Log.Info().Err(err).Str("job", job.ID).Str("owner", job.Owner).Uint64("row", h.Row.Version()).Int("listed", job.Listed).
-		Int("total", job.Total).Int("finished", len(r.finished)).Str("offer", offer.String())
+		Int("total", job.Total).Int("finished", finished).Str("offer", offer.String())
 	if err != nil {
 		r.cancel()
 		log.Msg("handover rejected")
