log each store call of a submission and what it was taken for

The log of a submission had its outcome and last error only, which does not tell a relayed commit that met itself from a refusal of the store, a late commit or a second submission.

--- a/batch/service.go
+++ b/batch/service.go
@@ -1,11 +1,8 @@
 package batch
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -150,37 +147,6 @@
 	return min(max(feedInterval, feedInterval*time.Duration(gateways)/feedIntervalGateways), feedIntervalMax)
 }
 
-// Submit accepts a job. Submitting a job with the same ID again has no further effect.
-func (s *Service) Submit(ctx context.Context, route *fleet.Route, job *Submission) (SubmitOutcome, error) {
-	if _, known := s.mirror.get(job.ID); known {
-		return Accepted, nil
-	}
-	if s.isStopping() {
-		return NotAccepted, nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
-	defer cancel()
-	tokens := job.tokens()
-	if s.mirror.isCurrent(time.Now()) && !s.fitsQuota(route, tokens) {
-		return OverQuota, nil
-	}
-	content, err := json.Marshal(job)
-	if err != nil {
-		return NotAccepted, trace.Wrap(err)
-	}
-	if err := s.putObject(ctx, job.ID, content); err != nil {
-		return NotAccepted, err // an object without a row is not a job
-	}
-	next := Job{ID: job.ID, Route: route.Name, Created: time.Now().UnixMilli(), Total: len(job.Items), OpenTokens: tokens}
-	next.SetOwner(s.process())
-	s.submissions.Add(job.ID, job)
-	acceptance, err := s.accept(ctx, route, next)
-	if acceptance == Accepted {
-		s.startJob(next.ID, false)
-	}
-	return acceptance, err
-}
-
 // storeContext returns the context for one store call. While the store seems
 // unavailable, calls time out early and are retried, since a call that began during
 // an outage may stay unanswered for seconds after it.
@@ -191,20 +157,6 @@
 	return context.WithTimeout(ctx, outageCallTimeout)
 }
 
-// putObject writes a job's object. It retries until ctx ends unless the store
-// throttles the call; retries are idempotent, since the content is the same.
-func (s *Service) putObject(ctx context.Context, id string, content []byte) error {
-	for failures := 0; ; failures++ {
-		started := time.Now()
-		callCtx, cancel := s.storeContext(ctx)
-		err := s.cfg.Objects.Put(callCtx, objectKey(id), bytes.NewReader(content))
-		cancel()
-		if err == nil || errors.Is(err, storage.ErrThrottled) || !backOff(ctx, failures, started) {
-			return err
-		}
-	}
-}
-
 // backOff waits before a failed store call is retried. The duration of the call
 // counts towards the delay, so that a call that hung is retried at once. It returns
 // false if ctx ends first.
@@ -212,70 +164,6 @@
 	return pause.For(ctx, storeBackoff.Delay(failures)-time.Since(started)) && ctx.Err() == nil
 }
 
-func (s *Service) fitsQuota(route *fleet.Route, tokens int64) bool {
-	waiting, _ := s.mirror.quota(route.Name)
-	return route.TokenQuota <= 0 || waiting+tokens <= route.TokenQuota
-}
-
-// accept writes the job row. The write is conditional on the version of the quota
-// row, which every acceptance on the route rewrites, so that the sum of open tokens
-// used for the quota check includes every accepted job.
-func (s *Service) accept(ctx context.Context, route *fleet.Route, job Job) (SubmitOutcome, error) {
-	draft := jobrow.New(job)
-	uncertain := false
-	for failures := 0; ; failures++ {
-		if !s.mirror.isCurrent(time.Now()) {
-			if err := s.refreshMirrorUntil(ctx); err != nil {
-				return failureOutcome(uncertain), err
-			}
-		}
-		if _, known := s.mirror.get(job.ID); known {
-			return Accepted, nil
-		}
-		_, quotaVersion := s.mirror.quota(route.Name)
-		if !s.fitsQuota(route, job.OpenTokens) {
-			if uncertain {
-				return Unknown, nil
-			}
-			return OverQuota, nil
-		}
-		started := time.Now()
-		callCtx, cancel := s.storeContext(ctx)
-		row, versions, err := draft.Commit(callCtx, s.cfg.Table,
-			storage.Write{Key: quotaKey(route.Name), Value: []byte("{}"), IfVersion: quotaVersion})
-		cancel()
-		switch {
-		case err == nil:
-			s.mirror.recordQuota(route.Name, versions[0])
-			s.mirror.recordJob(row)
-			return Accepted, nil
-		case errors.Is(err, storage.ErrConflict):
-			if err := s.refreshMirrorUntil(ctx); err != nil {
-				return failureOutcome(uncertain), err
-			}
-		case errors.Is(err, storage.ErrThrottled):
-			if !backOff(ctx, failures, started) {
-				return failureOutcome(uncertain), err
-			}
-		default:
-			uncertain = true // the write may still take effect, even seconds later
-			if !backOff(ctx, failures, started) {
-				return Unknown, err
-			}
-			if err := s.refreshMirrorUntil(ctx); err != nil {
-				return Unknown, err
-			}
-		}
-	}
-}
-
-func failureOutcome(uncertain bool) SubmitOutcome {
-	if uncertain {
-		return Unknown
-	}
-	return NotAccepted
-}
-
 // refreshMirrorUntil refreshes the mirror. It retries until ctx ends unless the
 // store throttles the call.
 func (s *Service) refreshMirrorUntil(ctx context.Context) error {
@@ -299,9 +187,3 @@
 	s.mirror.replaceAll(rows, version)
 	return nil
 }
-
-// RetryAfter returns the delay to suggest to a client whose job exceeded the quota.
-// It is random, so that clients do not retry together.
-func (s *Service) RetryAfter() time.Duration {
-	return quotaRetryDelay/2 + rand.N(quotaRetryDelay)
-}
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -129,7 +129,9 @@
 func (r *Relay) callStore(ctx context.Context, operation string, a *storeArguments) (*storeResult, error) {
 	uncertain := false
 	if r.StoreReachable() {
+		started := time.Now()
 		result, err := execute(ctx, r.store, operation, a)
+		r.logWrite(operation, a, viaDirect, started, err)
 		if err == nil || isStoreAnswer(err) {
 			return result, err
 		}
@@ -143,15 +145,45 @@
 		if uncertain {
 			return nil, trace.Wrap(storage.ErrUnavailable, "no peer can reach the store")
 		}
-		return execute(ctx, r.store, operation, a)
+		started := time.Now()
+		result, err := execute(ctx, r.store, operation, a)
+		r.logWrite(operation, a, viaDirect, started, err)
+		return result, err
 	}
+	started := time.Now()
 	result, err := r.callPeer(ctx, address, operation, a)
+	r.logWrite(operation, a, address, started, err)
 	if err != nil && uncertain && errors.Is(err, storage.ErrThrottled) {
 		return nil, trace.Wrap(storage.ErrUnavailable, "%v", err) // the direct call may have taken effect
 	}
 	return result, err
 }
 
+// viaDirect is the value of the field via in the log of a write that went to the store
+// itself. The field otherwise has the address of the peer.
+const viaDirect = "direct"
+
+// viaForPeer is its value for a write that this process made for a peer.
+const viaForPeer = "for_peer"
+
+// logWrite logs a write of the store that went through a peer or failed, with what is
+// known of its effect. The writes that succeed at once have log lines of their callers.
+func (r *Relay) logWrite(operation string, a *storeArguments, via string, started time.Time, err error) {
+	var key string
+	switch {
+	case err == nil && via == viaDirect:
+		return
+	case operation == opPutObject:
+		key = a.Key
+	case operation == opCommit && len(a.Transaction.Writes) > 0:
+		key = a.Transaction.Writes[0].Key
+	default:
+		return
+	}
+	r.exchange.cfg.Log.Info().Err(err).Str("call", operation).Str("key", key).Str("via", via).Stringer("outcome", storage.WriteOutcome(err)).
+		Int64("took_ms", time.Since(started).Milliseconds()).Msg("store write")
+}
+
 // isStoreAnswer reports whether an error is a definite response of the store.
 func isStoreAnswer(err error) bool {
 	return errors.Is(err, storage.ErrConflict) || errors.Is(err, storage.ErrNotFound) || errors.Is(err, storage.ErrHistoryTruncated)
@@ -198,7 +230,9 @@
 	if err := json.Unmarshal(request.Msg.Arguments, &a); err != nil || request.Msg.Operation == opCommit && a.Transaction == nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("invalid arguments"))
 	}
+	started := time.Now()
 	result, err := execute(ctx, relay.store, request.Msg.Operation, &a)
+	relay.logWrite(request.Msg.Operation, &a, viaForPeer, started, err)
 	if err != nil {
 		return connect.NewResponse(&rpc.StoreCallResponse{Error: errorCode(err), Reason: err.Error()}), nil
 	}
--- a/storage/platform.go
+++ b/storage/platform.go
@@ -18,8 +18,10 @@
 	ErrConflict = errors.New("condition failed")
 	// ErrThrottled: the service refused the call because of its rate limit; it had no effect.
 	ErrThrottled = errors.New("throttled")
-	// ErrUnavailable: the call failed; a write may have taken effect.
+	// ErrUnavailable: the call failed; a write may have taken effect, or may do so later.
 	ErrUnavailable = errors.New("platform unavailable")
+	// ErrNotSent: there was no connection for the call, so it had no effect.
+	ErrNotSent = errors.New("call was not sent")
 )
 
 // Row is one row of the table.
