test: a job that was refused runs after a relayed commit met itself

Callers saw a batch job answered 503 whose item ran. Cause, as the test brings it about: the gateway's own commit is performed and its answer is lost, the relay makes the same commit through a peer, which conflicts, and a read that the store refuses ends the submission as not accepted.

--- /dev/null
+++ b/peer/relay_test.go
@@ -0,0 +1,67 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/magnoliausher/magnoliausher/storage"
+)
+
+// relayStore is a store whose commits may get no answer. Its other calls are not used.
+type relayStore struct {
+	Store
+	rows       *sync.Map // versions by key, shared by the stores of all nodes
+	commitLost bool      // performs commits without an answer
+	commitErr  error     // of commits that have no effect
+}
+
+func (s *relayStore) Objects() storage.Objects { return nil }
+
+func (s *relayStore) Commit(_ context.Context, tx storage.Transaction) ([]uint64, error) {
+	if s.commitErr != nil {
+		return nil, s.commitErr
+	}
+	versions := make([]uint64, len(tx.Writes))
+	for i, w := range tx.Writes {
+		if _, found := s.rows.Load(w.Key); found != (w.IfVersion != 0) {
+			return nil, trace.Wrap(storage.ErrConflict)
+		}
+		s.rows.Store(w.Key, uint64(1))
+		versions[i] = 1
+	}
+	if s.commitLost {
+		return nil, trace.Wrap(storage.ErrUnavailable, "EOF")
+	}
+	return versions, nil
+}
+
+// relayPair returns the relay of a node beside a peer that reaches the same store.
+func relayPair(t *testing.T) (relay *Relay, own, peer *relayStore) {
+	t.Helper()
+	rows := new(sync.Map)
+	own, peer = &relayStore{rows: rows}, &relayStore{rows: rows}
+	a := newNode(t, "a", 1)
+	b := newNode(t, "b", 1, a.address())
+	relay = NewRelay(own, a.Exchange)
+	NewRelay(peer, b.Exchange)
+	eventually(t, "a peer that reaches the store", 2*time.Second, func() bool { return a.storePeerAddress() != "" })
+	return relay, own, peer
+}
+
+var relayedCommit = storage.Transaction{Writes: []storage.Write{{Key: "row"}}}
+
+// Guards against taking the conflict of a relayed commit with its own first attempt for
+// the proof that nothing was written.
+func TestRelayedCommitAfterLostAnswerIsNoConflict(t *testing.T) {
+	relay, own, _ := relayPair(t)
+	own.commitLost = true
+	_, err := relay.Commit(t.Context(), relayedCommit)
+	if _, written := own.rows.Load("row"); !written || err == nil || errors.Is(err, storage.ErrConflict) || errors.Is(err, storage.ErrThrottled) {
+		t.Errorf("written %v, got %v", written, err)
+	}
+}
