peer: keep a write that was sent twice unknown if the first call may have had effect

Callers saw a batch job answered 503 at every attempt, and an item of it ran.

Cause: a commit that got no answer was sent again through a peer. Its conflict, met with the row that the first call had written, was returned alone, and callers take a conflict for "nothing written". Only a throttled second call was turned into "unavailable". The code on the wire of an error that matches two codes also depended on the order of a map.

storage.RepeatedWriteError now decides: the second call's error counts only if it succeeded or the first one certainly had no effect. A call for which there was no connection is ErrNotSent, so that a gateway that is cut off still gets definite answers through peers.

--- a/peer/relay.go
+++ b/peer/relay.go
@@ -36,8 +36,8 @@
 
 // Relay is a store that falls back to calls through a peer when its own calls
 // fail, so that a gateway that cannot reach the store can still save its batch
-// work. Writes are conditional, so a write that is attempted both ways takes
-// effect once: the condition of the second attempt fails.
+// work. A write may be sent both ways. If it is conditional, it takes effect once at
+// most, and storage.RepeatedWriteError says what is known of it.
 type Relay struct {
 	store    Store
 	exchange *Exchange
@@ -127,38 +127,45 @@
 
 // callStore calls the store directly, or through a peer if it is not reachable.
 func (r *Relay) callStore(ctx context.Context, operation string, a *storeArguments) (*storeResult, error) {
-	uncertain := false
+	var direct error // of a direct call that failed
 	if r.StoreReachable() {
-		started := time.Now()
-		result, err := execute(ctx, r.store, operation, a)
-		r.logWrite(operation, a, viaDirect, started, err)
-		if err == nil || isStoreAnswer(err) {
+		result, err := r.callDirectly(ctx, operation, a)
+		if !isUnanswered(err) || ctx.Err() != nil {
 			return result, err
 		}
-		uncertain = errors.Is(err, storage.ErrUnavailable)
-		if !uncertain || ctx.Err() != nil {
-			return nil, err // throttled, as a call through a peer would be, or ctx is done
-		}
+		direct = err
 	}
 	address := r.exchange.storePeerAddress()
-	if address == "" {
-		if uncertain {
-			return nil, trace.Wrap(storage.ErrUnavailable, "no peer can reach the store")
-		}
-		started := time.Now()
-		result, err := execute(ctx, r.store, operation, a)
-		r.logWrite(operation, a, viaDirect, started, err)
-		return result, err
+	switch {
+	case address == "" && direct != nil:
+		return nil, direct
+	case address == "":
+		return r.callDirectly(ctx, operation, a)
 	}
 	started := time.Now()
 	result, err := r.callPeer(ctx, address, operation, a)
 	r.logWrite(operation, a, address, started, err)
-	if err != nil && uncertain && errors.Is(err, storage.ErrThrottled) {
-		return nil, trace.Wrap(storage.ErrUnavailable, "%v", err) // the direct call may have taken effect
+	if err != nil && direct != nil && isWrite(operation) {
+		err = storage.RepeatedWriteError(direct, err)
 	}
 	return result, err
 }
 
+func (r *Relay) callDirectly(ctx context.Context, operation string, a *storeArguments) (*storeResult, error) {
+	started := time.Now()
+	result, err := execute(ctx, r.store, operation, a)
+	r.logWrite(operation, a, viaDirect, started, err)
+	return result, err
+}
+
+func isWrite(operation string) bool { return operation == opCommit || operation == opPutObject }
+
+// isUnanswered reports whether a call ended without an answer of the store. A call that
+// the store throttled would be throttled through a peer, too.
+func isUnanswered(err error) bool {
+	return errors.Is(err, storage.ErrUnavailable) || errors.Is(err, storage.ErrNotSent)
+}
+
 // viaDirect is the value of the field via in the log of a write that went to the store
 // itself. The field otherwise has the address of the peer.
 const viaDirect = "direct"
@@ -184,15 +191,38 @@
 		Int64("took_ms", time.Since(started).Milliseconds()).Msg("store write")
 }
 
-// isStoreAnswer reports whether an error is a definite response of the store.
-func isStoreAnswer(err error) bool {
-	return errors.Is(err, storage.ErrConflict) || errors.Is(err, storage.ErrNotFound) || errors.Is(err, storage.ErrHistoryTruncated)
+// errorCodes are the codes of the store's errors on the wire. An error that matches
+// several has the first: the one that says less.
+var errorCodes = []struct {
+	code string
+	err  error
+}{
+	{"unavailable", storage.ErrUnavailable},
+	{"throttled", storage.ErrThrottled},
+	{"not_sent", storage.ErrNotSent},
+	{"history_gone", storage.ErrHistoryTruncated},
+	{"not_found", storage.ErrNotFound},
+	{"conflict", storage.ErrConflict},
 }
 
-// errorCodes maps error codes on the wire to the store's errors.
-var errorCodes = map[string]error{
-	"conflict": storage.ErrConflict, "not_found": storage.ErrNotFound, "history_gone": storage.ErrHistoryTruncated,
-	"throttled": storage.ErrThrottled, "unavailable": storage.ErrUnavailable,
+func errorCode(err error) string {
+	for _, known := range errorCodes {
+		if errors.Is(err, known.err) {
+			return known.code
+		}
+	}
+	return "unavailable"
+}
+
+// errorOfCode returns the store's error with a code, storage.ErrUnavailable for a code
+// that is not known.
+func errorOfCode(code string) error {
+	for _, known := range errorCodes {
+		if known.code == code {
+			return known.err
+		}
+	}
+	return storage.ErrUnavailable
 }
 
 func (r *Relay) callPeer(ctx context.Context, address, operation string, a *storeArguments) (*storeResult, error) {
@@ -206,11 +236,7 @@
 		return nil, trace.Wrap(storage.ErrUnavailable, "store call through peer %s: %v", address, err)
 	}
 	if code := response.Msg.Error; code != "" {
-		cause, known := errorCodes[code]
-		if !known {
-			cause = storage.ErrUnavailable
-		}
-		return nil, trace.Wrap(cause, "store call through peer %s: %s", address, response.Msg.Reason)
+		return nil, trace.Wrap(errorOfCode(code), "store call through peer %s: %s", address, response.Msg.Reason)
 	}
 	var result storeResult
 	if err := json.Unmarshal(response.Msg.Result, &result); err != nil {
@@ -243,15 +269,6 @@
 	return connect.NewResponse(&rpc.StoreCallResponse{Result: data}), nil
 }
 
-func errorCode(err error) string {
-	for code, known := range errorCodes {
-		if errors.Is(err, known) {
-			return code
-		}
-	}
-	return "unavailable"
-}
-
 // storePeerAddress returns the address of a peer that can reach the store,
 // preferably in the local data centre, or an empty string if there is none.
 func (e *Exchange) storePeerAddress() string {
--- a/peer/relay_test.go
+++ b/peer/relay_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/magnoliausher/magnoliausher/effect"
 	"github.com/magnoliausher/magnoliausher/storage"
 )
 
@@ -53,6 +54,49 @@
 	return relay, own, peer
 }
 
+// Guards against a promise from a write that was sent twice, and against taking one whose
+// first call was never sent, or that was answered, for unknown.
+func TestOutcomeOfRelayedCommit(t *testing.T) {
+	lost, late := trace.Wrap(storage.ErrUnavailable, "EOF"), trace.Wrap(storage.ErrUnavailable, "no response")
+	for name, c := range map[string]struct {
+		direct, relayed error
+		want            effect.Outcome
+	}{
+		"performed at once":                {nil, nil, effect.Performed},
+		"throttled":                        {trace.Wrap(storage.ErrThrottled), nil, effect.NotPerformed},
+		"conflict":                         {trace.Wrap(storage.ErrConflict), nil, effect.NotPerformed},
+		"no answer, performed by the peer": {late, nil, effect.Performed},
+		"no answer, then throttled":        {late, trace.Wrap(storage.ErrThrottled), effect.Unknown},
+		"no answer, then conflict":         {late, trace.Wrap(storage.ErrConflict), effect.Unknown},
+		"no answer, then not sent":         {late, trace.Wrap(storage.ErrNotSent), effect.Unknown},
+		"no answer twice":                  {late, lost, effect.Unknown},
+		"not sent, performed by the peer":  {trace.Wrap(storage.ErrNotSent), nil, effect.Performed},
+		"not sent, then throttled":         {trace.Wrap(storage.ErrNotSent), trace.Wrap(storage.ErrThrottled), effect.NotPerformed},
+		"not sent, then conflict":          {trace.Wrap(storage.ErrNotSent), trace.Wrap(storage.ErrConflict), effect.NotPerformed},
+		"not sent, then no answer":         {trace.Wrap(storage.ErrNotSent), lost, effect.Unknown},
+		"both at once":                     {errors.Join(storage.ErrConflict, storage.ErrUnavailable), trace.Wrap(storage.ErrConflict), effect.Unknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			relay, own, peer := relayPair(t)
+			own.commitErr, peer.commitErr = c.direct, c.relayed
+			_, err := relay.Commit(t.Context(), relayedCommit)
+			if got := storage.WriteOutcome(err); got != c.want {
+				t.Errorf("got %v (%v), want %v", got, err, c.want)
+			}
+		})
+	}
+}
+
+// Guards against a code on the wire that depends on the order of a map.
+func TestErrorThatMatchesSeveralCodesPromisesNothing(t *testing.T) {
+	err := errors.Join(storage.ErrConflict, storage.ErrThrottled, storage.ErrUnavailable)
+	for range 50 {
+		if got := errorCode(err); got != "unavailable" {
+			t.Fatalf("got %q", got)
+		}
+	}
+}
+
 var relayedCommit = storage.Transaction{Writes: []storage.Write{{Key: "row"}}}
 
 // Guards against taking the conflict of a relayed commit with its own first attempt for
