batch: answer a submission from all calls that this process made for the job

Callers saw a batch job refused with a promise (503, 429) whose item ran.

Cause: the answer followed from the last call of one submission. A commit without an answer was remembered in a flag of that submission only: a second submission of the job at the same gateway, while the first was in progress or after it, was refused by its own calls (stop, throttled object, full quota).

Package acceptance keeps what is known of every transaction sent for the job. One of unknown effect is excluded only by a read of the job's row made after the quota row was read at a later version than the transaction requires: then it can't be performed any more. Submissions of one job take turns, what is open outlives them, and a refusal is given only if no other one waits. An open outcome is read once more before the answer (0.4 s at most).

--- a/batch/job.go
+++ b/batch/job.go
@@ -20,6 +20,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/magnoliausher/magnoliausher/batch/jobrow"
+	"github.com/magnoliausher/magnoliausher/effect"
 )
 
 // Errors returned by reads and cancellations.
@@ -47,6 +48,17 @@
 	return [...]string{"unknown", "accepted", "over_quota", "not_accepted"}[o]
 }
 
+// Effect returns what is known of the job's acceptance.
+func (o SubmitOutcome) Effect() effect.Outcome {
+	switch o {
+	case Accepted:
+		return effect.Performed
+	case OverQuota, NotAccepted:
+		return effect.NotPerformed
+	}
+	return effect.Unknown
+}
+
 // Item is one request of a job.
 type Item struct {
 	ID     string
--- a/batch/mirror.go
+++ b/batch/mirror.go
@@ -144,9 +144,10 @@
 	m.notify()
 }
 
-func (m *mirror) recordQuota(route string, version uint64) {
+func (m *mirror) recordQuota(key string, version uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	route := strings.TrimPrefix(key, quotaKeyPrefix)
 	m.quotas[route] = max(m.quotas[route], version)
 }
 
--- a/batch/ownership.go
+++ b/batch/ownership.go
@@ -162,6 +162,7 @@
 func (s *Service) sweep(ctx context.Context) error {
 	for pause.For(ctx, sweepInterval) {
 		now := time.Now()
+		s.forgetSubmissions(now)
 		if !s.mirror.isCurrent(now) {
 			continue
 		}
--- a/batch/service.go
+++ b/batch/service.go
@@ -82,7 +82,10 @@
 	running  map[string]*runningJob
 	claiming map[string]bool // by job id
 	loading  map[string]bool // by job id
-	stopping bool
+	// submitting holds the submissions in progress, and those with a commit that may still
+	// take effect, by job id.
+	submitting map[string]*submissionState
+	stopping   bool
 	// withheldSince is since when items of a service have waited without a start, or when
 	// that was last logged.
 	withheldSince map[string]time.Time
@@ -110,7 +113,7 @@
 		return nil, trace.Wrap(err)
 	}
 	return &Service{cfg: cfg, mirror: newMirror(cfg.Log), submissions: submissions, results: results, kept: kept,
-		running: make(map[string]*runningJob), claiming: make(map[string]bool), loading: make(map[string]bool), withheldSince: make(map[string]time.Time),
+		running: make(map[string]*runningJob), claiming: make(map[string]bool), loading: make(map[string]bool), submitting: make(map[string]*submissionState), withheldSince: make(map[string]time.Time),
 		pace: paceEstimate{eventInterval: initialEventInterval, itemEvents: initialItemEvents}, wake: make(chan struct{}, 1)}, nil
 }
 
--- a/batch/submit.go
+++ b/batch/submit.go
@@ -10,30 +10,137 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"golang.org/x/sync/semaphore"
 
+	"github.com/magnoliausher/magnoliausher/batch/acceptance"
 	"github.com/magnoliausher/magnoliausher/batch/jobrow"
+	"github.com/magnoliausher/magnoliausher/effect"
 	"github.com/magnoliausher/magnoliausher/fleet"
 	"github.com/magnoliausher/magnoliausher/storage"
 )
 
+// acceptanceReadTimeout limits the reads that look for the effect of commits without an
+// answer, after submitTimeout. Clients wait 4 s.
+const acceptanceReadTimeout = 400 * time.Millisecond
+
+// errOtherSubmission means that this process has another submission of the job in
+// progress, whose outcome is open.
+var errOtherSubmission = errors.New("another submission of the job is in progress")
+
+// submissionState is what this process knows of the submissions of one job.
+type submissionState struct {
+	turn  *semaphore.Weighted // of one; held by the submission that is in progress
+	calls acceptance.Calls    // guarded by turn
+	// The fields below are guarded by Service.mu.
+	begun   time.Time
+	waiting int  // submissions that hold turn or wait for it
+	open    bool // a commit may still take effect
+}
+
 // Submit accepts a job. Submitting a job with the same ID again has no further effect.
+// A refusal covers all calls that this process has made for the job, also those of
+// earlier submissions.
 func (s *Service) Submit(ctx context.Context, route *fleet.Route, job *Submission) (SubmitOutcome, error) {
 	calls := newCallLog()
-	outcome, err := s.submit(ctx, route, job, calls)
+	outcome, err := s.submitInTurn(ctx, route, job, calls)
 	s.cfg.Log.Info().Str("request", job.ID).Str("route", route.Name).Int("items", len(job.Items)).Str("outcome", outcome.String()).
 		AnErr("reason", err).Int64("total_ms", time.Since(calls.begun).Milliseconds()).Array("calls", calls.calls).Msg("job submitted")
 	return outcome, err
 }
 
-func (s *Service) submit(ctx context.Context, route *fleet.Route, job *Submission, calls *callLog) (SubmitOutcome, error) {
+func (s *Service) submitInTurn(ctx context.Context, route *fleet.Route, job *Submission, calls *callLog) (SubmitOutcome, error) {
 	if _, known := s.mirror.get(job.ID); known {
 		return Accepted, nil
 	}
+	submitCtx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	state, err := s.enterSubmission(submitCtx, job.ID)
+	if err != nil {
+		return Unknown, trace.Wrap(errOtherSubmission, "%v", err)
+	}
+	defer s.leaveSubmission(job.ID, state)
+	refusal, err := s.accept(submitCtx, route, job, state, calls)
+	if state.calls.Outcome() == effect.Unknown {
+		readCtx, cancel := context.WithTimeout(ctx, acceptanceReadTimeout)
+		defer cancel()
+		s.resolveAcceptance(readCtx, job.ID, state, calls)
+	}
+	switch state.calls.Outcome() {
+	case effect.Performed:
+		s.startJob(job.ID, false)
+		return Accepted, nil
+	case effect.NotPerformed:
+		if !s.othersWait(state) {
+			return refusal, err
+		}
+		return Unknown, trace.Wrap(errOtherSubmission, "%v", err)
+	}
+	return Unknown, err
+}
+
+// othersWait reports whether other submissions of the job wait for the one in progress.
+func (s *Service) othersWait(state *submissionState) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return state.waiting > 1
+}
+
+// enterSubmission waits until no other submission of the job is in progress here. The
+// caller must call leaveSubmission unless there is an error.
+func (s *Service) enterSubmission(ctx context.Context, id string) (*submissionState, error) {
+	s.mu.Lock()
+	state := s.submitting[id]
+	if state == nil {
+		state = &submissionState{turn: semaphore.NewWeighted(1), begun: time.Now()}
+		s.submitting[id] = state
+	}
+	state.waiting++
+	s.mu.Unlock()
+	err := state.turn.Acquire(ctx, 1)
+	if err != nil {
+		s.mu.Lock()
+		s.dropWaiting(id, state)
+		s.mu.Unlock()
+	}
+	return state, err
+}
+
+func (s *Service) leaveSubmission(id string, state *submissionState) {
+	open := state.calls.Outcome() == effect.Unknown
+	state.turn.Release(1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state.open = open
+	s.dropWaiting(id, state)
+}
+
+// dropWaiting ends a submission's use of its state, which is kept while a commit of it
+// may still take effect. The caller holds s.mu.
+func (s *Service) dropWaiting(id string, state *submissionState) {
+	state.waiting--
+	if state.waiting == 0 && !state.open {
+		delete(s.submitting, id)
+	}
+}
+
+// forgetSubmissions drops the states of submissions whose commits would have shown by now.
+func (s *Service) forgetSubmissions(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, state := range s.submitting {
+		_, known := s.mirror.get(id)
+		if state.waiting == 0 && (known || now.Sub(state.begun) > s.cfg.JobRetention) {
+			delete(s.submitting, id)
+		}
+	}
+}
+
+// accept stores a job's object and its row, and records in state what is known of the
+// row. It returns the answer to a job of which no row is or will be stored.
+func (s *Service) accept(ctx context.Context, route *fleet.Route, job *Submission, state *submissionState, calls *callLog) (SubmitOutcome, error) {
 	if s.isStopping() {
 		return NotAccepted, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
-	defer cancel()
 	tokens := job.tokens()
 	if s.mirror.isCurrent(time.Now()) && !s.fitsQuota(route, tokens) {
 		return OverQuota, nil
@@ -48,11 +155,7 @@
 	next := Job{ID: job.ID, Route: route.Name, Created: time.Now().UnixMilli(), Total: len(job.Items), OpenTokens: tokens}
 	next.SetOwner(s.process())
 	s.submissions.Add(job.ID, job)
-	acceptance, err := s.accept(ctx, route, next, calls)
-	if acceptance == Accepted {
-		s.startJob(next.ID, false)
-	}
-	return acceptance, err
+	return s.writeFirstRow(ctx, route, next, state, calls)
 }
 
 // putObject writes a job's object. It retries until ctx ends unless the store
@@ -75,64 +178,96 @@
 	return route.TokenQuota <= 0 || waiting+tokens <= route.TokenQuota
 }
 
-// accept writes the job row. The write is conditional on the version of the quota
-// row, which every acceptance on the route rewrites, so that the sum of open tokens
+// writeFirstRow writes the job's row. The write is conditional on the version of the
+// quota row, which every acceptance on the route rewrites, so that the sum of open tokens
 // used for the quota check includes every accepted job.
-func (s *Service) accept(ctx context.Context, route *fleet.Route, job Job, calls *callLog) (SubmitOutcome, error) {
+func (s *Service) writeFirstRow(ctx context.Context, route *fleet.Route, job Job, state *submissionState, calls *callLog) (SubmitOutcome, error) {
 	draft := jobrow.New(job)
-	uncertain := false
 	for failures := 0; ; failures++ {
 		if !s.mirror.isCurrent(time.Now()) {
 			if err := s.refreshMirrorLogged(ctx, calls); err != nil {
-				return failureOutcome(uncertain), err
+				return NotAccepted, err
 			}
 		}
 		if _, known := s.mirror.get(job.ID); known {
+			state.calls.Stored()
 			return Accepted, nil
 		}
 		_, quotaVersion := s.mirror.quota(route.Name)
 		if !s.fitsQuota(route, job.OpenTokens) {
-			if uncertain {
-				return Unknown, nil
-			}
 			return OverQuota, nil
 		}
 		started := time.Now()
-		callCtx, cancel := s.storeContext(ctx)
-		row, versions, err := draft.Commit(callCtx, s.cfg.Table,
-			storage.Write{Key: quotaKey(route.Name), Value: []byte("{}"), IfVersion: quotaVersion})
-		cancel()
-		calls.write(fmt.Sprint("commit@", quotaVersion), started, err)
+		err := s.commitFirstRow(ctx, draft, acceptance.Condition{Quota: quotaKey(route.Name), Version: quotaVersion}, state, calls)
 		switch {
 		case err == nil:
-			s.mirror.recordQuota(route.Name, versions[0])
-			s.mirror.recordJob(row)
 			return Accepted, nil
-		case errors.Is(err, storage.ErrConflict):
-			if err := s.refreshMirrorLogged(ctx, calls); err != nil {
-				return failureOutcome(uncertain), err
-			}
 		case errors.Is(err, storage.ErrThrottled):
 			if !backOff(ctx, failures, started) {
-				return failureOutcome(uncertain), err
+				return NotAccepted, err
 			}
+			continue
+		case !errors.Is(err, storage.ErrConflict) && !backOff(ctx, failures, started):
+			return NotAccepted, err
+		}
+		if err := s.refreshMirrorLogged(ctx, calls); err != nil {
+			return NotAccepted, err
+		}
+	}
+}
+
+func (s *Service) commitFirstRow(ctx context.Context, draft jobrow.Draft, condition acceptance.Condition, state *submissionState, calls *callLog) error {
+	ctx, cancel := s.storeContext(ctx)
+	defer cancel()
+	started := time.Now()
+	state.calls.Begin(condition)
+	row, versions, err := draft.Commit(ctx, s.cfg.Table, storage.Write{Key: condition.Quota, Value: []byte("{}"), IfVersion: condition.Version})
+	state.calls.End(condition, storage.WriteOutcome(err))
+	calls.write(fmt.Sprint("commit@", condition.Version), started, err)
+	if err != nil {
+		return err
+	}
+	s.mirror.recordQuota(condition.Quota, versions[0])
+	s.mirror.recordJob(row)
+	return nil
+}
+
+// resolveAcceptance reads whether commits without an answer have taken effect. The quota
+// row is read first: acceptance.Calls.Absent requires that order.
+func (s *Service) resolveAcceptance(ctx context.Context, id string, state *submissionState, calls *callLog) {
+	for _, quota := range state.calls.OpenQuotas() {
+		started := time.Now()
+		version, err := s.readVersion(ctx, quota)
+		calls.read("read quota", started, fmt.Sprint("version ", version), err)
+		if err != nil {
+			return // the outcome stays unknown
+		}
+		started = time.Now()
+		_, err = s.readJob(ctx, id)
+		switch {
+		case err == nil:
+			state.calls.Stored()
+			calls.read("read job", started, "stored", nil)
+			return
+		case errors.Is(err, ErrNotFound):
+			state.calls.Absent(quota, version)
+			calls.read("read job", started, "absent", nil)
 		default:
-			uncertain = true // the write may still take effect, even seconds later
-			if !backOff(ctx, failures, started) {
-				return Unknown, err
-			}
-			if err := s.refreshMirrorLogged(ctx, calls); err != nil {
-				return Unknown, err
-			}
+			calls.read("read job", started, "", err)
+			return
 		}
 	}
 }
 
-func failureOutcome(uncertain bool) SubmitOutcome {
-	if uncertain {
-		return Unknown
+// readVersion returns the version of a row, 0 if there is none.
+func (s *Service) readVersion(ctx context.Context, key string) (uint64, error) {
+	ctx, cancel := s.storeContext(ctx)
+	defer cancel()
+	row, err := s.cfg.Table.Get(ctx, key)
+	if errors.Is(err, storage.ErrNotFound) {
+		return 0, nil
 	}
-	return NotAccepted
+	return row.Version, err
 }
 
 // refreshMirrorLogged is refreshMirrorUntil with an entry in the log of calls.
--- /dev/null
+++ b/batch/submit_test.go
@@ -0,0 +1,242 @@
+package batch
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+	"github.com/rs/zerolog"
+
+	"github.com/magnoliausher/magnoliausher/batch/jobrow"
+	"github.com/magnoliausher/magnoliausher/fleet"
+	"github.com/magnoliausher/magnoliausher/peer"
+	"github.com/magnoliausher/magnoliausher/storage"
+)
+
+// unreliableStore is a store that answers late, not at all, or with a refusal, and
+// performs commits without an answer at once, later or never.
+type unreliableStore struct {
+	*lateTable
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+// gatewayStore is the store as one gateway reaches it.
+type gatewayStore struct {
+	*unreliableStore
+	performed []time.Time // when the submissions began whose commits were performed
+	refusals  []time.Time
+}
+
+// submissionBegun is the key of the time at which a submission began, in its context.
+type submissionBegun struct{}
+
+// brokenPromise reports whether a commit was performed of a submission that had begun
+// before the gateway refused the job.
+func (g *gatewayStore) brokenPromise() bool {
+	return slices.ContainsFunc(g.performed, func(begun time.Time) bool {
+		return slices.ContainsFunc(g.refusals, begun.Before)
+	})
+}
+
+// fault returns the error of a call, nil if it is answered.
+func (u *unreliableStore) fault(ctx context.Context) error {
+	switch u.random.IntN(6) {
+	case 0, 1:
+		return trace.Wrap(storage.ErrThrottled)
+	case 2:
+		return trace.Wrap(storage.ErrUnavailable)
+	case 3:
+		return trace.Wrap(storage.ErrNotSent)
+	}
+	return ctx.Err()
+}
+
+func (g *gatewayStore) wait(ctx context.Context) {
+	g.mu.Lock()
+	delay := time.Duration(g.random.IntN(400)) * time.Millisecond
+	g.mu.Unlock()
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+	}
+}
+
+func (g *gatewayStore) Commit(ctx context.Context, tx storage.Transaction) ([]uint64, error) {
+	g.wait(ctx)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	perform := func() ([]uint64, error) {
+		versions, err := g.lateTable.perform(tx)
+		if begun, submission := ctx.Value(submissionBegun{}).(time.Time); err == nil && submission {
+			g.performed = append(g.performed, begun)
+		}
+		return versions, err
+	}
+	switch g.random.IntN(8) {
+	case 0: // performed without an answer
+		_, _ = perform()
+		return nil, trace.Wrap(storage.ErrUnavailable)
+	case 1: // never performed
+		return nil, trace.Wrap(storage.ErrUnavailable)
+	case 2, 3, 4: // performed later
+		time.AfterFunc(time.Duration(g.random.IntN(6000))*time.Millisecond, func() {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			_, _ = perform()
+		})
+		return nil, trace.Wrap(storage.ErrUnavailable)
+	case 5:
+		return nil, trace.Wrap(storage.ErrThrottled)
+	}
+	if ctx.Err() != nil {
+		return nil, trace.Wrap(storage.ErrUnavailable)
+	}
+	return perform()
+}
+
+func (g *gatewayStore) Get(ctx context.Context, key string) (storage.Row, error) {
+	g.wait(ctx)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err := g.fault(ctx); err != nil {
+		return storage.Row{}, err
+	}
+	return g.lateTable.Get(ctx, key)
+}
+
+func (g *gatewayStore) Snapshot(ctx context.Context, prefix string) ([]storage.Row, uint64, error) {
+	g.wait(ctx)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err := g.fault(ctx); err != nil {
+		return nil, 0, err
+	}
+	rows, err := g.Scan(ctx, prefix, "", len(g.rows))
+	return rows, g.version, err
+}
+
+func (g *gatewayStore) Watch(context.Context, string, uint64, time.Duration) ([]storage.Change, uint64, error) {
+	return nil, 0, storage.ErrUnavailable
+}
+
+// submissionObjects takes every object.
+type submissionObjects struct{ storage.Objects }
+
+func (submissionObjects) Put(context.Context, string, io.Reader) error { return nil }
+
+// submitter is a gateway that takes submissions and does not run jobs.
+type submitter struct {
+	*Service
+	store *gatewayStore
+}
+
+func (u *unreliableStore) newSubmitter(t *testing.T, name string) *submitter {
+	t.Helper()
+	store := &gatewayStore{unreliableStore: u}
+	s, err := New(Config{Self: peer.Member{Name: name, Incarnation: 1}, Table: store, Feed: store, Objects: submissionObjects{},
+		JobRetention: time.Minute, Log: zerolog.Nop()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &submitter{s, store}
+}
+
+// submit submits job j.
+func (g *submitter) submit(ctx context.Context, route *fleet.Route) {
+	g.store.mu.Lock()
+	if g.store.random.IntN(2) == 0 {
+		g.mirror.markFresh()
+	}
+	g.store.mu.Unlock()
+	ctx = context.WithValue(ctx, submissionBegun{}, time.Now())
+	outcome, _ := g.Submit(ctx, route, &Submission{ID: "j", Route: route.Name, Items: []Item{{ID: "item", Tokens: 10}}})
+	if outcome == OverQuota || outcome == NotAccepted {
+		g.store.mu.Lock()
+		g.store.refusals = append(g.store.refusals, time.Now())
+		g.store.mu.Unlock()
+	}
+}
+
+// playSubmissions hands job j in at two gateways, at once and again, while the store
+// loses and delays calls, clients leave and a gateway stops. It reports whether
+// a promise was broken, and the number of refusals.
+func playSubmissions(t *testing.T, seed uint64) (broken bool, refusals int) {
+	u := &unreliableStore{lateTable: newLateTable(), random: rand.New(rand.NewPCG(seed, 7))}
+	route := &fleet.Route{Name: "notes", TokenQuota: 25}
+	gateways := []*submitter{u.newSubmitter(t, "a"), u.newSubmitter(t, "b")}
+	plan := rand.New(rand.NewPCG(seed, 8))
+	var clients sync.WaitGroup
+	for range 2 + plan.IntN(4) {
+		g := gateways[plan.IntN(2)]
+		start, patience := time.Duration(plan.IntN(3000))*time.Millisecond, time.Duration(100+plan.IntN(4000))*time.Millisecond
+		clients.Go(func() {
+			time.Sleep(start)
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			g.submit(ctx, route)
+		})
+	}
+	for range plan.IntN(4) { // other jobs fill and change the quota
+		at := time.Duration(plan.IntN(4000)) * time.Millisecond
+		clients.Go(func() {
+			time.Sleep(at)
+			u.mu.Lock()
+			defer u.mu.Unlock()
+			key := quotaKey(route.Name)
+			id := fmt.Sprint("other", u.version)
+			_, _ = u.perform(storage.Transaction{Writes: []storage.Write{{Key: key, Value: []byte("{}"), IfVersion: u.rows[key].Version},
+				{Key: jobrow.Key(id), Value: mustEncode(t, Job{ID: id, Route: route.Name, Total: 1, OpenTokens: 10})}}})
+		})
+	}
+	if plan.IntN(3) == 0 {
+		at := time.Duration(plan.IntN(3000)) * time.Millisecond
+		clients.Go(func() {
+			time.Sleep(at)
+			gateways[0].mu.Lock()
+			gateways[0].stopping = true
+			gateways[0].mu.Unlock()
+		})
+	}
+	clients.Wait()
+	time.Sleep(10 * time.Second) // all late commits
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, g := range gateways {
+		broken = broken || g.store.brokenPromise()
+		refusals += len(g.store.refusals)
+	}
+	return broken, refusals
+}
+
+// Guards against a refusal of a job that a call of the same gateway stores, whichever of
+// its submissions made the call.
+func TestRefusalCoversAllCallsOfTheGateway(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(32)
+	parameters.MinSuccessfulTests = 6000
+	properties := gopter.NewProperties(parameters)
+	refused := 0
+	properties.Property("nothing is written after a refusal", prop.ForAll(func(seed uint64) bool {
+		var broken bool
+		synctest.Test(t, func(t *testing.T) {
+			var refusals int
+			broken, refusals = playSubmissions(t, seed)
+			refused += refusals
+		})
+		return !broken
+	}, gen.UInt64()))
+	properties.TestingRun(t)
+	if refused < 2000 {
+		t.Errorf("%d refusals; the test shows too little", refused)
+	}
+}
