batch: look for the row of a job before it is refused

Callers could get 429, or 503 from a gateway that stops, for a job that another gateway had accepted a moment before and whose answer they had lost.

Cause: the refusal relied on this gateway's copy of the job rows, which is up to 0.6 s old. One read of the row now comes before a refusal that was not caused by the store itself.

TestJobAcceptedElsewhereIsNotRefused got over_quota and not_accepted before, accepted now. A commit of the other gateway that is still on its way remains unseen; each answer covers the calls of its own gateway, so that a job whose attempts were all refused is not stored by any.

--- a/batch/submit.go
+++ b/batch/submit.go
@@ -69,13 +69,24 @@
 	case effect.Performed:
 		s.startJob(job.ID, false)
 		return Accepted, nil
-	case effect.NotPerformed:
-		if !s.othersWait(state) {
-			return refusal, err
-		}
+	case effect.Unknown:
+		return Unknown, err
+	}
+	switch {
+	case s.othersWait(state):
 		return Unknown, trace.Wrap(errOtherSubmission, "%v", err)
+	case err == nil && s.isStored(ctx, job.ID, calls):
+		return Accepted, nil
 	}
-	return Unknown, err
+	return refusal, err
+}
+
+// isStored reports whether another gateway has accepted the job lately, as far as a read
+// of its row shows.
+func (s *Service) isStored(ctx context.Context, id string, calls *callLog) bool {
+	ctx, cancel := context.WithTimeout(ctx, acceptanceReadTimeout)
+	defer cancel()
+	return s.readJobLogged(ctx, id, calls) == nil
 }
 
 // othersWait reports whether other submissions of the job wait for the one in progress.
@@ -242,23 +253,30 @@
 		if err != nil {
 			return // the outcome stays unknown
 		}
-		started = time.Now()
-		_, err = s.readJob(ctx, id)
-		switch {
+		switch err := s.readJobLogged(ctx, id, calls); {
 		case err == nil:
 			state.calls.Stored()
-			calls.read("read job", started, "stored", nil)
 			return
 		case errors.Is(err, ErrNotFound):
 			state.calls.Absent(quota, version)
-			calls.read("read job", started, "absent", nil)
 		default:
-			calls.read("read job", started, "", err)
 			return
 		}
 	}
 }
 
+// readJobLogged is readJob with an entry in the log of calls.
+func (s *Service) readJobLogged(ctx context.Context, id string, calls *callLog) error {
+	started := time.Now()
+	_, err := s.readJob(ctx, id)
+	if errors.Is(err, ErrNotFound) {
+		calls.read("read job", started, "absent", nil)
+	} else {
+		calls.read("read job", started, "stored", err)
+	}
+	return err
+}
+
 // readVersion returns the version of a row, 0 if there is none.
 func (s *Service) readVersion(ctx context.Context, key string) (uint64, error) {
 	ctx, cancel := s.storeContext(ctx)
--- a/batch/submit_test.go
+++ b/batch/submit_test.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/magnoliausher/magnoliausher/batch/jobrow"
+	"github.com/magnoliausher/magnoliausher/effect"
 	"github.com/magnoliausher/magnoliausher/fleet"
 	"github.com/magnoliausher/magnoliausher/peer"
 	"github.com/magnoliausher/magnoliausher/storage"
@@ -240,3 +241,33 @@
 		t.Errorf("%d refusals; the test shows too little", refused)
 	}
 }
+
+// Guards against refusing a job for its quota, or in a shutdown, that another gateway
+// has accepted since this one last heard of the store.
+func TestJobAcceptedElsewhereIsNotRefused(t *testing.T) {
+	for name, prepare := range map[string]func(*Service){
+		"over quota": func(s *Service) { s.mirror.markFresh() },
+		"stopping":   func(s *Service) { s.stopping = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := newLateTable()
+			s, err := New(Config{Self: peer.Member{Name: "b", Incarnation: 1}, Table: table, Objects: submissionObjects{}, Log: zerolog.Nop()})
+			if err != nil {
+				t.Fatal(err)
+			}
+			prepare(s)
+			full := &fleet.Route{Name: "notes", TokenQuota: 5}
+			submission := &Submission{ID: "j", Route: full.Name, Items: []Item{{ID: "item", Tokens: 10}}}
+			if outcome, err := s.Submit(t.Context(), full, submission); outcome.Effect() != effect.NotPerformed {
+				t.Errorf("before: %v, %v", outcome, err)
+			}
+			if _, err := table.perform(storage.Transaction{Writes: []storage.Write{{Key: jobrow.Key("j"),
+				Value: mustEncode(t, Job{ID: "j", Route: full.Name, Owner: "a", OwnerIncarnation: 1, Total: 1, OpenTokens: 10})}}}); err != nil {
+				t.Fatal(err)
+			}
+			if outcome, err := s.Submit(t.Context(), full, submission); outcome != Accepted {
+				t.Errorf("after: %v, %v", outcome, err)
+			}
+		})
+	}
+}
