--- a/batch/commit.go
+++ b/batch/commit.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/magnoliausher/magnoliausher/batch/jobrow"
+	"github.com/magnoliausher/magnoliausher/effect"
 	"github.com/magnoliausher/magnoliausher/metric"
 	"github.com/magnoliausher/magnoliausher/storage"
 )
@@ -116,8 +117,8 @@
 	case err == nil:
 		s.applyCommit(r, row, listed)
 		return nil
-	case errors.Is(err, storage.ErrThrottled):
-		return err // the store did not apply the transaction
+	case !errors.Is(err, storage.ErrConflict) && storage.WriteOutcome(err) == effect.NotPerformed:
+		return err
 	}
 	return s.resolveCommit(ctx, r, held, draft, listed, err)
 }
