forward: a resumption that stops behind its head ends no stream

Callers got a stream that ended as complete before its last event: the first engine broke off, and the engine that resumed the stream closed its connection regularly behind the head of an answer without a length.

Cause: endsEarly looked for the first event of the whole exchange, so that an empty continuation passed for a stream whose events had all been sent. Change: each attempt must bring an event of its own where only the end of the connection ends the answer. Otherwise the next engine is asked, or the caller's connection is cut. A stream that breaks between its last event and its end, and whose continuation is empty and without a length, is cut as well: the two can't be told apart.

Test, before: no length, 86 of 116 bytes, reset false: got 200 "id: 1\ndata: a\n\n", <nil>, want complete: false; all other cuts (each byte, FIN and RST, with a length, chunked, without) were right before. After: it passes, and go test -race ./forward passes.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -169,12 +169,12 @@
 
 // endsEarly reports whether a stream whose last bytes are rest was broken off: in the
 // middle of an event, or, where nothing but the end of the connection marks its end,
-// before the first one.
+// before the first one, also of a stream that goes on after an event.
 func (x *exchange) endsEarly(response *Response, rest *event.Event) bool {
 	if len(bytes.TrimSpace(rest.Raw)) > 0 {
 		return true
 	}
-	return response.EndsWithConnection && x.reply.lastEventID == "" && x.attemptEvents == 0
+	return response.EndsWithConnection && x.attemptEvents == 0
 }
 
 // writeEvent writes one event to the caller, preceded by the response header if
