batch: a resumption that stops behind its head does not finish an item

Callers read an item as done with a part of its output: its run broke off, and the engine that resumed it closed the connection regularly behind the head of an answer without a length.

Cause: collectEvents looked for the first event of the item, not of the attempt, so that an empty continuation passed for the end. Change: an attempt that only the end of the connection ends must bring an event of its own. After a second such attempt in a row the item starts over, because a run that broke between its last event and its end leaves nothing to resume, and would never be done otherwise.

Test, before: result of j-0: output "j-0-1", want three events. After: both cases of TestResumptionWithoutEventsDoesNotEndAnItem pass; "no event was left" passed before too and holds the item's end. TestItemCutAtEachByteIsNotDone cuts an item's answer at each byte (length, chunked behind a 1xx, none with folded lines and LF only; FIN and RST); it passed before the change as well. go test -race ./batch passes.

--- a/batch/attempt.go
+++ b/batch/attempt.go
@@ -125,11 +125,17 @@
 	events := event.NewIdleTimeoutReader(answer.Body, ri.timeout(forward.StreamIdleTimeout))
 	defer events.Stop()
 	events.Account(s.cfg.Memory.Share())
+	before := ri.events()
 	for {
 		e, err := events.Next()
 		switch {
-		case errors.Is(err, io.EOF) && answer.EndsWithConnection && ri.events() == 0:
-			return dispatch.Broken, attemptBroken // broken off before the first event
+		case errors.Is(err, io.EOF) && answer.EndsWithConnection && ri.events() == before:
+			// Broken off before the first event. After two such attempts the item starts
+			// over, since no event may be left after the last one.
+			if ri.brokenInRow > 0 {
+				ri.reset(0)
+			}
+			return dispatch.Broken, attemptBroken
 		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.Raw)) == 0:
 			return dispatch.Served, attemptDone
 		case errors.Is(err, event.ErrIdle):
