upstream: a plain answer that stops behind its head is truncated

A caller of a plain service got a 2xx with an empty body and Content-Length: 0 from the entry when the service closed its connection regularly between the end of its head and the first byte of a body without a length.

Change: PlainClient returns ErrTruncated for such a 2xx, so that the agent reports a failed attempt and the entry asks another instance or answers 502. HEAD, 204, length 0, an empty chunked body and errors stay whole.

Test, before: no length, 25 of 37 bytes (head 25), reset false: got 200 "", <nil>, want complete: false; the same for "no length after 1xx" and "no length, line feeds". All other cuts of the tables (each byte, FIN and RST; plain answers and completions, which need their end marker) were right before. After: go test -race ./upstream and go test ./agent pass.

--- a/upstream/plain.go
+++ b/upstream/plain.go
@@ -54,7 +54,8 @@
 // status are returned, and the caller must close the body. Reading the body
 // returns ErrTruncated if it ends before its Content-Length or its last chunk, and
 // may return ErrCrashed or ErrProgressTimeout. A response that is neither chunked
-// nor has a length ends with its connection, so truncation cannot be detected.
+// nor has a length ends with its connection, so truncation cannot be detected once its
+// body has begun; a 2xx one that ends before is ErrTruncated.
 func (c *PlainClient) Call(ctx context.Context, method, path string, header http.Header, body io.Reader) (*http.Response, error) {
 	x := newExchange(ctx, c.cfg.ProgressTimeout)
 	req, err := http.NewRequestWithContext(x.ctx, method, c.cfg.BaseURL+path, body)
@@ -67,7 +68,9 @@
 	if err != nil {
 		return nil, err
 	}
-	resp.Body = &responseBody{body: resp.Body, exchange: x, truncationErr: ErrTruncated}
+	endsWithConnection := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+	resp.Body = &responseBody{body: resp.Body, exchange: x, truncationErr: ErrTruncated,
+		mustBegin: endsWithConnection && resp.StatusCode/100 == 2}
 	removeHopByHopHeaders(resp.Header)
 	return resp, nil
 }
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -223,6 +223,7 @@
 	exchange      *exchange
 	truncationErr error // error for a body that ends before its declared length
 	manual        bool  // the reader of the body starts and stops the watchdog
+	mustBegin     bool  // a body that ends before its first byte is truncated
 }
 
 func (b *responseBody) Read(p []byte) (int, error) {
@@ -231,7 +232,12 @@
 		defer b.exchange.watchdog.stop()
 	}
 	n, err := b.body.Read(p)
+	if n > 0 {
+		b.mustBegin = false
+	}
 	switch {
+	case err == io.EOF && b.mustBegin:
+		return 0, fmt.Errorf("%w: the response ended behind its header", b.truncationErr)
 	case err == nil || err == io.EOF:
 		return n, err
 	case errors.Is(err, io.ErrUnexpectedEOF) && b.exchange.ctx.Err() == nil:
