upstream: a reset that the sender of the body gets ends no answer as whole

Callers got a short body, framed as whole, when an engine or a plain service answered before it had read a long request body, without a length, and reset the connection on the way.

Cause: the kernel reports the error of a reset once. While a write is pending the write gets it (ECONNRESET), and the read after it returns the regular end of the connection, which ends a body without a length.

Change: upstream.ReportResets wraps the connection of the gateway's and the agent's clients. An answer that ends regularly before the request was read stays whole (TestAnswerBeforeTheRequestIsReadIsWhole).

--- a/upstream/heads_test.go
+++ b/upstream/heads_test.go
@@ -140,3 +140,67 @@
 		}
 	}
 }
+
+// Guards against a reset that only the sender of the request's body notices and an answer without a length that is read as whole.
+func TestResetWhileTheRequestIsSentEndsNoAnswer(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\ntwelve")
+				time.Sleep(5 * time.Millisecond) // the caller waits to send and to read
+			}
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			conn.Close()
+		}
+	}()
+	question := strings.Repeat("x", 8<<20)
+	const calls = 100
+	complete := 0
+	for range calls {
+		if _, _, err := callPlain(t, "http://"+l.Addr().String(), http.MethodPost, strings.NewReader(question)); err == nil {
+			complete++
+		}
+	}
+	if complete > 0 {
+		t.Errorf("%d of %d answers that were reset are read as whole", complete, calls)
+	}
+}
+
+// Guards against a whole answer without a length that is cut since the request's body could not be sent to its end.
+func TestAnswerBeforeTheRequestIsReadIsWhole(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { conn.Close() })
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\ntwelve")
+				_ = conn.(*net.TCPConn).CloseWrite()
+			}
+		}
+	}()
+	question := strings.Repeat("x", 8<<20)
+	for range 20 {
+		started := time.Now()
+		status, text, err := callPlain(t, "http://"+l.Addr().String(), http.MethodPost, strings.NewReader(question))
+		if took := time.Since(started); status != 200 || text != "twelve" || err != nil || took > 3*time.Second {
+			t.Errorf("got %d %q, %v after %v", status, text, err, took)
+		}
+	}
+}
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -72,7 +72,7 @@
 				return nil, err
 			}
 			guard, _ := ctx.Value(writeGuardKey{}).(func() error)
-			return &writeTrackingConn{Conn: conn, guard: guard}, nil
+			return &writeTrackingConn{Conn: ReportResets(conn), guard: guard}, nil
 		},
 	}
 }
