entry, job, operator: derive error statuses from what is known of all writes

Cause: the status of an error followed from the last call's error. A create, cancel, upload or configuration change with a write that got no answer was answered 503, which promises "not run, and never will be"; so was a create that had been performed and whose item counts could then not be read.

Change: apierror.Write passes every status through effect.Outcome.Status, by the error's X-Request-Executed value; an error without one promises nothing unless it is marked as a read. The job store joins what is known of all writes of a request (storage.WriteOutcome, Either). Requests whose outcome is unknown get 504; those that surely did nothing keep 503, now also an upload whose parts or row were only refused and a create or cancel whose first read fails, which said "unknown" before. The header's values stay.

TestAPIOutage and TestLostResponse pinned 503 for an unknown outcome, which broke the promise; they now require 504 there and are otherwise as strict.

Before: TestAPIOutage failed with "commit down: 503", TestLostResponse with "lost response: executed unknown" (503), TestAnswersPromiseOnlyWhatIsKnown in 9 of 11 cases, e.g. "counts of the new job not readable: status 503, executed unknown, want 504".

--- a/apierror/apierror.go
+++ b/apierror/apierror.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/magnoliausher/magnoliausher/attempt"
+	"github.com/magnoliausher/magnoliausher/effect"
 	"github.com/magnoliausher/magnoliausher/finding"
 )
 
@@ -19,12 +20,13 @@
 
 // Error describes a rejected or failed request.
 type Error struct {
-	Status     int              // HTTP status
+	Status     int              // HTTP status; see ResponseStatus
 	Type       string           // e.g. invalid_request_error, rate_limit_error
 	Code       string           // stable error code, also the label of the counter of rejected requests
 	Message    string           // human-readable description
 	Param      string           // the invalid field or parameter, if any
-	Executed   attempt.Executed // empty for requests that are never executed, such as reads
+	Executed   attempt.Executed // whether the request may have had an effect; empty if ReadOnly is set
+	ReadOnly   bool             // the request only reads, so it has no effect
 	RetryAfter time.Duration    // 0 for none; up to half of it is added as jitter
 	Findings   finding.List
 	Details    any // additional machine-readable information, encoded as JSON; nil for none
@@ -33,6 +35,18 @@
 // Error returns the code and message.
 func (e *Error) Error() string { return e.Code + ": " + e.Message }
 
+// Outcome returns what is known of the effect of the request.
+func (e *Error) Outcome() effect.Outcome {
+	if e.ReadOnly {
+		return effect.NotPerformed
+	}
+	return e.Executed.Outcome()
+}
+
+// ResponseStatus returns the status of the response, which promises that the request has
+// no effect only if that is known.
+func (e *Error) ResponseStatus() int { return e.Outcome().Status(e.Status) }
+
 type errorBody struct {
 	Error errorObject `json:"error"`
 }
@@ -70,7 +84,7 @@
 	if e.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.Itoa(retryAfterSeconds(e.RetryAfter)))
 	}
-	w.WriteHeader(e.Status)
+	w.WriteHeader(e.ResponseStatus())
 	_, _ = w.Write(append(e.JSON(), '\n')) // the caller may have disconnected
 }
 
--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/magnoliausher/magnoliausher/effect"
 )
 
 // ID identifies an attempt uniquely within the fleet.
@@ -32,6 +34,17 @@
 	ExecutedUnknown Executed = "unknown"
 )
 
+// Outcome returns what is known of the effect. An empty value tells nothing.
+func (e Executed) Outcome() effect.Outcome {
+	switch e {
+	case ExecutedNo:
+		return effect.NotPerformed
+	case ExecutedYes:
+		return effect.Performed
+	}
+	return effect.Unknown
+}
+
 // Ticket authorises an agent to send one attempt to its upstream.
 type Ticket struct {
 	AgentIncarnation uint64        // incarnation of the agent that the ticket was issued for
--- a/entry/request.go
+++ b/entry/request.go
@@ -129,7 +129,7 @@
 
 func (e *Entry) countRefusal(rq *request, err *apierror.Error) {
 	metric.Refused("entry", rq.serviceName(), classOnline, err.Code)
-	rq.log.Debug().Str("code", err.Code).Int("status", err.Status).
+	rq.log.Debug().Str("code", err.Code).Int("status", err.ResponseStatus()).
 		Str("executed", string(err.Executed)).Msg("request refused or failed")
 }
 
--- a/job/http.go
+++ b/job/http.go
@@ -88,7 +88,7 @@
 		a.Log.Warn().Err(err).Str("path", r.URL.Path).Msg("batch API request failed")
 	}
 	if r.Method == http.MethodGet {
-		e.Executed = ""
+		e.Executed, e.ReadOnly = "", true
 	}
 	metric.Refused("entry", "", string(contract.ClassBatch), e.Code)
 	apierror.Write(w, e)
@@ -101,7 +101,17 @@
 	}
 }
 
+// apiErrorOf returns the API error of a handler's error, and what is known of the writes
+// made before it.
 func apiErrorOf(err error) *apierror.Error {
+	e := classifyError(err)
+	if errors.Is(err, errMayBeWritten) {
+		e.Executed = attempt.ExecutedUnknown
+	}
+	return e
+}
+
+func classifyError(err error) *apierror.Error {
 	var e *apierror.Error
 	var findings finding.List
 	var tooLarge *http.MaxBytesError
@@ -120,7 +130,7 @@
 	case errors.Is(err, storage.ErrNotFound):
 		return invalidRequest(http.StatusNotFound, "not_found", "", "no such file or batch")
 	}
-	// A create whose commit was sent may have taken effect; a retry returns the same job.
+	// A write that was sent may have taken effect; a retry returns the same job.
 	e = &apierror.Error{
 		Status: http.StatusServiceUnavailable, Type: "server_error", Code: "platform_unavailable",
 		Message: "the platform does not answer; send the request again", Executed: attempt.ExecutedUnknown,
--- a/job/http_batches.go
+++ b/job/http_batches.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/magnoliausher/magnoliausher/contract"
+	"github.com/magnoliausher/magnoliausher/effect"
 	"github.com/magnoliausher/magnoliausher/finding"
 	"github.com/magnoliausher/magnoliausher/storage"
 )
@@ -115,7 +116,7 @@
 	case errors.Is(err, storage.ErrNotFound):
 		list.Add(finding.Finding{Key: "input_file_id", Value: req.InputFileID, Reason: "no such file"})
 	case err != nil:
-		return sub, err
+		return sub, withOutcome(err, effect.NotPerformed)
 	case file.Endpoint != req.Endpoint:
 		list.Add(finding.Finding{Key: "endpoint", Value: req.Endpoint, Reason: "differs from the url of the file's lines, " + file.Endpoint})
 	default:
@@ -176,7 +177,7 @@
 	defer cancel()
 	j, err := a.ownJob(ctx, r.PathValue("id"), c)
 	if err != nil {
-		return err
+		return withOutcome(err, effect.NotPerformed)
 	}
 	j, err = a.Store.Cancel(ctx, j.ID)
 	if err != nil {
--- a/job/http_test.go
+++ b/job/http_test.go
@@ -235,9 +235,10 @@
 	})
 }
 
-// TestAPIOutage guards against a create that hangs in an outage or misreports
-// whether it may have taken effect.
+// TestAPIOutage guards against a create that hangs in an outage, misreports whether it
+// may have taken effect, or promises that it has not with its status.
 func TestAPIOutage(t *testing.T) {
+	statuses := map[string]int{"no": 503, "unknown": 504}
 	for op, executed := range map[string]string{"get": "no", "commit": "unknown"} {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFakePlatform()
@@ -250,9 +251,78 @@
 				return faultNone
 			})
 			w := a.send("org", "POST", "/v1/batches", "", createBody(file.ID, "24h"))
-			if w.Code != 503 || w.Header().Get("X-Request-Executed") != executed || w.Header().Get("Retry-After") == "" {
+			if w.Code != statuses[executed] || w.Header().Get("X-Request-Executed") != executed || w.Header().Get("Retry-After") == "" {
 				t.Errorf("%s down: %d %v", op, w.Code, w.Header())
 			}
 		})
 	}
 }
+
+// TestAnswersPromiseOnlyWhatIsKnown guards against a status that promises "not run" for
+// a create, cancel or upload that was performed or may be, and against a missing promise
+// for one that surely was not.
+func TestAnswersPromiseOnlyWhatIsKnown(t *testing.T) {
+	isRow := func(prefix string) func(op, key string) bool {
+		return func(op, key string) bool { return op == "commit" && strings.HasPrefix(key, prefix) }
+	}
+	readOf := func(prefix string) func(op, key string) bool {
+		return func(op, key string) bool { return op == "get" && strings.HasPrefix(key, prefix) }
+	}
+	cases := []struct {
+		name, request string
+		fault         fault
+		at            func(op, key string) bool
+		status        int
+		executed      string
+	}{
+		{"file not readable", "create", faultUnavailable, readOf(filePrefix), 503, "no"},
+		{"commits throttled", "create", faultThrottled, isRow(jobPrefix), 503, "no"},
+		{"commits lost and reads down", "create", faultAnswerLost, func(string, string) bool { return false }, 504, "unknown"},
+		{"counts of the new job not readable", "create", faultUnavailable, func(op, _ string) bool { return op == "scan" }, 504, "unknown"},
+		{"job not readable", "cancel", faultUnavailable, readOf(jobPrefix), 503, "no"},
+		{"commit without an answer", "cancel", faultUnavailable, isRow(jobPrefix), 504, "unknown"},
+		{"counts of the cancelled job not readable", "cancel", faultUnavailable, func(op, _ string) bool { return op == "scan" }, 504, "unknown"},
+		{"part not stored", "upload", faultThrottled, func(op, _ string) bool { return op == "put" }, 503, "no"},
+		{"row throttled", "upload", faultThrottled, isRow(filePrefix), 503, "no"},
+		{"row without an answer", "upload", faultUnavailable, isRow(filePrefix), 504, "unknown"},
+		{"read", "get", faultUnavailable, readOf(jobPrefix), 503, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.request+" "+c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFakePlatform()
+				a := newAPITest(t, f)
+				file := a.upload(1)
+				job := call[BatchObject](a, 200, "org", "POST", "/v1/batches", createBody(file.ID, "24h"), "Idempotency-Key", "first")
+				lost := false
+				f.setFault(func(op, key string) fault {
+					switch {
+					case c.fault == faultAnswerLost && lost:
+						return faultUnavailable
+					case c.fault == faultAnswerLost && op == "commit":
+						lost = true
+						return faultAnswerLost
+					case c.at(op, key):
+						return c.fault
+					}
+					return faultNone
+				})
+				contentType, body := form(purposeBatch, inputLines(1))
+				method, path := "POST", "/v1/files"
+				switch c.request {
+				case "create":
+					path, contentType, body = "/v1/batches", "", createBody(file.ID, "24h")
+				case "cancel":
+					path, body = "/v1/batches/"+job.ID+"/cancel", ""
+				case "get":
+					method, path, body = "GET", "/v1/batches/"+job.ID, ""
+				}
+				w := a.send("org", method, path, contentType, body)
+				if w.Code != c.status || w.Header().Get("X-Request-Executed") != c.executed {
+					t.Errorf("status %d, executed %q, want %d %q: %s", w.Code,
+						w.Header().Get("X-Request-Executed"), c.status, c.executed, w.Body)
+				}
+			})
+		})
+	}
+}
--- a/job/model.go
+++ b/job/model.go
@@ -31,7 +31,7 @@
 	// ErrClaimLost means that the chunk's row is no longer at the version of the
 	// claim, or that the job has ended. The holder stops work on the chunk.
 	ErrClaimLost = errors.New("claim lost")
-	// ErrNotWritten means that the platform failed before anything was written.
+	// ErrNotWritten means that nothing was written and that nothing will be.
 	ErrNotWritten = errors.New("nothing was written")
 	// ErrIdempotencyMismatch means that the idempotency key was used with other input.
 	ErrIdempotencyMismatch = errors.New("idempotency key was used for another request")
--- a/job/store.go
+++ b/job/store.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/magnoliausher/magnoliausher/effect"
 	"github.com/magnoliausher/magnoliausher/storage"
 )
 
@@ -78,29 +79,56 @@
 
 // Submit creates a job, or returns the job that the same request created before.
 // Every attempt reads the state first, so lost responses and conflicts are handled
-// alike. It returns ErrIdempotencyMismatch if the key was used with other input, and
-// ErrNotWritten if the context ended before a commit was sent.
+// alike. It returns ErrIdempotencyMismatch if the key was used with other input. The
+// error matches ErrNotWritten if no job was created and none will be.
 func (s *Store) Submit(ctx context.Context, sub Submission) (*Job, error) {
+	return s.retryWrite(ctx, func() (*Job, error) { return s.trySubmit(ctx, sub) })
+}
+
+// retryWrite repeats a write that reads the state first. A final error matches
+// ErrNotWritten or errMayBeWritten, as follows from all writes and not only the last: an
+// earlier one without an answer may still take effect.
+func (s *Store) retryWrite(ctx context.Context, write func() (*Job, error)) (*Job, error) {
 	var b backoff
-	uncertain := false
+	known := effect.NotPerformed
 	for {
-		j, err := s.trySubmit(ctx, sub)
-		if err == nil || !(transient(err) || errors.Is(err, storage.ErrConflict)) {
-			return j, err
+		j, err := write()
+		if err == nil {
+			return j, nil
 		}
-		uncertain = uncertain || errors.Is(err, errCommitUncertain)
-		if b.wait(ctx) == nil {
-			continue
+		if errors.Is(err, errMayBeWritten) {
+			known = known.Either(effect.Unknown)
 		}
-		if !uncertain {
-			err = errors.Join(ErrNotWritten, err)
+		if (transient(err) || errors.Is(err, storage.ErrConflict)) && b.wait(ctx) == nil {
+			continue
 		}
-		return nil, trace.Wrap(err)
+		return nil, trace.Wrap(withOutcome(err, known))
 	}
 }
 
-// errCommitUncertain marks a failed commit that may have taken effect.
-var errCommitUncertain = errors.New("commit outcome unknown")
+// errMayBeWritten marks the error of a write that may have taken effect, or may later.
+var errMayBeWritten = errors.New("outcome of a write is unknown")
+
+// withOutcome adds to the error of a request what is known of its writes.
+func withOutcome(err error, known effect.Outcome) error {
+	if err == nil {
+		return nil
+	}
+	if known == effect.NotPerformed {
+		return errors.Join(ErrNotWritten, err)
+	}
+	return errors.Join(errMayBeWritten, err)
+}
+
+// commit applies a transaction. Its error matches errMayBeWritten unless nothing was
+// written.
+func (s *Store) commit(ctx context.Context, tx storage.Transaction) ([]uint64, error) {
+	versions, err := s.table.Commit(ctx, tx)
+	if storage.WriteOutcome(err) == effect.Unknown {
+		err = errors.Join(errMayBeWritten, err)
+	}
+	return versions, err
+}
 
 func (s *Store) trySubmit(ctx context.Context, sub Submission) (*Job, error) {
 	file, fileRow, err := s.fileRow(ctx, sub.FileID)
@@ -125,10 +153,7 @@
 		{Key: orgJobKey(j.Organisation, j.Created, j.ID), Value: []byte(j.ID), Always: true},
 		{Key: fileKey(file.ID), Value: mustJSON(file), IfVersion: fileRow.Version},
 	}, index...)
-	versions, err := s.table.Commit(ctx, storage.Transaction{Conditions: conditions, Writes: writes})
-	if errors.Is(err, storage.ErrUnavailable) {
-		err = errors.Join(errCommitUncertain, err)
-	}
+	versions, err := s.commit(ctx, storage.Transaction{Conditions: conditions, Writes: writes})
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -243,16 +268,7 @@
 // finish moves a running job to a final state in one transaction that writes the
 // job's row conditionally and removes the job from the index.
 func (s *Store) finish(ctx context.Context, id string, status Status, counts *Counts) (*Job, error) {
-	var b backoff
-	for {
-		j, err := s.tryFinish(ctx, id, status, counts)
-		if err == nil || !(transient(err) || errors.Is(err, storage.ErrConflict)) {
-			return j, err
-		}
-		if b.wait(ctx) != nil {
-			return nil, trace.Wrap(err)
-		}
-	}
+	return s.retryWrite(ctx, func() (*Job, error) { return s.tryFinish(ctx, id, status, counts) })
 }
 
 func (s *Store) tryFinish(ctx context.Context, id string, status Status, counts *Counts) (*Job, error) {
@@ -268,7 +284,7 @@
 		return nil, trace.Wrap(err)
 	}
 	writes := append([]storage.Write{{Key: jobKey(id), Value: mustJSON(j), IfVersion: j.Version}}, index...)
-	versions, err := s.table.Commit(ctx, storage.Transaction{Writes: writes})
+	versions, err := s.commit(ctx, storage.Transaction{Writes: writes})
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/job/upload.go
+++ b/job/upload.go
@@ -14,6 +14,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/magnoliausher/magnoliausher/effect"
 	"github.com/magnoliausher/magnoliausher/storage"
 )
 
@@ -53,14 +54,15 @@
 	if err == nil {
 		err = u.finish()
 	}
+	known := effect.NotPerformed // parts without a row are no file
 	if err == nil {
-		err = s.insertFile(ctx, u.file)
+		known, err = s.insertFile(ctx, u.file)
 	}
 	if err != nil && !transient(err) {
 		s.removeParts(ctx, u.file)
 	}
 	if err != nil {
-		return nil, trace.Wrap(err)
+		return nil, trace.Wrap(withOutcome(err, known))
 	}
 	return u.file, nil
 }
@@ -155,17 +157,22 @@
 	return v.findings.Err()
 }
 
-// insertFile writes the file's row. Ids are random, so a conflict means that an
-// earlier attempt wrote the row.
-func (s *Store) insertFile(ctx context.Context, f *File) error {
+// insertFile writes the file's row, and returns what is known of all its attempts. Ids
+// are random, so a conflict means that an earlier attempt wrote the row.
+func (s *Store) insertFile(ctx context.Context, f *File) (effect.Outcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
 	tx := storage.Transaction{Writes: []storage.Write{{Key: fileKey(f.ID), Value: mustJSON(f)}}}
-	_, err := retry(ctx, func() ([]uint64, error) { return s.table.Commit(ctx, tx) })
+	known := effect.NotPerformed
+	_, err := retry(ctx, func() ([]uint64, error) {
+		versions, err := s.table.Commit(ctx, tx)
+		known = known.Either(storage.WriteOutcome(err))
+		return versions, err
+	})
 	if errors.Is(err, storage.ErrConflict) {
-		return nil
+		return effect.Performed, nil
 	}
-	return trace.Wrap(err)
+	return known, trace.Wrap(err)
 }
 
 // removeParts removes the parts on a best-effort basis; the sweeper removes the rest.
--- a/operator/api.go
+++ b/operator/api.go
@@ -134,7 +134,7 @@
 		a.config.Log.Warn().Err(err).Str("path", r.URL.Path).Msg("operator request failed")
 	}
 	if r.Method == http.MethodGet || r.URL.Path == PathDiff {
-		e.Executed = ""
+		e.Executed, e.ReadOnly = "", true
 	}
 	metric.Refused("entry", "", "operator", e.Code)
 	apierror.Write(w, e)
--- a/operator/api_test.go
+++ b/operator/api_test.go
@@ -233,7 +233,7 @@
 			n.apply("", "", sheetOf(t, 1, 0)).expect(t, http.StatusOK, "")
 			p.set(true, false)
 			a := n.apply(query, "change-a", sheetOf(t, 2, 5))
-			if a.status != http.StatusServiceUnavailable || a.executed != "unknown" || a.Error.Details.ChangeID != "change-a" {
+			if a.status != http.StatusGatewayTimeout || a.executed != "unknown" || a.Error.Details.ChangeID != "change-a" {
 				t.Fatalf("lost response: executed %q: %s", a.executed, a.raw)
 			}
 			if a = other.apply("?base=1", "change-a", sheetOf(t, 2, 5)); a.executed != "unknown" {
