entry: promise nothing after an attempt that may have run

Cause: three answers took their status from the last attempt only. After an attempt that was handed over and lost, "no upstream left" was answered 503 with X-Request-Executed: unknown (docs/operators/online.md says 502 there), an engine's own 408 was passed on as it came, and so was a plain service's own 503 or 429.

Change: no_upstream is answered like the other errors after attempts, and the engine's and the service's status pass through effect.Outcome.Status with what is known of the earlier attempts. The own status of a service at the only attempt that may have run is still passed on as the service's statement.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -173,6 +173,11 @@
 		return errProtocol
 	}
 	a.status = h.GetStatus()
+	if a.rq.plain() {
+		// A service that promises "not run" knows nothing of earlier attempts.
+		status := a.rq.executed().Outcome().Status(int(h.GetStatus()))
+		h = &rpc.Head{Status: uint32(status), Headers: h.GetHeaders()}
+	}
 	return a.out.head(h)
 }
 
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -233,9 +233,7 @@
 	t := &c.counts
 	rq.log.Debug().Int("excluded", t.Excluded).Int("disconnected", t.Disconnected).Int("leaving", t.Leaving).
 		Int("down", t.Down).Int("silent", t.Stale).Int("suspect_busy", t.SuspectBusy).Msg("no upstream available")
-	err := unavailable(codeNoUpstream, "No upstream of the service can take the request.", e.config.RetryAfter)
-	err.Executed = rq.executed()
-	return err
+	return e.attemptError(rq, codeNoUpstream, "No upstream of the service can take the request.", e.config.RetryAfter)
 }
 
 // attempt performs one attempt and records whether it may have been handed over.
--- a/entry/dispatch_test.go
+++ b/entry/dispatch_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -15,6 +16,7 @@
 	"github.com/leanovate/gopter/prop"
 
 	"github.com/magnoliausher/magnoliausher/apierror"
+	"github.com/magnoliausher/magnoliausher/effect"
 )
 
 // streamContent is what an OpenAI client reads from a stream.
@@ -79,7 +81,7 @@
 // upstream can take over, and against missing or repeated text after it.
 func TestSingleFaultIsHiddenFromCaller(t *testing.T) {
 	for f := range faultCount {
-		if f == engineRejects {
+		if f == engineRejects || f == engineTimesOut { // the engine's own client errors
 			continue
 		}
 		for _, after := range []int{0, 5} {
@@ -214,6 +216,9 @@
 func isConsistent(t *testing.T, w *httptest.ResponseRecorder, r *fakeRunner, stream bool) bool {
 	executed := w.Header().Get(apierror.ExecutedHeader)
 	if w.Code != 200 {
+		if effect.Promises(w.Code) && !allConfirmedNotExecuted(r) {
+			return false
+		}
 		return executed == "unknown" || (executed == "no" && (r.handOvers == 0 || allConfirmedNotExecuted(r)))
 	}
 	if !stream {
@@ -234,7 +239,7 @@
 			f = r.script[i].fault
 		}
 		switch f {
-		case noLink, noLinkLate, refused, refusedLeaving, failedNotExecuted, engineRejects, engineOverloads:
+		case noLink, noLinkLate, refused, refusedLeaving, failedNotExecuted, engineRejects, engineOverloads, engineTimesOut:
 		default:
 			return false
 		}
@@ -391,3 +396,50 @@
 		}
 	})
 }
+
+// Guards against a status that promises "not run" after an attempt that was handed over,
+// whatever ends a later one.
+func TestNoPromiseAfterHandOver(t *testing.T) {
+	const list = "/services/orders/list"
+	allRefused := func(f fault) []fault {
+		return append([]fault{f}, slices.Repeat([]fault{refused}, DefaultMaxAttempts)...)
+	}
+	cases := []struct {
+		name     string
+		path     string
+		faults   []fault
+		status   int
+		executed string
+	}{
+		{"engine's own 408", pathChat, []fault{engineTimesOut}, 408, "no"},
+		{"lost, then engine's own 408", pathChat, []fault{lostBeforeAcceptance, engineTimesOut}, 504, "unknown"},
+		{"lost, then refused", pathChat, allRefused(lostBeforeAcceptance), 502, "unknown"},
+		{"plain: service's own 503", list, []fault{serviceBusy}, 503, ""},
+		{"plain: lost, then service's own 503", list, []fault{lostBeforeAcceptance, serviceBusy}, 504, ""},
+		{"plain: silent, then refused", list, allRefused(silentBeforeAcceptance), 502, "unknown"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var script []attemptScript
+				for _, f := range c.faults {
+					script = append(script, attemptScript{f, 0})
+				}
+				r := newRunner(2, script...)
+				method, body := "GET", ""
+				if c.path == pathChat {
+					method, body = "POST", chatBody
+				}
+				var header []string
+				if c.path == invoicePath {
+					method, header = "POST", []string{idempotencyHeader, "k"}
+				}
+				w := call(newTestEntry(r, withStore(newPlatform())), method, c.path, body, header...)
+				if w.Code != c.status || w.Header().Get(apierror.ExecutedHeader) != c.executed || r.attempts() > len(script) {
+					t.Errorf("status %d, executed %q, %d attempts, want %d %q: %s", w.Code, w.Header().Get(apierror.ExecutedHeader),
+						r.attempts(), c.status, c.executed, w.Body)
+				}
+			})
+		})
+	}
+}
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -38,8 +38,10 @@
 	failedNotExecuted
 	engineRejects   // 400 from the engine
 	engineOverloads // 503 from the engine
+	engineTimesOut  // 408 from the engine
 	refusedLeaving  // by an agent that shuts down
 	faultCount
+	serviceBusy // 503 from a plain service
 )
 
 // responseTokens is the number of tokens in a complete response of the fake engine.
@@ -194,6 +196,8 @@
 		return steps(accepted, headEvent(http.StatusBadRequest), dataEvent(`{"error":{"message":"too long"}}`), notExecuted)
 	case engineOverloads:
 		return steps(accepted, headEvent(http.StatusServiceUnavailable), dataEvent("busy"), notExecuted)
+	case engineTimesOut:
+		return steps(accepted, headEvent(http.StatusRequestTimeout), dataEvent("slow"), notExecuted)
 	}
 	if req.DeliveredTokens >= responseTokens { // an engine rejects this: nothing is left to generate
 		return steps(accepted, headEvent(http.StatusBadRequest), dataEvent(`{"error":{"message":"nothing to resume"}}`), notExecuted)
@@ -257,6 +261,9 @@
 	if before, ok := faultBeforeAcceptance(s.fault); ok {
 		return before
 	}
+	if s.fault == serviceBusy {
+		return append(steps(accepted, headEvent(http.StatusServiceUnavailable), dataEvent("busy")), step{event: ended})
+	}
 	list := steps(accepted, headEvent(201, &rpc.Header{Name: "Content-Type", Value: "text/plain"},
 		&rpc.Header{Name: "X-Order", Value: "7"}, &rpc.Header{Name: "X-Request-Executed", Value: "no"},
 		&rpc.Header{Name: "Connection", Value: "X-Hop"}, &rpc.Header{Name: "X-Hop", Value: "1"}), dataEvent(body))
--- a/entry/respond.go
+++ b/entry/respond.go
@@ -172,12 +172,14 @@
 	return nil
 }
 
-// sendEngineError sends the engine's own error.
+// sendEngineError sends the engine's own error. Its status promises nothing if an earlier
+// attempt may have run.
 func (a *generationResponse) sendEngineError() {
 	h := a.writer.w.Header()
 	h.Set("Content-Type", a.engineError.contentType)
-	h.Set(apierror.ExecutedHeader, string(a.rq.executed()))
-	a.writer.w.WriteHeader(a.engineError.status)
+	executed := a.rq.executed()
+	h.Set(apierror.ExecutedHeader, string(executed))
+	a.writer.w.WriteHeader(executed.Outcome().Status(a.engineError.status))
 	_ = a.writer.write(a.engineError.body) // the caller may have disconnected
 	metric.Refused("entry", a.rq.service.Name, classOnline, codeUpstreamError)
 }
