entry, job: the refusal of a copy does not prove that an attempt did not run

Cause: an agent refuses the second copy of an attempt as already_seen, and the entry and the batch runner took that refusal for "not run": a call that must not be repeated was dispatched again, or the caller got 503. A copy arises below this code: connect gives the HTTP client the body again (GetBody), and Go's HTTP/2 client sends a request again after a reset with PROTOCOL_ERROR (canRetryError). The batch runner also trusted a refusal that came after the acceptance or after output, which the entry does not.

Change: a refusal as already_seen ends the attempt as failed with an unknown execution; the batch runner trusts a refusal only before the acceptance.

--- a/admission/snapshot.go
+++ b/admission/snapshot.go
@@ -75,6 +75,10 @@
 	return 0
 }
 
+// ProvesNothing reports whether a refusal with this reason says nothing of whether the
+// attempt ran. ReasonAlreadySeen refuses a copy, so that the agent has the attempt already.
+func (r Reason) ProvesNothing() bool { return r == ReasonAlreadySeen }
+
 // Sequence is one attempt that occupies a slot of the upstream.
 type Sequence struct {
 	ID           attempt.ID
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/magnoliausher/magnoliausher/admission"
 	"github.com/magnoliausher/magnoliausher/attempt"
 	"github.com/magnoliausher/magnoliausher/link"
 	"github.com/magnoliausher/magnoliausher/poison"
@@ -230,8 +231,11 @@
 }
 
 // onRefused accepts a refusal only before acceptance and any output, since an agent
-// accepts an attempt when it hands it over.
+// accepts an attempt when it hands it over, and not the refusal of a copy.
 func (a *receiver) onRefused(r *rpc.Refused) result {
+	if admission.Reason(r.GetReason()).ProvesNothing() {
+		return result{outcome: outcomeFailed, reason: reasonLabel(r.GetReason()), executed: attempt.ExecutedUnknown}
+	}
 	if a.accepted || a.hasOutput || a.status != 0 {
 		return result{outcome: outcomeFailed, reason: reasonProtocol, executed: attempt.ExecutedUnknown}
 	}
--- a/entry/dispatch_test.go
+++ b/entry/dispatch_test.go
@@ -414,9 +414,11 @@
 		{"engine's own 408", pathChat, []fault{engineTimesOut}, 408, "no"},
 		{"lost, then engine's own 408", pathChat, []fault{lostBeforeAcceptance, engineTimesOut}, 504, "unknown"},
 		{"lost, then refused", pathChat, allRefused(lostBeforeAcceptance), 502, "unknown"},
+		{"copy seen", pathChat, allRefused(alreadySeen), 502, "unknown"},
 		{"plain: service's own 503", list, []fault{serviceBusy}, 503, ""},
 		{"plain: lost, then service's own 503", list, []fault{lostBeforeAcceptance, serviceBusy}, 504, ""},
 		{"plain: silent, then refused", list, allRefused(silentBeforeAcceptance), 502, "unknown"},
+		{"not repeatable: copy seen", invoicePath, []fault{alreadySeen}, 502, "unknown"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -39,6 +39,7 @@
 	engineRejects   // 400 from the engine
 	engineOverloads // 503 from the engine
 	engineTimesOut  // 408 from the engine
+	alreadySeen     // refused, because another copy of the attempt was received
 	refusedLeaving  // by an agent that shuts down
 	faultCount
 	serviceBusy // 503 from a plain service
@@ -163,6 +164,7 @@
 	misroutedEnd   = &rpc.RunEvent{AttemptId: "other", Event: ended.Event}
 	leaving        = &rpc.RunEvent{Event: &rpc.RunEvent_Refused{Refused: &rpc.Refused{Reason: "leaving"}}}
 	noSlot         = &rpc.RunEvent{Event: &rpc.RunEvent_Refused{Refused: &rpc.Refused{Reason: "no_slot", RetryAfterMs: 700}}}
+	seen           = &rpc.RunEvent{Event: &rpc.RunEvent_Refused{Refused: &rpc.Refused{Reason: "already_seen"}}}
 	notExecuted    = &rpc.RunEvent{Event: &rpc.RunEvent_Failed{Failed: &rpc.Failed{Reason: "not_sent", Executed: rpc.Executed_EXECUTED_NO}}}
 	crash          = &rpc.RunEvent{Event: &rpc.RunEvent_Failed{Failed: &rpc.Failed{Reason: "crashed", UpstreamCrashed: true}}}
 )
@@ -231,6 +233,8 @@
 		return steps(noSlot), true
 	case refusedLeaving:
 		return steps(leaving), true
+	case alreadySeen:
+		return steps(seen), true
 	case lostBeforeAcceptance:
 		return []step{{err: errReset}}, true
 	case silentBeforeAcceptance:
--- a/entry/once_test.go
+++ b/entry/once_test.go
@@ -46,6 +46,7 @@
 		{truncated, 502, "unknown", 409},
 		{refusedMidStream, 502, "unknown", 409},
 		{crashes, 502, "unknown", 409},
+		{alreadySeen, 502, "unknown", 409},
 	}
 	for _, c := range cases {
 		synctest.Test(t, func(t *testing.T) {
--- a/job/execute.go
+++ b/job/execute.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/magnoliausher/magnoliausher/admission"
 	"github.com/magnoliausher/magnoliausher/attempt"
 	"github.com/magnoliausher/magnoliausher/contract"
 	"github.com/magnoliausher/magnoliausher/link"
@@ -113,14 +114,15 @@
 
 // attemptCollector accumulates the events of one attempt.
 type attemptCollector struct {
-	req       *rpc.RunRequest
-	engine    bool
-	status    int
-	text      strings.Builder
-	tokens    int
-	data      bytes.Buffer
-	lastEvent *rpc.RunEvent // end, refused or failed
-	share     *memory.Share // of the text and the data
+	req        *rpc.RunRequest
+	engine     bool
+	status     int
+	text       strings.Builder
+	tokens     int
+	data       bytes.Buffer
+	lastEvent  *rpc.RunEvent // end, refused or failed
+	handedOver bool          // the agent has accepted the attempt or sent a part of the answer
+	share      *memory.Share // of the text and the data
 }
 
 // maxAnswerBytes limits the answer to one item. The longest hold a few thousand tokens.
@@ -140,13 +142,18 @@
 			continue
 		}
 		switch e := event.Event.(type) {
+		case *rpc.RunEvent_Accepted:
+			c.handedOver = true
 		case *rpc.RunEvent_Head:
+			c.handedOver = true
 			c.status = int(e.Head.Status)
 		case *rpc.RunEvent_Delta:
+			c.handedOver = true
 			c.text.WriteString(e.Delta.Text)
 			c.tokens += int(e.Delta.Tokens)
 			err = c.checkSize()
 		case *rpc.RunEvent_Data:
+			c.handedOver = true
 			c.data.Write(e.Data)
 			err = c.checkSize()
 		case *rpc.RunEvent_End, *rpc.RunEvent_Refused, *rpc.RunEvent_Failed:
@@ -196,8 +203,10 @@
 	}
 	switch e := c.lastEvent.Event.(type) {
 	case *rpc.RunEvent_Refused:
-		o.kind = outcomeRefused
 		o.reason = e.Refused.Reason
+		if !c.handedOver && !admission.Reason(o.reason).ProvesNothing() {
+			o.kind = outcomeRefused
+		}
 	case *rpc.RunEvent_Failed:
 		o.reason = e.Failed.Reason
 		o.executed = executedOf(e.Failed.Executed)
--- a/job/execute_test.go
+++ b/job/execute_test.go
@@ -46,3 +46,43 @@
 		}
 	}
 }
+
+// TestRefusalThatProvesNothing guards against a second run of an item that must not be
+// repeated, after a refusal of a copy of an attempt or of one that was accepted before.
+func TestRefusalThatProvesNothing(t *testing.T) {
+	refusal := func(reason string) *rpc.RunEvent {
+		return &rpc.RunEvent{Event: &rpc.RunEvent_Refused{Refused: &rpc.Refused{Reason: reason}}}
+	}
+	accepted := &rpc.RunEvent{Event: &rpc.RunEvent_Accepted{Accepted: &rpc.Accepted{}}}
+	data := &rpc.RunEvent{Event: &rpc.RunEvent_Data{Data: []byte("x")}}
+	cases := []struct {
+		name   string
+		events []*rpc.RunEvent
+		code   string
+	}{
+		{"refused", []*rpc.RunEvent{refusal("queue_full")}, ""},
+		{"copy seen", []*rpc.RunEvent{refusal("already_seen")}, codeUnknown},
+		{"refused after acceptance", []*rpc.RunEvent{accepted, refusal("queue_full")}, codeUnknown},
+		{"refused after output", []*rpc.RunEvent{data, refusal("queue_full")}, codeUnknown},
+	}
+	for _, c := range cases {
+		collector := attemptCollector{req: &rpc.RunRequest{}}
+		err := collector.read(&scriptedStream{events: c.events})
+		if v := decide(0, false, collector.outcome(context.Background(), err)); v.code != c.code || v.retry != (c.code == "") {
+			t.Errorf("%s: %+v", c.name, v)
+		}
+	}
+}
+
+type scriptedStream struct{ events []*rpc.RunEvent }
+
+func (s *scriptedStream) Recv() (*rpc.RunEvent, error) {
+	if len(s.events) == 0 {
+		return nil, io.EOF
+	}
+	event := s.events[0]
+	s.events = s.events[1:]
+	return event, nil
+}
+
+func (s *scriptedStream) Close() error { return nil }
