contract: report an acceptance as unknown after any commit that may be performed

Cause: an acceptance whose commit ended with an error that says nothing of its effect, such as an unexpected status of a proxy or an answer that cannot be decoded, was reported as "nothing was changed" with status 503.

Change: the outcome is joined over all attempts from storage.WriteOutcome instead of a flag set for ErrUnavailable only. A conflict still ends it: the row version of the condition never comes back, so that the reads after it are final.

Before: TestOutcomeFollowsFromAllCommits failed in "unknown error" ("accept configuration: platform responded 403, want unknown true") and "no answer to decode". Throttled or refused commits after a lost one were right before. go test -race ./contract ./operator: ok.

--- a/contract/accept.go
+++ b/contract/accept.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	"github.com/gravitational/trace"
 
+	"github.com/magnoliausher/magnoliausher/effect"
 	"github.com/magnoliausher/magnoliausher/finding"
 	"github.com/magnoliausher/magnoliausher/storage"
 )
@@ -214,7 +215,7 @@
 	if err != nil {
 		return 0, err
 	}
-	outcomeUnknown := false // an earlier attempt may have taken effect or may still do so
+	known := effect.NotPerformed // of all attempts so far
 	for failed := 0; ; failed++ {
 		_, err := a.store.platform.Commit(ctx, tx)
 		switch {
@@ -222,14 +223,12 @@
 			a.store.removeOldBodies(ctx, a.doc.Version)
 			return a.doc.Version, nil
 		case errors.Is(err, storage.ErrConflict):
-			return a.resolveConflict(ctx)
-		case errors.Is(err, storage.ErrUnavailable):
-			outcomeUnknown = true
-		case !errors.Is(err, storage.ErrThrottled):
-			return 0, a.commitError(outcomeUnknown, err)
+			return a.resolveConflict(ctx) // no attempt can take effect any more
 		}
-		if !a.store.backoff.Wait(ctx, failed) {
-			return 0, a.commitError(outcomeUnknown, err)
+		known = known.Either(storage.WriteOutcome(err))
+		retryable := errors.Is(err, storage.ErrUnavailable) || errors.Is(err, storage.ErrThrottled)
+		if !retryable || !a.store.backoff.Wait(ctx, failed) {
+			return 0, a.commitError(known, err)
 		}
 	}
 }
@@ -248,7 +247,7 @@
 	})
 	switch {
 	case err != nil:
-		return 0, a.commitError(true, err)
+		return 0, a.commitError(effect.Unknown, err)
 	case accepted:
 		return a.doc.Version, nil
 	}
@@ -257,8 +256,8 @@
 
 // commitError wraps the cause of a failed commit, in an UnknownOutcomeError if
 // the change may have been accepted.
-func (a *acceptance) commitError(outcomeUnknown bool, cause error) error {
-	if !outcomeUnknown {
+func (a *acceptance) commitError(known effect.Outcome, cause error) error {
+	if known == effect.NotPerformed {
 		return trace.Wrap(cause, "accept configuration")
 	}
 	return &UnknownOutcomeError{Base: a.base, ChangeID: a.doc.ChangeID, Cause: cause}
--- a/contract/store_test.go
+++ b/contract/store_test.go
@@ -145,6 +145,62 @@
 	}
 }
 
+// scriptedCommits is a platform whose commits end with the errors of a script; an
+// ErrUnavailable loses the answer of a commit that is performed.
+type scriptedCommits struct {
+	*standin.Platform
+	script []error
+}
+
+func (p *scriptedCommits) Commit(ctx context.Context, tx storage.Transaction) ([]uint64, error) {
+	if len(p.script) == 0 {
+		return p.Platform.Commit(ctx, tx)
+	}
+	err := p.script[0]
+	if len(p.script) > 1 { // the last error repeats
+		p.script = p.script[1:]
+	}
+	if errors.Is(err, storage.ErrUnavailable) {
+		_, _ = p.Platform.Commit(ctx, tx)
+	}
+	return nil, err
+}
+
+// Guards against a change that may have been accepted and is reported as "nothing was
+// changed", since the last of several commits failed for sure, or with an error that
+// says nothing.
+func TestOutcomeFollowsFromAllCommits(t *testing.T) {
+	lost, throttled := storage.ErrUnavailable, storage.ErrThrottled
+	refused := &storage.StatusError{Status: 403}
+	cases := []struct {
+		name    string
+		script  []error
+		unknown bool
+	}{
+		{"throttled", []error{throttled}, false},
+		{"lost, then throttled", []error{lost, throttled}, true},
+		{"lost, then refused", []error{lost, refused}, true},
+		{"throttled, then lost", []error{throttled, lost, throttled}, true},
+		{"throttled and lost at once", []error{errors.Join(throttled, lost), throttled}, true},
+		{"unknown error", []error{refused}, true},
+		{"no answer to decode", []error{errors.New("unexpected end of JSON input")}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := &scriptedCommits{Platform: standin.New(standin.Config{}), script: c.script}
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
+				_, err := contract.NewStore(p).Accept(ctx, 0, sheetDocument("2026-03-02", 1))
+				var unknown *contract.UnknownOutcomeError
+				if err == nil || errors.As(err, &unknown) != c.unknown {
+					t.Errorf("got %v, want unknown %v", err, c.unknown)
+				}
+			})
+		})
+	}
+}
+
 // Guards against an HTTP connection that breaks after the write took effect and
 // is not handled as a lost response.
 func TestLostResponsesOverHTTP(t *testing.T) {
