operator: a resent change is not refused while its first outcome is unknown

Cause: two answers to a change that is sent again with its change id said "nothing was changed" without knowing what came of the first call: a sheet without a base whose change id could not be looked up was answered 409 although it had been accepted, and a small change whose base is unknown was answered 503 when the version in force could not be read.

Change: both are answered 504 outcome_unknown. That answer advises to send the change again on the base it names, which need not be the base of the first call, so the lookup of the change id is now made with a given base too (not for a request without an operator's key, which may only create version 1).

Before: TestResentSheetWithoutLookup "status 409, executed no"; TestResentSmallChangeWithUnknownBase "status 503, executed no". go test -race ./operator ./contract ./cli: ok.

--- a/operator/accept.go
+++ b/operator/accept.go
@@ -35,6 +35,7 @@
 type proposal struct {
 	base       uint64 // the version that the document is based on
 	baseGiven  bool   // the request specifies the base
+	firstOnly  bool   // the request may only create version 1
 	changeID   string
 	mayBeRetry bool // the request carries a change id, so an earlier attempt may have succeeded
 	doc        contract.Document
@@ -69,7 +70,7 @@
 	p.setDocument(doc)
 	p.baseGiven = baseGiven
 	if contract.CallerFrom(r.Context()) == nil { // an unauthenticated request may only create version 1
-		p.base, p.baseGiven = 0, true
+		p.base, p.baseGiven, p.firstOnly = 0, true, true
 	}
 	return a.acceptAndRespond(w, r, p)
 }
@@ -136,9 +137,9 @@
 }
 
 // commit stores the proposal as the next version and returns that version.
-// Without a specified base it uses the version in force. If the store then
-// rejects the proposal, commit looks up whether an earlier attempt with the same
-// change id succeeded, and repeats that one.
+// Without a specified base it uses the version in force. If the store rejects the
+// proposal, commit looks up whether an earlier attempt with the same change id
+// succeeded, and repeats that one.
 func (a *API) commit(ctx context.Context, p *proposal) (uint64, error) {
 	store := a.config.Store
 	if !p.baseGiven {
@@ -149,11 +150,14 @@
 		p.base = base
 	}
 	version, err := store.Accept(ctx, p.base, &p.doc, p.options...)
-	if p.baseGiven || !p.mayBeRetry || !isRejection(err) {
+	if p.firstOnly || !p.mayBeRetry || !isRejection(err) {
 		return version, err
 	}
 	earlierVersion, lookupErr := store.VersionOf(ctx, p.changeID)
-	if lookupErr != nil || earlierVersion == 0 {
+	if lookupErr != nil {
+		return 0, lookupErr // the rejection does not tell whether the earlier attempt succeeded
+	}
+	if earlierVersion == 0 {
 		return 0, err
 	}
 	p.base = earlierVersion - 1
--- a/operator/api_test.go
+++ b/operator/api_test.go
@@ -264,6 +264,69 @@
 	}
 }
 
+// unreadableRow fails the reads of one row.
+type unreadableRow struct {
+	*standin.Platform
+	key string
+}
+
+func (p *unreadableRow) Get(ctx context.Context, key string) (storage.Row, error) {
+	if key == p.key {
+		return storage.Row{}, storage.ErrUnavailable
+	}
+	return p.Platform.Get(ctx, key)
+}
+
+func (p *unreadableRow) Scan(ctx context.Context, prefix, after string, limit int) ([]storage.Row, error) {
+	if prefix == p.key {
+		return nil, storage.ErrUnavailable
+	}
+	return p.Platform.Scan(ctx, prefix, after, limit)
+}
+
+// Guards against an accepted sheet that is sent again and answered as refused, because
+// the lookup of its change id fails.
+func TestResentSheetWithoutLookup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &unreadableRow{Platform: standin.New(standin.Config{})}
+		n := newTestEntry(t, p)
+		n.apply("", "change-a", sheetOf(t, 1, 0)).expect(t, http.StatusOK, "")
+		p.key = "config/history/"
+		a := n.apply("", "change-a", sheetOf(t, 1, 0))
+		if a.status != http.StatusGatewayTimeout || a.executed != "unknown" {
+			t.Errorf("status %d, executed %q: %s", a.status, a.executed, a.raw)
+		}
+		p.key = ""
+		// The body advises to send it again on this base, which is not that of the first call.
+		again := n.apply(fmt.Sprintf("?base=%d", a.Error.Details.Base), "change-a", sheetOf(t, 1, 0))
+		if again.expect(t, http.StatusOK, ""); again.Version != 1 || again.Base != 0 {
+			t.Errorf("sent again: %s", again.raw)
+		}
+	})
+}
+
+// Guards against a small change that is sent again and answered as "nothing was changed"
+// although an earlier call with its change id may have been accepted.
+func TestResentSmallChangeWithUnknownBase(t *testing.T) {
+	for changeID, want := range map[string]struct {
+		status   int
+		executed string
+	}{"change-a": {http.StatusGatewayTimeout, "unknown"}, "": {http.StatusServiceUnavailable, "no"}} {
+		t.Run(changeID, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := &unreadableRow{Platform: standin.New(standin.Config{})}
+				n := newTestEntry(t, p)
+				n.apply("", "", sheetOf(t, 1, 0)).expect(t, http.StatusOK, "")
+				p.key = "config/current"
+				a := n.send(operatorCaller, http.MethodPost, operator.PathChange, changeID, `{"base":7,"remove":{"services":["portal"]}}`)
+				if a.status != want.status || a.executed != want.executed {
+					t.Errorf("status %d, executed %q: %s", a.status, a.executed, a.raw)
+				}
+			})
+		})
+	}
+}
+
 // Guards against concurrent changes to the same version on two entries of which
 // both or neither are accepted, and against a rejection without the difference.
 func TestRacingOperators(t *testing.T) {
--- a/operator/change.go
+++ b/operator/change.go
@@ -202,7 +202,7 @@
 	case err != nil:
 		return a.withErrorDetails(ctx, r, p, err)
 	case base == nil:
-		return a.unknownBaseError(ctx, change.Base)
+		return a.unknownBaseError(ctx, r, p)
 	}
 	doc, err := change.Apply(base)
 	if err != nil {
@@ -215,13 +215,13 @@
 
 // unknownBaseError returns the conflict for a change to a version that is not yet
 // accepted or no longer in the history.
-func (a *API) unknownBaseError(ctx context.Context, base uint64) error {
-	conflict := &contract.ConflictError{Base: base}
+func (a *API) unknownBaseError(ctx context.Context, r *http.Request, p *proposal) error {
+	conflict := &contract.ConflictError{Base: p.base}
 	inForce, err := a.refresh(ctx)
 	if err != nil {
-		return err
+		return a.withErrorDetails(ctx, r, p, err)
 	}
-	details := ErrorDetails{Base: base}
+	details := ErrorDetails{Base: p.base}
 	if inForce != nil {
 		conflict.InForce, conflict.Version = inForce, inForce.Version
 		details.Version = inForce.Version
