poison: clear the rows of a block whose write got no answer

Cause: the keeper remembers which fingerprints have rows, and took a write without an answer for one that stored none. A block released before the write was repeated was therefore never cleared in the store, and a restart of all processes restored it.

Change: a fingerprint counts as stored from before its write is sent. At worst this costs one more write.

Before: TestReleaseReachesRowsOfLostWrite "blocked after the restart, want clear". go test -race ./poison: ok.

--- a/poison/keeper.go
+++ b/poison/keeper.go
@@ -47,7 +47,7 @@
 
 	loaded        bool
 	savedSequence uint64          // sequence number of Table up to which rows have been written
-	stored        map[uint64]bool // fingerprints with rows that do not say cleared
+	stored        map[uint64]bool // fingerprints that may have rows that do not say cleared
 }
 
 func (p *Persister) prefix() string {
@@ -144,6 +144,11 @@
 		}
 		written = append(written, s)
 	}
+	for _, s := range written {
+		if len(s.GetCrashIds()) > 0 {
+			p.markStored(s.GetFingerprint(), true) // a failed write may take effect too
+		}
+	}
 	for start := 0; start < len(writes); start += rowsPerCommit {
 		part := writes[start:min(start+rowsPerCommit, len(writes))]
 		if _, err := p.Rows.Commit(ctx, storage.Transaction{Writes: part}); err != nil {
@@ -151,7 +156,9 @@
 		}
 	}
 	for _, s := range written {
-		p.markStored(s.GetFingerprint(), len(s.GetCrashIds()) > 0)
+		if len(s.GetCrashIds()) == 0 {
+			p.markStored(s.GetFingerprint(), false)
+		}
 	}
 	return nil
 }
--- a/poison/keeper_test.go
+++ b/poison/keeper_test.go
@@ -144,3 +144,34 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a block that a restart restores after a sound answer, because the answer
+// to the write of its rows was lost and they were taken as not written.
+func TestReleaseReachesRowsOfLostWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := standin.New(standin.Config{})
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		newPersister := func() *poison.Persister {
+			return &poison.Persister{Table: poison.NewTable(poison.Config{}), Rows: p, MinCrashes: 2, Rank: func() (int, int) { return 0, 1 }}
+		}
+		first := newPersister()
+		go first.Run(ctx)
+		time.Sleep(time.Second)
+		p.LoseNextResponses(1)
+		first.Table.RecordCrash(1, []uint64{twice}, time.Now())
+		first.Table.RecordCrash(2, []uint64{twice}, time.Now())
+		synctest.Wait() // the write was made; its repetition waits
+		first.Table.RecordSound(&poison.Subject{Parts: []poison.Part{{Fingerprint: twice}}}, time.Now())
+		time.Sleep(time.Minute)
+		restarted := newPersister()
+		if err := restarted.Load(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if got := restarted.Table.Status(twice, time.Now()); got != poison.Clear {
+			t.Errorf("%v after the restart, want clear", got)
+		}
+		stop()
+		synctest.Wait()
+	})
+}
