job: keep the parts of a file whose row may be stored

Cause: an upload removed its parts after any error that a retry does not cure. If the answer to the first write of the row was lost and its repetition was refused, the row existed and its content did not.

Change: the parts are removed only if no write of the row can have taken effect; otherwise the sweeper removes them if the row is missing.

Before: TestFileOfLostAnswerKeepsItsParts "stored file is not readable: object file/.../000000 not found". go test -race ./job -run 'File|Upload|API|Answers|Resend': ok.

--- a/job/store_test.go
+++ b/job/store_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"strings"
 	"sync"
@@ -317,3 +318,44 @@
 var _ storage.Platform = (*fakePlatform)(nil)
 
 func inputReader(n int) *strings.Reader { return strings.NewReader(inputLines(n)) }
+
+// refusingPlatform loses the answer of the first commit and refuses later ones with an
+// error that is not transient.
+type refusingPlatform struct {
+	*fakePlatform
+	calls int
+}
+
+func (p *refusingPlatform) Commit(ctx context.Context, tx storage.Transaction) ([]uint64, error) {
+	p.calls++
+	if p.calls > 1 {
+		return nil, &storage.StatusError{Status: 403}
+	}
+	_, _ = p.fakePlatform.Commit(ctx, tx)
+	return nil, storage.ErrUnavailable
+}
+
+// TestFileOfLostAnswerKeepsItsParts guards against a stored file without its content: the
+// answer to the write of its row is lost, and a refusal of the repeated write is taken for
+// the outcome.
+func TestFileOfLostAnswerKeepsItsParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakePlatform()
+		_, err := NewStore(&refusingPlatform{fakePlatform: f}).Upload(t.Context(), "org", "caller", "in.jsonl", inputReader(1))
+		if err == nil || errors.Is(err, ErrNotWritten) {
+			t.Errorf("error %v, want one that leaves the outcome open", err)
+		}
+		for key := range f.rows {
+			file, err := NewStore(f).File(t.Context(), strings.TrimPrefix(key, filePrefix))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := NewStore(f).WriteInput(t.Context(), file, io.Discard); err != nil {
+				t.Errorf("stored file is not readable: %v", err)
+			}
+		}
+		if len(f.rows) != 1 {
+			t.Errorf("%d rows", len(f.rows))
+		}
+	})
+}
--- a/job/upload.go
+++ b/job/upload.go
@@ -58,7 +58,7 @@
 	if err == nil {
 		known, err = s.insertFile(ctx, u.file)
 	}
-	if err != nil && !transient(err) {
+	if err != nil && !transient(err) && known == effect.NotPerformed {
 		s.removeParts(ctx, u.file)
 	}
 	if err != nil {
