idempotency: settle a write whose error leaves its outcome open

Cause: an error that matches a refusal counted as "nothing written" even if it also matches a call without an answer. A write that took effect later then left the key in progress although its caller had been told that it was not run.

Change: Begin joins storage.WriteOutcome over its writes and settles the row unless all are known as not performed. No platform client returns such an error today; the rest of Begin and settle was read and is right: a late write meets a changed row version, and a missing row is written before it counts as settled.

--- a/idempotency/store.go
+++ b/idempotency/store.go
@@ -11,6 +11,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/gravitational/trace"
 
+	"github.com/magnoliausher/magnoliausher/effect"
 	"github.com/magnoliausher/magnoliausher/pause"
 	"github.com/magnoliausher/magnoliausher/storage"
 )
@@ -110,7 +111,7 @@
 		State: StateStarted, Attempt: c.Attempt, RequestHash: c.RequestHash, StartedAt: now, Deadline: c.Deadline,
 	}}
 	var replaces uint64
-	written := false // a write of this attempt may have taken effect
+	known := effect.NotPerformed // of all writes of this attempt
 	retry := newBackOff()
 	for {
 		version, err := s.put(ctx, in.key, &in.record, replaces, true)
@@ -118,7 +119,7 @@
 			in.version = version
 			return Result{Outcome: Fresh, Intent: in}
 		}
-		written = written || mayHaveWritten(err)
+		known = known.Either(storage.WriteOutcome(err))
 		row, record, readErr := s.read(ctx, in.key)
 		switch {
 		case readErr == nil && record.Attempt == c.Attempt:
@@ -139,7 +140,7 @@
 			continue // retry with the version of the row just read
 		}
 		if !pause.For(ctx, retry.NextBackOff()) {
-			if written {
+			if known != effect.NotPerformed {
 				s.settleAsync(in, StateNotRun)
 			}
 			return Result{Outcome: Unavailable, Err: err}
@@ -176,10 +177,6 @@
 	return body, trace.Wrap(err)
 }
 
-func mayHaveWritten(err error) bool {
-	return !errors.Is(err, storage.ErrConflict) && !errors.Is(err, storage.ErrThrottled)
-}
-
 // put writes an intent row. indexed is set if the row did not name this attempt before;
 // the expiry row is then written too.
 func (s *Store) put(ctx context.Context, key string, r *Record, ifVersion uint64, indexed bool) (uint64, error) {
--- a/idempotency/store_test.go
+++ b/idempotency/store_test.go
@@ -2,15 +2,18 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/magnoliausher/magnoliausher/attempt"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 var seeds = flag.Int("seeds", 3000, "number of seeds for the concurrent resend test")
@@ -245,3 +248,40 @@
 		}
 	})
 }
+
+// rejectingTable fails writes with an error that matches both a refusal and a call without
+// an answer, as of a write made in two ways, and performs them later.
+type rejectingTable struct {
+	*faultyTable
+	rejects atomic.Bool
+}
+
+// lateWrite is when a rejected write takes effect.
+const lateWrite = 10 * time.Second
+
+func (r *rejectingTable) Commit(ctx context.Context, tx storage.Transaction) ([]uint64, error) {
+	if !r.rejects.Load() {
+		return r.faultyTable.Commit(ctx, tx)
+	}
+	time.AfterFunc(lateWrite, func() { _, _ = r.faultyTable.Commit(context.WithoutCancel(ctx), tx) })
+	return nil, errors.Join(storage.ErrThrottled, storage.ErrUnavailable)
+}
+
+// Guards against a key that stays in progress after "not run", because a write that may
+// take effect later was taken for a refused one and is not settled.
+func TestAmbiguousWriteIsSettled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &rejectingTable{faultyTable: newTable(1, 0)}
+		table.rejects.Store(true)
+		s := New(Config{Table: table, Objects: table.Objects()})
+		defer s.Close(context.Background())
+		if got := s.Begin(t.Context(), newCall("a"), time.Now()); got.Outcome != Unavailable {
+			t.Fatalf("outcome %s", got.Outcome)
+		}
+		table.rejects.Store(false)
+		time.Sleep(30 * time.Second)
+		if got := s.Begin(t.Context(), newCall("b"), time.Now()); got.Outcome != Fresh {
+			t.Errorf("resend: %s, want fresh", got.Outcome)
+		}
+	})
+}
