link: the denial of a copy of an attempt is no refusal

Cause: Go's HTTP/2 client sends the request of an attempt again after a reset with PROTOCOL_ERROR or REFUSED_STREAM, since connect gives it the body again. The agent then refuses the second copy (already_seen, or ticket_expired after the ticket's few seconds), and the link passed that refusal on, which the entry and the batch runner take for "not run": a call that must not be repeated could be dispatched again, or answered 503.

Change: the link counts how often the client wrote the request. If that is more than once, a refusal or "not executed" ends the attempt with an error, as any loss after a possible hand-over.

Before: TestRefusalOfCopyIsNoRefusal, with a reset written into a real HTTP/2 connection: "second of 2 copies: event refused:{reason:"ticket_expired"}, error nil". go test -race ./link: ok; the test 30 times: ok.

--- a/link/run.go
+++ b/link/run.go
@@ -159,7 +159,8 @@
 	callErr   error
 	ctx       context.Context // of the call, for its cause
 
-	eventReceived atomic.Bool // at least one event arrived
+	eventReceived atomic.Bool  // at least one event arrived
+	copies        atomic.Int32 // times that the HTTP client sent the request
 
 	mu     sync.Mutex // held by Recv; closeStream locks it after the cancellation
 	closed bool
@@ -172,7 +173,8 @@
 	s.ctx = ctx
 	var once sync.Once
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { once.Do(func() { close(s.connected) }) },
+		GotConn:      func(httptrace.GotConnInfo) { once.Do(func() { close(s.connected) }) },
+		WroteHeaders: func() { s.copies.Add(1) },
 	})
 	request := connect.NewRequest(req)
 	request.Header().Set(EntryHeader, s.link.entry.cfg.ID)
@@ -232,6 +234,9 @@
 		if event.GetAttemptId() != s.attemptID {
 			continue
 		}
+		if deniesExecution(event) && s.copies.Load() > 1 {
+			return nil, s.fail(errCopyDenied)
+		}
 		if isTerminal(event) {
 			s.end()
 		}
@@ -244,6 +249,15 @@
 	return nil, io.EOF
 }
 
+// errCopyDenied ends an attempt whose last event says that it did not run. The HTTP client
+// sends a request again after some resets, and the agent speaks of the last copy only.
+var errCopyDenied = errors.New("agent did not run a copy of the attempt, and an earlier copy may have run")
+
+// deniesExecution reports whether the event says that the attempt did not run.
+func deniesExecution(event *rpc.RunEvent) bool {
+	return event.GetRefused() != nil || event.GetFailed().GetExecuted() == rpc.Executed_EXECUTED_NO
+}
+
 // isTerminal reports whether the event ends the attempt at the agent.
 func isTerminal(event *rpc.RunEvent) bool {
 	return event.GetEnd() != nil || event.GetRefused() != nil || event.GetFailed() != nil
--- a/link/run_test.go
+++ b/link/run_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -273,3 +274,46 @@
 	entry.SetDemand("chat", Demand{})
 	eventually(t, "withdrawn demand", func() bool { return len(agent.Demands()) == 0 })
 }
+
+// Guards against the refusal of a copy of an attempt that is taken for "not run": the
+// HTTP client sends a request again after some resets, and the first copy may have run.
+func TestRefusalOfCopyIsNoRefusal(t *testing.T) {
+	refusal := &rpc.RunEvent_Refused{Refused: &rpc.Refused{Reason: "ticket_expired"}}
+	for _, reset := range []bool{false, true} {
+		var listener *stallListener
+		agent := startAgent(t, "agent-1", "chat", stallableListener(t, &listener))
+		var runs atomic.Int32
+		agent.run = func(ctx context.Context, req *connect.Request[rpc.RunRequest], stream *connect.ServerStream[rpc.RunEvent]) error {
+			if runs.Add(1) == 1 && reset {
+				// RST_STREAM with PROTOCOL_ERROR of the first stream of the online connection
+				_, err := listener.newest().Write([]byte{0, 0, 4, 3, 0, 0, 0, 0, 1, 0, 0, 0, 1})
+				<-ctx.Done()
+				return errors.Join(err, ctx.Err())
+			}
+			return stream.Send(&rpc.RunEvent{AttemptId: req.Msg.AttemptId, Event: refusal})
+		}
+		entry := startEntry(t, "entry-1", agent)
+		eventually(t, "link open", func() bool { return connectedCount(entry, "chat") == 1 })
+		stream, err := entry.Run(t.Context(), "agent-1", &rpc.RunRequest{AttemptId: "x"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		event, err := stream.Recv()
+		switch {
+		case !reset && (err != nil || event.GetRefused() == nil):
+			t.Errorf("one copy: event %v, error %v", event, err)
+		case reset && (err == nil || errors.Is(err, ErrNoLink) || errors.Is(err, io.EOF) || runs.Load() != 2):
+			t.Errorf("second of %d copies: event %v, error %v", runs.Load(), event, err)
+		}
+		if err := stream.Close(); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// newest returns the connection that was accepted last.
+func (l *stallListener) newest() net.Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.conns[len(l.conns)-1]
+}
