--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -38,8 +38,11 @@
 	failedNotExecuted
 	engineRejects   // 400 from the engine
 	engineOverloads // 503 from the engine
+	engineTimesOut  // 408 from the engine
+	alreadySeen     // refused, because another copy of the attempt was received
 	refusedLeaving  // by an agent that shuts down
 	faultCount
+	serviceBusy // 503 from a plain service
 )
 
 // responseTokens is the number of tokens in a complete response of the fake engine.
@@ -161,6 +164,7 @@
 	misroutedEnd   = &rpc.RunEvent{AttemptId: "other", Event: ended.Event}
 	leaving        = &rpc.RunEvent{Event: &rpc.RunEvent_Refused{Refused: &rpc.Refused{Reason: "leaving"}}}
 	noSlot         = &rpc.RunEvent{Event: &rpc.RunEvent_Refused{Refused: &rpc.Refused{Reason: "no_slot", RetryAfterMs: 700}}}
+	seen           = &rpc.RunEvent{Event: &rpc.RunEvent_Refused{Refused: &rpc.Refused{Reason: "already_seen"}}}
 	notExecuted    = &rpc.RunEvent{Event: &rpc.RunEvent_Failed{Failed: &rpc.Failed{Reason: "not_sent", Executed: rpc.Executed_EXECUTED_NO}}}
 	crash          = &rpc.RunEvent{Event: &rpc.RunEvent_Failed{Failed: &rpc.Failed{Reason: "crashed", UpstreamCrashed: true}}}
 )
@@ -194,6 +198,8 @@
 		return steps(accepted, headEvent(http.StatusBadRequest), dataEvent(`{"error":{"message":"too long"}}`), notExecuted)
 	case engineOverloads:
 		return steps(accepted, headEvent(http.StatusServiceUnavailable), dataEvent("busy"), notExecuted)
+	case engineTimesOut:
+		return steps(accepted, headEvent(http.StatusRequestTimeout), dataEvent("slow"), notExecuted)
 	}
 	if req.DeliveredTokens >= responseTokens { // an engine rejects this: nothing is left to generate
 		return steps(accepted, headEvent(http.StatusBadRequest), dataEvent(`{"error":{"message":"nothing to resume"}}`), notExecuted)
@@ -227,6 +233,8 @@
 		return steps(noSlot), true
 	case refusedLeaving:
 		return steps(leaving), true
+	case alreadySeen:
+		return steps(seen), true
 	case lostBeforeAcceptance:
 		return []step{{err: errReset}}, true
 	case silentBeforeAcceptance:
@@ -257,6 +265,9 @@
 	if before, ok := faultBeforeAcceptance(s.fault); ok {
 		return before
 	}
+	if s.fault == serviceBusy {
+		return append(steps(accepted, headEvent(http.StatusServiceUnavailable), dataEvent("busy")), step{event: ended})
+	}
 	list := steps(accepted, headEvent(201, &rpc.Header{Name: "Content-Type", Value: "text/plain"},
 		&rpc.Header{Name: "X-Order", Value: "7"}, &rpc.Header{Name: "X-Request-Executed", Value: "no"},
 		&rpc.Header{Name: "Connection", Value: "X-Hop"}, &rpc.Header{Name: "X-Hop", Value: "1"}), dataEvent(body))
