job: test that a request refused with a promise never takes effect

600 seeds of throttled, failed, lost and late calls against two instances of the API: if every answer to a create, cancel or upload promises "not run", the rows of files and jobs are unchanged a minute later.

--- a/job/http_test.go
+++ b/job/http_test.go
@@ -5,17 +5,24 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
+	"math/rand/v2"
 	"mime/multipart"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
 	"github.com/rs/zerolog"
 
 	"github.com/magnoliausher/magnoliausher/contract"
+	"github.com/magnoliausher/magnoliausher/effect"
 )
 
 // apiTest sends requests to two instances of the API in turn.
@@ -326,3 +333,77 @@
 		})
 	}
 }
+
+// TestPromisedRequestsNeverTakeEffect guards against a create, cancel or upload that was
+// answered with a promise of "not run" at any attempt of two gateways and takes effect, at
+// once or later, under any sequence of faults.
+func TestPromisedRequestsNeverTakeEffect(t *testing.T) {
+	params := gopter.DefaultTestParameters()
+	params.MinSuccessfulTests = 600
+	properties := gopter.NewProperties(params)
+	promises, effects := 0, 0
+	properties.Property("no effect after promises only", prop.ForAll(func(seed uint64) bool {
+		ok := true
+		synctest.Test(t, func(t *testing.T) {
+			rnd := rand.New(rand.NewPCG(seed, 5))
+			f := newFakePlatform()
+			a := newAPITest(t, f)
+			file := a.upload(1)
+			job := call[BatchObject](a, 200, "org", "POST", "/v1/batches", createBody(file.ID, "24h"), "Idempotency-Key", "first")
+			before := f.snapshot()
+			faulty, kinds := rnd.Float64(), 1+rnd.IntN(int(faultAppliedLate))
+			var mu sync.Mutex
+			f.setFault(func(string, string) fault {
+				mu.Lock()
+				defer mu.Unlock()
+				if rnd.Float64() > faulty {
+					return faultNone
+				}
+				return fault(1 + rnd.IntN(kinds))
+			})
+			contentType, body := form(purposeBatch, inputLines(2))
+			path := "/v1/files"
+			switch rnd.IntN(3) {
+			case 0:
+				path, contentType, body = "/v1/batches", "", createBody(file.ID, "24h")
+			case 1:
+				path, contentType, body = "/v1/batches/"+job.ID+"/cancel", "", ""
+			}
+			promised := true
+			for range 1 + rnd.IntN(2) {
+				w := a.send("org", "POST", path, contentType, body, "Idempotency-Key", "second")
+				promised = promised && effect.Promises(w.Code)
+			}
+			time.Sleep(time.Minute) // late writes
+			changed := !maps.Equal(before, f.snapshot())
+			if promised {
+				promises++
+			}
+			if changed {
+				effects++
+			}
+			if ok = !promised || !changed; !ok {
+				t.Logf("seed %d: %s was promised not to run and took effect", seed, path)
+			}
+		})
+		return ok
+	}, gen.UInt64()))
+	properties.TestingRun(t)
+	if promises == 0 || effects == 0 {
+		t.Errorf("%d promises and %d effects: the faults do not test both", promises, effects)
+	}
+	t.Logf("%d promises, %d effects", promises, effects)
+}
+
+// snapshot returns the versions of the rows of files and jobs.
+func (f *fakePlatform) snapshot() map[string]uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	versions := make(map[string]uint64)
+	for key, row := range f.rows {
+		if strings.HasPrefix(key, jobPrefix) || strings.HasPrefix(key, filePrefix) {
+			versions[key] = row.Version
+		}
+	}
+	return versions
+}
