agent: a server error of an engine does not prove that it ran nothing

Cause: the agent reported every error status of an engine as "not executed", also 500, 502 and 504, which may come after the engine ran the request. The entry then answered 503 if no other upstream could take it.

Change: 4xx and 503 count as a refusal, as before; after other statuses the execution is unknown, so the entry answers 502 when it gives up. It may also lift its exclusions once, as after any attempt that may have run.

Before: TestOnlyRefusingStatusesCountAsNotExecuted failed for 500, 502 and 504 with executed:EXECUTED_NO. go test -race ./agent ./upstream: ok.

--- a/agent/fault_test.go
+++ b/agent/fault_test.go
@@ -222,6 +222,20 @@
 	})
 }
 
+// Guards against a server error of an engine that counts as "not executed", although it
+// may come after the engine ran the request.
+func TestOnlyRefusingStatusesCountAsNotExecuted(t *testing.T) {
+	runWithAgent(t, 2, func(t *testing.T, r *testAgent) {
+		for status, want := range map[int]rpc.Executed{
+			400: rpc.Executed_EXECUTED_NO, 429: rpc.Executed_EXECUTED_NO, 503: rpc.Executed_EXECUTED_NO,
+			500: rpc.Executed_EXECUTED_UNKNOWN, 502: rpc.Executed_EXECUTED_UNKNOWN, 504: rpc.Executed_EXECUTED_UNKNOWN,
+		} {
+			r.engine.set(func() { r.engine.genErr = &upstream.StatusError{Status: status} })
+			r.submit(t, r.request(online)).failed(t, FailedStatus, want)
+		}
+	})
+}
+
 // Guards against late evidence of a crash that stops the restarted upstream, and
 // against assuming a crash while attempts still produce output.
 func TestInconclusiveCrashEvidence(t *testing.T) {
--- a/agent/task.go
+++ b/agent/task.go
@@ -157,7 +157,10 @@
 	var status *upstream.StatusError
 	switch {
 	case errors.As(err, &status):
-		return t.failedEvent(FailedStatus, rpc.Executed_EXECUTED_NO)
+		if status.Refusal() {
+			executed = rpc.Executed_EXECUTED_NO
+		}
+		return t.failedEvent(FailedStatus, executed)
 	case errors.Is(err, upstream.ErrNotSent):
 		return t.failedEvent(FailedNotSent, executed)
 	case errors.Is(err, upstream.ErrCrashed):
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -98,8 +98,8 @@
 
 // Engine is the client interface of a model engine.
 type Engine interface {
-	// Generate starts a completion. ErrNotSent and StatusError mean that the
-	// engine did not execute it.
+	// Generate starts a completion. ErrNotSent, and a StatusError that is a refusal,
+	// mean that the engine did not execute it.
 	Generate(ctx context.Context, req GenerateRequest) (TokenStream, error)
 	Load(ctx context.Context) (Load, error)
 	// State returns what the engine serves.
@@ -129,6 +129,12 @@
 	Body   []byte
 }
 
+// Refusal reports whether the status says that the upstream did not execute the request.
+// Server errors but 503 may come after it did.
+func (e *StatusError) Refusal() bool {
+	return e.Status < http.StatusInternalServerError || e.Status == http.StatusServiceUnavailable
+}
+
 // Error returns a message with the text of the status.
 func (e *StatusError) Error() string {
 	return "upstream returned " + http.StatusText(e.Status)
