test: gateways of the daemon's tests listen on ports that nothing else takes

No caller sees this; it is a fault of the test's set-up.

Cause: freeAddress opened a port, closed it and returned it. Before the gateway listened, the kernel could give the port out again: to the next freeAddress, or to a server or connection of another test or process. Run then returned "bind: address already in use", which the test did not look at, so that it waited its 5 s out.

Change: freeAddress returns ports on a loopback IP number of the test's own process, 127.64/10 and the process ID, which sockets on 127.0.0.1 do not conflict with, and none twice. A gateway that ends before it is ready fails its test at once, with its error; the 5 s stay.

--- a/daemon/gateway_test.go
+++ b/daemon/gateway_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -69,14 +70,28 @@
 	d.store.PutConfiguration(version, "h", 1<<20, append(more, routes...)...)
 }
 
+// givenAddresses are the addresses that freeAddress has returned.
+var givenAddresses sync.Map
+
+// freeAddress returns an address that nothing else uses before the test does: on a
+// loopback IP number of this process, and never twice. The kernel gives a port that was
+// closed again to the next socket on the same IP number that asks for any.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	const maxPIDBits = 22 // Linux
+	pid := uint32(os.Getpid()) & (1<<maxPIDBits - 1)
+	host := netip.AddrFrom4([4]byte{127, 64 + byte(pid>>16), byte(pid >> 8), byte(pid)}).String()
+	for {
+		l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		address := l.Addr().String()
+		l.Close()
+		if _, given := givenAddresses.LoadOrStore(address, true); !given {
+			return address
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
 }
 
 func (d *deployment) start(name string) *runningGateway {
@@ -111,7 +126,14 @@
 	go func() { r.done <- g.Run(ctx) }()
 	d.t.Cleanup(cancel)
 	d.gateways = append(d.gateways, r)
-	d.eventually("gateway ready", func() bool { return d.status(s.ReadyListen, platformtest.ReadinessPath) == 200 })
+	d.eventually("gateway ready", func() bool {
+		select {
+		case err := <-r.done:
+			d.t.Fatalf("gateway %s ended before it was ready: %v", name, err)
+		default:
+		}
+		return d.status(s.ReadyListen, platformtest.ReadinessPath) == 200
+	})
 	return r
 }
 
