idempotency: no promise for a key whose record cannot be read

Callers that sent a call again with its key got 503, executed "no", though the first one had run, while the table answered commits with a conflict and reads not at all.

Cause: the answer spoke of this request only. A conflict shows that the key has a record; if it can't be read, the earlier call may have run: 504, "unknown". Without any sign of a record the answer stays 503, since this request surely was not run.

TestResendWithUnreadableRecord got 503 before, 504 now.

--- a/entry/once.go
+++ b/entry/once.go
@@ -6,6 +6,7 @@
 
 	"github.com/magnoliausher/magnoliausher/apierror"
 	"github.com/magnoliausher/magnoliausher/attempt"
+	"github.com/magnoliausher/magnoliausher/effect"
 	"github.com/magnoliausher/magnoliausher/idempotency"
 )
 
@@ -38,7 +39,7 @@
 		replayResponse(w, r, intentResult.Response, e)
 		return nil
 	}
-	return e.idempotencyError(intentResult.Outcome)
+	return e.idempotencyError(&intentResult)
 }
 
 // serveWithoutKey makes a single attempt.
@@ -102,9 +103,9 @@
 
 // idempotencyError returns the error for a call with an idempotency key that may not be
 // dispatched and has no response to replay.
-func (e *Entry) idempotencyError(o idempotency.Outcome) *apierror.Error {
+func (e *Entry) idempotencyError(result *idempotency.Result) *apierror.Error {
 	var err *apierror.Error
-	switch o {
+	switch result.Outcome {
 	case idempotency.InProgress:
 		err = refusal(http.StatusConflict, typeConflict, codeKeyInProgress, "A request with this idempotency key is in progress.")
 		err.Executed = attempt.ExecutedUnknown
@@ -116,6 +117,10 @@
 		err = refusal(http.StatusUnprocessableEntity, typeInvalid, codeKeyMismatch, "The idempotency key was used for another request.")
 	default:
 		err = unavailable(codeKeyUnavailable, "The idempotency key could not be stored; the request was not run.", e.config.RetryAfter)
+		if result.Earlier != effect.NotPerformed {
+			err.Message = "The record of an earlier request with this idempotency key cannot be read; it may have run."
+			err.Executed = attempt.ExecutedUnknown
+		}
 	}
 	return err
 }
--- a/entry/once_test.go
+++ b/entry/once_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"errors"
 	"math/rand/v2"
 	"strings"
@@ -12,6 +13,7 @@
 	"github.com/magnoliausher/magnoliausher/apierror"
 	"github.com/magnoliausher/magnoliausher/idempotency"
 	standin "github.com/magnoliausher/magnoliausher/standin/platform"
+	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 // newPlatform returns an in-memory platform without faults.
@@ -124,6 +126,39 @@
 	})
 }
 
+// Guards against a promise of "not run" for a key whose earlier call has run, while the
+// table takes commits and does not answer reads.
+func TestResendWithUnreadableRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &unreadableTable{Platform: newPlatform()}
+		r := newRunner(1)
+		e := newTestEntry(r, func(c *Config) {
+			c.Idempotency = idempotency.New(idempotency.Config{Table: table, Objects: table.Objects()})
+		})
+		if w := call(e, "POST", invoicePath, "body", idempotencyHeader, "k"); w.Code != 201 {
+			t.Fatalf("first: status %d", w.Code)
+		}
+		table.unreadable = true
+		w := call(e, "POST", invoicePath, "body", idempotencyHeader, "k")
+		if w.Code != 504 || w.Header().Get(apierror.ExecutedHeader) != "unknown" || r.attempts() != 1 {
+			t.Errorf("resend: status %d, executed %q, %d attempts", w.Code, w.Header().Get(apierror.ExecutedHeader), r.attempts())
+		}
+	})
+}
+
+// unreadableTable takes commits and may give no answer to reads.
+type unreadableTable struct {
+	*standin.Platform
+	unreadable bool
+}
+
+func (u *unreadableTable) Get(ctx context.Context, key string) (storage.Row, error) {
+	if u.unreadable {
+		return storage.Row{}, storage.ErrUnavailable
+	}
+	return u.Platform.Get(ctx, key)
+}
+
 // Guards against concurrent resends on several entries that run a call twice under any
 // combination of agent faults.
 func TestConcurrentResendsOnEntries(t *testing.T) {
--- a/idempotency/store.go
+++ b/idempotency/store.go
@@ -90,6 +90,8 @@
 	Intent   *Intent
 	Response *Response
 	Err      error // for Unavailable, and for Unknown if a recorded response cannot be read
+	// Earlier is, for Unavailable, Unknown if the key has a row that could not be read.
+	Earlier effect.Outcome
 }
 
 // Intent represents a call whose row in the store names its only attempt. Its holder
@@ -111,7 +113,8 @@
 		State: StateStarted, Attempt: c.Attempt, RequestHash: c.RequestHash, StartedAt: now, Deadline: c.Deadline,
 	}}
 	var replaces uint64
-	known := effect.NotPerformed // of all writes of this attempt
+	known := effect.NotPerformed   // of all writes of this attempt
+	earlier := effect.NotPerformed // unless a row was met that could not be read
 	retry := newBackOff()
 	for {
 		version, err := s.put(ctx, in.key, &in.record, replaces, true)
@@ -130,10 +133,13 @@
 			if outcome != Fresh {
 				return s.earlierResult(ctx, outcome, record)
 			}
-			replaces = row.Version
+			replaces, earlier = row.Version, effect.NotPerformed // marked as not run
 		case errors.Is(readErr, storage.ErrNotFound):
-			replaces = 0
+			replaces, earlier = 0, effect.NotPerformed
 		default:
+			if errors.Is(err, storage.ErrConflict) {
+				earlier = effect.Unknown
+			}
 			err = readErr
 		}
 		if errors.Is(err, storage.ErrConflict) {
@@ -143,7 +149,7 @@
 			if known != effect.NotPerformed {
 				s.settleAsync(in, StateNotRun)
 			}
-			return Result{Outcome: Unavailable, Err: err}
+			return Result{Outcome: Unavailable, Err: err, Earlier: earlier}
 		}
 	}
 }
