batch: record that a commit is open before the next submission begins

Found by reading: a submission released its turn before it recorded whether a commit of its own was open. It could overwrite what the next one had recorded meanwhile, and the state of a job with an open commit was dropped. The look for other submissions that wait comes after the last read, which takes up to 0.4 s.

--- a/batch/submit.go
+++ b/batch/submit.go
@@ -73,10 +73,10 @@
 		return Unknown, err
 	}
 	switch {
-	case s.othersWait(state):
-		return Unknown, trace.Wrap(errOtherSubmission, "%v", err)
 	case err == nil && s.isStored(ctx, job.ID, calls):
 		return Accepted, nil
+	case s.othersWait(state):
+		return Unknown, trace.Wrap(errOtherSubmission, "%v", err)
 	}
 	return refusal, err
 }
@@ -117,12 +117,11 @@
 }
 
 func (s *Service) leaveSubmission(id string, state *submissionState) {
-	open := state.calls.Outcome() == effect.Unknown
-	state.turn.Release(1)
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	state.open = open
+	state.open = state.calls.Outcome() == effect.Unknown // before the next submission can change it
 	s.dropWaiting(id, state)
+	s.mu.Unlock()
+	state.turn.Release(1)
 }
 
 // dropWaiting ends a submission's use of its state, which is kept while a commit of it
