batch: the absence of a row that may have been removed proves nothing

A job could be refused after its row had been stored, run and removed: with a retention of a second (settings allow it) a client that came back after a commit without an answer got not_accepted.

Cause: the documented condition of acceptance.Calls.RecordAbsent was not checked. Past the retention of the first submission no read resolves a commit any more; the state is kept for a retention after the last one.

TestRemovedRowProvesNothing got not_accepted before, unknown now.

Also: the look for another gateway's row takes 0.1 s at most, job submitted lists the ids of the items, so that a record of an item leads to it, and names that the review had to read twice.

--- a/batch/acceptance/acceptance.go
+++ b/batch/acceptance/acceptance.go
@@ -34,7 +34,8 @@
 	c.open[condition]++
 }
 
-// End records the outcome of a transaction that Begin has announced.
+// End records the outcome of a transaction that Begin has announced. One of unknown
+// outcome stays open.
 func (c *Calls) End(condition Condition, outcome effect.Outcome) {
 	switch outcome {
 	case effect.Performed:
@@ -46,14 +47,14 @@
 	}
 }
 
-// Stored records that the job's row was seen in the store.
-func (c *Calls) Stored() { c.stored = true }
+// RecordStored records that the job's row was seen in the store.
+func (c *Calls) RecordStored() { c.stored = true }
 
-// Absent records a read that found no row of the job, made after the quota row was read
+// RecordAbsent records a read that found no row of the job, made after the quota row was read
 // at a version. The read must be younger than the time after which rows of jobs are
 // removed. Only transactions that require an earlier version are thereby known to have
 // no effect; the others may still be performed.
-func (c *Calls) Absent(quota string, version uint64) {
+func (c *Calls) RecordAbsent(quota string, version uint64) {
 	for condition := range c.open {
 		if condition.Quota == quota && condition.Version < version {
 			delete(c.open, condition)
@@ -61,7 +62,7 @@
 	}
 }
 
-// OpenQuotas returns the keys of the quota rows whose versions Absent needs.
+// OpenQuotas returns the keys of the quota rows whose versions RecordAbsent needs.
 func (c *Calls) OpenQuotas() []string {
 	var keys []string
 	for condition := range c.open {
--- a/batch/acceptance/acceptance_test.go
+++ b/batch/acceptance/acceptance_test.go
@@ -76,9 +76,9 @@
 			s.step(random, submitters)
 		}
 		if s.stored {
-			a.calls.Stored()
+			a.calls.RecordStored()
 		} else {
-			a.calls.Absent(quota, version)
+			a.calls.RecordAbsent(quota, version)
 		}
 	}
 }
@@ -132,8 +132,8 @@
 	condition := Condition{Quota: "q", Version: 5}
 	c.Begin(condition)
 	c.End(condition, effect.Unknown)
-	c.Absent("q", 5)
-	c.Absent("other", 9)
+	c.RecordAbsent("q", 5)
+	c.RecordAbsent("other", 9)
 	if got := c.Outcome(); got != effect.Unknown {
 		t.Errorf("before the quota row changes: %v", got)
 	}
@@ -142,7 +142,7 @@
 	if got := c.Outcome(); got != effect.Unknown {
 		t.Errorf("after a refusal: %v", got)
 	}
-	c.Absent("q", 6)
+	c.RecordAbsent("q", 6)
 	if got := c.Outcome(); got != effect.NotPerformed {
 		t.Errorf("after the quota row has changed: %v", got)
 	}
--- a/batch/heads_test.go
+++ b/batch/heads_test.go
@@ -117,7 +117,7 @@
 func TestResumptionWithoutEventsDoesNotEndAnItem(t *testing.T) {
 	const events = 3
 	for name, respond := range map[string]func(id string, call, after int) rawAnswer{
-		"stopped behind the head": func(id string, call, after int) rawAnswer {
+		"stopped after the head": func(id string, call, after int) rawAnswer {
 			switch call {
 			case 1:
 				return rawAnswer{text: answerHead(id, "") + platformtest.EventText(id, 1), reset: true}
--- a/batch/job.go
+++ b/batch/job.go
@@ -77,6 +77,14 @@
 	Items []Item
 }
 
+func (s *Submission) itemIDs() []string {
+	ids := make([]string, len(s.Items))
+	for i := range s.Items {
+		ids[i] = s.Items[i].ID
+	}
+	return ids
+}
+
 func (s *Submission) tokens() int64 {
 	var sum int64
 	for i := range s.Items {
--- a/batch/submit.go
+++ b/batch/submit.go
@@ -23,6 +23,10 @@
 // answer, after submitTimeout. Clients wait 4 s.
 const acceptanceReadTimeout = 400 * time.Millisecond
 
+// rowLookupTimeout limits the look for a row that another gateway has written. The
+// answer does not depend on it, so it is short; the store answers within 50 ms.
+const rowLookupTimeout = 100 * time.Millisecond
+
 // errOtherSubmission means that this process has another submission of the job in
 // progress, whose outcome is open.
 var errOtherSubmission = errors.New("another submission of the job is in progress")
@@ -32,23 +36,23 @@
 	turn  *semaphore.Weighted // of one; held by the submission that is in progress
 	calls acceptance.Calls    // guarded by turn
 	// The fields below are guarded by Service.mu.
-	begun   time.Time
-	waiting int  // submissions that hold turn or wait for it
-	open    bool // a commit may still take effect
+	first, last time.Time // when the first and the last submission began
+	users       int       // submissions that hold turn or wait for it
+	open        bool      // a commit may still take effect
 }
 
 // Submit accepts a job. Submitting a job with the same ID again has no further effect.
 // A refusal covers all calls that this process has made for the job, also those of
 // earlier submissions.
 func (s *Service) Submit(ctx context.Context, route *fleet.Route, job *Submission) (SubmitOutcome, error) {
-	calls := newCallLog()
-	outcome, err := s.submitInTurn(ctx, route, job, calls)
+	log := newCallLog()
+	outcome, err := s.submitInTurn(ctx, route, job, log)
 	s.cfg.Log.Info().Str("request", job.ID).Str("route", route.Name).Int("items", len(job.Items)).Str("outcome", outcome.String()).
-		AnErr("reason", err).Int64("total_ms", time.Since(calls.begun).Milliseconds()).Array("calls", calls.calls).Msg("job submitted")
+		AnErr("reason", err).Int64("total_ms", time.Since(log.begun).Milliseconds()).Array("calls", log.calls).Strs("item_ids", job.itemIDs()).Msg("job submitted")
 	return outcome, err
 }
 
-func (s *Service) submitInTurn(ctx context.Context, route *fleet.Route, job *Submission, calls *callLog) (SubmitOutcome, error) {
+func (s *Service) submitInTurn(ctx context.Context, route *fleet.Route, job *Submission, log *callLog) (SubmitOutcome, error) {
 	if _, known := s.mirror.get(job.ID); known {
 		return Accepted, nil
 	}
@@ -59,11 +63,11 @@
 		return Unknown, trace.Wrap(errOtherSubmission, "%v", err)
 	}
 	defer s.leaveSubmission(job.ID, state)
-	refusal, err := s.accept(submitCtx, route, job, state, calls)
+	refusal, err := s.accept(submitCtx, route, job, state, log)
 	if state.calls.Outcome() == effect.Unknown {
 		readCtx, cancel := context.WithTimeout(ctx, acceptanceReadTimeout)
 		defer cancel()
-		s.resolveAcceptance(readCtx, job.ID, state, calls)
+		s.resolveAcceptance(readCtx, job.ID, state, log)
 	}
 	switch state.calls.Outcome() {
 	case effect.Performed:
@@ -73,7 +77,7 @@
 		return Unknown, err
 	}
 	switch {
-	case err == nil && s.isStored(ctx, job.ID, calls):
+	case err == nil && s.isStored(ctx, job.ID, log):
 		return Accepted, nil
 	case s.othersWait(state):
 		return Unknown, trace.Wrap(errOtherSubmission, "%v", err)
@@ -83,17 +87,17 @@
 
 // isStored reports whether another gateway has accepted the job lately, as far as a read
 // of its row shows.
-func (s *Service) isStored(ctx context.Context, id string, calls *callLog) bool {
-	ctx, cancel := context.WithTimeout(ctx, acceptanceReadTimeout)
+func (s *Service) isStored(ctx context.Context, id string, log *callLog) bool {
+	ctx, cancel := context.WithTimeout(ctx, rowLookupTimeout)
 	defer cancel()
-	return s.readJobLogged(ctx, id, calls) == nil
+	return s.readJobLogged(ctx, id, log) == nil
 }
 
 // othersWait reports whether other submissions of the job wait for the one in progress.
 func (s *Service) othersWait(state *submissionState) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return state.waiting > 1
+	return state.users > 1
 }
 
 // enterSubmission waits until no other submission of the job is in progress here. The
@@ -102,15 +106,16 @@
 	s.mu.Lock()
 	state := s.submitting[id]
 	if state == nil {
-		state = &submissionState{turn: semaphore.NewWeighted(1), begun: time.Now()}
+		state = &submissionState{turn: semaphore.NewWeighted(1), first: time.Now()}
 		s.submitting[id] = state
 	}
-	state.waiting++
+	state.users++
+	state.last = time.Now()
 	s.mu.Unlock()
 	err := state.turn.Acquire(ctx, 1)
 	if err != nil {
 		s.mu.Lock()
-		s.dropWaiting(id, state)
+		s.dropUser(id, state)
 		s.mu.Unlock()
 	}
 	return state, err
@@ -119,16 +124,16 @@
 func (s *Service) leaveSubmission(id string, state *submissionState) {
 	s.mu.Lock()
 	state.open = state.calls.Outcome() == effect.Unknown // before the next submission can change it
-	s.dropWaiting(id, state)
+	s.dropUser(id, state)
 	s.mu.Unlock()
 	state.turn.Release(1)
 }
 
-// dropWaiting ends a submission's use of its state, which is kept while a commit of it
+// dropUser ends a submission's use of its state, which is kept while a commit of it
 // may still take effect. The caller holds s.mu.
-func (s *Service) dropWaiting(id string, state *submissionState) {
-	state.waiting--
-	if state.waiting == 0 && !state.open {
+func (s *Service) dropUser(id string, state *submissionState) {
+	state.users--
+	if state.users == 0 && !state.open {
 		delete(s.submitting, id)
 	}
 }
@@ -139,7 +144,7 @@
 	defer s.mu.Unlock()
 	for id, state := range s.submitting {
 		_, known := s.mirror.get(id)
-		if state.waiting == 0 && (known || now.Sub(state.begun) > s.cfg.JobRetention) {
+		if state.users == 0 && (known || now.Sub(state.last) > s.cfg.JobRetention) {
 			delete(s.submitting, id)
 		}
 	}
@@ -147,7 +152,7 @@
 
 // accept stores a job's object and its row, and records in state what is known of the
 // row. It returns the answer to a job of which no row is or will be stored.
-func (s *Service) accept(ctx context.Context, route *fleet.Route, job *Submission, state *submissionState, calls *callLog) (SubmitOutcome, error) {
+func (s *Service) accept(ctx context.Context, route *fleet.Route, job *Submission, state *submissionState, log *callLog) (SubmitOutcome, error) {
 	if s.isStopping() {
 		return NotAccepted, nil
 	}
@@ -159,24 +164,24 @@
 	if err != nil {
 		return NotAccepted, trace.Wrap(err)
 	}
-	if err := s.putObject(ctx, job.ID, content, calls); err != nil {
+	if err := s.putObject(ctx, job.ID, content, log); err != nil {
 		return NotAccepted, err // an object without a row is not a job
 	}
 	next := Job{ID: job.ID, Route: route.Name, Created: time.Now().UnixMilli(), Total: len(job.Items), OpenTokens: tokens}
 	next.SetOwner(s.process())
 	s.submissions.Add(job.ID, job)
-	return s.writeFirstRow(ctx, route, next, state, calls)
+	return s.writeFirstRow(ctx, route, next, state, log)
 }
 
 // putObject writes a job's object. It retries until ctx ends unless the store
 // throttles the call; retries are idempotent, since the content is the same.
-func (s *Service) putObject(ctx context.Context, id string, content []byte, calls *callLog) error {
+func (s *Service) putObject(ctx context.Context, id string, content []byte, log *callLog) error {
 	for failures := 0; ; failures++ {
 		started := time.Now()
 		callCtx, cancel := s.storeContext(ctx)
 		err := s.cfg.Objects.Put(callCtx, objectKey(id), bytes.NewReader(content))
 		cancel()
-		calls.write("put", started, err)
+		log.write("put", started, err)
 		if err == nil || errors.Is(err, storage.ErrThrottled) || !backOff(ctx, failures, started) {
 			return err
 		}
@@ -191,16 +196,16 @@
 // writeFirstRow writes the job's row. The write is conditional on the version of the
 // quota row, which every acceptance on the route rewrites, so that the sum of open tokens
 // used for the quota check includes every accepted job.
-func (s *Service) writeFirstRow(ctx context.Context, route *fleet.Route, job Job, state *submissionState, calls *callLog) (SubmitOutcome, error) {
+func (s *Service) writeFirstRow(ctx context.Context, route *fleet.Route, job Job, state *submissionState, log *callLog) (SubmitOutcome, error) {
 	draft := jobrow.New(job)
 	for failures := 0; ; failures++ {
 		if !s.mirror.isCurrent(time.Now()) {
-			if err := s.refreshMirrorLogged(ctx, calls); err != nil {
+			if err := s.refreshMirrorLogged(ctx, log); err != nil {
 				return NotAccepted, err
 			}
 		}
 		if _, known := s.mirror.get(job.ID); known {
-			state.calls.Stored()
+			state.calls.RecordStored()
 			return Accepted, nil
 		}
 		_, quotaVersion := s.mirror.quota(route.Name)
@@ -208,7 +213,7 @@
 			return OverQuota, nil
 		}
 		started := time.Now()
-		err := s.commitFirstRow(ctx, draft, acceptance.Condition{Quota: quotaKey(route.Name), Version: quotaVersion}, state, calls)
+		err := s.commitFirstRow(ctx, draft, acceptance.Condition{Quota: quotaKey(route.Name), Version: quotaVersion}, state, log)
 		switch {
 		case err == nil:
 			return Accepted, nil
@@ -220,20 +225,20 @@
 		case !errors.Is(err, storage.ErrConflict) && !backOff(ctx, failures, started):
 			return NotAccepted, err
 		}
-		if err := s.refreshMirrorLogged(ctx, calls); err != nil {
+		if err := s.refreshMirrorLogged(ctx, log); err != nil {
 			return NotAccepted, err
 		}
 	}
 }
 
-func (s *Service) commitFirstRow(ctx context.Context, draft jobrow.Draft, condition acceptance.Condition, state *submissionState, calls *callLog) error {
+func (s *Service) commitFirstRow(ctx context.Context, draft jobrow.Draft, condition acceptance.Condition, state *submissionState, log *callLog) error {
 	ctx, cancel := s.storeContext(ctx)
 	defer cancel()
 	started := time.Now()
 	state.calls.Begin(condition)
 	row, versions, err := draft.Commit(ctx, s.cfg.Table, storage.Write{Key: condition.Quota, Value: []byte("{}"), IfVersion: condition.Version})
 	state.calls.End(condition, storage.WriteOutcome(err))
-	calls.write(fmt.Sprint("commit@", condition.Version), started, err)
+	log.write(fmt.Sprint("commit@", condition.Version), started, err)
 	if err != nil {
 		return err
 	}
@@ -243,21 +248,28 @@
 }
 
 // resolveAcceptance reads whether commits without an answer have taken effect. The quota
-// row is read first: acceptance.Calls.Absent requires that order.
-func (s *Service) resolveAcceptance(ctx context.Context, id string, state *submissionState, calls *callLog) {
+// row is read first: acceptance.Calls.RecordAbsent requires that order. Once the row of
+// a job may have been removed, its absence shows nothing.
+func (s *Service) resolveAcceptance(ctx context.Context, id string, state *submissionState, log *callLog) {
+	s.mu.Lock()
+	removable := time.Since(state.first) >= s.cfg.JobRetention
+	s.mu.Unlock()
+	if removable {
+		return
+	}
 	for _, quota := range state.calls.OpenQuotas() {
 		started := time.Now()
 		version, err := s.readVersion(ctx, quota)
-		calls.read("read quota", started, fmt.Sprint("version ", version), err)
+		log.read("read quota", started, fmt.Sprint("version ", version), err)
 		if err != nil {
 			return // the outcome stays unknown
 		}
-		switch err := s.readJobLogged(ctx, id, calls); {
+		switch err := s.readJobLogged(ctx, id, log); {
 		case err == nil:
-			state.calls.Stored()
+			state.calls.RecordStored()
 			return
 		case errors.Is(err, ErrNotFound):
-			state.calls.Absent(quota, version)
+			state.calls.RecordAbsent(quota, version)
 		default:
 			return
 		}
@@ -265,13 +277,13 @@
 }
 
 // readJobLogged is readJob with an entry in the log of calls.
-func (s *Service) readJobLogged(ctx context.Context, id string, calls *callLog) error {
+func (s *Service) readJobLogged(ctx context.Context, id string, log *callLog) error {
 	started := time.Now()
 	_, err := s.readJob(ctx, id)
 	if errors.Is(err, ErrNotFound) {
-		calls.read("read job", started, "absent", nil)
+		log.read("read job", started, "absent", nil)
 	} else {
-		calls.read("read job", started, "stored", err)
+		log.read("read job", started, "stored", err)
 	}
 	return err
 }
@@ -288,10 +300,10 @@
 }
 
 // refreshMirrorLogged is refreshMirrorUntil with an entry in the log of calls.
-func (s *Service) refreshMirrorLogged(ctx context.Context, calls *callLog) error {
+func (s *Service) refreshMirrorLogged(ctx context.Context, log *callLog) error {
 	started := time.Now()
 	err := s.refreshMirrorUntil(ctx)
-	calls.read("snapshot", started, "read", err)
+	log.read("snapshot", started, "read", err)
 	return err
 }
 
--- a/batch/submit_test.go
+++ b/batch/submit_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"runtime"
 	"slices"
 	"sync"
 	"testing"
@@ -17,6 +18,7 @@
 	"github.com/leanovate/gopter/prop"
 	"github.com/rs/zerolog"
 
+	"github.com/magnoliausher/magnoliausher/batch/acceptance"
 	"github.com/magnoliausher/magnoliausher/batch/jobrow"
 	"github.com/magnoliausher/magnoliausher/effect"
 	"github.com/magnoliausher/magnoliausher/fleet"
@@ -271,3 +273,93 @@
 		})
 	}
 }
+
+// Guards against forgetting an open commit of the submission that waited for the turn of
+// one that leaves at the same moment.
+func TestOpenCommitOutlivesEarlierSubmission(t *testing.T) {
+	s, err := New(Config{Self: peer.Member{Name: "b", Incarnation: 1}, Log: zerolog.Nop()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	enter := func() *submissionState {
+		state, err := s.enterSubmission(t.Context(), "j")
+		if err != nil {
+			t.Error(err)
+		}
+		return state
+	}
+	stop := make(chan struct{})
+	var others sync.WaitGroup
+	for range 3 { // other users of Service.mu
+		others.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					s.isStopping()
+					runtime.Gosched()
+				}
+			}
+		})
+	}
+	defer others.Wait()
+	defer close(stop)
+	for range 40_000 {
+		first := enter()
+		var second sync.WaitGroup
+		second.Go(func() {
+			state := enter()
+			condition := acceptance.Condition{Quota: "q", Version: 1}
+			state.calls.Begin(condition)
+			state.calls.End(condition, effect.Unknown)
+			s.leaveSubmission("j", state)
+		})
+		for !s.othersWait(first) {
+			runtime.Gosched()
+		}
+		s.leaveSubmission("j", first)
+		second.Wait()
+		s.mu.Lock()
+		kept := s.submitting["j"] != nil
+		delete(s.submitting, "j")
+		s.mu.Unlock()
+		if !kept {
+			t.Fatal("an open commit was forgotten")
+		}
+	}
+}
+
+// Guards against a refusal because a job's row is absent that was removed after the
+// job's retention.
+func TestRemovedRowProvesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newLateTable()
+		s, err := New(Config{Self: peer.Member{Name: "b", Incarnation: 1}, Table: table, Feed: noFeed{}, Objects: submissionObjects{},
+			JobRetention: time.Second, Log: zerolog.Nop()})
+		if err != nil {
+			t.Fatal(err)
+		}
+		route := &fleet.Route{Name: "notes"}
+		submission := &Submission{ID: "j", Route: route.Name, Items: []Item{{ID: "item", Tokens: 10}}}
+		s.mirror.markFresh()
+		table.late = true
+		if outcome, err := s.Submit(t.Context(), route, submission); outcome != Unknown {
+			t.Fatalf("without an answer: %v, %v", outcome, err)
+		}
+		table.performLate()
+		time.Sleep(time.Second)
+		delete(table.rows, jobrow.Key("j")) // as the sweep does
+		s.stopping = true
+		if outcome, err := s.Submit(t.Context(), route, submission); outcome != Unknown {
+			t.Errorf("after the row was removed: %v, %v", outcome, err)
+		}
+	})
+}
+
+// noFeed is a feed that the store does not serve.
+type noFeed struct{ storage.Feed }
+
+func (noFeed) Snapshot(context.Context, string) ([]storage.Row, uint64, error) {
+	return nil, 0, storage.ErrThrottled
+}
--- a/effect/effect.go
+++ b/effect/effect.go
@@ -42,7 +42,8 @@
 
 // Status returns the status of an error response. A status that promises that the request
 // has no effect is returned only if that is known, and else 504, which promises nothing.
-// All error responses of this project pass through it.
+// Error responses of this project pass through it; TestStatusesPassThroughOutcome names
+// the exceptions.
 func (o Outcome) Status(status int) int {
 	if Promises(status) && o != NotPerformed {
 		return http.StatusGatewayTimeout
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -23,7 +23,7 @@
 	defer share.Release()
 	body, whole, err := readStart(response.Body, share)
 	if err == nil && whole && len(body) == 0 && response.Status/100 == 2 && response.EndsWithConnection {
-		err = io.ErrUnexpectedEOF // the upstream may have stopped behind the header
+		err = io.ErrUnexpectedEOF // the upstream may have stopped after the header
 	}
 	if err != nil {
 		return x.failAttempt(grant, started, failure{reason: "cut: " + err.Error(), err: err})
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -130,7 +130,7 @@
 	var direct error // of a direct call that failed
 	if r.StoreReachable() {
 		result, err := r.callDirectly(ctx, operation, a)
-		if !isUnanswered(err) || ctx.Err() != nil {
+		if !lacksAnswer(err) || ctx.Err() != nil {
 			return result, err
 		}
 		direct = err
@@ -160,9 +160,9 @@
 
 func isWrite(operation string) bool { return operation == opCommit || operation == opPutObject }
 
-// isUnanswered reports whether a call ended without an answer of the store. A call that
+// lacksAnswer reports whether a call was not sent, or got no answer of the store. A call that
 // the store throttled would be throttled through a peer, too.
-func isUnanswered(err error) bool {
+func lacksAnswer(err error) bool {
 	return errors.Is(err, storage.ErrUnavailable) || errors.Is(err, storage.ErrNotSent)
 }
 
--- a/storage/outcome.go
+++ b/storage/outcome.go
@@ -8,8 +8,8 @@
 	"github.com/magnoliausher/magnoliausher/effect"
 )
 
-// WriteOutcome returns what is known of a write from its error. An error that matches
-// several of the package's errors, or none, leaves the outcome unknown unless all agree.
+// WriteOutcome returns what is known of a write from its error: unknown if it matches
+// ErrUnavailable, whatever else it matches, or none of the errors that exclude an effect.
 func WriteOutcome(err error) effect.Outcome {
 	switch {
 	case err == nil:
--- a/upstream/heads_test.go
+++ b/upstream/heads_test.go
@@ -103,7 +103,7 @@
 	}
 }
 
-// Guards against whole answers without a body that are read as cut behind their head.
+// Guards against whole answers without a body that are read as cut after their head.
 func TestPlainAnswerWithoutBodyIsWhole(t *testing.T) {
 	for name, c := range map[string]struct{ method, head string }{
 		"to HEAD":    {http.MethodHead, "HTTP/1.1 200 OK\r\n\r\n"},
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -237,7 +237,7 @@
 	}
 	switch {
 	case err == io.EOF && b.mustBegin:
-		return 0, fmt.Errorf("%w: the response ended behind its header", b.truncationErr)
+		return 0, fmt.Errorf("%w: the response ended after its header", b.truncationErr)
 	case err == nil || err == io.EOF:
 		return n, err
 	case errors.Is(err, io.ErrUnexpectedEOF) && b.exchange.ctx.Err() == nil:
