storage: make a connection for each commit of the entries' platform, too

A second copy of a late 429 or 409 on a kept connection was taken for the answer to the next commit, which was performed. Reads keep their connections.

--- a/storage/client.go
+++ b/storage/client.go
@@ -49,6 +49,7 @@
 	base    string
 	timeout time.Duration
 	http    *http.Client
+	commits *http.Client // makes a connection for each call: nothing in a refusal tells to which call it belongs
 	log     zerolog.Logger
 }
 
@@ -81,14 +82,19 @@
 	if config.Connections <= 0 {
 		config.Connections = defaultConnections
 	}
+	commits := config.Transport
 	if config.Transport == nil {
-		config.Transport = newTransport(config.Connections)
+		transport := newTransport(config.Connections)
+		single := transport.Clone()
+		single.DisableKeepAlives = true
+		config.Transport, commits = transport, single
 	}
 	return &Client{
 		base:    strings.TrimRight(config.BaseURL, "/"),
 		timeout: config.Timeout,
 		log:     config.Log,
 		http:    &http.Client{Transport: config.Transport, CheckRedirect: disableRedirects},
+		commits: &http.Client{Transport: commits, CheckRedirect: disableRedirects},
 	}, nil
 }
 
@@ -182,7 +188,11 @@
 	if body != nil {
 		req.Header.Set("Content-Type", "application/json")
 	}
-	resp, err := c.http.Do(req)
+	client := c.http
+	if path == PathCommit {
+		client = c.commits
+	}
+	resp, err := client.Do(req)
 	if err != nil {
 		return c.transportError(ctx, err)
 	}
