--- a/batch/acceptance/acceptance.go
+++ b/batch/acceptance/acceptance.go
@@ -51,9 +51,9 @@
 func (c *Calls) RecordStored() { c.stored = true }
 
 // RecordAbsent records a read that found no row of the job, made after the quota row was read
-// at a version. The read must be younger than the time after which rows of jobs are
-// removed. Only transactions that require an earlier version are thereby known to have
-// no effect; the others may still be performed.
+// at a version, and before the row could have been removed again. Only transactions that
+// require an earlier version of the quota row are thereby known to have no effect; the
+// others may still be performed.
 func (c *Calls) RecordAbsent(quota string, version uint64) {
 	for condition := range c.open {
 		if condition.Quota == quota && condition.Version < version {
--- a/effect/effect.go
+++ b/effect/effect.go
@@ -4,9 +4,10 @@
 
 import "net/http"
 
-// Outcome is what is known of the effect of a write or a request. It does not depend on
-// how the call ended: a time-out, a cancellation, a retry or a relay leaves Unknown as it
-// is. Only a read made when no call can take effect any more turns it into another one.
+// Outcome is what is known of the effect of a write or a request. A time-out, a
+// cancellation, a retry or a relay leaves Unknown as it is. Only a read shows more:
+// Performed if it finds the effect, NotPerformed if it does not and no call can have the
+// effect any more.
 type Outcome uint8
 
 // Outcomes. The zero value promises nothing.
