--- a/standin/engine/handlers.go
+++ b/standin/engine/handlers.go
@@ -275,5 +275,5 @@
 }
 
 func writeError(w http.ResponseWriter, status int, code, message string) {
-	apierror.Write(w, &apierror.Error{Status: status, Type: invalidRequest, Code: code, Message: message})
+	apierror.Write(w, &apierror.Error{Status: status, Type: invalidRequest, Code: code, Message: message, Executed: attempt.ExecutedNo})
 }
