--- a/intake/listener.go
+++ b/intake/listener.go
@@ -94,6 +94,9 @@
 	reasonNotReading  = "not_reading"
 )
 
+// Outcomes of requests whose connections were closed by decision of the table.
+const outcomeAborted = "aborted" // neither answered nor refused
+
 // Install sets the hooks of a server whose listener Listen returns. The server's handler
 // and ConnState must be set before.
 func (c *Connections) Install(server *http.Server) {
@@ -115,6 +118,7 @@
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn := connOf(r)
 		if !conn.enter(phaseBusy) {
+			c.recordRequest(r, outcomeAborted)
 			panic(http.ErrAbortHandler) // the client could not be told what the request did
 		}
 		conn.bodyUnread.Store(r.ContentLength != 0)
@@ -171,6 +175,13 @@
 	c.logClosed(reasonNotReading)
 }
 
+// recordRequest records what became of a request whose connection was closed.
+func (c *Connections) recordRequest(r *http.Request, outcome string) {
+	metric.RequestOfClosedConnection(c.name, outcome)
+	c.log.Warn().Str("listener", c.name).Str("remote", r.RemoteAddr).Str("target", r.RequestURI).Str("outcome", outcome).
+		Msg("read a request of a connection that had been closed to stay within limits")
+}
+
 func (c *Connections) logClosed(reason string) {
 	if closed, size := c.recordClosed(reason, time.Now()); closed != nil {
 		c.log.Warn().Str("listener", c.name).Int("connections", size).Interface("closed", closed).
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -209,6 +209,12 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf(`magnoliausher_connections_closed_total{listener=%q,reason=%q}`, listener, reason)).Inc()
 }
 
+// RequestOfClosedConnection counts a request that was read although its connection had
+// been closed to stay within limits, by what became of it.
+func RequestOfClosedConnection(listener, outcome string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`magnoliausher_requests_of_closed_connections_total{listener=%q,outcome=%q}`, listener, outcome)).Inc()
+}
+
 // RecoveryBegan counts starts of this process without knowledge of other gateways' load.
 func RecoveryBegan() {
 	metrics.GetOrCreateCounter("magnoliausher_recoveries_total").Inc()
