--- a/intake/connections.go
+++ b/intake/connections.go
@@ -18,6 +18,9 @@
 	phases
 )
 
+// awaitsRequest reports whether a connection is read for the head of a request.
+func (p phase) awaitsRequest() bool { return p == phaseIdle || p == phaseFresh || p == phaseHead }
+
 const (
 	// freeHeadBytes is what the head of a request may take without a share of the memory
 	// for heads. Usual heads have less than 1 KB; connectionBytes includes it.
@@ -129,6 +132,23 @@
 	t.leaving++
 }
 
+// restore takes a connection that drop had taken out, and of which a request is read since,
+// into the table again if there is room. It returns false if the request must be refused.
+func (t *table) restore(e *entry, p phase, now time.Time) bool {
+	if !e.leaving || e.phase != phaseIdle && e.phase != phaseFresh {
+		return false
+	}
+	e.phase, e.since, e.received = p, now, 0
+	if t.limits.Connections > 0 && t.size >= t.limits.Connections {
+		return false
+	}
+	e.closed, e.leaving = false, false
+	t.leaving--
+	e.element = t.byPhase[p].PushBack(e)
+	t.size++
+	return true
+}
+
 // remove takes a connection that is closed out of the table. Further calls have no effect.
 func (t *table) remove(e *entry) {
 	if e.leaving {
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -3,14 +3,17 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/magnoliausher/magnoliausher/effect"
 	"github.com/magnoliausher/magnoliausher/metric"
 	"github.com/magnoliausher/magnoliausher/pause"
 )
@@ -95,7 +98,14 @@
 )
 
 // Outcomes of requests whose connections were closed by decision of the table.
-const outcomeAborted = "aborted" // neither answered nor refused
+const (
+	outcomeServed  = "served"  // the connection goes on
+	outcomeRefused = "refused" // there is no room for the connection
+	outcomeAborted = "aborted" // neither answered nor refused
+)
+
+// refusedRetryAfterSeconds is the Retry-After value of a request whose connection gave way.
+const refusedRetryAfterSeconds = "1"
 
 // Install sets the hooks of a server whose listener Listen returns. The server's handler
 // and ConnState must be set before.
@@ -118,6 +128,13 @@
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn := connOf(r)
 		if !conn.enter(phaseBusy) {
+			if conn.answerable() {
+				c.recordRequest(r, outcomeRefused)
+				Close(w, r)
+				w.Header().Set("Retry-After", refusedRetryAfterSeconds)
+				w.WriteHeader(effect.NotPerformed.Status(http.StatusServiceUnavailable))
+				return
+			}
 			c.recordRequest(r, outcomeAborted)
 			panic(http.ErrAbortHandler) // the client could not be told what the request did
 		}
@@ -148,12 +165,16 @@
 			continue // the process was not scheduled; what has arrived meanwhile is read first
 		}
 		head, idle := limits()
-		c.mu.Lock()
-		expired := c.table.expire(head, idle, now)
-		c.mu.Unlock()
-		for _, e := range expired {
-			c.close(e, reasonTimeout)
-		}
+		c.expire(head, idle, now)
+	}
+}
+
+func (c *Connections) expire(head, idle time.Duration, now time.Time) {
+	c.mu.Lock()
+	expired := c.table.expire(head, idle, now)
+	c.mu.Unlock()
+	for _, e := range expired {
+		c.close(e, reasonTimeout)
 	}
 }
 
@@ -175,6 +196,9 @@
 	c.logClosed(reasonNotReading)
 }
 
+// recordResumed records that a connection goes on that the table had dropped.
+func (c *Connections) recordResumed() { metric.RequestOfClosedConnection(c.name, outcomeServed) }
+
 // recordRequest records what became of a request whose connection was closed.
 func (c *Connections) recordRequest(r *http.Request, outcome string) {
 	metric.RequestOfClosedConnection(c.name, outcome)
@@ -218,9 +242,7 @@
 		}
 		c := &connection{Conn: conn, owner: l.connections}
 		c.inHead.Store(!l.connections.calls)
-		c.entry.close = func() {
-			_ = conn.Close() // the server closes it, too
-		}
+		c.entry.close = c.end
 		c.limitResponses()
 		l.connections.mu.Lock()
 		victim := l.connections.table.add(&c.entry, time.Now())
@@ -248,6 +270,10 @@
 	// headBytes is the estimated memory of the head so far. Only the goroutine that reads
 	// the head uses it.
 	headBytes int64
+
+	deadline     sync.Mutex
+	readDeadline time.Time // as set by the server
+	interrupted  bool      // reads fail, except for what has arrived of a head
 }
 
 // limitResponses makes writes to the connection subject to the limits of its listener.
@@ -298,6 +324,9 @@
 // Read implements net.Conn.
 func (c *connection) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.inHead.Load() {
+		n, err = c.readArrived(p, err)
+	}
 	switch {
 	case n == 0:
 	case c.inHead.Load():
@@ -325,12 +354,16 @@
 		return
 	}
 	c.owner.mu.Lock()
-	if first {
-		c.owner.table.enter(&c.entry, phaseHead, time.Now())
+	resumed := first && !c.owner.table.enter(&c.entry, phaseHead, time.Now()) && c.owner.table.restore(&c.entry, phaseHead, time.Now())
+	if resumed {
+		c.resume()
 	}
 	victim := c.owner.table.holdHead(&c.entry, c.headBytes)
 	c.owner.mu.Unlock()
 	c.owner.close(victim, reasonHeads)
+	if resumed {
+		c.owner.recordResumed()
+	}
 }
 
 // enter records the phase of the connection. It returns false if the connection was closed
--- a/intake/socket_linux.go
+++ b/intake/socket_linux.go
@@ -26,3 +26,15 @@
 	})
 	return bytes, known
 }
+
+// unread returns the bytes of a connection in the kernel that have not been read, as far as
+// that is known.
+func unread(raw syscall.RawConn) (bytes int) {
+	// An error means that the connection is closed.
+	_ = raw.Control(func(fd uintptr) {
+		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCINQ); err == nil {
+			bytes = n
+		}
+	})
+	return bytes
+}
