--- a/intake/closing_test.go
+++ b/intake/closing_test.go
@@ -167,6 +167,29 @@
 	})
 }
 
+// Guards against a lowered idle limit that ends connections which callers may still use by
+// the limit before, and against one that never takes effect.
+func TestLoweredIdleLimitTakesEffectAfterTheNextAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newClosingBench(t, ConnectionLimits{}, 20*time.Second)
+		c := b.dial()
+		c.mustAnswer(t, "first request", http.StatusOK)
+		time.Sleep(5 * time.Second)
+		b.idle.Store(int64(2 * time.Second))
+		time.Sleep(11 * time.Second)
+		c.mustAnswer(t, "within the limit of the last answer", http.StatusOK)
+		time.Sleep(4 * time.Second)
+		if status, err := c.call(); err == nil {
+			t.Error("open beyond the lowered limit:", status)
+		}
+		unused := b.dial()
+		unused.mustAnswer(t, "first request", http.StatusOK)
+		b.idle.Store(int64(20 * time.Second))
+		time.Sleep(16 * time.Second)
+		unused.mustAnswer(t, "within a raised limit", http.StatusOK)
+	})
+}
+
 // Guards against the loss of a request that had arrived when its connection expired and
 // that the server had not come to read.
 func TestRequestThatArrivedBeforeTheIdleTimeoutIsAnswered(t *testing.T) {
--- a/intake/connections.go
+++ b/intake/connections.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"math"
 	"time"
 )
 
@@ -44,19 +45,26 @@
 	// freshFirst makes connections without a request go before idle ones, which other
 	// instances keep for their next call.
 	freshFirst bool
-	byPhase    [phases]list.List // of *entry, in the order in which they entered the phase
+	timeLimits [phases]time.Duration // in force
+	byPhase    [phases]list.List     // of *entry, in the order in which they entered the phase
 }
 
 // entry is a connection in the table.
 type entry struct {
-	phase    phase
-	since    time.Time // of the phase
-	received int64     // bytes of the body
-	headHeld int64
-	element  *list.Element
-	closed   bool // by decision of the table
-	leaving  bool // counted in table.leaving
-	close    func()
+	phase     phase
+	since     time.Time     // of the phase
+	timeLimit time.Duration // in force then
+	received  int64         // bytes of the body
+	headHeld  int64
+	element   *list.Element
+	closed    bool // by decision of the table
+	leaving   bool // counted in table.leaving
+	close     func()
+}
+
+// begin begins a phase.
+func (e *entry) begin(p phase, now time.Time, limits [phases]time.Duration) {
+	e.phase, e.since, e.received, e.timeLimit = p, now, 0, limits[p]
 }
 
 func newTable(limits ConnectionLimits) *table { return &table{limits: limits} }
@@ -64,7 +72,7 @@
 // add adds a new connection. It returns the connection to close instead, which may be
 // the new one; nil for none. It is the new one if as many as the limit are leaving.
 func (t *table) add(e *entry, now time.Time) *entry {
-	e.phase, e.since = phaseFresh, now
+	e.begin(phaseFresh, now, t.timeLimits)
 	e.element = t.byPhase[e.phase].PushBack(e)
 	t.size++
 	if t.limits.Connections == 0 || t.size <= t.limits.Connections {
@@ -138,7 +146,7 @@
 	if !e.leaving || e.phase != phaseIdle && e.phase != phaseFresh {
 		return false
 	}
-	e.phase, e.since, e.received = p, now, 0
+	e.begin(p, now, t.timeLimits)
 	if t.limits.Connections > 0 && t.size >= t.limits.Connections {
 		return false
 	}
@@ -174,7 +182,7 @@
 	if e.phase != p {
 		t.byPhase[e.phase].Remove(e.element)
 		e.element = t.byPhase[p].PushBack(e)
-		e.phase, e.since, e.received = p, now, 0
+		e.begin(p, now, t.timeLimits)
 	}
 	if p == phaseIdle {
 		t.headHeld -= e.headHeld
@@ -206,14 +214,38 @@
 	return largest
 }
 
+// setTimeLimits sets the time limits in force; 0 is none.
+func (t *table) setTimeLimits(head, idle time.Duration) {
+	if head == 0 {
+		head = noLimit
+	}
+	if idle == 0 {
+		idle = noLimit
+	}
+	t.timeLimits = [phases]time.Duration{phaseIdle: idle, phaseFresh: idle, phaseHead: head}
+}
+
+const noLimit = time.Duration(math.MaxInt64)
+
 // expire returns the connections whose head takes too long or that have waited for a
-// request for too long, which the caller must close. A time of 0 is no limit.
+// request for too long, which the caller must close. A time of 0 is no limit. A lowered one
+// does not apply to a phase that began before: the client may go by the limit of then.
 func (t *table) expire(headTimeout, idleTimeout time.Duration, now time.Time) []*entry {
+	t.setTimeLimits(headTimeout, idleTimeout)
 	var expired []*entry
-	for p, limit := range map[phase]time.Duration{phaseIdle: idleTimeout, phaseFresh: idleTimeout, phaseHead: headTimeout} {
-		for e := t.oldest(p); limit > 0 && e != nil && now.Sub(e.since) >= limit; e = t.oldest(p) {
-			t.drop(e)
-			expired = append(expired, e)
+	for _, p := range []phase{phaseIdle, phaseFresh, phaseHead} {
+		var next *list.Element
+		for element := t.byPhase[p].Front(); element != nil; element = next {
+			next = element.Next()
+			e := element.Value.(*entry)
+			elapsed := now.Sub(e.since)
+			if elapsed < t.timeLimits[p] {
+				break // all that follow began later
+			}
+			if elapsed >= e.timeLimit {
+				t.drop(e)
+				expired = append(expired, e)
+			}
 		}
 	}
 	return expired
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -70,6 +70,8 @@
 	// headLimit returns the most bytes of header fields, 0 for none; nil if heads are not limited.
 	headLimit func() int
 	calls     bool // connections carry calls of other instances, several at once
+	// timeLimits returns the limits of Expire; nil before it.
+	timeLimits atomic.Pointer[func() (head, idle time.Duration)]
 
 	closed     map[string]int // since the last log line, by reason
 	lastLogged time.Time
@@ -157,6 +159,7 @@
 // Expire closes connections that wait for a head or are idle for longer than the limits
 // give, until ctx ends.
 func (c *Connections) Expire(ctx context.Context, limits func() (head, idle time.Duration)) {
+	c.timeLimits.Store(&limits)
 	for last := time.Now(); pause.For(ctx, expiryInterval); {
 		now := time.Now()
 		late := now.Sub(last) >= 2*expiryInterval
@@ -169,6 +172,18 @@
 	}
 }
 
+// lock locks the table, which gets the time limits in force.
+func (c *Connections) lock() {
+	limits := c.timeLimits.Load()
+	if limits == nil {
+		c.mu.Lock()
+		return
+	}
+	head, idle := (*limits)()
+	c.mu.Lock()
+	c.table.setTimeLimits(head, idle)
+}
+
 func (c *Connections) expire(head, idle time.Duration, now time.Time) {
 	c.mu.Lock()
 	expired := c.table.expire(head, idle, now)
@@ -244,7 +259,7 @@
 		c.inHead.Store(!l.connections.calls)
 		c.entry.close = c.end
 		c.limitResponses()
-		l.connections.mu.Lock()
+		l.connections.lock()
 		victim := l.connections.table.add(&c.entry, time.Now())
 		l.connections.mu.Unlock()
 		l.connections.close(victim, reasonConnections)
@@ -353,7 +368,7 @@
 	if !first && c.headBytes <= freeHeadBytes {
 		return
 	}
-	c.owner.mu.Lock()
+	c.owner.lock()
 	resumed := first && !c.owner.table.enter(&c.entry, phaseHead, time.Now()) && c.owner.table.restore(&c.entry, phaseHead, time.Now())
 	if resumed {
 		c.resume()
@@ -378,7 +393,7 @@
 		c.headBytes = 0
 		c.head = headCounter{}
 	}
-	c.owner.mu.Lock()
+	c.owner.lock()
 	defer c.owner.mu.Unlock()
 	return c.owner.table.enter(&c.entry, p, time.Now())
 }
