--- a/forward/answer.go
+++ b/forward/answer.go
@@ -139,14 +139,11 @@
 var errOutOfOrder = errors.New("event out of order")
 
 // forwardStream passes events on to the caller as they arrive. Only a stream that
-// can go on elsewhere is given up for its upstream's silence; the last attempt has
-// until the deadline.
+// can go on elsewhere, and has a slot there, is given up for its upstream's silence;
+// the last attempt has until the deadline.
 func (x *exchange) forwardStream(grant *dispatch.Grant, started time.Time, response *Response) error {
-	idleTimeout := defaultTimeout
-	if x.Route.Resumable && x.canMove() {
-		idleTimeout = StreamIdleTimeout
-	}
-	events := event.NewIdleTimeoutReader(response.Body, idleTimeout)
+	x.silence.progress(x)
+	events := event.NewIdleTimeoutReader(response.Body, defaultTimeout)
 	defer events.Stop()
 	events.Account(x.cfg.Memory.Share())
 	for {
@@ -158,6 +155,9 @@
 			err = io.ErrUnexpectedEOF
 		}
 		if err != nil && !errors.Is(err, io.EOF) {
+			if x.silence.gaveUp() {
+				err = event.ErrIdle
+			}
 			return x.failAttempt(grant, started, failure{reason: "cut: " + err.Error(), err: err, outputs: x.attemptEvents})
 		}
 		if !e.Empty() {
@@ -175,6 +175,9 @@
 			x.recordAttempt(grant, started, writeErr.Error())
 			return x.abortResponse("caller_gone")
 		}
+		if !e.Empty() {
+			x.silence.progress(x)
+		}
 		if err != nil {
 			x.reply.complete()
 			grant.Release(dispatch.Served)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -74,7 +74,7 @@
 
 const (
 	// StreamIdleTimeout is the time without an event after which a resumable
-	// stream is moved to another upstream. It exceeds the second that a slow but
+	// stream is moved to another upstream, once one has a slot. It exceeds the second that a slow but
 	// sound upstream may take for an event, and stays below the two seconds after
 	// which callers give a silent stream up.
 	StreamIdleTimeout = 1200 * time.Millisecond
@@ -201,6 +201,8 @@
 	attemptEvents   int             // events of the current attempt, without empty ones
 	trial           bool            // tests whether a part is blocked rightly, so that it is sent once only
 	timeToFirstByte time.Duration   // from arrival until the response header is passed on
+	silence         *silenceWatch   // of the current attempt; nil if it is not given up for silence
+	nextGrant       *dispatch.Grant // of the next attempt; nil if it has to be acquired
 	hedgeGrant      *dispatch.Grant // of the second of two attempts side by side; nil for none
 	attemptLog      *zerolog.Array
 	wait            *dispatch.Wait // of the first attempt that had to wait for a slot
@@ -233,6 +235,7 @@
 	x.ctx = deadlineCtx
 	defer x.reply.close()
 	defer x.returnToken()
+	defer x.releaseNext()
 	if plan != nil && !plan.Admits(time.Now(), limit) {
 		x.rejectUnexecuted(reasonShutdown, 0) // another gateway can take it at once
 		return
@@ -291,7 +294,12 @@
 		defer s.cancel()
 		return x.conclude(s.grant, s.started, s.response, s.err)
 	}
-	response, err := CallWithHeaderTimeout(ctx, x.cfg.Upstreams, grant.Upstream, &call, x.headerTimeout())
+	x.silence = x.watchSilence(grant.Upstream, cancel)
+	defer x.endSilence()
+	response, err := CallWithHeaderTimeout(ctx, x.cfg.Upstreams, grant.Upstream, &call, defaultTimeout)
+	if err != nil && x.silence.gaveUp() && !errors.Is(err, ErrNotSent) {
+		err = ErrHeaderTimeout
+	}
 	return x.conclude(grant, started, response, err)
 }
 
@@ -336,28 +344,39 @@
 	}
 }
 
+// acquire returns a grant for the next attempt.
 func (x *exchange) acquire() (*dispatch.Grant, error) {
+	if grant := x.nextGrant; grant != nil {
+		x.nextGrant = nil
+		return grant, nil
+	}
 	started := time.Now()
-	request := &dispatch.Request{
+	request := x.placement(x.possibleRuns)
+	grant, err := x.cfg.Dispatcher.Acquire(x.ctx, request)
+	if request.Wait != nil {
+		x.waited += time.Since(started)
+		if x.wait == nil {
+			x.wait = request.Wait
+		}
+	}
+	return grant, err
+}
+
+// placement returns the dispatcher's request for an attempt that follows a number of
+// possible runs.
+func (x *exchange) placement(runs int) *dispatch.Request {
+	return &dispatch.Request{
 		Service:      x.Service,
 		Organisation: x.organisationName(),
 		Priority:     x.Priority,
-		Begun:        x.outcome() != effect.NotPerformed,
+		Begun:        runs > 0 || x.outcome() != effect.NotPerformed,
 		Arrived:      x.Arrived,
 		Objective:    x.Arrived.Add(x.Route.Objective),
 		Deadline:     x.deadline,
 		// The last attempt must not go to an upstream that is on probation.
-		Repeatable: x.Route.Repeatable() && x.possibleRuns+1 < x.Route.MaxAttempts,
+		Repeatable: x.Route.Repeatable() && runs+1 < x.Route.MaxAttempts,
 		Avoid:      x.failedUpstreams,
 	}
-	grant, err := x.cfg.Dispatcher.Acquire(x.ctx, request)
-	if request.Wait != nil {
-		x.waited += time.Since(started)
-		if x.wait == nil {
-			x.wait = request.Wait
-		}
-	}
-	return grant, err
 }
 
 // organisationName returns the organisation of the caller, empty for none.
@@ -377,12 +396,3 @@
 	timeout := max(time.Until(x.deadline)/2, minAttemptTimeout)
 	return context.WithTimeout(x.ctx, timeout)
 }
-
-// headerTimeout returns how long an upstream may take to start its response. It
-// is short if the stream can be resumed on another upstream.
-func (x *exchange) headerTimeout() time.Duration {
-	if x.Route.Kind == fleet.Stream && x.Route.Resumable && x.possibleRuns+1 < x.Route.MaxAttempts {
-		return ResponseHeaderTimeout
-	}
-	return defaultTimeout
-}
--- a/forward/hedge.go
+++ b/forward/hedge.go
@@ -54,10 +54,10 @@
 // is passed on. Cancel ends it; the response has to be closed.
 func (x *exchange) send(ctx context.Context, cancel context.CancelFunc, grant *dispatch.Grant, started time.Time, call Call) *sending {
 	s := &sending{grant: grant, started: started, ctx: ctx, cancel: cancel, done: make(chan struct{})}
-	upstreams, timeout, share := x.cfg.Upstreams, x.headerTimeout(), x.cfg.Memory.Share()
+	upstreams, share := x.cfg.Upstreams, x.cfg.Memory.Share()
 	go func() {
 		defer close(s.done)
-		s.response, s.err = CallWithHeaderTimeout(ctx, upstreams, grant.Upstream, &call, timeout)
+		s.response, s.err = CallWithHeaderTimeout(ctx, upstreams, grant.Upstream, &call, defaultTimeout)
 		if s.err == nil && !s.response.NotExecuted && s.use() == useBody {
 			b := &startedBody{ReadCloser: s.response.Body, share: share}
 			b.start, b.whole, b.err = readStart(b.ReadCloser, share)
