--- a/intake/closing_test.go
+++ b/intake/closing_test.go
@@ -190,6 +190,22 @@
 	})
 }
 
+// Guards against a limit that callers may go by and that no check of the time limits sees,
+// since it was in force only between two of them.
+func TestIdleLimitBetweenTwoChecksCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newClosingBench(t, ConnectionLimits{}, 2*time.Second)
+		time.Sleep(1200 * time.Millisecond)
+		b.idle.Store(int64(20 * time.Second))
+		c := b.dial()
+		c.mustAnswer(t, "first request", http.StatusOK)
+		time.Sleep(200 * time.Millisecond)
+		b.idle.Store(int64(2 * time.Second))
+		time.Sleep(15 * time.Second)
+		c.mustAnswer(t, "within the limit of the last answer", http.StatusOK)
+	})
+}
+
 // Guards against the loss of a request that had arrived when its connection expired and
 // that the server had not come to read.
 func TestRequestThatArrivedBeforeTheIdleTimeoutIsAnswered(t *testing.T) {
