--- a/forward/forward.go
+++ b/forward/forward.go
@@ -74,9 +74,9 @@
 
 const (
 	// StreamIdleTimeout is the time without an event after which a resumable
-	// stream is moved to another upstream, once one has a slot. It exceeds the second that a slow but
-	// sound upstream may take for an event, and stays below the two seconds after
-	// which callers give a silent stream up.
+	// stream is moved to another upstream, once one has a slot. It exceeds the
+	// second that a slow but sound upstream may take for an event, and stays below
+	// the two seconds after which callers give a silent stream up.
 	StreamIdleTimeout = 1200 * time.Millisecond
 	// ResponseHeaderTimeout is the corresponding limit for the start of the
 	// response, which may be queued at the upstream behind a request that takes a
