--- a/intake/connections.go
+++ b/intake/connections.go
@@ -19,8 +19,8 @@
 	phases
 )
 
-// awaitsRequest reports whether a connection is read for the head of a request.
-func (p phase) awaitsRequest() bool { return p == phaseIdle || p == phaseFresh || p == phaseHead }
+// awaitsRequest reports whether a connection waits for the first byte of a request.
+func (p phase) awaitsRequest() bool { return p == phaseIdle || p == phaseFresh }
 
 const (
 	// freeHeadBytes is what the head of a request may take without a share of the memory
@@ -143,13 +143,10 @@
 // restore takes a connection that drop had taken out, and of which a request is read since,
 // into the table again if there is room. It returns false if the request must be refused.
 func (t *table) restore(e *entry, p phase, now time.Time) bool {
-	if !e.leaving || e.phase != phaseIdle && e.phase != phaseFresh {
+	if !e.leaving || !e.phase.awaitsRequest() || t.limits.Connections > 0 && t.size >= t.limits.Connections {
 		return false
 	}
 	e.begin(p, now, t.timeLimits)
-	if t.limits.Connections > 0 && t.size >= t.limits.Connections {
-		return false
-	}
 	e.closed, e.leaving = false, false
 	t.leaving--
 	e.element = t.byPhase[p].PushBack(e)
--- a/intake/ending.go
+++ b/intake/ending.go
@@ -1,12 +1,14 @@
 package intake
 
 import (
+	"errors"
+	"io"
 	"net"
 	"syscall"
 	"time"
 )
 
-// end ends a connection that the table has dropped. One that is read for a request is not
+// end ends a connection that the table has dropped. One that waits for a request is not
 // closed but interrupted: a read that ends with a time-out has taken nothing, so that no
 // request is lost that the server has read. The server closes the connection then.
 func (c *connection) end() {
@@ -22,13 +24,6 @@
 	}
 }
 
-// answerable reports whether a request can be refused whose connection was dropped.
-func (c *connection) answerable() bool {
-	c.owner.mu.Lock()
-	defer c.owner.mu.Unlock()
-	return c.entry.leaving && c.entry.phase != phaseFresh && c.entry.phase.awaitsRequest()
-}
-
 // interrupt makes reads fail that find nothing.
 func (c *connection) interrupt() {
 	c.deadline.Lock()
@@ -71,7 +66,7 @@
 func (c *connection) readArrived(p []byte, err error) (int, error) {
 	c.deadline.Lock()
 	defer c.deadline.Unlock()
-	if !c.interrupted || !hasArrived(c.Conn) {
+	if !c.interrupted || c.headBytes > 0 || !hasArrived(c.Conn) {
 		return 0, err
 	}
 	_ = c.Conn.SetReadDeadline(time.Time{}) // fails only on a closed connection
@@ -89,3 +84,21 @@
 	raw, err := c.SyscallConn()
 	return err == nil && unread(raw) > 0
 }
+
+// droppedAnswer is the answer to a request that was read after its connection was dropped.
+const droppedAnswer = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain; charset=utf-8\r\n" +
+	"Retry-After: 1\r\nConnection: close\r\n\r\nService Unavailable\n"
+
+// refuseDropped answers a request of a connection that was dropped, before it takes the
+// memory of its head. It returns the error with which the server ends the connection.
+func (c *connection) refuseDropped() error {
+	_ = c.SetWriteDeadline(time.Now().Add(lingerTime)) // fails only on a closed connection
+	_, _ = io.WriteString(c.Conn, droppedAnswer)       // the client may be gone
+	_ = c.CloseWrite()                                 // as above
+	if hasArrived(c.Conn) {
+		time.Sleep(lingerTime) // so that a reset does not overtake the answer
+	}
+	return &net.OpError{Op: "read", Net: "tcp", Err: errDropped}
+}
+
+var errDropped = errors.New("the connection gave way to others")
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -13,7 +13,6 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/magnoliausher/magnoliausher/effect"
 	"github.com/magnoliausher/magnoliausher/metric"
 	"github.com/magnoliausher/magnoliausher/pause"
 )
@@ -106,9 +105,6 @@
 	outcomeAborted = "aborted" // neither answered nor refused
 )
 
-// refusedRetryAfterSeconds is the Retry-After value of a request whose connection gave way.
-const refusedRetryAfterSeconds = "1"
-
 // Install sets the hooks of a server whose listener Listen returns. The server's handler
 // and ConnState must be set before.
 func (c *Connections) Install(server *http.Server) {
@@ -130,13 +126,6 @@
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn := connOf(r)
 		if !conn.enter(phaseBusy) {
-			if conn.answerable() {
-				c.recordRequest(r, outcomeRefused)
-				Close(w, r)
-				w.Header().Set("Retry-After", refusedRetryAfterSeconds)
-				w.WriteHeader(effect.NotPerformed.Status(http.StatusServiceUnavailable))
-				return
-			}
 			c.recordRequest(r, outcomeAborted)
 			panic(http.ErrAbortHandler) // the client could not be told what the request did
 		}
@@ -211,9 +200,6 @@
 	c.logClosed(reasonNotReading)
 }
 
-// recordResumed records that a connection goes on that the table had dropped.
-func (c *Connections) recordResumed() { metric.RequestOfClosedConnection(c.name, outcomeServed) }
-
 // recordRequest records what became of a request whose connection was closed.
 func (c *Connections) recordRequest(r *http.Request, outcome string) {
 	metric.RequestOfClosedConnection(c.name, outcome)
@@ -348,7 +334,10 @@
 		if c.owner.headLimit != nil && !c.head.add(p[:n], c.owner.headLimit) {
 			return 0, c.refuseHead()
 		}
-		c.readHead(p[:n])
+		if !c.readHead(p[:n]) {
+			metric.RequestOfClosedConnection(c.owner.name, outcomeRefused)
+			return 0, c.refuseDropped()
+		}
 	case c.inBody.Load():
 		c.owner.mu.Lock()
 		c.entry.received += int64(n)
@@ -358,27 +347,33 @@
 }
 
 // readHead counts what the head of a request takes: its bytes in a buffer and in strings,
-// and its fields.
-func (c *connection) readHead(p []byte) {
+// and its fields. It returns false if the connection was dropped before and there is no
+// room for it.
+func (c *connection) readHead(p []byte) bool {
 	first := c.headBytes == 0
 	if end := bytes.Index(p, []byte("\r\n\r\n")); end >= 0 {
 		p = p[:end+1] // what follows belongs to a body
 	}
 	c.headBytes += int64(2*len(p) + fieldBytes*bytes.Count(p, []byte("\n")))
 	if !first && c.headBytes <= freeHeadBytes {
-		return
+		return true
 	}
 	c.owner.lock()
-	resumed := first && !c.owner.table.enter(&c.entry, phaseHead, time.Now()) && c.owner.table.restore(&c.entry, phaseHead, time.Now())
-	if resumed {
+	resumed := false
+	if first && !c.owner.table.enter(&c.entry, phaseHead, time.Now()) && c.entry.leaving {
+		if resumed = c.owner.table.restore(&c.entry, phaseHead, time.Now()); !resumed {
+			c.owner.mu.Unlock()
+			return false
+		}
 		c.resume()
 	}
 	victim := c.owner.table.holdHead(&c.entry, c.headBytes)
 	c.owner.mu.Unlock()
 	c.owner.close(victim, reasonHeads)
 	if resumed {
-		c.owner.recordResumed()
+		metric.RequestOfClosedConnection(c.owner.name, outcomeServed)
 	}
+	return true
 }
 
 // enter records the phase of the connection. It returns false if the connection was closed
