--- a/intake/listener.go
+++ b/intake/listener.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -67,6 +69,8 @@
 	// headLimit returns the most bytes of header fields, 0 for none; nil if heads are not limited.
 	headLimit func() int
 	calls     bool // connections carry calls of other instances, several at once
+	// timeLimits returns the limits of Expire; nil before it.
+	timeLimits atomic.Pointer[func() (head, idle time.Duration)]
 
 	closed     map[string]int // since the last log line, by reason
 	lastLogged time.Time
@@ -94,6 +98,13 @@
 	reasonNotReading  = "not_reading"
 )
 
+// Outcomes of requests whose connections were closed by decision of the table.
+const (
+	outcomeServed  = "served"  // the connection goes on
+	outcomeRefused = "refused" // there is no room for the connection
+	outcomeAborted = "aborted" // neither answered nor refused
+)
+
 // Install sets the hooks of a server whose listener Listen returns. The server's handler
 // and ConnState must be set before.
 func (c *Connections) Install(server *http.Server) {
@@ -115,6 +126,7 @@
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn := connOf(r)
 		if !conn.enter(phaseBusy) {
+			c.recordRequest(r, outcomeAborted)
 			panic(http.ErrAbortHandler) // the client could not be told what the request did
 		}
 		conn.bodyUnread.Store(r.ContentLength != 0)
@@ -136,6 +148,7 @@
 // Expire closes connections that wait for a head or are idle for longer than the limits
 // give, until ctx ends.
 func (c *Connections) Expire(ctx context.Context, limits func() (head, idle time.Duration)) {
+	c.timeLimits.Store(&limits)
 	for last := time.Now(); pause.For(ctx, expiryInterval); {
 		now := time.Now()
 		late := now.Sub(last) >= 2*expiryInterval
@@ -144,12 +157,28 @@
 			continue // the process was not scheduled; what has arrived meanwhile is read first
 		}
 		head, idle := limits()
+		c.expire(head, idle, now)
+	}
+}
+
+// lock locks the table, which gets the time limits in force.
+func (c *Connections) lock() {
+	limits := c.timeLimits.Load()
+	if limits == nil {
 		c.mu.Lock()
-		expired := c.table.expire(head, idle, now)
-		c.mu.Unlock()
-		for _, e := range expired {
-			c.close(e, reasonTimeout)
-		}
+		return
+	}
+	head, idle := (*limits)()
+	c.mu.Lock()
+	c.table.setTimeLimits(head, idle)
+}
+
+func (c *Connections) expire(head, idle time.Duration, now time.Time) {
+	c.mu.Lock()
+	expired := c.table.expire(head, idle, now)
+	c.mu.Unlock()
+	for _, e := range expired {
+		c.close(e, reasonTimeout)
 	}
 }
 
@@ -171,6 +200,13 @@
 	c.logClosed(reasonNotReading)
 }
 
+// recordRequest records what became of a request whose connection was closed.
+func (c *Connections) recordRequest(r *http.Request, outcome string) {
+	metric.RequestOfClosedConnection(c.name, outcome)
+	c.log.Warn().Str("listener", c.name).Str("remote", r.RemoteAddr).Str("target", r.RequestURI).Str("outcome", outcome).
+		Msg("read a request of a connection that had been closed to stay within limits")
+}
+
 func (c *Connections) logClosed(reason string) {
 	if closed, size := c.recordClosed(reason, time.Now()); closed != nil {
 		c.log.Warn().Str("listener", c.name).Int("connections", size).Interface("closed", closed).
@@ -207,11 +243,9 @@
 		}
 		c := &connection{Conn: conn, owner: l.connections}
 		c.inHead.Store(!l.connections.calls)
-		c.entry.close = func() {
-			_ = conn.Close() // the server closes it, too
-		}
+		c.entry.close = c.end
 		c.limitResponses()
-		l.connections.mu.Lock()
+		l.connections.lock()
 		victim := l.connections.table.add(&c.entry, time.Now())
 		l.connections.mu.Unlock()
 		l.connections.close(victim, reasonConnections)
@@ -237,6 +271,10 @@
 	// headBytes is the estimated memory of the head so far. Only the goroutine that reads
 	// the head uses it.
 	headBytes int64
+
+	deadline     sync.Mutex
+	readDeadline time.Time // as set by the server
+	interrupted  bool      // reads fail, except for what has arrived of a head
 }
 
 // limitResponses makes writes to the connection subject to the limits of its listener.
@@ -287,13 +325,19 @@
 // Read implements net.Conn.
 func (c *connection) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.inHead.Load() {
+		n, err = c.readArrived(p, err)
+	}
 	switch {
 	case n == 0:
 	case c.inHead.Load():
 		if c.owner.headLimit != nil && !c.head.add(p[:n], c.owner.headLimit) {
 			return 0, c.refuseHead()
 		}
-		c.readHead(p[:n])
+		if !c.readHead(p[:n]) {
+			metric.RequestOfClosedConnection(c.owner.name, outcomeRefused)
+			return 0, c.refuseDropped()
+		}
 	case c.inBody.Load():
 		c.owner.mu.Lock()
 		c.entry.received += int64(n)
@@ -303,23 +347,33 @@
 }
 
 // readHead counts what the head of a request takes: its bytes in a buffer and in strings,
-// and its fields.
-func (c *connection) readHead(p []byte) {
+// and its fields. It returns false if the connection was dropped before and there is no
+// room for it.
+func (c *connection) readHead(p []byte) bool {
 	first := c.headBytes == 0
 	if end := bytes.Index(p, []byte("\r\n\r\n")); end >= 0 {
 		p = p[:end+1] // what follows belongs to a body
 	}
 	c.headBytes += int64(2*len(p) + fieldBytes*bytes.Count(p, []byte("\n")))
 	if !first && c.headBytes <= freeHeadBytes {
-		return
+		return true
 	}
-	c.owner.mu.Lock()
-	if first {
-		c.owner.table.enter(&c.entry, phaseHead, time.Now())
+	c.owner.lock()
+	resumed := false
+	if first && !c.owner.table.enter(&c.entry, phaseHead, time.Now()) && c.entry.leaving {
+		if resumed = c.owner.table.restore(&c.entry, phaseHead, time.Now()); !resumed {
+			c.owner.mu.Unlock()
+			return false
+		}
+		c.resume()
 	}
 	victim := c.owner.table.holdHead(&c.entry, c.headBytes)
 	c.owner.mu.Unlock()
 	c.owner.close(victim, reasonHeads)
+	if resumed {
+		metric.RequestOfClosedConnection(c.owner.name, outcomeServed)
+	}
+	return true
 }
 
 // enter records the phase of the connection. It returns false if the connection was closed
@@ -334,7 +388,7 @@
 		c.headBytes = 0
 		c.head = headCounter{}
 	}
-	c.owner.mu.Lock()
+	c.owner.lock()
 	defer c.owner.mu.Unlock()
 	return c.owner.table.enter(&c.entry, p, time.Now())
 }
