fleet, dispatch: software versions of upstreams

Change: the list of upstreams names the version of their software. A request for a slot can say which upstreams it accepts; one that waits for such an upstream does not hold up those behind it.

--- a/batch/schedule.go
+++ b/batch/schedule.go
@@ -79,10 +79,18 @@
 		backlog[service] = len(items.waiting)
 		share := s.cfg.Dispatcher.BatchStartQuota(service, len(items.waiting))
 		for c := range byTurns(items.waiting, items.active) {
-			if share <= 0 || !s.startItem(c, service, s.isShortOfTime(c, now)) {
+			if share <= 0 {
 				s.reportWithheld(c, service, now)
 				break
 			}
+			accepts := s.upstreamsFor(c, service)
+			if !s.startItem(c, service, s.isShortOfTime(c, now), accepts) {
+				s.reportWithheld(c, service, now)
+				if accepts != nil {
+					continue // other items may run where this one may not
+				}
+				break
+			}
 			share--
 			backlog[service]--
 			delete(s.withheldSince, service)
@@ -155,14 +163,27 @@
 	return now.Add(s.pace.remaining(c.priority.Events) * shortOfTimePercent / 100).After(c.due)
 }
 
-// startItem starts an attempt at an item if its service has a free slot, and
-// reports whether it did. An item that is short of time goes to a fast upstream.
-func (s *Service) startItem(c candidate, service string, shortOfTime bool) bool {
+// upstreamsFor returns the upstreams that can go on with an item, nil for all of its
+// service. An item that no upstream in use can go on with starts over. The caller holds s.mu.
+func (s *Service) upstreamsFor(c candidate, service string) func(*fleet.Upstream) bool {
+	accepts := c.item.resumableAt()
+	if accepts == nil || slices.ContainsFunc(s.cfg.Holder.View().Usable(service), accepts) {
+		return accepts
+	}
+	s.cfg.Log.Info().Str("job", c.job.submission.ID).Str("request", c.job.submission.Items[c.item.index].ID).Str("service", service).
+		Int("events", c.item.events()).Msg("no upstream of the software version that began the item; it starts over")
+	c.item.reset(0)
+	return nil
+}
+
+// startItem starts an attempt at an item if an upstream that accepts permits has a free
+// slot, and reports whether it did. An item that is short of time goes to a fast upstream.
+func (s *Service) startItem(c candidate, service string, shortOfTime bool, accepts func(*fleet.Upstream) bool) bool {
 	acquire := s.cfg.Dispatcher.TryAcquireBatch
 	if shortOfTime {
 		acquire = s.cfg.Dispatcher.TryAcquireUrgentBatch
 	}
-	grant := acquire(service)
+	grant := acquire(service, accepts)
 	if grant == nil {
 		return false
 	}
--- a/dispatch/contention_test.go
+++ b/dispatch/contention_test.go
@@ -229,7 +229,7 @@
 						interval = max(interval, g.PropagationDelay()*2/3)
 						g.SetBacklog(map[string]int{"s": 50})
 						for range g.BatchStartQuota("s", 50) {
-							if grant := g.TryAcquireBatch("s"); grant != nil {
+							if grant := g.TryAcquireBatch("s", nil); grant != nil {
 								go func() {
 									ran := c.runItem(grant, engines[grant.Upstream.ID], locked)
 									locked(func() { batchTime += ran })
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -172,24 +172,25 @@
 	return placement.RoomForBatch(d.snapshot(d.cfg.Holder.View().Usable(service), true, time.Now()))
 }
 
-// TryAcquireBatch returns a grant for a batch item, or nil if no slot is free.
-func (d *Dispatcher) TryAcquireBatch(service string) *Grant {
-	return d.tryAcquireBatch(service, placement.PickBatch)
+// TryAcquireBatch returns a grant for a batch item at an upstream that accepts permits, nil
+// for all of the service. It returns nil if no slot is free.
+func (d *Dispatcher) TryAcquireBatch(service string, accepts func(*fleet.Upstream) bool) *Grant {
+	return d.tryAcquireBatch(service, accepts, placement.PickBatch)
 }
 
 // TryAcquireUrgentBatch is TryAcquireBatch for an item that is short of time.
-func (d *Dispatcher) TryAcquireUrgentBatch(service string) *Grant {
-	return d.tryAcquireBatch(service, placement.PickUrgentBatch)
+func (d *Dispatcher) TryAcquireUrgentBatch(service string, accepts func(*fleet.Upstream) bool) *Grant {
+	return d.tryAcquireBatch(service, accepts, placement.PickUrgentBatch)
 }
 
-func (d *Dispatcher) tryAcquireBatch(service string, pick func([]placement.Upstream, placement.Random) int) *Grant {
+func (d *Dispatcher) tryAcquireBatch(service string, accepts func(*fleet.Upstream) bool, pick func([]placement.Upstream, placement.Random) int) *Grant {
 	d.mu.Lock()
 	now := time.Now()
 	if d.holdsBatch(now) {
 		d.mu.Unlock()
 		return nil
 	}
-	usable := d.cfg.Holder.View().Usable(service)
+	usable := accepted(d.cfg.Holder.View().Usable(service), accepts)
 	i := pick(d.snapshot(usable, true, now), d.cfg.Random.IntN)
 	if i < 0 {
 		d.mu.Unlock()
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -106,7 +106,7 @@
 		d := New(Config{Self: "g", Holder: holder(fleet.Upstream{ID: "a", Slots: 4})})
 		var items []*Grant
 		for range d.BatchStartQuota("s", 4) {
-			items = append(items, d.TryAcquireBatch("s"))
+			items = append(items, d.TryAcquireBatch("s", nil))
 		}
 		if len(items) != 3 {
 			t.Fatalf("%d items started on 4 slots, want 3 and one slot in reserve", len(items))
--- a/dispatch/group_test.go
+++ b/dispatch/group_test.go
@@ -131,7 +131,7 @@
 func TestPreemptionForOtherDataCentre(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := New(Config{Self: "y1", DataCentre: "y", Holder: holder(fleet.Upstream{ID: "a", Slots: 4})})
-		first, second := d.TryAcquireBatch("s"), d.TryAcquireBatch("s")
+		first, second := d.TryAcquireBatch("s", nil), d.TryAcquireBatch("s", nil)
 		merge := func(online, batch int) {
 			d.MergeDigest(Digest{DataCentre: "x", Gateways: 2, Loads: []UpstreamLoad{{KeyOf("a"), online, batch}}}, time.Now())
 		}
--- a/dispatch/loss_test.go
+++ b/dispatch/loss_test.go
@@ -381,7 +381,7 @@
 		d.SetMembers(2, 2, time.Now())
 		check := func(name string, want bool) {
 			t.Helper()
-			g := d.TryAcquireBatch("s")
+			g := d.TryAcquireBatch("s", nil)
 			if g != nil {
 				g.Release(Cancelled)
 			}
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/magnoliausher/magnoliausher/fleet"
 	"github.com/magnoliausher/magnoliausher/placement"
 )
 
@@ -39,6 +41,9 @@
 	// Repeatable: may be sent again although an earlier attempt may have run.
 	Repeatable bool
 	Avoid      map[string]bool // ids of upstreams to use only as a last resort
+	// Accepts reports whether an upstream can serve the request; nil for all. It is called
+	// with the dispatcher's lock held.
+	Accepts func(*fleet.Upstream) bool
 	// Wait is set by Acquire if the request has to wait for a slot.
 	Wait *Wait
 }
@@ -83,7 +88,7 @@
 func (d *Dispatcher) Acquire(ctx context.Context, r *Request) (*Grant, error) {
 	d.mu.Lock()
 	now := time.Now()
-	if len(d.cfg.Holder.View().Usable(r.Service)) == 0 {
+	if len(d.acceptable(r)) == 0 {
 		d.mu.Unlock()
 		return nil, ErrNoUpstream
 	}
@@ -231,6 +236,10 @@
 				err = ErrNoCapacity
 				break
 			}
+			if w.request.Accepts != nil && len(d.acceptable(w.request)) == 0 {
+				err = ErrNoUpstream
+				break
+			}
 			if d.isPoller(w) { // one check serves all waiters
 				d.serve(w.request.Service, now)
 			}
@@ -293,6 +302,7 @@
 	d.mu.Lock()
 	q := d.queue(service)
 	served, urgent := false, false
+	var blocked []*waiter // no upstream that they accept has a free slot
 	for q.waiters.Len() > 0 {
 		w := q.waiters.Next(now, d.usage(q, service, now)).Value.(*waiter)
 		use := d.queueUse(q, w.request, now)
@@ -300,6 +310,11 @@
 			break
 		}
 		g := d.placeOnline(w.request, use, now)
+		if g == nil && w.request.Accepts != nil {
+			q.waiters.Remove(&w.Waiter)
+			blocked = append(blocked, w)
+			continue
+		}
 		if g == nil {
 			break
 		}
@@ -309,16 +324,32 @@
 		served = true
 		urgent = urgent || d.isUrgent(q, g.Upstream)
 	}
+	for _, w := range blocked {
+		q.waiters.Push(&w.Waiter)
+	}
 	d.mu.Unlock()
 	if served {
 		d.notifyChange(urgent)
 	}
 }
 
+// acceptable returns the usable upstreams that a request accepts.
+func (d *Dispatcher) acceptable(r *Request) []*fleet.Upstream {
+	return accepted(d.cfg.Holder.View().Usable(r.Service), r.Accepts)
+}
+
+// accepted returns the upstreams that accepts permits, all of them if it is nil.
+func accepted(usable []*fleet.Upstream, accepts func(*fleet.Upstream) bool) []*fleet.Upstream {
+	if accepts == nil {
+		return usable
+	}
+	return slices.DeleteFunc(slices.Clone(usable), func(u *fleet.Upstream) bool { return !accepts(u) })
+}
+
 // placeOnline grants a slot to an online request, or returns nil if none is free.
 // d.mu must be held.
 func (d *Dispatcher) placeOnline(r *Request, use placement.QueueUse, now time.Time) *Grant {
-	usable := d.cfg.Holder.View().Usable(r.Service)
+	usable := d.acceptable(r)
 	list := d.snapshot(usable, r.Repeatable, now)
 	for i := range list {
 		list[i].Degraded = list[i].Degraded || r.Avoid[list[i].ID]
--- a/dispatch/speed_test.go
+++ b/dispatch/speed_test.go
@@ -272,7 +272,7 @@
 				for range 8 {
 					go func() {
 						for began := time.Now(); time.Since(began) < 3*time.Second; {
-							g := measuring.TryAcquireBatch("s")
+							g := measuring.TryAcquireBatch("s", nil)
 							pace := 10 * time.Millisecond
 							if g.Upstream.ID == "b" {
 								pace *= 3
@@ -323,7 +323,7 @@
 	for range 16 {
 		go func() {
 			for time.Now().Before(ends) {
-				g := measuring.TryAcquireBatch("s")
+				g := measuring.TryAcquireBatch("s", nil)
 				if g == nil {
 					time.Sleep(20 * time.Millisecond)
 					continue
@@ -398,12 +398,12 @@
 func TestUnmeasuredAttempts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := New(Config{Self: "m", Holder: holder(fleet.Upstream{ID: "a", Slots: 8})})
-		refused := d.TryAcquireBatch("s")
+		refused := d.TryAcquireBatch("s", nil)
 		time.Sleep(time.Millisecond)
 		refused.Progress()
 		refused.Unmeasured()
 		refused.Release(Served)
-		called := d.TryAcquireBatch("s")
+		called := d.TryAcquireBatch("s", nil)
 		time.Sleep(time.Second)
 		called.Progress()
 		time.Sleep(3 * time.Second) // until the caller has read the answer
@@ -412,7 +412,7 @@
 		if c := s.counter(); c.Work != 1 || c.Time != time.Second {
 			t.Errorf("got %+v, want one call of 1s", c)
 		}
-		stream := d.TryAcquireBatch("s")
+		stream := d.TryAcquireBatch("s", nil)
 		for i := range 20 {
 			time.Sleep(30 * time.Millisecond)
 			stream.Progress()
--- a/fleet/holder.go
+++ b/fleet/holder.go
@@ -22,14 +22,17 @@
 	ListVersion   uint64         // highest version among the records
 	Synced        bool           // the list of upstreams has been read at least once
 	upstreams     map[string][]*Upstream
-	listedIDs     map[string]bool // ids of the records that are not removed
+	listed        map[string]*Upstream // by id, those whose records are not removed
 }
 
 // Usable returns the upstreams of a service that accept new work.
 func (v *View) Usable(service string) []*Upstream { return v.upstreams[service] }
 
 // Contains reports whether an upstream is in the list, usable or not.
-func (v *View) Contains(id string) bool { return v.listedIDs[id] }
+func (v *View) Contains(id string) bool { return v.listed[id] != nil }
+
+// Upstream returns an upstream of the list, usable or not; nil if it is not listed.
+func (v *View) Upstream(id string) *Upstream { return v.listed[id] }
 
 // Ready reports whether the view is complete enough to route requests.
 func (v *View) Ready() bool { return v.Configuration != nil && v.Synced }
@@ -185,12 +188,13 @@
 	next.ListVersion = 0
 	next.Records = make([]Record, 0, len(h.records))
 	next.upstreams = make(map[string][]*Upstream)
-	next.listedIDs = make(map[string]bool)
+	next.listed = make(map[string]*Upstream)
 	for _, held := range h.records {
 		next.Records = append(next.Records, held.Record)
 		next.ListVersion = max(next.ListVersion, held.Version)
 		if !held.Removed {
-			next.listedIDs[held.ID] = true
+			u := held.Upstream
+			next.listed[held.ID] = &u
 		}
 		if h.isLeaving(held) {
 			continue
--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -9,6 +9,9 @@
 	Slots      int   // number of requests that it runs concurrently
 	Draining   bool  // accepts no new work
 	Started    int64 // start of this incarnation in Unix ms; 0 if not reported
+	// SoftwareVersion is the version of the upstream's own software, in no order; empty if
+	// not reported. Only an upstream of the same version can resume a stream.
+	SoftwareVersion string
 }
 
 // Record is an upstream with the store version of its entry. A removed or
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -308,7 +308,7 @@
 		}
 	}
 	eventually(t, "work of a counted by b", time.Second, func() bool {
-		g := b.dispatcher.TryAcquireBatch("s")
+		g := b.dispatcher.TryAcquireBatch("s", nil)
 		if g == nil {
 			return false
 		}
--- a/peer/usage_test.go
+++ b/peer/usage_test.go
@@ -141,7 +141,7 @@
 	e := New(Config{Self: Member{Name: "a"}, Holder: holder, Dispatcher: d, Log: zerolog.Nop()})
 	start := func() bool {
 		e.countMembers(time.Now())
-		g := d.TryAcquireBatch("s")
+		g := d.TryAcquireBatch("s", nil)
 		if g != nil {
 			g.Release(dispatch.Cancelled)
 		}
