--- a/batch/attempt.go
+++ b/batch/attempt.go
@@ -51,7 +51,7 @@
 	if preempted {
 		metric.Preempted(grant.Upstream.Service)
 	}
-	s.cfg.Log.Info().Str("request", item.ID).Str("job", r.submission.ID).Str("upstream", grant.Upstream.ID).
+	s.cfg.Log.Info().Str("request", item.ID).Str("job", r.submission.ID).Str("upstream", grant.Upstream.ID).Str("software_version", grant.Upstream.SoftwareVersion).
 		Int("from_event", eventsBefore).Int("events", ri.events()).Bool("preempted", preempted).Str("outcome", status).
 		Int64("ms", time.Since(started).Milliseconds()).Msg("item attempt")
 	s.handleAttemptResult(r, ri, attemptResult{outcome: outcome, status: status, eventsBefore: eventsBefore, duration: time.Since(started)})
@@ -163,7 +163,7 @@
 		if e.Data == nil {
 			continue
 		}
-		if err := ri.addEvent(e.ID, e.Data); err != nil {
+		if err := ri.addEvent(e.ID, e.Data, grant.Upstream.SoftwareVersion); err != nil {
 			ri.reset(0) // an answer without end holds nothing to resume from
 			return dispatch.Broken, attemptUnusable + " " + err.Error()
 		}
--- a/batch/progress.go
+++ b/batch/progress.go
@@ -15,6 +15,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/magnoliausher/magnoliausher/fleet"
 	"github.com/magnoliausher/magnoliausher/memory"
 	"github.com/magnoliausher/magnoliausher/pause"
 	"github.com/magnoliausher/magnoliausher/storage"
@@ -37,7 +38,10 @@
 type progress struct {
 	LastID string // ID of the last event received
 	Events int
-	Output []byte `json:"-"` // data of the events, joined by line feeds; stored after the JSON
+	// SoftwareVersion of the upstreams that sent the events; only one of it can resume the
+	// item. Checkpoints of earlier builds have none.
+	SoftwareVersion string
+	Output          []byte `json:"-"` // data of the events, joined by line feeds; stored after the JSON
 }
 
 // itemProgress guards an item's progress, which the running attempt writes and
@@ -49,13 +53,20 @@
 	share   *memory.Share // of the output; kept until the result is listed
 }
 
+// errOtherVersion ends an attempt whose event does not continue what is held.
+var errOtherVersion = errors.New("the event comes from another software version")
+
 // errOutputTooLong ends an attempt whose output exceeds maxItemOutputBytes.
 var errOutputTooLong = errors.New("output exceeds the maximum size")
 
-// addEvent appends one event. After an error the event is not part of the progress.
-func (g *itemProgress) addEvent(id string, data []byte) error {
+// addEvent appends one event of an upstream of the given software version. After an error
+// the event is not part of the progress.
+func (g *itemProgress) addEvent(id string, data []byte, softwareVersion string) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.current.Events > 0 && g.current.SoftwareVersion != softwareVersion {
+		return errOtherVersion
+	}
 	size := len(g.current.Output) + 1 + len(data)
 	if size > maxItemOutputBytes {
 		return errOutputTooLong
@@ -68,6 +79,7 @@
 	}
 	g.current.Output = append(g.current.Output, data...)
 	g.current.Events++
+	g.current.SoftwareVersion = softwareVersion
 	if id != "" {
 		g.current.LastID = id
 	}
@@ -101,10 +113,25 @@
 	return g.current.LastID
 }
 
-// advance replaces the progress if p has more events.
+// resumableAt returns which upstreams can go on with the item, nil for all.
+func (g *itemProgress) resumableAt() func(*fleet.Upstream) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.current.Events == 0 {
+		return nil
+	}
+	version := g.current.SoftwareVersion
+	return func(u *fleet.Upstream) bool { return u.SoftwareVersion == version }
+}
+
+// advance replaces the progress if p has more events and does not come from another
+// software version.
 func (g *itemProgress) advance(p progress, saved int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.current.Events > 0 && g.current.SoftwareVersion != p.SoftwareVersion {
+		return
+	}
 	if p.Events > g.current.Events {
 		_ = g.share.Resize(len(p.Output)) // as in account
 		g.current, g.saved = p, saved
