--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -30,6 +30,7 @@
 	"github.com/magnoliausher/magnoliausher/limit"
 	"github.com/magnoliausher/magnoliausher/memory"
 	"github.com/magnoliausher/magnoliausher/metric"
+	"github.com/magnoliausher/magnoliausher/origin"
 	"github.com/magnoliausher/magnoliausher/peer"
 	"github.com/magnoliausher/magnoliausher/platform"
 	"github.com/magnoliausher/magnoliausher/poison"
@@ -98,6 +99,7 @@
 	holder     *fleet.Holder
 	suspects   *poison.Table
 	persister  *poison.Persister
+	versions   *origin.Registry // of software at which streams begin
 	dispatcher *dispatch.Dispatcher
 	limits     *limit.Shared // rates of organisations
 	exchange   *peer.Exchange
@@ -142,6 +144,10 @@
 	g.exchange.SetSeeds(s.Seeds)
 	g.dispatcher.OnChange(g.exchange.NotifyChange)
 	g.relay = peer.NewRelay(g.store, g.exchange)
+	registry := &origin.Registry{Rows: g.relay, Holder: g.holder, Log: g.log, RemovesObsolete: g.removesObsolete}
+	origins := origin.NewTracker(registry, g.exchange, g.log)
+	g.exchange.UseOrigins(origins)
+	g.versions = registry
 	g.persister = &poison.Persister{Table: g.suspects, Rows: g.relay, Rank: g.exchange.Rank, Log: g.log,
 		Prefix: suspectRowPrefix, MinCrashes: crashesToBlock}
 	engines := platform.NewEngineClient()
@@ -155,7 +161,7 @@
 	}
 	g.exchange.OnHandOver(g.jobs.TakeOver)
 	g.bodies.OnPressure(g.jobs.FreeMemory)
-	forwarder := forward.New(forward.Config{Dispatcher: g.dispatcher, Upstreams: engines, CrashTracker: tracker, Memory: answers, Shutdown: g.shutdown, Hedging: g.hedging, Log: g.log})
+	forwarder := forward.New(forward.Config{Dispatcher: g.dispatcher, Upstreams: engines, CrashTracker: tracker, Memory: answers, Shutdown: g.shutdown, Hedging: g.hedging, Origins: origins, Log: g.log})
 	g.assembleServers(&platform.Ingress{Holder: g.holder, Forwarder: forwarder, Jobs: g.jobs, Shutdown: g.shutdown, Rates: g.limits, Bodies: g.bodies, NewerConfiguration: g.exchange.KnowsNewerConfiguration, Log: g.log})
 	g.limitConnections()
 	return g, nil
@@ -279,6 +285,7 @@
 	group.Go(func() error { return g.jobs.Run(background) })
 	group.Go(func() error { g.followMembers(background); return nil })
 	group.Go(func() error { g.persister.Run(background); return nil })
+	group.Go(func() error { g.versions.Run(background); return nil })
 	group.Go(func() error { g.expireUpstreams(background); return nil })
 	group.Go(func() error { g.updateRates(background); return nil })
 	group.Go(func() error {
@@ -352,6 +359,13 @@
 	<-registered
 }
 
+// removesObsolete reports whether this gateway removes software versions that are no longer
+// in use: the first of the live ones, if its list of upstreams comes from the store.
+func (g *Gateway) removesObsolete() bool {
+	rank, _ := g.exchange.Rank()
+	return rank == 0 && g.relay.StoreReachable()
+}
+
 func (g *Gateway) expireUpstreams(ctx context.Context) {
 	ticker := time.NewTicker(expiryCheckInterval)
 	defer ticker.Stop()
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -11,6 +11,7 @@
 
 	"github.com/magnoliausher/magnoliausher/dispatch"
 	"github.com/magnoliausher/magnoliausher/event"
+	"github.com/magnoliausher/magnoliausher/fleet"
 	"github.com/magnoliausher/magnoliausher/memory"
 	"github.com/magnoliausher/magnoliausher/metric"
 	"github.com/magnoliausher/magnoliausher/poison"
@@ -168,7 +169,7 @@
 			x.cfg.CrashTracker.RecordSound(&x.Subject, ended)
 		}
 		began := time.Now()
-		writeErr := x.writeEvent(response, e)
+		writeErr := x.writeEvent(grant.Upstream, response, e)
 		grant.Delivered(time.Since(began))
 		if writeErr != nil {
 			grant.Release(dispatch.Cancelled)
@@ -177,6 +178,9 @@
 		}
 		if err != nil {
 			x.reply.complete()
+			if x.hasOrigin() {
+				x.cfg.Origins.Ended(x.Service, x.streamID())
+			}
 			grant.Release(dispatch.Served)
 			x.recordAttempt(grant, started, "served")
 			x.logRequest(response.Status, "served")
@@ -197,8 +201,9 @@
 
 // writeEvent writes one event to the caller, preceded by the response header if
 // it has not been sent.
-func (x *exchange) writeEvent(response *Response, e event.Event) error {
+func (x *exchange) writeEvent(u *fleet.Upstream, response *Response, e event.Event) error {
 	if !x.reply.begun() {
+		x.recordOrigin(u)
 		x.recordFirstByte()
 		metric.FirstToken(x.Service, classOnline, x.timeToFirstByte.Seconds())
 	}
@@ -257,6 +262,12 @@
 		Uint64("configuration", x.ConfigVersion).Uint64("list", x.UpstreamListVersion).Int("status", status).Str("outcome", outcome).
 		Int("may_have_run", x.possibleRuns).Int("events", x.reply.events).Int64("first_ms", x.timeToFirstByte.Milliseconds()).
 		Int64("total_ms", time.Since(x.Arrived).Milliseconds()).Array("attempts", x.attemptLog)
+	if x.version != nil {
+		line = line.Str("software_version", *x.version)
+	}
+	if x.Resumes != "" {
+		line = line.Str("resumes", x.Resumes).Str("after_event", x.ResumeAfter)
+	}
 	if x.Organisation != nil {
 		line = line.Str("organisation", *x.Organisation)
 	}
--- a/forward/fail.go
+++ b/forward/fail.go
@@ -78,6 +78,9 @@
 
 // canMove reports whether another attempt may follow one that breaks.
 func (x *exchange) canMove() bool {
+	if x.began != nil && x.cfg.Origins != nil && !x.cfg.Origins.Certain(x.began) {
+		return false
+	}
 	return x.Route.Repeatable() && !x.trial && x.possibleRuns < x.Route.MaxAttempts && x.reply.continuable()
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -132,9 +132,29 @@
 	RecordSound(subject *poison.Subject, complete bool)
 }
 
+// Origins tells at which software version of an upstream streams began.
+type Origins interface {
+	// Admitted returns which upstreams of a service may begin resumable streams, nil for all.
+	Admitted(service string) func(*fleet.Upstream) bool
+	// Begun records that the stream of a request begins at an upstream, before its first
+	// event is passed on.
+	Begun(service, request string, u *fleet.Upstream)
+	// Certain reports whether what the list says of an upstream at which a stream began is
+	// still true of it.
+	Certain(u *fleet.Upstream) bool
+	// Ended records that the caller has got the whole stream.
+	Ended(service, request string)
+	// Version returns the software version at which the stream of a request began, or an
+	// error if that cannot be told.
+	Version(ctx context.Context, service, request string) (string, error)
+}
+
 // Request is a caller's request with its complete body.
 type Request struct {
 	Call
+	// Resumes is the ID of the request that began the stream to resume; empty if the caller
+	// names none.
+	Resumes             string
 	Route               *fleet.Route
 	Service             string
 	ConfigVersion       uint64 // version of the configuration that selected the route
@@ -156,6 +176,7 @@
 	Memory       *memory.Budget // for long answers; nil for no limit
 	Shutdown     *drain.State   // of this process; nil for none
 	Hedging      *hedge.Hedger  // nil for no hedging
+	Origins      Origins        // of streams that callers take up again; nil if they cannot
 	Log          zerolog.Logger
 }
 
@@ -203,8 +224,10 @@
 	timeToFirstByte time.Duration   // from arrival until the response header is passed on
 	hedgeGrant      *dispatch.Grant // of the second of two attempts side by side; nil for none
 	attemptLog      *zerolog.Array
-	wait            *dispatch.Wait // of the first attempt that had to wait for a slot
-	waited          time.Duration  // for slots, of all attempts
+	began           *fleet.Upstream // that sent the first event; nil before it
+	version         *string         // the only software version that can continue the stream; nil before it begins
+	wait            *dispatch.Wait  // of the first attempt that had to wait for a slot
+	waited          time.Duration   // for slots, of all attempts
 }
 
 // errDone ends the attempts: the caller has been answered or has disconnected.
@@ -243,6 +266,10 @@
 		return
 	}
 	x.trial = admission.Trial
+	if !x.findVersion() {
+		x.rejectUnexecuted(reasonUnknownVersion, 0) // the caller can begin anew at once
+		return
+	}
 	for x.attempt() == nil {
 	}
 }
@@ -250,6 +277,10 @@
 // reasonShutdown is the reason for rejecting a request, or for ending it, in a shutdown.
 const reasonShutdown = "shutting_down"
 
+// reasonUnknownVersion is the reason for rejecting a stream that may have begun at any of
+// several software versions.
+const reasonUnknownVersion = "unknown_version"
+
 // reasonBlockedPart is the reason for rejecting a request with a part of its prompt that
 // crashes upstreams.
 const reasonBlockedPart = "blocked_part"
@@ -349,6 +380,7 @@
 		// The last attempt must not go to an upstream that is on probation.
 		Repeatable: x.Route.Repeatable() && x.possibleRuns+1 < x.Route.MaxAttempts,
 		Avoid:      x.failedUpstreams,
+		Accepts:    x.accepts(),
 	}
 	grant, err := x.cfg.Dispatcher.Acquire(x.ctx, request)
 	if request.Wait != nil {
@@ -360,6 +392,55 @@
 	return grant, err
 }
 
+// hasOrigin reports whether the request is for a stream that callers may take up again.
+func (x *exchange) hasOrigin() bool {
+	return x.Route.Kind == fleet.Stream && x.Route.Resumable && x.cfg.Origins != nil
+}
+
+// streamID is the ID of the request that began, or is to begin, the stream.
+func (x *exchange) streamID() string {
+	if x.ResumeAfter != "" {
+		return x.Resumes
+	}
+	return x.ID
+}
+
+// findVersion finds the software version that began a stream which the caller takes up. It
+// returns false if that cannot be told.
+func (x *exchange) findVersion() bool {
+	if !x.hasOrigin() || x.ResumeAfter == "" {
+		return true
+	}
+	version, err := x.cfg.Origins.Version(x.ctx, x.Service, x.Resumes)
+	if err != nil {
+		return false
+	}
+	x.version = &version
+	return true
+}
+
+// accepts returns which upstreams can serve the request, nil for all.
+func (x *exchange) accepts() func(*fleet.Upstream) bool {
+	switch {
+	case x.version != nil:
+		version := *x.version
+		return func(u *fleet.Upstream) bool { return u.SoftwareVersion == version }
+	case x.hasOrigin():
+		return x.cfg.Origins.Admitted(x.Service)
+	}
+	return nil
+}
+
+// recordOrigin records where the stream begins, or goes on for a caller that took it up.
+func (x *exchange) recordOrigin(u *fleet.Upstream) {
+	version := u.SoftwareVersion
+	x.began, x.version = u, &version
+	if !x.hasOrigin() {
+		return
+	}
+	x.cfg.Origins.Begun(x.Service, x.streamID(), u)
+}
+
 // organisationName returns the organisation of the caller, empty for none.
 func (x *exchange) organisationName() string {
 	if x.Organisation == nil {
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -236,3 +236,9 @@
 func DropUpstreamSpeed(service, upstream string) {
 	metrics.UnregisterMetric(upstreamSpeedName(service, upstream))
 }
+
+// StreamOrigin counts streams taken up by callers, by how the software version that began
+// them was found: own, peer, only, agreed, doubtful or unknown.
+func StreamOrigin(source string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`magnoliausher_stream_origins_total{source=%q}`, source)).Inc()
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -22,6 +22,7 @@
 	"github.com/magnoliausher/magnoliausher/dispatch"
 	"github.com/magnoliausher/magnoliausher/fleet"
 	"github.com/magnoliausher/magnoliausher/limit"
+	"github.com/magnoliausher/magnoliausher/origin"
 	"github.com/magnoliausher/magnoliausher/pause"
 	"github.com/magnoliausher/magnoliausher/poison"
 	rpc "github.com/magnoliausher/magnoliausher/rpc/magnoliausher/v1"
@@ -95,6 +96,8 @@
 	forward              chan struct{} // groups of other data centres are pending
 	forwardUrgent        chan struct{} // same, and the local data centre must yield to them
 	newerPeer            chan string   // address of a peer with newer versions
+	announcedStreams     chan []origin.Stream
+	origins              Origins // nil if no origins of streams are kept
 	relay                atomic.Pointer[Relay]
 	organisationLoads    *organisationLoads
 	membersRead          atomic.Bool // the member rows have been read
@@ -137,6 +140,7 @@
 		forward:              signal(),
 		forwardUrgent:        signal(),
 		newerPeer:            make(chan string, 1),
+		announcedStreams:     make(chan []origin.Stream, maxPendingStreams),
 		organisationLoads:    newOrganisationLoads(),
 		peers:                make(map[string]*peerState),
 		lastForwarded:        make(map[string]time.Time),
@@ -345,6 +349,9 @@
 		return
 	}
 	e.cfg.Holder.MergeState(state, time.Now())
+	if e.origins != nil {
+		e.origins.LearnRegistered(decodeRegistered(response.Msg.Registered))
+	}
 	e.cfg.Log.Info().Str("address", address).Uint64("configuration", state.Version).Uint64("from_list", list).
 		Int("upstreams", len(state.Records)).Msg("merged the state of a peer")
 }
@@ -356,7 +363,11 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInternal, err)
 	}
-	return connect.NewResponse(&rpc.FetchStateResponse{State: data}), nil
+	result := &rpc.FetchStateResponse{State: data}
+	if e.origins != nil {
+		result.Registered = encodeRegistered(e.origins.Registered())
+	}
+	return connect.NewResponse(result), nil
 }
 
 // Handler returns the handler for the RPCs of peers.
--- a/peer/receive.go
+++ b/peer/receive.go
@@ -45,6 +45,7 @@
 			scope = scopeLocal
 		}
 		metric.ReportsReceived(scope, n)
+		e.learnStreams(report.Streams)
 		e.applyReport(&report, from.Addr().Unmap())
 	}
 }
--- a/peer/send.go
+++ b/peer/send.go
@@ -67,6 +67,8 @@
 			startTimer(&s.localReport, s.localMergeInterval())
 		case <-e.forwardUrgent:
 			startTimer(&s.localReportUrgent, urgentInterval)
+		case streams := <-e.announcedStreams:
+			s.sendStreams(streams)
 		case <-s.localReport:
 			s.reportLocally(false, false)
 		case <-s.localReportUrgent:
--- a/rpc/magnoliausher/v1/magnoliausherv1connect/magnoliausher.connect.go
+++ b/rpc/magnoliausher/v1/magnoliausherv1connect/magnoliausher.connect.go
@@ -51,6 +51,8 @@
 	GatewayStoreCallProcedure = "/magnoliausher.v1.Gateway/StoreCall"
 	// GatewayHandOverJobProcedure is the fully-qualified name of the Gateway's HandOverJob RPC.
 	GatewayHandOverJobProcedure = "/magnoliausher.v1.Gateway/HandOverJob"
+	// GatewayFindStreamProcedure is the fully-qualified name of the Gateway's FindStream RPC.
+	GatewayFindStreamProcedure = "/magnoliausher.v1.Gateway/FindStream"
 )
 
 // AgentClient is a client for the magnoliausher.v1.Agent service.
@@ -236,6 +238,8 @@
 	StoreCall(context.Context, *connect.Request[v1.StoreCallRequest]) (*connect.Response[v1.StoreCallResponse], error)
 	// HandOverJob gives a running batch job to a peer when its owner shuts down.
 	HandOverJob(context.Context, *connect.Request[v1.HandOverJobRequest]) (*connect.Response[v1.HandOverJobResponse], error)
+	// FindStream returns what the peer knows about the origin of a stream.
+	FindStream(context.Context, *connect.Request[v1.FindStreamRequest]) (*connect.Response[v1.FindStreamResponse], error)
 }
 
 // NewGatewayClient constructs a client for the magnoliausher.v1.Gateway service. By default, it
@@ -267,6 +271,12 @@
 			connect.WithSchema(gatewayMethods.ByName("HandOverJob")),
 			connect.WithClientOptions(opts...),
 		),
+		findStream: connect.NewClient[v1.FindStreamRequest, v1.FindStreamResponse](
+			httpClient,
+			baseURL+GatewayFindStreamProcedure,
+			connect.WithSchema(gatewayMethods.ByName("FindStream")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -275,6 +285,7 @@
 	fetchState  *connect.Client[v1.FetchStateRequest, v1.FetchStateResponse]
 	storeCall   *connect.Client[v1.StoreCallRequest, v1.StoreCallResponse]
 	handOverJob *connect.Client[v1.HandOverJobRequest, v1.HandOverJobResponse]
+	findStream  *connect.Client[v1.FindStreamRequest, v1.FindStreamResponse]
 }
 
 // FetchState calls magnoliausher.v1.Gateway.FetchState.
@@ -292,6 +303,11 @@
 	return c.handOverJob.CallUnary(ctx, req)
 }
 
+// FindStream calls magnoliausher.v1.Gateway.FindStream.
+func (c *gatewayClient) FindStream(ctx context.Context, req *connect.Request[v1.FindStreamRequest]) (*connect.Response[v1.FindStreamResponse], error) {
+	return c.findStream.CallUnary(ctx, req)
+}
+
 // GatewayHandler is an implementation of the magnoliausher.v1.Gateway service.
 type GatewayHandler interface {
 	// FetchState returns the configuration and the upstreams that the peer holds.
@@ -301,6 +317,8 @@
 	StoreCall(context.Context, *connect.Request[v1.StoreCallRequest]) (*connect.Response[v1.StoreCallResponse], error)
 	// HandOverJob gives a running batch job to a peer when its owner shuts down.
 	HandOverJob(context.Context, *connect.Request[v1.HandOverJobRequest]) (*connect.Response[v1.HandOverJobResponse], error)
+	// FindStream returns what the peer knows about the origin of a stream.
+	FindStream(context.Context, *connect.Request[v1.FindStreamRequest]) (*connect.Response[v1.FindStreamResponse], error)
 }
 
 // NewGatewayHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -328,6 +346,12 @@
 		connect.WithSchema(gatewayMethods.ByName("HandOverJob")),
 		connect.WithHandlerOptions(opts...),
 	)
+	gatewayFindStreamHandler := connect.NewUnaryHandler(
+		GatewayFindStreamProcedure,
+		svc.FindStream,
+		connect.WithSchema(gatewayMethods.ByName("FindStream")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/magnoliausher.v1.Gateway/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case GatewayFetchStateProcedure:
@@ -336,6 +360,8 @@
 			gatewayStoreCallHandler.ServeHTTP(w, r)
 		case GatewayHandOverJobProcedure:
 			gatewayHandOverJobHandler.ServeHTTP(w, r)
+		case GatewayFindStreamProcedure:
+			gatewayFindStreamHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -356,3 +382,7 @@
 func (UnimplementedGatewayHandler) HandOverJob(context.Context, *connect.Request[v1.HandOverJobRequest]) (*connect.Response[v1.HandOverJobResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("magnoliausher.v1.Gateway.HandOverJob is not implemented"))
 }
+
+func (UnimplementedGatewayHandler) FindStream(context.Context, *connect.Request[v1.FindStreamRequest]) (*connect.Response[v1.FindStreamResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("magnoliausher.v1.Gateway.FindStream is not implemented"))
+}
