fleet: software versions of a service in the view

The registry looked through all upstreams each 50 ms, for each service with streams that may be resumed. The view now has the versions, as it has the usable upstreams.

--- a/fleet/holder.go
+++ b/fleet/holder.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,12 +23,17 @@
 	ListVersion   uint64         // highest version among the records
 	Synced        bool           // the list of upstreams has been read at least once
 	upstreams     map[string][]*Upstream
+	versions      map[string][]string // software versions of the upstreams that are listed or usable, by service
 	listed        map[string]*Upstream // by id, those whose records are not removed
 }
 
 // Usable returns the upstreams of a service that accept new work.
 func (v *View) Usable(service string) []*Upstream { return v.upstreams[service] }
 
+// SoftwareVersions returns the versions of the upstreams of a service that are listed, also
+// of draining ones, or usable, in no order. The caller must not change it.
+func (v *View) SoftwareVersions(service string) []string { return v.versions[service] }
+
 // Contains reports whether an upstream is in the list, usable or not.
 func (v *View) Contains(id string) bool { return v.listed[id] != nil }
 
@@ -188,6 +194,7 @@
 	next.ListVersion = 0
 	next.Records = make([]Record, 0, len(h.records))
 	next.upstreams = make(map[string][]*Upstream)
+	next.versions = make(map[string][]string)
 	next.listed = make(map[string]*Upstream)
 	for _, held := range h.records {
 		next.Records = append(next.Records, held.Record)
@@ -195,6 +202,7 @@
 		if !held.Removed {
 			u := held.Upstream
 			next.listed[held.ID] = &u
+			next.addVersion(&u)
 		}
 		if h.isLeaving(held) {
 			continue
@@ -202,11 +210,18 @@
 		if held.usable() || held.keptUntil.After(now) && !held.Draining {
 			u := held.Upstream
 			next.upstreams[u.Service] = append(next.upstreams[u.Service], &u)
+			next.addVersion(&u)
 		}
 	}
 	h.view.Store(&next)
 }
 
+func (v *View) addVersion(u *Upstream) {
+	if list := v.versions[u.Service]; !slices.Contains(list, u.SoftwareVersion) {
+		v.versions[u.Service] = append(list, u.SoftwareVersion)
+	}
+}
+
 // State is the part of a view that gateways exchange.
 type State struct {
 	Version uint64 // of the configuration; 0 for none
--- a/origin/registry.go
+++ b/origin/registry.go
@@ -98,8 +98,8 @@
 	r.mu.Lock()
 	s := r.of(name)
 	var admitted map[string]bool
-	for _, u := range r.Holder.View().Usable(name) {
-		if !s.confirmed[u.SoftwareVersion] {
+	for _, v := range r.Holder.View().SoftwareVersions(name) {
+		if !s.confirmed[v] {
 			admitted = maps.Clone(s.confirmed)
 			break
 		}
@@ -125,14 +125,14 @@
 	return slices.Sorted(maps.Keys(r.of(name).versions))
 }
 
-// AllKnown returns Known of all services.
-func (r *Registry) AllKnown() map[string][]string {
+// Confirmed returns the versions of all services that may get streams.
+func (r *Registry) Confirmed() map[string][]string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	all := make(map[string][]string, len(r.services))
 	for name, s := range r.services {
-		if len(s.versions) > 0 {
-			all[name] = slices.Sorted(maps.Keys(s.versions))
+		if len(s.confirmed) > 0 {
+			all[name] = slices.Sorted(maps.Keys(s.confirmed))
 		}
 	}
 	return all
@@ -258,7 +258,7 @@
 
 // update brings the row of a service in line with the list of upstreams.
 func (r *Registry) update(ctx context.Context, name string, now time.Time) {
-	listed := listedVersions(r.Holder.View(), name)
+	listed := r.Holder.View().SoftwareVersions(name)
 	removes := r.RemovesObsolete()
 	r.mu.Lock()
 	s := r.of(name)
@@ -286,7 +286,7 @@
 }
 
 // write adds the listed versions to the row that was just read and removes obsolete ones.
-func (r *Registry) write(ctx context.Context, name string, listed map[string]bool, removes bool, now time.Time) error {
+func (r *Registry) write(ctx context.Context, name string, listed []string, removes bool, now time.Time) error {
 	r.mu.Lock()
 	s := r.of(name)
 	version, next := s.row, maps.Clone(s.versions)
@@ -295,7 +295,9 @@
 			delete(next, v)
 		}
 	}
-	maps.Copy(next, listed)
+	for _, v := range listed {
+		next[v] = true
+	}
 	unchanged := maps.Equal(next, s.versions)
 	r.mu.Unlock()
 	if unchanged {
@@ -315,25 +317,10 @@
 	return nil
 }
 
-// listedVersions returns the versions of the upstreams of a service that are in use or
-// drain.
-func listedVersions(view *fleet.View, name string) map[string]bool {
-	listed := make(map[string]bool)
-	for i := range view.Records {
-		if record := &view.Records[i]; !record.Removed && record.Service == name {
-			listed[record.SoftwareVersion] = true
-		}
-	}
-	for _, u := range view.Usable(name) {
-		listed[u.SoftwareVersion] = true
-	}
-	return listed
-}
-
 // observe records the versions that are listed. It reports whether there are several now
 // and were not before.
-func (s *service) observe(listed map[string]bool, now time.Time) (begins bool) {
-	for v := range listed {
+func (s *service) observe(listed []string, now time.Time) (begins bool) {
+	for _, v := range listed {
 		s.listed[v] = now
 	}
 	for v := range s.versions {
@@ -357,7 +344,7 @@
 }
 
 // next returns what is to be done at the store.
-func (s *service) next(listed map[string]bool, removes bool, now time.Time) step {
+func (s *service) next(listed []string, removes bool, now time.Time) step {
 	if now.Sub(s.lastCalled) < retryInterval {
 		return stepNone
 	}
@@ -373,7 +360,7 @@
 			next = stepWrite
 		}
 	}
-	for v := range listed {
+	for _, v := range listed {
 		switch due, known := s.due[v]; {
 		case s.confirmed[v]:
 			delete(s.due, v)
--- a/origin/tracker.go
+++ b/origin/tracker.go
@@ -124,7 +124,7 @@
 }
 
 // Registered returns the software versions registered for each service.
-func (t *Tracker) Registered() map[string][]string { return t.registry.AllKnown() }
+func (t *Tracker) Registered() map[string][]string { return t.registry.Confirmed() }
 
 // LearnRegistered adds versions that another gateway knows to be registered.
 func (t *Tracker) LearnRegistered(all map[string][]string) { t.registry.Learn(all) }
