--- a/batch/service_test.go
+++ b/batch/service_test.go
@@ -44,7 +44,7 @@
 	var records []fleet.Record
 	for i, e := range engines {
 		records = append(records, fleet.Record{Version: uint64(i + 1), Upstream: fleet.Upstream{ID: e.ID, Service: e.Service,
-			Address: e.Address(), Slots: e.Slots}})
+			Address: e.Address(), Slots: e.Slots, SoftwareVersion: e.Software}})
 	}
 	g.holder.Replace(records, 100, time.Now())
 	client := platform.NewStore(store.Address())
