--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -57,6 +57,7 @@
 
 type queue struct {
 	waiters     placement.Queue   // the Value of each is a *waiter
+	blocked     bool              // a waiter was passed over, since the upstreams that it accepts are busy
 	poller      *waiter           // serves the queue at intervals; nil until one takes it up
 	shares      map[string]*share // by organisation
 	serviceTime time.Duration     // moving average of served online requests
@@ -122,10 +123,11 @@
 	r.Wait = &Wait{Ahead: q.waiters.Len(), ReportAge: d.oldestReport(now),
 		FreeSlots: placement.FreeSlots(d.snapshot(d.cfg.Holder.View().Usable(r.Service), r.Repeatable, now))}
 	q.waiters.Push(&w.Waiter)
-	named := r.Organisation != ""
+	q.blocked = q.blocked || r.Accepts != nil
+	mayPass := r.Organisation != "" || q.blocked
 	d.mu.Unlock()
 	d.notifyChange(false)
-	if named {
+	if mayPass {
 		d.serve(r.Service, now)
 	}
 	return d.waitForGrant(ctx, w, latest)
@@ -324,6 +326,7 @@
 		served = true
 		urgent = urgent || d.isUrgent(q, g.Upstream)
 	}
+	q.blocked = len(blocked) > 0
 	for _, w := range blocked {
 		q.waiters.Push(&w.Waiter)
 	}
