--- a/dispatch/accepts_test.go
+++ b/dispatch/accepts_test.go
@@ -15,6 +15,7 @@
 
 // acquireAt starts to acquire a slot of an upstream of one version.
 func acquireAt(t *testing.T, d *Dispatcher, version string) (<-chan *Grant, <-chan error) {
+	time.Sleep(time.Millisecond) // requests are served by arrival
 	r := request(5 * time.Second)
 	r.Accepts = only(version)
 	granted, failed := make(chan *Grant, 1), make(chan error, 1)
@@ -42,6 +43,7 @@
 		}
 		one, _ := acquireAt(t, d, "v1")
 		two, _ := acquireAt(t, d, "v2")
+		time.Sleep(time.Millisecond)
 		any := make(chan *Grant, 1) // for a request that accepts all versions
 		go func() { any <- mustAcquire(t, d) }()
 		synctest.Wait()
