--- a/batch/version_test.go
+++ b/batch/version_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/magnoliausher/magnoliausher/batch"
 	"github.com/magnoliausher/magnoliausher/fleet"
+	"github.com/magnoliausher/magnoliausher/peer"
 	"github.com/magnoliausher/magnoliausher/platform/platformtest"
 )
 
@@ -125,3 +126,24 @@
 		})
 	}
 }
+
+// Guards against a job that is handed over without the versions of its items.
+func TestHandedOverItemStaysAtItsVersion(t *testing.T) {
+	store, first, other, same := newStore(t), newVersion(t, "first", "v1"), newVersion(t, "e2", "v2"), newVersion(t, "e3", "v1")
+	first.StallAfter = map[string]int{"j-0": 3}
+	b := start(t, store, "b", 1, noPeers, other, same)
+	members := func() []peer.MemberStatus {
+		return []peer.MemberStatus{{Member: peer.Member{Name: "b", Incarnation: 1}, LastHeard: time.Now()}}
+	}
+	a := startWithConfig(t, store, "a", 1, members, func(c *batch.Config) { c.HandOver = handOverTo(func() *gateway { return b }) }, first)
+	submit(t, a, submission("j", 1, 10))
+	for first.Stalled() < 1 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	store.FailWith(503)
+	a.Release()
+	store.FailWith(0)
+	if versions := checkVersion(t, awaitResults(t, b, "j", 5*time.Second), 1, 5); versions["v1"] != 1 || same.Resumed("j-0") != 1 {
+		t.Errorf("items by version: %v, resumed %d times, want one of v1 and once", versions, same.Resumed("j-0"))
+	}
+}
