--- a/origin/registry.go
+++ b/origin/registry.go
@@ -276,8 +276,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, err := r.Read(ctx, name)
-	if err == nil && next == stepWrite {
+	versions, err := r.Read(ctx, name)
+	// No streams have begun that other gateways would have to announce first if there is no row.
+	if err == nil && (next == stepWrite || len(versions) == 0) {
 		err = r.write(ctx, name, listed, removes, now)
 	}
 	if err != nil && !errors.Is(err, storage.ErrConflict) {
