origin: notice that another gateway has removed an obsolete version

The others kept it until the next read, announced all streams for ever, and could not agree on the remaining version in an outage of the store.

--- a/origin/registry.go
+++ b/origin/registry.go
@@ -32,6 +32,9 @@
 	registerJitter = 200 * time.Millisecond
 	// retryInterval is the least time between two attempts to read or write a row.
 	retryInterval = 200 * time.Millisecond
+	// obsoleteReadInterval is the time between two reads of a row whose obsolete versions
+	// another gateway removes.
+	obsoleteReadInterval = 10 * time.Second
 	// callTimeout bounds the calls of one attempt.
 	callTimeout = 2 * time.Second
 	// confirmedFor is how long a version that is missing in the list stays confirmed. It is
@@ -370,8 +373,12 @@
 		next = stepRead
 	}
 	for v := range s.versions {
-		if removes && s.obsolete(v, now) {
+		switch {
+		case !s.obsolete(v, now):
+		case removes:
 			next = stepWrite
+		case now.Sub(s.lastCalled) >= obsoleteReadInterval:
+			next = max(next, stepRead)
 		}
 	}
 	for v := range listed {
