origin: do not teach other gateways versions that may have been removed

A gateway that started in an outage of the store took them for confirmed, and began streams of such a version when it came back, although its row did not name it.

--- a/origin/registry.go
+++ b/origin/registry.go
@@ -128,13 +128,14 @@
 	return slices.Sorted(maps.Keys(r.of(name).versions))
 }
 
-// AllKnown returns Known of all services.
-func (r *Registry) AllKnown() map[string][]string {
+// Confirmed returns the registered versions of the services all of whose versions are
+// confirmed. Those of other services may have been removed since they were read.
+func (r *Registry) Confirmed() map[string][]string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	all := make(map[string][]string, len(r.services))
 	for name, s := range r.services {
-		if len(s.versions) > 0 {
+		if len(s.versions) > 0 && maps.Equal(s.versions, s.confirmed) {
 			all[name] = slices.Sorted(maps.Keys(s.versions))
 		}
 	}
--- a/origin/tracker.go
+++ b/origin/tracker.go
@@ -123,8 +123,9 @@
 	return Answer{Stream: s, Known: known, Versions: t.registry.Known(service)}
 }
 
-// Registered returns the software versions registered for each service.
-func (t *Tracker) Registered() map[string][]string { return t.registry.AllKnown() }
+// Registered returns the software versions registered for each service, as far as they
+// are certain to be still.
+func (t *Tracker) Registered() map[string][]string { return t.registry.Confirmed() }
 
 // LearnRegistered adds versions that another gateway knows to be registered.
 func (t *Tracker) LearnRegistered(all map[string][]string) { t.registry.Learn(all) }
