--- a/origin/registry.go
+++ b/origin/registry.go
@@ -121,11 +121,18 @@
 	return r.of(name).several
 }
 
-// Known returns the registered versions of a service as last read.
+// Known returns the registered versions of a service as last read, with those that are
+// listed and may have been registered since. It returns none before the first read.
 func (r *Registry) Known(name string) []string {
+	known := listedVersions(r.Holder.View(), name)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.Sorted(maps.Keys(r.of(name).versions))
+	s := r.of(name)
+	if len(s.versions) == 0 {
+		return nil
+	}
+	maps.Copy(known, s.versions)
+	return slices.Sorted(maps.Keys(known))
 }
 
 // Confirmed returns the registered versions of the services all of whose versions are
