--- a/origin/table.go
+++ b/origin/table.go
@@ -51,10 +51,11 @@
 }
 
 // doubtful reports whether the stream may have begun at a later incarnation of its upstream
-// than the one that was known then, which has another version.
+// than the one that was known then, which has another version. That one may have gone since.
 func (s *Stream) doubtful(view *fleet.View) bool {
-	u := view.Upstream(s.Upstream)
-	return u != nil && u.Started > s.Started && u.SoftwareVersion != s.Version
+	return slices.ContainsFunc(view.Records, func(r fleet.Record) bool {
+		return r.ID == s.Upstream && r.Started > s.Started && r.SoftwareVersion != s.Version
+	})
 }
 
 // table holds the streams that began within StreamLifetime. It has no clock and is not
