--- a/daemon/gateway_test.go
+++ b/daemon/gateway_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -178,12 +179,21 @@
 }
 
 func (g *runningGateway) send(method, path, id string, body string) reply {
+	return read(g.open(method, path, id, body, nil))
+}
+
+// open sends a request with more headers and returns the response, whose body is unread.
+func (g *runningGateway) open(method, path, id, body string, more http.Header) (*http.Response, error) {
 	request, err := http.NewRequest(method, "http://"+g.settings.Instance.Listen+path, strings.NewReader(body))
 	if err != nil {
-		return reply{err: err}
+		return nil, err
 	}
+	maps.Copy(request.Header, more)
 	platformtest.PrepareRequest(request, id, "h", 5000)
-	response, err := http.DefaultClient.Do(request)
+	return http.DefaultClient.Do(request)
+}
+
+func read(response *http.Response, err error) reply {
 	if err != nil {
 		return reply{err: err}
 	}
