--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -36,6 +36,7 @@
 	dispatcher *dispatch.Dispatcher
 	suspects   *poison.Table
 	limits     *limit.Shared
+	streams    keptStreams
 	calls      atomic.Int32 // RPCs served
 	stop       func()
 }
@@ -224,6 +225,7 @@
 	n.Exchange = New(Config{Self: Member{Name: name, Incarnation: incarnation, Address: address, DataCentre: dataCentre}, Holder: n.holder,
 		Dispatcher: n.dispatcher, Suspects: n.suspects, Limits: n.limits, Log: zerolog.Nop()})
 	n.dispatcher.OnChange(n.NotifyChange)
+	n.UseOrigins(&n.streams)
 	return n
 }
 
