--- a/origin/registry.go
+++ b/origin/registry.go
@@ -32,6 +32,9 @@
 	registerJitter = 200 * time.Millisecond
 	// retryInterval is the least time between two attempts to read or write a row.
 	retryInterval = 200 * time.Millisecond
+	// obsoleteReadInterval is the time between two reads of a row whose obsolete versions
+	// another gateway removes.
+	obsoleteReadInterval = 10 * time.Second
 	// callTimeout bounds the calls of one attempt.
 	callTimeout = 2 * time.Second
 	// confirmedFor is how long a version that is missing in the list stays confirmed. It is
@@ -118,21 +121,30 @@
 	return r.of(name).several
 }
 
-// Known returns the registered versions of a service as last read.
+// Known returns the registered versions of a service as last read, with those that are
+// listed and may have been registered since. It returns none before the first read.
 func (r *Registry) Known(name string) []string {
+	listed := r.Holder.View().SoftwareVersions(name)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.Sorted(maps.Keys(r.of(name).versions))
+	s := r.of(name)
+	if len(s.versions) == 0 {
+		return nil
+	}
+	known := slices.AppendSeq(slices.Clone(listed), maps.Keys(s.versions))
+	slices.Sort(known)
+	return slices.Compact(known)
 }
 
-// Confirmed returns the versions of all services that may get streams.
+// Confirmed returns the registered versions of the services all of whose versions are
+// confirmed. Those of other services may have been removed since they were read.
 func (r *Registry) Confirmed() map[string][]string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	all := make(map[string][]string, len(r.services))
 	for name, s := range r.services {
-		if len(s.confirmed) > 0 {
-			all[name] = slices.Sorted(maps.Keys(s.confirmed))
+		if len(s.versions) > 0 && maps.Equal(s.versions, s.confirmed) {
+			all[name] = slices.Sorted(maps.Keys(s.versions))
 		}
 	}
 	return all
@@ -276,8 +288,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, err := r.Read(ctx, name)
-	if err == nil && next == stepWrite {
+	versions, err := r.Read(ctx, name)
+	// No streams have begun that other gateways would have to announce first if there is no row.
+	if err == nil && (next == stepWrite || len(versions) == 0) {
 		err = r.write(ctx, name, listed, removes, now)
 	}
 	if err != nil && !errors.Is(err, storage.ErrConflict) {
@@ -356,8 +369,12 @@
 		next = stepRead
 	}
 	for v := range s.versions {
-		if removes && s.obsolete(v, now) {
+		switch {
+		case !s.obsolete(v, now):
+		case removes:
 			next = stepWrite
+		case now.Sub(s.lastCalled) >= obsoleteReadInterval:
+			next = max(next, stepRead)
 		}
 	}
 	for _, v := range listed {
