--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -100,6 +100,7 @@
 	suspects   *poison.Table
 	persister  *poison.Persister
 	versions   *origin.Registry // of software at which streams begin
+	origins    *origin.Backup
 	dispatcher *dispatch.Dispatcher
 	limits     *limit.Shared // rates of organisations
 	exchange   *peer.Exchange
@@ -148,6 +149,7 @@
 	origins := origin.NewTracker(registry, g.exchange, g.log)
 	g.exchange.UseOrigins(origins)
 	g.versions = registry
+	g.origins = origin.NewBackup(g.relay, origins, g.self.Name, g.exchange.Rank, g.log)
 	g.persister = &poison.Persister{Table: g.suspects, Rows: g.relay, Rank: g.exchange.Rank, Log: g.log,
 		Prefix: suspectRowPrefix, MinCrashes: crashesToBlock}
 	engines := platform.NewEngineClient()
@@ -286,6 +288,7 @@
 	group.Go(func() error { g.followMembers(background); return nil })
 	group.Go(func() error { g.persister.Run(background); return nil })
 	group.Go(func() error { g.versions.Run(background); return nil })
+	group.Go(func() error { g.origins.Run(background); return nil })
 	group.Go(func() error { g.expireUpstreams(background); return nil })
 	group.Go(func() error { g.updateRates(background); return nil })
 	group.Go(func() error {
--- a/fleet/holder.go
+++ b/fleet/holder.go
@@ -23,7 +23,7 @@
 	ListVersion   uint64         // highest version among the records
 	Synced        bool           // the list of upstreams has been read at least once
 	upstreams     map[string][]*Upstream
-	versions      map[string][]string // software versions of the upstreams that are listed or usable, by service
+	versions      map[string][]string  // software versions of the upstreams that are listed or usable, by service
 	listed        map[string]*Upstream // by id, those whose records are not removed
 }
 
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -238,7 +238,7 @@
 }
 
 // StreamOrigin counts streams taken up by callers, by how the software version that began
-// them was found: own, peer, only, agreed, doubtful or unknown.
+// them was found: own, peer, only, agreed, saved, doubtful or unknown.
 func StreamOrigin(source string) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`magnoliausher_stream_origins_total{source=%q}`, source)).Inc()
 }
--- a/origin/registry.go
+++ b/origin/registry.go
@@ -121,6 +121,18 @@
 	return r.of(name).several
 }
 
+// anySeveral reports whether Several holds for any service.
+func (r *Registry) anySeveral() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.services {
+		if s.several {
+			return true
+		}
+	}
+	return false
+}
+
 // Known returns the registered versions of a service as last read, with those that are
 // listed and may have been registered since. It returns none before the first read.
 func (r *Registry) Known(name string) []string {
--- a/origin/tracker.go
+++ b/origin/tracker.go
@@ -50,7 +50,9 @@
 
 	mu     sync.Mutex
 	own    *table // begun or resumed here
-	others *table // announced by other gateways
+	others *table // announced by other gateways, or saved by them
+
+	loaded chan struct{} // closed once the saved streams have been loaded; nil if none are saved
 }
 
 // NewTracker returns a tracker and sets the callback of the registry.
@@ -117,6 +119,31 @@
 	}
 }
 
+// restore takes over streams that were saved.
+func (t *Tracker) restore(streams []Stream, own bool) {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	into := t.others
+	if own {
+		into = t.own
+	}
+	for _, s := range streams {
+		into.add(s, now)
+	}
+}
+
+// unended returns the streams of this gateway that may be resumed, none if all services
+// have one version.
+func (t *Tracker) unended() []Stream {
+	if !t.registry.anySeveral() {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.own.list(time.Now())
+}
+
 // Answer returns what this gateway knows about a stream, for another one.
 func (t *Tracker) Answer(service string, key Key) Answer {
 	s, known := t.find(key)
@@ -158,6 +185,9 @@
 		metric.StreamOrigin("only")
 		return versions[0], nil
 	}
+	if s, known := t.awaitLoaded(ctx, key); known {
+		return t.resolve(s, "saved")
+	}
 	if answers == nil {
 		if answers = t.ask(ctx, service, key); len(answers) > 0 && answers[0].Known {
 			return t.resolve(answers[0].Stream, "peer")
@@ -171,6 +201,30 @@
 	return "", ErrUnknown
 }
 
+// awaitLoaded waits for the saved streams after a start and returns a stream if it is
+// among them.
+func (t *Tracker) awaitLoaded(ctx context.Context, key Key) (Stream, bool) {
+	if t.loaded == nil || isClosed(t.loaded) {
+		return Stream{}, false // find would have found it
+	}
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	select {
+	case <-t.loaded:
+	case <-ctx.Done():
+	}
+	return t.find(key)
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // readVersions reads the row of a service.
 func (t *Tracker) readVersions(ctx context.Context, service string) ([]string, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
