--- a/origin/fake_test.go
+++ b/origin/fake_test.go
@@ -53,7 +53,7 @@
 	err := f.begin()
 	defer f.mu.Unlock()
 	w := tx.Writes[0]
-	if err == nil && f.row.Version != w.IfVersion {
+	if err == nil && !w.Always && f.row.Version != w.IfVersion {
 		err = storage.ErrConflict
 	}
 	if err != nil {
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -96,8 +96,8 @@
 // when its first streams begin.
 func TestEarlierStreamsAreAnnounced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		peers := &fakePeers{}
-		g := newGateway(t, &fakeTable{}, peers, "v1")
+		rows, peers := &fakeTable{}, &fakePeers{}
+		g, first := newGateway(t, rows, peers, "v1"), newGateway(t, rows, &fakePeers{}, "v1")
 		time.Sleep(time.Second)
 		g.Begun("s", "r1", upstreamOf("v1"))
 		g.Begun("s", "r2", upstreamOf("v1"))
@@ -105,8 +105,10 @@
 		if time.Sleep(time.Second); len(peers.announced) > 0 {
 			t.Error("announced with one version in use")
 		}
+		first.use("v1", "v2")
+		time.Sleep(100 * time.Millisecond) // the list reaches gateways one after another
 		g.use("v1", "v2")
-		for !g.admits("v2") {
+		for !first.admits("v2") {
 			time.Sleep(time.Millisecond)
 		}
 		if len(peers.announced) != 1 || peers.announced[0].Key != KeyOf("s", "r1") {
