batch: start an item over that its version cannot go on with

An item went on at its version only, also if each attempt there broke without a new event, and so never ended although another version could serve it (TestEngineWithUnusableAnswers, with the broken engine of another version).

--- a/batch/broken_test.go
+++ b/batch/broken_test.go
@@ -76,7 +76,7 @@
 			g := start(t, store, "a", 1, noPeers, e)
 			g.holder.Replace([]fleet.Record{
 				{Version: 1, Upstream: fleet.Upstream{ID: e.ID, Service: e.Service, Address: e.Address(), Slots: 4}},
-				{Version: 2, Upstream: fleet.Upstream{ID: "broken", Service: e.Service, Address: strings.TrimPrefix(broken.URL, "http://"), Slots: 4}},
+				{Version: 2, Upstream: fleet.Upstream{ID: "broken", Service: e.Service, Address: strings.TrimPrefix(broken.URL, "http://"), Slots: 4, SoftwareVersion: e.Software}},
 			}, 200, time.Now())
 			if got := submit(t, g, submission("j", 6, 10)); got != batch.Accepted {
 				t.Fatalf("got %v", got)
--- a/batch/schedule.go
+++ b/batch/schedule.go
@@ -163,15 +163,30 @@
 	return now.Add(s.pace.remaining(c.priority.Events) * shortOfTimePercent / 100).After(c.due)
 }
 
+// breaksToStartOver is the number of attempts in a row without a new event after which an
+// item starts over if that can be at another software version.
+const breaksToStartOver = 4
+
 // upstreamsFor returns the upstreams that can go on with an item, nil for all of its
 // service. An item that no upstream in use can go on with starts over. The caller holds s.mu.
 func (s *Service) upstreamsFor(c candidate, service string) func(*fleet.Upstream) bool {
 	accepts := c.item.resumableAt()
-	if accepts == nil || slices.ContainsFunc(s.cfg.Holder.View().Usable(service), accepts) {
+	if accepts == nil {
+		return nil
+	}
+	accepting := 0
+	usable := s.cfg.Holder.View().Usable(service)
+	for _, u := range usable {
+		if accepts(u) {
+			accepting++
+		}
+	}
+	stuck := c.item.brokenInRow >= breaksToStartOver && accepting < len(usable)
+	if accepting > 0 && !stuck {
 		return accepts
 	}
 	s.cfg.Log.Info().Str("job", c.job.submission.ID).Str("request", c.job.submission.Items[c.item.index].ID).Str("service", service).
-		Int("events", c.item.events()).Msg("no upstream of the software version that began the item; it starts over")
+		Int("events", c.item.events()).Int("upstreams", accepting).Int("broken", c.item.brokenInRow).Msg("no upstream of the software version that began the item goes on with it; it starts over")
 	c.item.reset(0)
 	return nil
 }
--- a/batch/version_test.go
+++ b/batch/version_test.go
@@ -38,7 +38,7 @@
 }
 
 // Guards against an item whose upstream breaks and that goes on at another version, starts
-// over although its version is in use, or waits for ever for one that has gone.
+// over although its version is in use, or waits for ever for one that has gone or is broken.
 func TestBrokenItemStaysAtItsVersion(t *testing.T) {
 	store := newStore(t)
 	breaking, other, same := newVersion(t, "e1", "v1"), newVersion(t, "e2", "v2"), newVersion(t, "e3", "v1")
@@ -52,17 +52,18 @@
 		}
 	}
 
-	last := newVersion(t, "e4", "v1")
-	last.StallAfter = map[string]int{"k-0": 2, "k-1": 3}
-	b := start(t, store, "b", 1, noPeers, last)
-	submit(t, b, submission("k", 2, 10))
-	for last.Stalled() < 2 {
-		time.Sleep(10 * time.Millisecond)
+	for job, last := range map[string]*platformtest.Engine{"gone": newVersion(t, "e4", "v1"), "broken": newVersion(t, "e5", "v1")} {
+		last.StallAfter = map[string]int{job + "-0": 2, job + "-1": 3}
+		b := start(t, store, job, 1, noPeers, last)
+		submit(t, b, submission(job, 2, 10))
+		for last.Stalled() < 2 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		last.SetFault(platformtest.Unresponsive)
+		b.holder.Apply([]fleet.Record{{Version: 200, Removed: job == "gone", Upstream: fleet.Upstream{ID: last.ID, Service: "s", Address: last.Address(), Slots: 4, SoftwareVersion: "v1"}},
+			{Version: 201, Upstream: fleet.Upstream{ID: "e2", Service: "s", Address: other.Address(), Slots: 4, SoftwareVersion: "v2"}}}, time.Now())
+		checkVersions(t, awaitResults(t, b, job, 20*time.Second), 2, 5, "v2")
 	}
-	b.holder.Apply([]fleet.Record{{Version: 200, Removed: true, Upstream: fleet.Upstream{ID: "e4"}},
-		{Version: 201, Upstream: fleet.Upstream{ID: "e2", Service: "s", Address: other.Address(), Slots: 4, SoftwareVersion: "v2"}}}, time.Now())
-	last.Close()
-	checkVersions(t, awaitResults(t, b, "k", 10*time.Second), 2, 5, "v2")
 }
 
 // Guards against a next owner that goes on at another version, or that starts items over
--- a/origin/fake_test.go
+++ b/origin/fake_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -91,7 +92,7 @@
 type gateway struct {
 	*Tracker
 	holder  *fleet.Holder
-	removes bool // obsolete versions
+	removes atomic.Bool // obsolete versions
 	list    uint64
 	stop    func()
 }
@@ -101,7 +102,7 @@
 	g.holder.Configure(fleet.NewConfiguration(1, []fleet.Route{{Name: "r", Host: "h", Prefix: "/", Kind: fleet.Stream, Resumable: true,
 		Targets: []fleet.Target{{Service: "s", Weight: 1}}}}, fleet.Limits{}))
 	g.use(versions...)
-	registry := &Registry{Rows: rows, Holder: g.holder, Log: zerolog.Nop(), RemovesObsolete: func() bool { return g.removes }}
+	registry := &Registry{Rows: rows, Holder: g.holder, Log: zerolog.Nop(), RemovesObsolete: func() bool { return g.removes.Load() }}
 	g.Tracker = NewTracker(registry, peers, zerolog.Nop())
 	ctx, stop := context.WithCancel(context.Background())
 	var running sync.WaitGroup
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -47,7 +47,7 @@
 		rows := &fakeTable{}
 		a, b := newGateway(t, rows, &fakePeers{}, "v1", "v2"), newGateway(t, rows, &fakePeers{}, "v1", "v2")
 		time.Sleep(2 * time.Second)
-		a.removes = true
+		a.removes.Store(true)
 		a.use("v2")
 		b.use("v2")
 		time.Sleep(obsoleteAfter - time.Second)
@@ -208,7 +208,7 @@
 	for i := range 5 {
 		net.gateways = append(net.gateways, start(i))
 	}
-	net.gateways[0].removes = true
+	net.gateways[0].removes.Store(true)
 	type stream struct {
 		id, version string
 		began       time.Time
@@ -220,10 +220,14 @@
 		g := net.gateways[i]
 		switch draw := random.IntN(1000); {
 		case draw < 5: // the lists change, one after another
+			net.mu.Lock()
 			listed = [][]string{{"v1"}, {"v2"}, {"v1", "v2"}, {"v2", "v3"}}[random.IntN(4)]
+			net.mu.Unlock()
 			for _, other := range net.gateways {
 				now := slices.Clone(listed)
 				time.AfterFunc(time.Duration(random.IntN(150))*time.Millisecond, func() {
+					net.mu.Lock()
+					defer net.mu.Unlock()
 					if slices.Equal(now, listed) { // no later list has overtaken this one
 						other.use(now...)
 					}
@@ -233,7 +237,7 @@
 			g.stop()
 			started := start(i)
 			started.LearnRegistered(net.gateways[(i+1)%5].Registered())
-			started.removes = g.removes
+			started.removes.Store(g.removes.Load())
 			net.mu.Lock()
 			net.gateways[i] = started
 			net.mu.Unlock()
