--- a/batch/schedule.go
+++ b/batch/schedule.go
@@ -165,7 +165,7 @@
 
 // breaksToStartOver is the number of attempts in a row without a new event after which an
 // item starts over if that can be at another software version.
-const breaksToStartOver = 4
+const breaksToStartOver = 3
 
 // upstreamsFor returns the upstreams that can go on with an item, nil for all of its
 // service. An item that no upstream in use can go on with starts over. The caller holds s.mu.
