origin: new streams wait for the versions of their service just after a start

What callers saw: resumable streams got 503 within the first 50 ms or so after a gateway had read the list, since no version was confirmed yet. Change: if none of the listed versions is confirmed, a new stream waits for up to 250 ms.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -134,8 +134,9 @@
 
 // Origins tells at which software version of an upstream streams began.
 type Origins interface {
-	// Admitted returns which upstreams of a service may begin resumable streams, nil for all.
-	Admitted(service string) func(*fleet.Upstream) bool
+	// Admitted returns which upstreams of a service may begin resumable streams, nil for
+	// all. It may wait for a short time if none may yet.
+	Admitted(ctx context.Context, service string) func(*fleet.Upstream) bool
 	// Begun records that the stream of a request begins at an upstream, before its first
 	// event is passed on.
 	Begun(service, request string, u *fleet.Upstream)
@@ -426,7 +427,7 @@
 		version := *x.version
 		return func(u *fleet.Upstream) bool { return u.SoftwareVersion == version }
 	case x.hasOrigin():
-		return x.cfg.Origins.Admitted(x.Service)
+		return x.cfg.Origins.Admitted(x.ctx, x.Service)
 	}
 	return nil
 }
--- a/origin/fake_test.go
+++ b/origin/fake_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -15,11 +17,12 @@
 	"github.com/magnoliausher/magnoliausher/storage"
 )
 
-// fakeTable holds one row.
+// fakeTable is a table in memory.
 type fakeTable struct {
-	mu    sync.Mutex
-	row   storage.Row
-	fails bool
+	mu      sync.Mutex
+	version uint64
+	rows    map[string]storage.Row
+	fails   bool
 }
 
 // begin locks the table after the time that a call takes.
@@ -32,36 +35,53 @@
 	return nil
 }
 
-func (f *fakeTable) Get(context.Context, string) (storage.Row, error) {
+func (f *fakeTable) Get(_ context.Context, key string) (storage.Row, error) {
 	err := f.begin()
 	defer f.mu.Unlock()
-	if err == nil && f.row.Version == 0 {
+	row, found := f.rows[key]
+	if err == nil && !found {
 		err = storage.ErrNotFound
 	}
-	return f.row, err
+	return row, err
 }
 
-func (f *fakeTable) Scan(context.Context, string, string, int) ([]storage.Row, error) {
+func (f *fakeTable) Scan(_ context.Context, prefix, after string, limit int) ([]storage.Row, error) {
 	err := f.begin()
 	defer f.mu.Unlock()
-	if f.row.Version == 0 {
-		return nil, err
+	var list []storage.Row
+	for _, key := range slices.Sorted(maps.Keys(f.rows)) {
+		if strings.HasPrefix(key, prefix) && key > after && len(list) < limit {
+			list = append(list, f.rows[key])
+		}
 	}
-	return []storage.Row{f.row}, err
+	return list, err
 }
 
 func (f *fakeTable) Commit(_ context.Context, tx storage.Transaction) ([]uint64, error) {
 	err := f.begin()
 	defer f.mu.Unlock()
 	w := tx.Writes[0]
-	if err == nil && !w.Always && f.row.Version != w.IfVersion {
+	if err == nil && !w.Always && f.rows[w.Key].Version != w.IfVersion {
 		err = storage.ErrConflict
 	}
 	if err != nil {
 		return nil, err
 	}
-	f.row = storage.Row{Key: w.Key, Version: f.row.Version + 1, Value: w.Value}
-	return []uint64{f.row.Version}, nil
+	f.version++
+	if f.rows == nil {
+		f.rows = make(map[string]storage.Row)
+	}
+	f.rows[w.Key] = storage.Row{Key: w.Key, Version: f.version, Value: w.Value}
+	if w.Delete {
+		delete(f.rows, w.Key)
+	}
+	return []uint64{f.version}, nil
+}
+
+func (f *fakeTable) has(key string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rows[key].Version > 0
 }
 
 func (f *fakeTable) setFails(fails bool) {
@@ -74,7 +94,7 @@
 func (f *fakeTable) registered() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	versions, _ := decodeVersions(f.row.Value)
+	versions, _ := decodeVersions(f.rows[rowKey("s")].Value)
 	return versions
 }
 
@@ -131,7 +151,7 @@
 
 // admits reports whether streams may begin at a listed version.
 func (g *gateway) admits(version string) bool {
-	admitted := g.Admitted("s")
+	admitted, _ := g.registry.Admitted("s")
 	return admitted == nil || admitted(upstreamOf(version))
 }
 
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"context"
 	"errors"
 	"flag"
 	"fmt"
@@ -9,6 +10,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/rs/zerolog"
 )
 
 // Guards against streams that begin at a version that is not registered, or whose
@@ -293,3 +296,42 @@
 		t.Errorf("%d streams resumed, %d refused", told, refused)
 	}
 }
+
+// Guards against streams that are refused after a loss of all gateways although their
+// origins were saved, and against rows that stay for ever.
+func TestOriginsAreSaved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := &fakeTable{}
+		start := func(name string) (*gateway, func()) {
+			g := newGateway(t, rows, &fakePeers{}, "v1", "v2")
+			b := NewBackup(rows, g.Tracker, name, func() (int, int) { return 0, 2 }, zerolog.Nop())
+			ctx, stop := context.WithCancel(t.Context())
+			go b.Run(ctx)
+			time.Sleep(time.Second)
+			return g, func() { stop(); g.stop(); synctest.Wait() }
+		}
+		a, stopA := start("a")
+		a.Begun("s", "saved", upstreamOf("v2"))
+		a.Begun("s", "ended", upstreamOf("v2"))
+		a.Ended("s", "ended")
+		time.Sleep(time.Second)
+		a.Begun("s", "too young", upstreamOf("v1"))
+		stopA()
+		for _, name := range []string{"b", "a", "b"} {
+			g, stop := start(name)
+			for request, want := range map[string]string{"saved": "v2", "ended": "", "too young": ""} {
+				if v, _ := g.Version(t.Context(), "s", request); v != want {
+					t.Errorf("%s at %s: got %q, want %q", request, name, v, want)
+				}
+			}
+			stop()
+		}
+		time.Sleep(backupRetention + time.Second)
+		if _, stop := start("c"); rows.has(backupPrefix + "a") {
+			t.Error("an old row was not removed")
+			stop()
+		} else {
+			stop()
+		}
+	})
+}
--- a/origin/registry.go
+++ b/origin/registry.go
@@ -96,22 +96,22 @@
 }
 
 // Admitted returns which upstreams of a service may begin streams, nil for all that are
-// listed.
-func (r *Registry) Admitted(name string) func(*fleet.Upstream) bool {
+// listed, and whether any of these may.
+func (r *Registry) Admitted(name string) (admitted func(*fleet.Upstream) bool, any bool) {
+	listed := r.Holder.View().SoftwareVersions(name)
 	r.mu.Lock()
-	s := r.of(name)
-	var admitted map[string]bool
-	for _, v := range r.Holder.View().SoftwareVersions(name) {
-		if !s.confirmed[v] {
-			admitted = maps.Clone(s.confirmed)
-			break
-		}
+	defer r.mu.Unlock()
+	s, all := r.of(name), true
+	any = len(listed) == 0 // waiting would be of no use
+	for _, v := range listed {
+		all = all && s.confirmed[v]
+		any = any || s.confirmed[v]
 	}
-	r.mu.Unlock()
-	if admitted == nil {
-		return nil
+	if all {
+		return nil, any
 	}
-	return func(u *fleet.Upstream) bool { return admitted[u.SoftwareVersion] }
+	confirmed := maps.Clone(s.confirmed)
+	return func(u *fleet.Upstream) bool { return confirmed[u.SoftwareVersion] }, any
 }
 
 // Several reports whether several versions of a service are listed or registered.
--- a/origin/tracker.go
+++ b/origin/tracker.go
@@ -11,6 +11,7 @@
 
 	"github.com/magnoliausher/magnoliausher/fleet"
 	"github.com/magnoliausher/magnoliausher/metric"
+	"github.com/magnoliausher/magnoliausher/pause"
 )
 
 // ErrUnknown means that the version at which a stream began cannot be told.
@@ -21,6 +22,10 @@
 	readTimeout = 400 * time.Millisecond
 	// findTimeout bounds the question to other gateways. They answer from memory.
 	findTimeout = 250 * time.Millisecond
+	// admitTimeout is how long a new stream may wait for the versions of its service to be
+	// read. It is short beside the objectives of streams.
+	admitTimeout      = 250 * time.Millisecond
+	admitPollInterval = 5 * time.Millisecond
 	// minAgreeing is the number of other gateways that must know one version only for it
 	// to hold while the store cannot be read.
 	minAgreeing = 2
@@ -62,9 +67,15 @@
 	return t
 }
 
-// Admitted returns which upstreams of a service may begin streams, nil for all.
-func (t *Tracker) Admitted(service string) func(*fleet.Upstream) bool {
-	return t.registry.Admitted(service)
+// Admitted returns which upstreams of a service may begin streams, nil for all. If none may,
+// as just after a start, it waits for that for up to admitTimeout.
+func (t *Tracker) Admitted(ctx context.Context, service string) func(*fleet.Upstream) bool {
+	for end := time.Now().Add(admitTimeout); ; {
+		admitted, any := t.registry.Admitted(service)
+		if any || time.Now().After(end) || !pause.For(ctx, admitPollInterval) {
+			return admitted
+		}
+	}
 }
 
 // Begun records that a stream begins at an upstream. It must be called before the first
