origin: agree on one version only if no gateway has fallen silent

Cause: gateways that are cut off from the store and from another gateway agreed on the one version that they knew, while that gateway may have begun streams at a newer one. Change: a gateway that was heard within the lifetime of streams and is silent, or that was never heard since the start, leaves the version unknown. Evidence: case 'one version, one silent' of TestSourcesOfTheVersion fails without it.

--- a/origin/fake_test.go
+++ b/origin/fake_test.go
@@ -102,10 +102,13 @@
 type fakePeers struct {
 	announced []Stream
 	answers   []Answer
+	silent    bool // another gateway is not heard
 }
 
 func (f *fakePeers) Announce(streams []Stream) { f.announced = append(f.announced, streams...) }
 
+func (f *fakePeers) AllHeard() bool { return !f.silent }
+
 func (f *fakePeers) Find(context.Context, string, Key) []Answer { return slices.Clone(f.answers) }
 
 // gateway is a tracker with its list of upstreams, which has one upstream of each version.
@@ -189,6 +192,8 @@
 	}
 }
 
+func (n *node) AllHeard() bool { return true }
+
 func (n *node) Find(_ context.Context, service string, key Key) []Answer {
 	var answers []Answer
 	for _, g := range n.reached(key, len(n.gateways)-1) {
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -137,6 +137,7 @@
 		unnamed bool     // the caller does not tell the request that began it
 		fails   bool     // the store
 		answers []Answer
+		silent  bool   // a gateway that may have begun the stream
 		want    string // empty for ErrUnknown
 	}{
 		"own":                        {listed: both, begun: "v2", want: "v2"},
@@ -146,6 +147,7 @@
 		"one version":                {listed: one, want: "v1"},
 		"one version, unnamed":       {listed: one, unnamed: true, want: "v1"},
 		"one version for all peers":  {listed: one, fails: true, answers: []Answer{{Versions: one}, {Versions: one}}, want: "v1"},
+		"one version, one silent":    {listed: one, fails: true, silent: true, answers: []Answer{{Versions: one}, {Versions: one}}},
 		"one version for one peer":   {listed: one, fails: true, answers: []Answer{{Versions: one}}},
 		"another version for a peer": {listed: one, fails: true, answers: []Answer{{Versions: one}, {Versions: one}, {Versions: both}}},
 		"nothing known to a peer":    {listed: one, fails: true, answers: []Answer{{Versions: one}, {Versions: one}, {}}},
@@ -157,7 +159,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				rows, request := &fakeTable{}, "r"
-				g := newGateway(t, rows, &fakePeers{answers: c.answers}, c.listed...)
+				g := newGateway(t, rows, &fakePeers{answers: c.answers, silent: c.silent}, c.listed...)
 				time.Sleep(time.Second)
 				rows.setFails(c.fails)
 				if c.late != nil {
--- a/origin/tracker.go
+++ b/origin/tracker.go
@@ -45,6 +45,9 @@
 	// Find asks these gateways. It returns the answers that arrive before ctx ends, and
 	// need not wait for others after one that knows the stream.
 	Find(ctx context.Context, service string, key Key) []Answer
+	// AllHeard reports whether no other gateway has fallen silent that may have begun
+	// streams within StreamLifetime.
+	AllHeard() bool
 }
 
 // Tracker tells at which software version streams began. It is safe for concurrent use.
@@ -204,7 +207,7 @@
 			return t.resolve(answers[0].Stream, "peer")
 		}
 	}
-	if known := t.registry.Known(service); err != nil && agree(known, answers) {
+	if known := t.registry.Known(service); err != nil && t.peers.AllHeard() && agree(known, answers) {
 		metric.StreamOrigin("agreed")
 		return known[0], nil
 	}
--- a/peer/streams.go
+++ b/peer/streams.go
@@ -121,6 +121,15 @@
 	e.origins.Learn(streams)
 }
 
+// AllHeard implements origin.Peers.
+func (e *Exchange) AllHeard() bool {
+	now := time.Now()
+	return !slices.ContainsFunc(e.Members(), func(m MemberStatus) bool {
+		silence := min(now.Sub(m.LastHeard), now.Sub(e.started)) // some were never heard
+		return silence > livePeerTimeout && silence <= origin.StreamLifetime
+	})
+}
+
 // findClient opens a connection for each call. Calls are rare, and an idle kept-alive
 // connection could be dead.
 var findClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
