--- a/forward/silence.go
+++ b/forward/silence.go
@@ -21,6 +21,7 @@
 	timer   *time.Timer
 	last    time.Time          // of progress
 	request *dispatch.Request  // for the next attempt; nil if none may follow
+	began   *fleet.Upstream    // that sent the first event, when request was made; nil before it
 	cancel  context.CancelFunc // of the search in progress; nil for none
 	grant   *dispatch.Grant    // of the next attempt; nil unless this one is given up
 	ended   bool
@@ -59,15 +60,17 @@
 	if w == nil {
 		return
 	}
-	request := x.moveRequest(w.upstream, x.possibleRuns)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.grant != nil {
 		return
 	}
 	w.stop()
-	w.last, w.request = time.Now(), request
-	if request != nil {
+	w.last = time.Now()
+	if w.began == nil { // nothing that the request depends on changes once the stream has begun
+		w.request, w.began = x.moveRequest(w.upstream, x.possibleRuns), x.began
+	}
+	if w.request != nil {
 		w.timer.Reset(StreamIdleTimeout)
 	}
 }
@@ -92,11 +95,11 @@
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
 	w.cancel = cancel
-	request := *w.request
+	request, began := *w.request, w.began
 	w.mu.Unlock()
 	var grant *dispatch.Grant
 	err := dispatch.ErrNoCapacity
-	if !x.cfg.CrashTracker.Recheck(&x.Subject).Blocked {
+	if x.isCertain(began) && !x.cfg.CrashTracker.Recheck(&x.Subject).Blocked {
 		grant, err = x.cfg.Dispatcher.Acquire(ctx, &request)
 	}
 	w.mu.Lock()
