soak: software versions side by side, releases, take-ups at any gateway

Releases replace an engine by one of another version, under its id or a new one, after draining or abruptly. Callers take broken streams up at random gateways, some without Resumes; items are long enough for checkpoints. The stand-in can name its version in each event, and no joined stream or item's output may hold text of two versions.

--- a/e2e/soak/callers_test.go
+++ b/e2e/soak/callers_test.go
@@ -27,6 +27,10 @@
 	err       error // of the connection or a truncated response
 	faultFree bool  // sent while no fault was active, and not cancelled by its caller
 	deadly    bool  // its prompt has the part that crashes engines
+	// Of a request that takes a stream up: the event after which it goes on, and the request
+	// that began it, which may be left out.
+	after   int
+	resumes string
 }
 
 // job is a batch job with the results of its submissions.
@@ -76,6 +80,11 @@
 	if d.seed >= firstStaleOwnerSeed {
 		d.callers.Go(d.readJobs)
 	}
+	if d.seed >= firstVersionsSeed {
+		for i := range streamCallerCount {
+			d.callers.Go(func() { d.callStreams(i) })
+		}
+	}
 }
 
 func (d *deployment) stopCallers() {
@@ -111,7 +120,11 @@
 		if r.deadly {
 			d.deadlyInProgress.Add(1)
 		}
-		r.send(client, g, cancelsEarly)
+		timeout := requestTimeout
+		if cancelsEarly {
+			timeout = 60 * time.Millisecond // before the response is likely to be complete
+		}
+		r.send(client, g, timeout)
 		if r.deadly {
 			d.deadlyInProgress.Add(-1)
 		}
@@ -123,13 +136,11 @@
 	}
 }
 
-// send makes one attempt. With cancelsEarly it times out before the response is
-// likely to be complete.
-func (r *request) send(client *http.Client, g *gateway, cancelsEarly bool) {
-	timeout := 4 * time.Second
-	if cancelsEarly {
-		timeout = 60 * time.Millisecond
-	}
+// requestTimeout is the time limit of requests.
+const requestTimeout = 4 * time.Second
+
+// send makes one attempt, which the caller gives up after the timeout.
+func (r *request) send(client *http.Client, g *gateway, timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	// GetBody stays nil, so that net/http does not retry the request.
@@ -140,6 +151,9 @@
 		return
 	}
 	platformtest.PrepareRequest(httpRequest, r.id, "h", 4000)
+	if r.after > 0 {
+		platformtest.SetResumption(httpRequest, r.resumes, r.after)
+	}
 	parts := []string{sharedPart, "own" + r.id}
 	if r.deadly {
 		parts = []string{sharedPart, deadlyPart, "own" + r.id}
@@ -329,10 +343,22 @@
 	sum := 0
 	for _, e := range d.engines {
 		sum += e.Runs(id)
+		if d.seed >= firstVersionsSeed {
+			sum += e.Resumed(id)
+		}
 	}
 	return sum
 }
 
+// isWhole reports whether a request got its complete response, from one software version.
+func (d *deployment) isWhole(r *request) bool {
+	if d.seed >= firstVersionsSeed && r.kind != "call" {
+		events, rest := parseEvents(r.body)
+		return rest == "" && areWhole(events, r.id, r.after)
+	}
+	return r.body == expectedBody(r)
+}
+
 // expectedBody returns the complete response to a request.
 func expectedBody(r *request) string {
 	if r.kind == "call" {
@@ -366,7 +392,7 @@
 			if r.faultFree {
 				served++
 			}
-			if r.body != expectedBody(r) {
+			if !d.isWhole(r) {
 				d.t.Errorf("seed %d: %s got response %q", d.seed, r.id, r.body)
 			}
 		case r.status == 404 || r.status == 400:
@@ -440,7 +466,7 @@
 				for _, r := range p.Results {
 					d.recordRead(j, len(results), r.ID+" "+r.State+" "+r.Output)
 					results = append(results, r.ID+" "+r.State)
-					if r.State != "done" || r.Output != platformtest.ExpectedOutput(r.ID, 5) {
+					if r.State != "done" || !d.isWholeOutput(r.ID, r.Output) {
 						d.t.Errorf("seed %d: result of %s: %s %q", d.seed, r.ID, r.State, r.Output)
 					}
 				}
--- a/e2e/soak/soak_test.go
+++ b/e2e/soak/soak_test.go
@@ -58,6 +58,10 @@
 // calls, and signals come in series.
 const firstRefusedJobSeed = 900
 
+// firstVersionsSeed is the first seed with engines of several software versions, releases
+// of other versions, and callers that take broken streams up at any gateway.
+const firstVersionsSeed = 1100
+
 // maxCommitDelay is the maximum time after which a late commit takes effect.
 const maxCommitDelay = 6 * time.Second
 
@@ -112,7 +116,7 @@
 		seeds[*firstSeed+i] = true
 	}
 	if *firstSeed == firstStaleOwnerSeed {
-		seeds[firstRefusedJobSeed+1], seeds[firstRefusedJobSeed+2] = true, true
+		seeds[firstRefusedJobSeed+1], seeds[firstRefusedJobSeed+2], seeds[firstVersionsSeed+1] = true, true, true
 	}
 	running := make(chan struct{}, *parallel)
 	t.Run("seeds", func(t *testing.T) {
@@ -128,6 +132,11 @@
 	if seeds[firstRefusedJobSeed+1] && relayedCommits.Load() == 0 {
 		t.Error("no commit went through a peer, so that the check of refused jobs had little to check")
 	}
+	if expected, continued := expectedTakeUps.Load(), continuedTakeUps.Load(); 2*continued < expected {
+		t.Errorf("%d of %d streams went on that were taken up at a sound gateway, with engines of their version", continued, expected)
+	} else if seeds[firstVersionsSeed+1] && expected == 0 {
+		t.Error("no stream was taken up at a sound gateway, with engines of its version")
+	}
 }
 
 // relayedCommits is the number of commits of all seeds that went through a peer.
@@ -154,6 +163,7 @@
 	d.checkJobs()
 	d.checkRefusedJobs()
 	d.checkRequests()
+	d.checkStreams()
 }
 
 // injectFault injects one random fault. Faults overlap: most end in the background
@@ -247,6 +257,10 @@
 			})
 		})
 	}
+	if d.seed >= firstVersionsSeed && d.random.IntN(2) == 0 {
+		d.injectVersionFault(g, e%(len(d.engines)-1))
+		return
+	}
 	if d.seed >= firstRefusedJobSeed {
 		planned = append(planned, d.signalInSeries)
 		if !d.plannedOnly && d.random.IntN(3) == 0 {
--- a/e2e/soak/world_test.go
+++ b/e2e/soak/world_test.go
@@ -40,28 +40,41 @@
 	deadlyPrompts    atomic.Int32 // faults in progress during which some prompts crash engines
 	deadlyInProgress atomic.Int32 // such prompts that callers wait for
 
-	mu     sync.Mutex
-	events []string
-	sent   []*request
-	jobs   []*job
-	read   map[string]map[int]string // results that were read, by job and position
+	mu      sync.Mutex
+	events  []string
+	sent    []*request
+	jobs    []*job
+	streams []*stream
+	losses  []loss
+	// Take-ups that were expected to go on, and those of them that did.
+	expected, continued int
+	// releasing holds the engines that a release waits to replace.
+	releasing map[int]bool
+	read      map[string]map[int]string // results that were read, by job and position
 }
 
 func newDeployment(t *testing.T, seed uint64, plannedOnly bool) *deployment {
 	d := &deployment{t: t, random: rand.New(rand.NewPCG(seed, 1)), seed: seed, plannedOnly: plannedOnly, started: time.Now(),
-		store: platformtest.NewStore(), stop: make(chan struct{}), read: make(map[string]map[int]string)}
+		store: platformtest.NewStore(), stop: make(chan struct{}), read: make(map[string]map[int]string), releasing: make(map[int]bool)}
 	t.Cleanup(d.store.Close)
 	t.Cleanup(func() {
 		if t.Failed() {
 			t.Logf("seed %d:\n%s", seed, strings.Join(d.events, "\n"))
 		}
 	})
-	for i := range engineCount {
+	engines := engineCount
+	if seed >= firstVersionsSeed {
+		engines = versionEngineCount
+	}
+	for i := range engines {
 		e := platformtest.NewEngine(fmt.Sprint("e", i), "llm", d.dataCentre(i))
-		if i == engineCount-1 {
+		if i == engines-1 {
 			e.Service, e.Plain = "app", true
 		}
 		e.Interval, e.Slots = 20*time.Millisecond, 6
+		if seed >= firstVersionsSeed {
+			e.Events, e.NamesVersion, e.Software = versionEvents, true, d.softwareVersion(i)
+		}
 		t.Cleanup(e.Close)
 		relay, err := network.StartRelay(e.Address())
 		if err != nil {
@@ -204,7 +217,8 @@
 	builds   *rand.Rand // selects the build of each start; its own generator, so that the faults of a seed stay the same
 	cmd      *exec.Cmd
 	exited   chan struct{}
-	stopping bool // an exit is expected
+	stopping bool      // an exit is expected
+	upSince  time.Time // start, or end of the last pause; in the future while it is paused
 	logs     []string
 }
 
@@ -292,6 +306,7 @@
 		return
 	}
 	g.logs = append(g.logs, log.Name())
+	g.upSince = time.Now()
 	g.cmd = exec.Command(binary, "gateway", g.settingsFile)
 	g.cmd.Env = append(os.Environ(), runEnvironment+"=1")
 	g.cmd.Stdout, g.cmd.Stderr = log, log
@@ -328,6 +343,7 @@
 	if g.stopping && s == syscall.SIGTERM {
 		return
 	}
+	g.d.recordLoss(g)
 	_ = g.cmd.Process.Signal(s)
 	if g.stopping {
 		return // an earlier restart waits for the exit
@@ -359,6 +375,7 @@
 		return
 	}
 	g.stopping = true
+	g.d.recordLoss(g)
 	process, exited := g.cmd.Process, g.exited
 	_ = process.Signal(syscall.SIGSTOP)
 	g.d.pending.Go(func() {
@@ -383,7 +400,9 @@
 func (g *gateway) pause(duration time.Duration) {
 	g.mu.Lock()
 	process := g.cmd.Process
+	g.upSince = time.Now().Add(duration)
 	g.mu.Unlock()
+	g.d.recordLoss(g)
 	g.d.applyFor(duration, func() { _ = process.Signal(syscall.SIGSTOP) }, func() { _ = process.Signal(syscall.SIGCONT) })
 }
 
