batch: start an item over if an upstream that sent events came back as another version

The list may show a replacement under the same id after events of the new version were taken for ones of the old. Streams are not resumed then; items were.

--- a/batch/attempt.go
+++ b/batch/attempt.go
@@ -163,7 +163,7 @@
 		if e.Data == nil {
 			continue
 		}
-		if err := ri.addEvent(e.ID, e.Data, grant.Upstream.SoftwareVersion); err != nil {
+		if err := ri.addEvent(e.ID, e.Data, grant.Upstream); err != nil {
 			ri.reset(0) // an answer without end holds nothing to resume from
 			return dispatch.Broken, attemptUnusable + " " + err.Error()
 		}
@@ -190,6 +190,13 @@
 	}
 	switch result.status {
 	case attemptDone:
+		if result.eventsBefore > 0 && done.doubtful(s.cfg.Holder.View()) {
+			s.cfg.Log.Info().Str("job", r.submission.ID).Str("request", r.submission.Items[ri.index].ID).
+				Msg("the output may come from two software versions; the item starts over")
+			ri.reset(0)
+			s.requeue(ri, 0)
+			return
+		}
 		s.pace.recordItem(done.Events)
 		s.finishItem(r, ri, Result{Output: string(done.Output)}, result.status)
 		return
--- a/batch/progress.go
+++ b/batch/progress.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -41,7 +42,23 @@
 	// SoftwareVersion of the upstreams that sent the events; only one of it can resume the
 	// item. Checkpoints of earlier builds have none.
 	SoftwareVersion string
-	Output          []byte `json:"-"` // data of the events, joined by line feeds; stored after the JSON
+	Sources         []source `json:",omitempty"` // of the events
+	Output          []byte   `json:"-"`          // data of the events, joined by line feeds; stored after the JSON
+}
+
+// source is an incarnation of an upstream, as the list named it when it sent events.
+type source struct {
+	Upstream string // id
+	Started  int64  // Unix ms; 0 if not reported
+}
+
+// doubtful reports whether a part of the events may come from a later incarnation than the
+// list named then, with another software version.
+func (p *progress) doubtful(view *fleet.View) bool {
+	return slices.ContainsFunc(p.Sources, func(s source) bool {
+		u := view.Upstream(s.Upstream)
+		return u != nil && u.Started > s.Started && u.SoftwareVersion != p.SoftwareVersion
+	})
 }
 
 // itemProgress guards an item's progress, which the running attempt writes and
@@ -59,12 +76,12 @@
 // errOutputTooLong ends an attempt whose output exceeds maxItemOutputBytes.
 var errOutputTooLong = errors.New("output exceeds the maximum size")
 
-// addEvent appends one event of an upstream of the given software version. After an error
-// the event is not part of the progress.
-func (g *itemProgress) addEvent(id string, data []byte, softwareVersion string) error {
+// addEvent appends one event of an upstream. After an error the event is not part of the
+// progress.
+func (g *itemProgress) addEvent(id string, data []byte, u *fleet.Upstream) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.current.Events > 0 && g.current.SoftwareVersion != softwareVersion {
+	if g.current.Events > 0 && g.current.SoftwareVersion != u.SoftwareVersion {
 		return errOtherVersion
 	}
 	size := len(g.current.Output) + 1 + len(data)
@@ -79,7 +96,10 @@
 	}
 	g.current.Output = append(g.current.Output, data...)
 	g.current.Events++
-	g.current.SoftwareVersion = softwareVersion
+	g.current.SoftwareVersion = u.SoftwareVersion
+	if from := (source{u.ID, u.Started}); !slices.Contains(g.current.Sources, from) {
+		g.current.Sources = append(g.current.Sources, from)
+	}
 	if id != "" {
 		g.current.LastID = id
 	}
@@ -113,6 +133,13 @@
 	return g.current.LastID
 }
 
+// doubtful reports whether the progress may come from two software versions.
+func (g *itemProgress) doubtful(view *fleet.View) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.current.doubtful(view)
+}
+
 // resumableAt returns which upstreams can go on with the item, nil for all.
 func (g *itemProgress) resumableAt() func(*fleet.Upstream) bool {
 	g.mu.Lock()
--- a/batch/schedule.go
+++ b/batch/schedule.go
@@ -164,14 +164,16 @@
 }
 
 // upstreamsFor returns the upstreams that can go on with an item, nil for all of its
-// service. An item that no upstream in use can go on with starts over. The caller holds s.mu.
+// service. An item that no upstream in use can go on with, or that may come from two
+// software versions, starts over. The caller holds s.mu.
 func (s *Service) upstreamsFor(c candidate, service string) func(*fleet.Upstream) bool {
-	accepts := c.item.resumableAt()
-	if accepts == nil || slices.ContainsFunc(s.cfg.Holder.View().Usable(service), accepts) {
+	view, accepts := s.cfg.Holder.View(), c.item.resumableAt()
+	doubtful := c.item.doubtful(view)
+	if accepts == nil || !doubtful && slices.ContainsFunc(view.Usable(service), accepts) {
 		return accepts
 	}
 	s.cfg.Log.Info().Str("job", c.job.submission.ID).Str("request", c.job.submission.Items[c.item.index].ID).Str("service", service).
-		Int("events", c.item.events()).Msg("no upstream of the software version that began the item; it starts over")
+		Int("events", c.item.events()).Bool("doubtful", doubtful).Msg("no upstream can go on with the item; it starts over")
 	c.item.reset(0)
 	return nil
 }
