--- a/batch/schedule.go
+++ b/batch/schedule.go
@@ -168,25 +168,27 @@
 const breaksToStartOver = 3
 
 // upstreamsFor returns the upstreams that can go on with an item, nil for all of its
-// service. An item that no upstream in use can go on with starts over. The caller holds s.mu.
+// service. An item that no upstream in use can go on with, or that may come from two
+// software versions, starts over. The caller holds s.mu.
 func (s *Service) upstreamsFor(c candidate, service string) func(*fleet.Upstream) bool {
-	accepts := c.item.resumableAt()
+	view, accepts := s.cfg.Holder.View(), c.item.resumableAt()
 	if accepts == nil {
 		return nil
 	}
-	accepting := 0
-	usable := s.cfg.Holder.View().Usable(service)
+	accepting, usable := 0, view.Usable(service)
 	for _, u := range usable {
 		if accepts(u) {
 			accepting++
 		}
 	}
 	stuck := c.item.brokenInRow >= breaksToStartOver && accepting < len(usable)
-	if accepting > 0 && !stuck {
+	doubtful := c.item.doubtful(view)
+	if accepting > 0 && !stuck && !doubtful {
 		return accepts
 	}
 	s.cfg.Log.Info().Str("job", c.job.submission.ID).Str("request", c.job.submission.Items[c.item.index].ID).Str("service", service).
-		Int("events", c.item.events()).Int("upstreams", accepting).Int("broken", c.item.brokenInRow).Msg("no upstream of the software version that began the item goes on with it; it starts over")
+		Int("events", c.item.events()).Int("upstreams", accepting).Int("broken", c.item.brokenInRow).Bool("doubtful", doubtful).
+		Msg("no upstream can go on with the item; it starts over")
 	c.item.reset(0)
 	return nil
 }
