--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -223,6 +223,25 @@
 	}
 }
 
+// Guards against a stream that leaves a silent upstream for one of another version.
+func TestSilentStreamStaysAtItsVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newStreamBench(t, "a", "b")
+		b.holder.Apply([]fleet.Record{{Version: 11, Upstream: fleet.Upstream{ID: "a", Service: "s", Slots: 1, SoftwareVersion: "v1"}}}, time.Now())
+		s := &pausingUpstreams{t: t, events: 5, pauses: func(_ string, n int) time.Duration {
+			if n == 2 {
+				return 3 * time.Second
+			}
+			return 10 * time.Millisecond
+		}}
+		o := b.serve(s, 3, 5*time.Second)
+		if o.status != 200 || o.aborted || o.body != wholeStream(5) || len(s.calls) != 1 {
+			t.Errorf("status %d, aborted %v, %d events, calls %v", o.status, o.aborted, strings.Count(o.body, "id:"), s.calls)
+		}
+		b.checkIdle()
+	})
+}
+
 // Guards against a stream that stays with a silent upstream although a slot at another one
 // is free, or becomes free, and against two upstreams that work on it side by side.
 func TestSilentUpstreamIsLeftOnceAnotherIsFree(t *testing.T) {
