--- a/forward/forward.go
+++ b/forward/forward.go
@@ -378,13 +378,26 @@
 
 // acquire returns a grant for the next attempt.
 func (x *exchange) acquire() (*dispatch.Grant, error) {
-	if grant := x.nextGrant; grant != nil {
-		x.nextGrant = nil
+	grant := x.nextGrant
+	x.nextGrant = nil
+	for {
+		if grant == nil {
+			var err error
+			if grant, err = x.acquireSlot(); err != nil {
+				return nil, err
+			}
+		}
+		// What is accepted may have changed since the request began to wait: the stream has
+		// begun, or another version is listed.
 		if accepts := x.accepts(); accepts == nil || accepts(grant.Upstream) {
 			return grant, nil
 		}
-		grant.Release(dispatch.Cancelled) // the stream began meanwhile, at another version
+		grant.Release(dispatch.Cancelled)
+		grant = nil
 	}
+}
+
+func (x *exchange) acquireSlot() (*dispatch.Grant, error) {
 	started := time.Now()
 	request := x.placement(x.possibleRuns)
 	grant, err := x.cfg.Dispatcher.Acquire(x.ctx, request)
--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -100,6 +100,7 @@
 	holder     *fleet.Holder
 	dispatcher *dispatch.Dispatcher
 	upstreams  []string
+	origins    Origins // nil for none
 }
 
 func newStreamBench(t *testing.T, upstreams ...string) *streamBench {
@@ -126,7 +127,7 @@
 
 func (b *streamBench) serve(s *pausingUpstreams, maxAttempts int, timeout time.Duration) result {
 	b.t.Helper()
-	f := New(Config{Dispatcher: b.dispatcher, Upstreams: s, CrashTracker: fakeCrashTracker{}, Log: zerolog.Nop()})
+	f := New(Config{Dispatcher: b.dispatcher, Upstreams: s, CrashTracker: fakeCrashTracker{}, Origins: b.origins, Log: zerolog.Nop()})
 	w := httptest.NewRecorder()
 	o := result{}
 	func() {
