--- a/batch/progress.go
+++ b/batch/progress.go
@@ -56,8 +56,9 @@
 // list named then, with another software version.
 func (p *progress) doubtful(view *fleet.View) bool {
 	return slices.ContainsFunc(p.Sources, func(s source) bool {
-		u := view.Upstream(s.Upstream)
-		return u != nil && u.Started > s.Started && u.SoftwareVersion != p.SoftwareVersion
+		return slices.ContainsFunc(view.Records, func(r fleet.Record) bool { // also of removed entries
+			return r.ID == s.Upstream && r.Started > s.Started && r.SoftwareVersion != p.SoftwareVersion
+		})
 	})
 }
 
--- a/batch/versions_test.go
+++ b/batch/versions_test.go
@@ -14,15 +14,17 @@
 	record := func(version uint64, started int64, software string) fleet.Record {
 		return fleet.Record{Version: version, Upstream: fleet.Upstream{ID: "e2", Service: "llm", Started: started, SoftwareVersion: software}}
 	}
+	gone := fleet.Record{Version: 3, Removed: true, Upstream: fleet.Upstream{ID: "e2"}}
 	for _, c := range []struct {
 		name     string
-		next     fleet.Record
+		next     []fleet.Record
 		doubtful bool
 	}{
-		{"restarted with another version", record(2, 200, "v2"), true},
-		{"restarted with the same version", record(2, 200, "v1"), false},
-		{"not restarted", record(2, 100, "v1"), false},
-		{"gone", fleet.Record{Version: 2, Removed: true, Upstream: fleet.Upstream{ID: "e2"}}, false},
+		{"restarted with another version", []fleet.Record{record(2, 200, "v2")}, true},
+		{"restarted with the same version", []fleet.Record{record(2, 200, "v1")}, false},
+		{"not restarted", []fleet.Record{record(2, 100, "v1")}, false},
+		{"gone", []fleet.Record{gone}, false},
+		{"restarted with another version, then gone", []fleet.Record{record(2, 200, "v2"), gone}, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			h := fleet.NewHolder()
@@ -35,7 +37,7 @@
 			if g.doubtful(h.View()) {
 				t.Error("doubtful before the list changed")
 			}
-			h.Apply([]fleet.Record{c.next}, time.Now())
+			h.Apply(c.next, time.Now())
 			p, _ := g.snapshot()
 			_, saved, err := decodeProgress("j", storage.Row{Key: progressKey("j", 0), Value: encodeProgress(&p)})
 			if err != nil {
