--- a/forward/fail.go
+++ b/forward/fail.go
@@ -78,7 +78,7 @@
 
 // canMove reports whether another attempt may follow one that breaks.
 func (x *exchange) canMove() bool {
-	return x.isCertain(x.began) && x.Route.Repeatable() && !x.trial && x.possibleRuns < x.Route.MaxAttempts && x.reply.continuable()
+	return x.isCertain(x.began, x.beganAt) && x.Route.Repeatable() && !x.trial && x.possibleRuns < x.Route.MaxAttempts && x.reply.continuable()
 }
 
 // retryOrFail returns nil if the request may be sent to another upstream, and
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -140,9 +140,9 @@
 	// Begun records that the stream of a request begins at an upstream, before its first
 	// event is passed on.
 	Begun(service, request string, u *fleet.Upstream)
-	// Certain reports whether what the list says of an upstream at which a stream began is
-	// still true of it.
-	Certain(u *fleet.Upstream) bool
+	// Certain reports whether what the list said of an upstream when a stream began there is
+	// still believed.
+	Certain(u *fleet.Upstream, began time.Time) bool
 	// Ended records that the caller has got the whole stream.
 	Ended(service, request string)
 	// Version returns the software version at which the stream of a request began, or an
@@ -228,9 +228,10 @@
 	hedgeGrant      *dispatch.Grant // of the second of two attempts side by side; nil for none
 	attemptLog      *zerolog.Array
 	began           *fleet.Upstream // that sent the first event; nil before it
-	version         *string         // the only software version that can continue the stream; nil before it begins
-	wait            *dispatch.Wait  // of the first attempt that had to wait for a slot
-	waited          time.Duration   // for slots, of all attempts
+	beganAt         time.Time
+	version         *string        // the only software version that can continue the stream; nil before it begins
+	wait            *dispatch.Wait // of the first attempt that had to wait for a slot
+	waited          time.Duration  // for slots, of all attempts
 }
 
 // errDone ends the attempts: the caller has been answered or has disconnected.
@@ -469,14 +470,17 @@
 
 // isCertain reports whether the version of the upstream that began the stream can be relied
 // on. u is nil before that.
-func (x *exchange) isCertain(u *fleet.Upstream) bool {
-	return u == nil || x.cfg.Origins == nil || x.cfg.Origins.Certain(u)
+func (x *exchange) isCertain(u *fleet.Upstream, began time.Time) bool {
+	return u == nil || x.cfg.Origins == nil || x.cfg.Origins.Certain(u, began)
 }
 
 // recordOrigin records where the stream begins, or goes on for a caller that took it up.
 func (x *exchange) recordOrigin(u *fleet.Upstream) {
 	version := u.SoftwareVersion
-	x.began, x.version = u, &version
+	if x.began == nil {
+		x.began, x.beganAt = u, time.Now()
+	}
+	x.version = &version
 	if !x.hasOrigin() {
 		return
 	}
--- a/forward/silence.go
+++ b/forward/silence.go
@@ -19,9 +19,10 @@
 
 	mu      sync.Mutex
 	timer   *time.Timer
-	last    time.Time          // of progress
-	request *dispatch.Request  // for the next attempt; nil if none may follow
-	began   *fleet.Upstream    // that sent the first event, when request was made; nil before it
+	last    time.Time         // of progress
+	request *dispatch.Request // for the next attempt; nil if none may follow
+	began   *fleet.Upstream   // that sent the first event, when request was made; nil before it
+	beganAt time.Time
 	cancel  context.CancelFunc // of the search in progress; nil for none
 	grant   *dispatch.Grant    // of the next attempt; nil unless this one is given up
 	ended   bool
@@ -68,7 +69,7 @@
 	w.stop()
 	w.last = time.Now()
 	if w.began == nil { // nothing that the request depends on changes once the stream has begun
-		w.request, w.began = x.moveRequest(w.upstream, x.possibleRuns), x.began
+		w.request, w.began, w.beganAt = x.moveRequest(w.upstream, x.possibleRuns), x.began, x.beganAt
 	}
 	if w.request != nil {
 		w.timer.Reset(StreamIdleTimeout)
@@ -95,11 +96,11 @@
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
 	w.cancel = cancel
-	request, began := *w.request, w.began
+	request, began, beganAt := *w.request, w.began, w.beganAt
 	w.mu.Unlock()
 	var grant *dispatch.Grant
 	err := dispatch.ErrNoCapacity
-	if x.isCertain(began) && !x.cfg.CrashTracker.Recheck(&x.Subject).Blocked {
+	if x.isCertain(began, beganAt) && !x.cfg.CrashTracker.Recheck(&x.Subject).Blocked {
 		grant, err = x.cfg.Dispatcher.Acquire(ctx, &request)
 	}
 	w.mu.Lock()
--- a/origin/table.go
+++ b/origin/table.go
@@ -18,6 +18,9 @@
 	// StreamLifetime is how long after its start a stream may be resumed. It exceeds the
 	// default time limit of requests, which a caller may use twice.
 	StreamLifetime = 150 * time.Second
+	// clockDifference is how far the clocks of a gateway and of an upstream may differ,
+	// steps of either included.
+	clockDifference = 10 * time.Second
 	// maxStreams limits a table to about 6 MB. A gateway at the target size begins 40
 	// streams per second and is told of three times as many.
 	maxStreams = 1 << 15
@@ -53,8 +56,9 @@
 // doubtful reports whether the stream may have begun at a later incarnation of its upstream
 // than the one that was known then, which has another version. That one may have gone since.
 func (s *Stream) doubtful(view *fleet.View) bool {
+	latest := s.Began.Add(clockDifference).UnixMilli() // by the clock of the upstream
 	return slices.ContainsFunc(view.Records, func(r fleet.Record) bool {
-		return r.ID == s.Upstream && r.Started > s.Started && r.SoftwareVersion != s.Version
+		return r.ID == s.Upstream && r.Started > s.Started && r.SoftwareVersion != s.Version && r.Started <= latest
 	})
 }
 
--- a/origin/tracker.go
+++ b/origin/tracker.go
@@ -104,10 +104,11 @@
 	t.own.remove(KeyOf(service, request))
 }
 
-// Certain reports whether what is known of an upstream at which a stream began still holds:
-// no later incarnation with another version has come that may have been there already.
-func (t *Tracker) Certain(u *fleet.Upstream) bool {
-	s := NewStream(0, u, time.Time{})
+// Certain reports whether what is known of an upstream at which a stream began at a time
+// still holds: no later incarnation with another version has come that may have been there
+// already.
+func (t *Tracker) Certain(u *fleet.Upstream, began time.Time) bool {
+	s := NewStream(0, u, began)
 	return !s.doubtful(t.registry.Holder.View())
 }
 
