--- a/origin/registry.go
+++ b/origin/registry.go
@@ -59,7 +59,8 @@
 	confirmed  map[string]bool      // read in the row since they were last missing in the list
 	listed     map[string]time.Time // when a version was last listed
 	due        map[string]time.Time // when a version that is not in the row may be added
-	lastCalled time.Time
+	lastCalled time.Time            // end of the last call of the store
+	calling    bool
 	several    bool // versions are in use, or have been lately
 }
 
@@ -77,6 +78,7 @@
 	// OnSeveral is called when the upstreams of a service begin to have several versions.
 	OnSeveral func(service string)
 
+	calls    sync.WaitGroup
 	mu       sync.Mutex
 	services map[string]*service
 }
@@ -221,6 +223,7 @@
 
 // Run registers versions as they appear in the list of upstreams until ctx ends.
 func (r *Registry) Run(ctx context.Context) {
+	defer r.calls.Wait()
 	r.readAll(ctx)
 	for pause.For(ctx, checkInterval) {
 		now := time.Now()
@@ -280,24 +283,30 @@
 	stepWrite
 )
 
-// update brings the row of a service in line with the list of upstreams.
+// update brings the row of a service in line with the list of upstreams. Its calls of the
+// store do not hold up other services.
 func (r *Registry) update(ctx context.Context, name string, now time.Time) {
 	listed := r.Holder.View().SoftwareVersions(name)
 	removes := r.RemovesObsolete()
 	r.mu.Lock()
 	s := r.of(name)
 	begins := s.observe(listed, now)
-	next := s.next(listed, removes, now)
-	if next != stepNone {
-		s.lastCalled = now
+	next := stepNone
+	if !s.calling {
+		next = s.next(listed, removes, now)
 	}
+	s.calling = s.calling || next != stepNone
 	r.mu.Unlock()
 	if begins {
 		r.OnSeveral(name)
 	}
-	if next == stepNone {
-		return
+	if next != stepNone {
+		r.calls.Go(func() { r.call(ctx, name, next, listed, removes, now) })
 	}
+}
+
+// call reads the row of a service and writes it if that is the next step.
+func (r *Registry) call(ctx context.Context, name string, next step, listed []string, removes bool, now time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	versions, err := r.Read(ctx, name)
@@ -308,6 +317,10 @@
 	if err != nil && !errors.Is(err, storage.ErrConflict) {
 		r.Log.Warn().Err(err).Str("service", name).Msg("failed to update the software versions of streams; retrying")
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.of(name)
+	s.calling, s.lastCalled = false, time.Now()
 }
 
 // write adds the listed versions to the row that was just read and removes obsolete ones.
