--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -74,6 +74,31 @@
 	})
 }
 
+// Guards against streams at a version that comes back while another gateway removes it.
+func TestReturningVersionIsNotRemoved(t *testing.T) {
+	for offset := -20 * time.Millisecond; offset <= 320*time.Millisecond; offset += 4 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			rows := &fakeTable{}
+			a, b := newGateway(t, rows, &fakePeers{}, "v1", "v2"), newGateway(t, rows, &fakePeers{}, "v1", "v2")
+			time.Sleep(2 * time.Second)
+			a.removes.Store(true)
+			a.use("v2")
+			b.use("v2")
+			time.Sleep(obsoleteAfter + offset)
+			b.use("v1", "v2")
+			time.Sleep(50 * time.Millisecond)
+			a.use("v1", "v2")
+			for range 1000 {
+				if time.Sleep(time.Millisecond); b.admits("v1") && !slices.Contains(rows.registered(), "v1") {
+					t.Fatal(offset, "v1 gets streams and is not registered")
+				}
+			}
+			a.stop()
+			b.stop()
+		})
+	}
+}
+
 // Guards against a version that another gateway knows from the past only, and that has
 // streams at one that has not read the row.
 func TestLearnedVersionMayHaveBeenRemoved(t *testing.T) {
--- a/origin/registry.go
+++ b/origin/registry.go
@@ -53,13 +53,16 @@
 
 // service is what a registry knows of one service.
 type service struct {
-	read       bool // the row, or that there is none
-	row        uint64
-	versions   map[string]bool      // in the row
-	confirmed  map[string]bool      // read in the row since they were last missing in the list
-	listed     map[string]time.Time // when a version was last listed
-	due        map[string]time.Time // when a version that is not in the row may be added
-	lastCalled time.Time            // end of the last call of the store
+	read      bool // the row, or that there is none
+	row       uint64
+	versions  map[string]bool      // in the row
+	confirmed map[string]bool      // read in the row since they were last missing in the list
+	listed    map[string]time.Time // when a version was last listed
+	due       map[string]time.Time // when a version that is not confirmed may be written
+	// missing versions were not listed for so long that another gateway may be removing them.
+	// They are confirmed by a write of the row, which makes a removal under way fail.
+	missing    map[string]bool
+	lastCalled time.Time // end of the last call of the store
 	calling    bool
 	several    bool // versions are in use, or have been lately
 }
@@ -88,7 +91,7 @@
 	s := r.services[name]
 	if s == nil {
 		s = &service{versions: make(map[string]bool), confirmed: make(map[string]bool),
-			listed: make(map[string]time.Time), due: make(map[string]time.Time)}
+			listed: make(map[string]time.Time), due: make(map[string]time.Time), missing: make(map[string]bool)}
 		if r.services == nil {
 			r.services = make(map[string]*service)
 		}
@@ -204,7 +207,10 @@
 	s.read, s.row = true, version
 	s.versions, s.confirmed = make(map[string]bool, len(versions)), make(map[string]bool, len(versions))
 	for _, v := range versions {
-		s.versions[v], s.confirmed[v] = true, true
+		s.versions[v] = true
+		if !s.missing[v] {
+			s.confirmed[v] = true
+		}
 	}
 }
 
@@ -336,7 +342,7 @@
 	for _, v := range listed {
 		next[v] = true
 	}
-	unchanged := maps.Equal(next, s.versions)
+	unchanged := maps.Equal(next, s.versions) && !slices.ContainsFunc(listed, func(v string) bool { return s.missing[v] })
 	r.mu.Unlock()
 	if unchanged {
 		return nil
@@ -350,6 +356,11 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	r.mu.Lock()
+	for _, v := range listed {
+		delete(s.missing, v)
+	}
+	r.mu.Unlock()
 	r.apply(name, versions[0], row.Versions)
 	r.Log.Info().Str("service", name).Strs("versions", row.Versions).Uint64("row", versions[0]).Msg("software versions of streams registered")
 	return nil
@@ -366,6 +377,7 @@
 			s.listed[v] = now // of a row that names more than the list did so far
 		} else if now.Sub(last) > confirmedFor {
 			delete(s.confirmed, v)
+			s.missing[v] = s.missing[v] || now.Sub(last) > obsoleteAfter/2
 		}
 	}
 	several := len(listed) > 1 || len(s.versions) > 1
@@ -406,7 +418,7 @@
 		switch due, known := s.due[v]; {
 		case s.confirmed[v]:
 			delete(s.due, v)
-		case s.versions[v]:
+		case s.versions[v] && !s.missing[v]:
 			next = max(next, stepRead)
 		case !known:
 			s.due[v] = now.Add(registerDelay + rand.N(registerJitter))
