--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -99,6 +99,23 @@
 	}
 }
 
+// Guards against a restarted gateway that begins no streams while the store is down, since
+// the one that it learns from still knows of a version that has gone.
+func TestVersionsAreLearnedAfterARelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := &fakeTable{}
+		old := newGateway(t, rows, &fakePeers{}, "v1", "v2")
+		time.Sleep(time.Second)
+		old.use("v2")
+		time.Sleep(6 * time.Second)
+		rows.setFails(true)
+		g := newGateway(t, rows, &fakePeers{}, "v2")
+		if g.LearnRegistered(old.Registered()); !g.admits("v2") {
+			t.Errorf("v2 not admitted, learned %v", old.Registered())
+		}
+	})
+}
+
 // Guards against a version that another gateway knows from the past only, and that has
 // streams at one that has not read the row.
 func TestLearnedVersionMayHaveBeenRemoved(t *testing.T) {
--- a/origin/registry.go
+++ b/origin/registry.go
@@ -153,15 +153,15 @@
 	return slices.Compact(known)
 }
 
-// Confirmed returns the registered versions of the services all of whose versions are
-// confirmed. Those of other services may have been removed since they were read.
+// Confirmed returns the confirmed versions of all services. Others may have been removed
+// since they were read.
 func (r *Registry) Confirmed() map[string][]string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	all := make(map[string][]string, len(r.services))
 	for name, s := range r.services {
-		if len(s.versions) > 0 && maps.Equal(s.versions, s.confirmed) {
-			all[name] = slices.Sorted(maps.Keys(s.versions))
+		if len(s.confirmed) > 0 {
+			all[name] = slices.Sorted(maps.Keys(s.confirmed))
 		}
 	}
 	return all
