--- a/origin/registry.go
+++ b/origin/registry.go
@@ -153,6 +153,17 @@
 	return slices.Compact(known)
 }
 
+// ReadVersions is Known of a service whose row this gateway has read, else none.
+func (r *Registry) ReadVersions(name string) []string {
+	r.mu.Lock()
+	read := r.of(name).read
+	r.mu.Unlock()
+	if !read {
+		return nil
+	}
+	return r.Known(name)
+}
+
 // Confirmed returns the confirmed versions of all services. Others may have been removed
 // since they were read.
 func (r *Registry) Confirmed() map[string][]string {
--- a/origin/tracker.go
+++ b/origin/tracker.go
@@ -35,7 +35,7 @@
 type Answer struct {
 	Stream   Stream
 	Known    bool     // the stream is known
-	Versions []string // registered versions of the service as last read there
+	Versions []string // registered versions of the service as last read there; none if it only learnt of them
 }
 
 // Peers exchanges streams with the other gateways.
@@ -162,7 +162,7 @@
 // Answer returns what this gateway knows about a stream, for another one.
 func (t *Tracker) Answer(service string, key Key) Answer {
 	s, known := t.find(key)
-	return Answer{Stream: s, Known: known, Versions: t.registry.Known(service)}
+	return Answer{Stream: s, Known: known, Versions: t.registry.ReadVersions(service)}
 }
 
 // Registered returns the software versions registered for each service, as far as they
@@ -208,7 +208,7 @@
 			return t.resolve(answers[0].Stream, "peer")
 		}
 	}
-	if known := t.registry.Known(service); err != nil && t.peers.AllHeard() && agree(known, answers) {
+	if known := t.registry.ReadVersions(service); err != nil && t.peers.AllHeard() && agree(known, answers) {
 		metric.StreamOrigin("agreed")
 		return known[0], nil
 	}
--- a/peer/streams.go
+++ b/peer/streams.go
@@ -17,12 +17,14 @@
 
 const (
 	// streamKeepers is the number of gateways that keep the origin of a stream. With three,
-	// one in 25 is lost if a third of the gateways fail at once.
+	// one in 27 is lost if a third of the gateways fail at once.
 	streamKeepers = 3
 	// askedKeepers exceeds streamKeepers for gateways that have come since.
 	askedKeepers = streamKeepers + 2
 	// keeperSilence is the silence after which a gateway is not chosen as a keeper.
 	keeperSilence = 2 * time.Second
+	// commonStart is how far apart gateways start that are started together.
+	commonStart = 10 * time.Second
 	// maxStreamsPerDatagram keeps datagrams below the size that is fragmented.
 	maxStreamsPerDatagram = 16
 	// maxPendingStreams limits the announcements that wait for the send loop.
@@ -121,13 +123,22 @@
 	e.origins.Learn(streams)
 }
 
-// AllHeard implements origin.Peers.
+// AllHeard implements origin.Peers. A gateway that has started since may have lost what it
+// knew.
 func (e *Exchange) AllHeard() bool {
 	now := time.Now()
-	return !slices.ContainsFunc(e.Members(), func(m MemberStatus) bool {
-		silence := min(now.Sub(m.LastHeard), now.Sub(e.started)) // some were never heard
-		return silence > livePeerTimeout && silence <= origin.StreamLifetime
-	})
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, p := range e.peers {
+		silence := min(now.Sub(p.LastHeard), now.Sub(e.started)) // some were never heard
+		if silence > livePeerTimeout && silence <= origin.StreamLifetime {
+			return false
+		}
+		if p.firstHeard.Sub(e.started) > commonStart && now.Sub(p.firstHeard) <= origin.StreamLifetime {
+			return false
+		}
+	}
+	return true
 }
 
 // findClient opens a connection for each call. Calls are rare, and an idle kept-alive
