--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -41,8 +41,8 @@
 	// Repeatable: may be sent again although an earlier attempt may have run.
 	Repeatable bool
 	Avoid      map[string]bool // ids of upstreams to use only as a last resort
-	// Accepts reports whether an upstream can serve the request; nil for all. It is called
-	// with the dispatcher's lock held.
+	// Accepts reports whether an upstream can serve the request; nil for all. It may be called
+	// with the dispatcher's lock held, and must not call the dispatcher.
 	Accepts func(*fleet.Upstream) bool
 	// Wait is set by Acquire if the request has to wait for a slot.
 	Wait *Wait
@@ -312,7 +312,7 @@
 			break
 		}
 		g := d.placeOnline(w.request, use, now)
-		if g == nil && w.request.Accepts != nil {
+		if g == nil && w.request.Accepts != nil && d.anyFree(service, q, use, now) {
 			q.waiters.Remove(&w.Waiter)
 			blocked = append(blocked, w)
 			continue
@@ -336,6 +336,14 @@
 	}
 }
 
+// anyFree reports whether a request that accepts all upstreams of a service would get a
+// slot. d.mu must be held.
+func (d *Dispatcher) anyFree(service string, q *queue, use placement.QueueUse, now time.Time) bool {
+	c := d.contention(q, now)
+	c.Queue = use
+	return placement.PickOnline(d.snapshot(d.cfg.Holder.View().Usable(service), true, now), c, d.cfg.Random.IntN) >= 0
+}
+
 // acceptable returns the usable upstreams that a request accepts.
 func (d *Dispatcher) acceptable(r *Request) []*fleet.Upstream {
 	return accepted(d.cfg.Holder.View().Usable(r.Service), r.Accepts)
