--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -193,3 +193,17 @@
 		t.Error("a late answer of the earlier incarnation took the next one out of use")
 	}
 }
+
+// Guards against upstreams that all seem to have one software version, since the list came
+// from a gateway of an earlier build.
+func TestListOfAnEarlierBuildIsNotMerged(t *testing.T) {
+	h := NewHolder()
+	s := State{Listed: true, Records: []Record{{Version: 1, Upstream: Upstream{ID: "a", Service: "s", Slots: 1}}}}
+	if h.MergeState(s, time.Now()); len(h.View().Usable("s")) > 0 {
+		t.Error("merged without software versions")
+	}
+	s.HasSoftwareVersions = true
+	if h.MergeState(s, time.Now()); len(h.View().Usable("s")) != 1 {
+		t.Error("not merged")
+	}
+}
--- a/fleet/holder.go
+++ b/fleet/holder.go
@@ -235,12 +235,15 @@
 	HasOrganisations bool
 	Listed           bool
 	Records          []Record
+	// HasSoftwareVersions says that the sender knows software versions. In what the build
+	// before sends, all upstreams would seem to have the same.
+	HasSoftwareVersions bool
 }
 
 // StateSince returns what a peer lacks that has the given versions of the
 // configuration and of the list. 0 means that it has none.
 func (v *View) StateSince(configuration, list uint64) State {
-	s := State{Listed: v.Synced, HasOrganisations: true}
+	s := State{Listed: v.Synced, HasOrganisations: true, HasSoftwareVersions: true}
 	for i := range v.Records {
 		if v.Records[i].Version > list {
 			s.Records = append(s.Records, v.Records[i])
@@ -269,7 +272,7 @@
 	if s.Version > 0 && s.HasOrganisations {
 		h.Configure(NewOrganisationConfiguration(s.Version, s.Routes, s.Limits, s.Organisations))
 	}
-	if s.Listed {
+	if s.Listed && s.HasSoftwareVersions {
 		h.Apply(s.Records, now)
 	}
 }
