--- a/forward/fail.go
+++ b/forward/fail.go
@@ -110,7 +110,11 @@
 	if x.outcome() != effect.NotPerformed {
 		return x.failIncomplete(err.Error())
 	}
-	x.rejectUnexecuted(err.Error(), x.cfg.Dispatcher.RetryAfter(x.Service))
+	retryAfter := x.cfg.Dispatcher.RetryAfter(x.Service)
+	if x.version != nil && errors.Is(err, dispatch.ErrNoUpstream) {
+		retryAfter = 0 // waiting is of no use: the caller can begin anew
+	}
+	x.rejectUnexecuted(err.Error(), retryAfter)
 	return errDone
 }
 
