--- a/intake/closing_test.go
+++ b/intake/closing_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -167,6 +168,91 @@
 	})
 }
 
+// Guards against a request in several reads that gets neither an answer nor a refusal when
+// its connection gives way after the last of them, and against an unfinished one that goes on.
+func TestHeadInSeveralReadsIsAnsweredWhenItsConnectionGivesWay(t *testing.T) {
+	for _, rest := range []string{"Content-Length: 4\r\n\r\nbody", "\r\n", "\n", "Unfinished: "} {
+		t.Run(strconv.Quote(rest), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newClosingBench(t, ConnectionLimits{Connections: 1}, time.Minute)
+				old := b.dial()
+				_, _ = io.WriteString(old, "GET / HTTP/1.1\r\nHost: h\r\n") // the answer is checked
+				synctest.Wait()
+				b.delay.Store(int64(time.Second))
+				began := time.Now()
+				done := make(chan struct{})
+				go func() {
+					defer close(done)
+					time.Sleep(500 * time.Millisecond)
+					b.dial().mustAnswer(t, "new connection", http.StatusOK)
+				}()
+				_, _ = io.WriteString(old, rest) // as above
+				response, err := http.ReadResponse(old.responses, nil)
+				switch {
+				case rest == "Unfinished: ":
+					if err == nil || time.Since(began) > 1100*time.Millisecond {
+						t.Errorf("an unfinished head was not closed at once: %v after %s", err, time.Since(began))
+					}
+				case err != nil:
+					t.Error("a request that was read whole:", err)
+				case response.StatusCode != http.StatusOK && response.StatusCode != http.StatusServiceUnavailable:
+					t.Error("status", response.StatusCode)
+				}
+				<-done
+			})
+		})
+	}
+}
+
+// Guards against a complete head that exceeds the memory for heads with its last read and
+// gets neither an answer nor a refusal.
+func TestCompleteHeadBeyondTheMemoryForHeadsIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newClosingBench(t, ConnectionLimits{HeadBytes: 1000}, time.Minute)
+		c := b.dial()
+		head := "GET / HTTP/1.1\r\nHost: h\r\nA: "
+		head += strings.Repeat("x", 8600-len(head)-4) + "\r\n\r\n"
+		for _, part := range []string{head[:4096], head[4096:8192], head[8192:]} {
+			if _, err := io.WriteString(c, part); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if response, err := http.ReadResponse(c.responses, nil); err != nil || response.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("%+v, %v", response, err)
+		}
+	})
+}
+
+// Guards against a complete head whose connection gives way before the handler has begun.
+func TestConnectionOfACompleteHeadIsNotDropped(t *testing.T) {
+	for _, reads := range [][]string{{"GET / HTTP/1.1\r\nHost: h\r\n\r\n"}, {"GET / HTTP/1.1\r\nHost:", " h\r\n\r", "\n"}} {
+		c := NewConnections("callers", ConnectionLimits{Connections: 1}, zerolog.Nop())
+		client, server := net.Pipe()
+		conn := &connection{Conn: server, owner: c}
+		conn.inHead.Store(true)
+		conn.entry.close = conn.end
+		c.table.add(&conn.entry, start)
+		go func() {
+			for _, part := range reads {
+				_, _ = io.WriteString(client, part) // the reads are checked
+			}
+		}()
+		for _, part := range reads {
+			if n, err := conn.Read(make([]byte, 100)); n != len(part) || err != nil {
+				t.Fatalf("%d bytes of %q: %v", n, part, err)
+			}
+		}
+		if expired := c.table.expire(time.Second, time.Second, start.Add(time.Hour)); len(expired) > 0 {
+			t.Errorf("%q: expired", reads)
+		}
+		other := &entry{}
+		if victim := c.table.add(other, time.Now()); victim != other {
+			t.Errorf("%q: gave way", reads)
+		}
+		_ = conn.Close() // of a pipe
+	}
+}
+
 // Guards against a lowered idle limit that ends connections which callers may still use by
 // the limit before, and against one that never takes effect.
 func TestLoweredIdleLimitTakesEffectAfterTheNextAnswer(t *testing.T) {
--- a/intake/ending.go
+++ b/intake/ending.go
@@ -8,12 +8,13 @@
 	"time"
 )
 
-// end ends a connection that the table has dropped. One that waits for a request is not
-// closed but interrupted: a read that ends with a time-out has taken nothing, so that no
-// request is lost that the server has read. The server closes the connection then.
+// end ends a connection that the table has dropped. One that waits for a head, or for the
+// rest of one, is not closed but interrupted: a read that ends with a time-out has taken
+// nothing, so that no request is lost that the server has read. The server closes the
+// connection then.
 func (c *connection) end() {
 	c.owner.mu.Lock()
-	interrupt := c.entry.leaving && c.entry.phase.awaitsRequest() && !c.owner.calls
+	interrupt := c.entry.leaving && (c.entry.phase.awaitsRequest() || c.entry.phase == phaseHead) && !c.owner.calls
 	if interrupt {
 		c.interrupt()
 	}
@@ -66,7 +67,7 @@
 func (c *connection) readArrived(p []byte, err error) (int, error) {
 	c.deadline.Lock()
 	defer c.deadline.Unlock()
-	if !c.interrupted || c.headBytes > 0 || !hasArrived(c.Conn) {
+	if !c.interrupted || !hasArrived(c.Conn) {
 		return 0, err
 	}
 	_ = c.Conn.SetReadDeadline(time.Time{}) // fails only on a closed connection
@@ -89,13 +90,13 @@
 const droppedAnswer = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain; charset=utf-8\r\n" +
 	"Retry-After: 1\r\nConnection: close\r\n\r\nService Unavailable\n"
 
-// refuseDropped answers a request of a connection that was dropped, before it takes the
-// memory of its head. It returns the error with which the server ends the connection.
+// refuseDropped answers a request of a connection that was dropped, before its head is
+// parsed. It returns the error with which the server ends the connection.
 func (c *connection) refuseDropped() error {
-	_ = c.SetWriteDeadline(time.Now().Add(lingerTime)) // fails only on a closed connection
-	_, _ = io.WriteString(c.Conn, droppedAnswer)       // the client may be gone
-	_ = c.CloseWrite()                                 // as above
-	if hasArrived(c.Conn) {
+	_ = c.SetWriteDeadline(time.Now().Add(lingerTime))      // fails only on a closed connection
+	_, _ = io.WriteString(c.Conn, droppedAnswer)            // the client may be gone
+	_ = c.CloseWrite()                                      // as above
+	if c.headBytes <= freeHeadBytes && hasArrived(c.Conn) { // longer heads must free their memory at once
 		time.Sleep(lingerTime) // so that a reset does not overtake the answer
 	}
 	return &net.OpError{Op: "read", Net: "tcp", Err: errDropped}
--- a/intake/head.go
+++ b/intake/head.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"time"
 )
@@ -78,6 +79,14 @@
 	return h.total <= max(maxHeadBytes, limit) && (limit == 0 || h.fields <= limit)
 }
 
+// limitOfHeads returns the most that a head may have beside maxHeadBytes.
+func (c *Connections) limitOfHeads() int {
+	if c.headLimit == nil {
+		return math.MaxInt // the server has its own limit
+	}
+	return c.headLimit()
+}
+
 // refuseHead answers a head over the limit. It returns the error with which the server ends
 // the connection without an answer of its own.
 func (c *connection) refuseHead() error {
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -331,12 +331,15 @@
 	switch {
 	case n == 0:
 	case c.inHead.Load():
-		if c.owner.headLimit != nil && !c.head.add(p[:n], c.owner.headLimit) {
+		if !c.head.add(p[:n], c.owner.limitOfHeads) {
 			return 0, c.refuseHead()
 		}
-		if !c.readHead(p[:n]) {
+		switch c.readHead(p[:n]) {
+		case headRefused:
 			metric.RequestOfClosedConnection(c.owner.name, outcomeRefused)
 			return 0, c.refuseDropped()
+		case headAbandoned:
+			return 0, &net.OpError{Op: "read", Net: "tcp", Err: errDropped}
 		}
 	case c.inBody.Load():
 		c.owner.mu.Lock()
@@ -346,34 +349,55 @@
 	return n, err
 }
 
+// headOutcome is what becomes of a request after a read of its head.
+type headOutcome int
+
+const (
+	headAccepted  headOutcome = iota
+	headRefused               // the connection was dropped; the request must be answered
+	headAbandoned             // the connection was dropped within the head
+)
+
 // readHead counts what the head of a request takes: its bytes in a buffer and in strings,
-// and its fields. It returns false if the connection was dropped before and there is no
-// room for it.
-func (c *connection) readHead(p []byte) bool {
+// and its fields. A connection whose head is complete is busy and no longer dropped.
+func (c *connection) readHead(p []byte) headOutcome {
 	first := c.headBytes == 0
 	if end := bytes.Index(p, []byte("\r\n\r\n")); end >= 0 {
 		p = p[:end+1] // what follows belongs to a body
 	}
 	c.headBytes += int64(2*len(p) + fieldBytes*bytes.Count(p, []byte("\n")))
-	if !first && c.headBytes <= freeHeadBytes {
-		return true
-	}
 	c.owner.lock()
 	resumed := false
-	if first && !c.owner.table.enter(&c.entry, phaseHead, time.Now()) && c.entry.leaving {
+	if !c.owner.table.enter(&c.entry, phaseHead, time.Now()) && c.entry.leaving {
 		if resumed = c.owner.table.restore(&c.entry, phaseHead, time.Now()); !resumed {
 			c.owner.mu.Unlock()
-			return false
+			return c.droppedInHead(first)
 		}
 		c.resume()
 	}
 	victim := c.owner.table.holdHead(&c.entry, c.headBytes)
+	if c.head.ended {
+		c.inHead.Store(false)
+		c.owner.table.enter(&c.entry, phaseBusy, time.Now())
+	}
 	c.owner.mu.Unlock()
 	c.owner.close(victim, reasonHeads)
+	if victim == &c.entry {
+		return c.droppedInHead(false)
+	}
 	if resumed {
 		metric.RequestOfClosedConnection(c.owner.name, outcomeServed)
 	}
-	return true
+	return headAccepted
+}
+
+// droppedInHead returns what becomes of a request whose connection was dropped. The memory
+// of a head that is not complete must be free at once.
+func (c *connection) droppedInHead(first bool) headOutcome {
+	if first || c.head.ended {
+		return headRefused
+	}
+	return headAbandoned
 }
 
 // enter records the phase of the connection. It returns false if the connection was closed
