--- a/batch/attempt.go
+++ b/batch/attempt.go
@@ -95,7 +95,7 @@
 	}
 	answer, err := forward.CallWithHeaderTimeout(ctx, s.cfg.Upstreams, grant.Upstream, &forward.Call{
 		ID: item.ID, Host: r.submission.Host, Method: http.MethodPost, Target: item.Target,
-		Header: header, Body: item.Body, ResumeAfter: ri.lastID(), Organisation: s.callerOrganisation(r.submission)}, ri.timeout(forward.ResponseHeaderTimeout))
+		Header: header, Body: item.Body, ResumeAfter: ri.lastID(), BySoftwareVersion: true, Organisation: s.callerOrganisation(r.submission)}, ri.timeout(forward.ResponseHeaderTimeout))
 	switch {
 	case errors.Is(err, forward.ErrNotSent):
 		return dispatch.ConnectFailed, attemptNotSent
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -46,7 +46,10 @@
 	// the request is passed on unchanged. An empty name stands for an anonymous caller.
 	Organisation *string
 	Remaining    time.Duration // time left for the upstream to respond; 0 means no limit
-	ResumeAfter  string        // ID of the last event received; empty starts from the beginning
+	// BySoftwareVersion: what comes of the call is taken to be of the software version that
+	// the list names.
+	BySoftwareVersion bool
+	ResumeAfter       string // ID of the last event received; empty starts from the beginning
 }
 
 // Response is the response of an upstream.
@@ -319,6 +322,7 @@
 	x.attemptCtx = ctx
 	call := x.Call
 	call.Remaining = time.Until(x.deadline)
+	call.BySoftwareVersion = x.Route.Kind == fleet.Stream && x.Route.Resumable
 	if x.reply.lastEventID != "" {
 		call.ResumeAfter = x.reply.lastEventID
 	}
