--- a/daemon/graceful.go
+++ b/daemon/graceful.go
@@ -36,12 +36,15 @@
 
 // gracefulServer is an http.Server that answers each request on a connection that it
 // accepted. http.Server.Shutdown alone does not: it closes a connection whose request
-// it reads after the call began, and the kernel resets those that wait to be accepted.
+// it reads after the call began, or has read without parsing it, and the kernel resets those
+// that wait to be accepted.
 type gracefulServer struct {
 	*http.Server
 	mu          sync.Mutex
 	listener    *drainingListener
 	connections map[net.Conn]connectionState // not idle
+	stopping    atomic.Bool
+	ending      atomic.Int64 // connections that may have a request and are not read any more
 }
 
 type connectionState struct {
@@ -57,6 +60,9 @@
 
 // track implements the ConnState hook of http.Server.
 func (g *gracefulServer) track(conn net.Conn, state http.ConnState) {
+	if c := gracefulConnOf(conn); c != nil {
+		defer c.track(state) // after an active one has been recorded
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if state == http.StateNew || state == http.StateActive {
@@ -70,12 +76,15 @@
 func (g *gracefulServer) listen(l net.Listener) net.Listener {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.listener = &drainingListener{Listener: l, drained: make(chan struct{}), closed: make(chan struct{})}
+	g.listener = &drainingListener{Listener: l, server: g, drained: make(chan struct{}), closed: make(chan struct{})}
 	return g.listener
 }
 
 // quiescent reports whether no request is in progress or about to arrive.
 func (g *gracefulServer) quiescent(now time.Time) bool {
+	if g.ending.Load() > 0 {
+		return false
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, c := range g.connections {
@@ -97,15 +106,23 @@
 			return trace.Wrap(err)
 		}
 	}
+	g.stopping.Store(true)
 	g.SetKeepAlivesEnabled(false)
+	g.awaitQuiescence(ctx)
+	err := g.Shutdown(ctx)
+	g.awaitQuiescence(ctx) // it does not wait for connections that it has closed
+	return trace.Wrap(err)
+}
+
+func (g *gracefulServer) awaitQuiescence(ctx context.Context) {
 	for !g.quiescent(time.Now()) && pause.For(ctx, quiescencePollInterval) {
 	}
-	return trace.Wrap(g.Shutdown(ctx))
 }
 
 // drainingListener accepts what is in its backlog before it is closed.
 type drainingListener struct {
 	net.Listener
+	server    *gracefulServer
 	until     atomic.Pointer[time.Time] // of accepting; nil before finish
 	closeOnce sync.Once
 	drained   chan struct{} // closed when the backlog is empty
@@ -133,6 +150,14 @@
 
 // Accept implements net.Listener.
 func (l *drainingListener) Accept() (net.Conn, error) {
+	conn, err := l.accept()
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		return &gracefulConn{TCPConn: tcp, server: l.server}, err
+	}
+	return conn, err
+}
+
+func (l *drainingListener) accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 		return conn, err
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -455,6 +455,9 @@
 	return nil
 }
 
+// NetConn returns the connection below.
+func (c *connection) NetConn() net.Conn { return c.Conn }
+
 // Close implements net.Conn.
 func (c *connection) Close() error {
 	c.owner.mu.Lock()
