--- a/origin/registry.go
+++ b/origin/registry.go
@@ -101,22 +101,22 @@
 }
 
 // Admitted returns which upstreams of a service may begin streams, nil for all that are
-// listed, and whether any of these may.
-func (r *Registry) Admitted(name string) (admitted func(*fleet.Upstream) bool, any bool) {
+// listed, and whether at least one of these may.
+func (r *Registry) Admitted(name string) (admitted func(*fleet.Upstream) bool, some bool) {
 	listed := r.Holder.View().SoftwareVersions(name)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s, all := r.of(name), true
-	any = len(listed) == 0 // waiting would be of no use
+	some = len(listed) == 0 // waiting would be of no use
 	for _, v := range listed {
 		all = all && s.confirmed[v]
-		any = any || s.confirmed[v]
+		some = some || s.confirmed[v]
 	}
 	if all {
-		return nil, any
+		return nil, some
 	}
 	confirmed := maps.Clone(s.confirmed)
-	return func(u *fleet.Upstream) bool { return confirmed[u.SoftwareVersion] }, any
+	return func(u *fleet.Upstream) bool { return confirmed[u.SoftwareVersion] }, some
 }
 
 // Several reports whether several versions of a service are listed or registered.
--- a/origin/table.go
+++ b/origin/table.go
@@ -66,7 +66,7 @@
 // safe for concurrent use.
 type table struct {
 	streams map[Key]Stream
-	order   []Stream // as added; older entries for a key may be left
+	order   []Stream // as added; entries that were replaced or removed stay until they expire
 }
 
 func newTable() *table { return &table{streams: make(map[Key]Stream)} }
--- a/origin/tracker.go
+++ b/origin/tracker.go
@@ -74,8 +74,8 @@
 // as just after a start, it waits for that for up to admitTimeout.
 func (t *Tracker) Admitted(ctx context.Context, service string) func(*fleet.Upstream) bool {
 	for end := time.Now().Add(admitTimeout); ; {
-		admitted, any := t.registry.Admitted(service)
-		if any || time.Now().After(end) || !pause.For(ctx, admitPollInterval) {
+		admitted, some := t.registry.Admitted(service)
+		if some || time.Now().After(end) || !pause.For(ctx, admitPollInterval) {
 			return admitted
 		}
 	}
