--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -231,7 +231,7 @@
 		time.Sleep(time.Second)
 		before := *upstreamOf("v2")
 		before.Started, before.SoftwareVersion = 0, "v1"
-		g.own.add(NewStream(KeyOf("s", "early"), &before, time.Now().Add(-time.Minute)), time.Now())
+		g.restore([]Stream{NewStream(KeyOf("s", "early"), &before, time.Now().Add(-time.Minute))}, true)
 		g.Begun("s", "r", &before)
 		for _, listed := range [][]string{{"v1", "v2"}, {"v1"}} {
 			g.use(listed...)
