--- a/batch/schedule.go
+++ b/batch/schedule.go
@@ -184,6 +184,9 @@
 	stuck := c.item.brokenInRow >= breaksToStartOver && accepting < len(usable)
 	doubtful := c.item.doubtful(view)
 	if accepting > 0 && !stuck && !doubtful {
+		if accepting == len(usable) {
+			return nil // the order of items holds, also of those that wait for a fast upstream
+		}
 		return accepts
 	}
 	s.cfg.Log.Info().Str("job", c.job.submission.ID).Str("request", c.job.submission.Items[c.item.index].ID).Str("service", service).
