--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -93,26 +93,26 @@
 	logLevel *levelSampler
 	closeLog func()
 
-	self       peer.Member
-	store      *platform.Store
-	relay      *peer.Relay
-	holder     *fleet.Holder
-	suspects   *poison.Table
-	persister  *poison.Persister
-	versions   *origin.Registry // of software at which streams begin
-	origins    *origin.Backup
-	dispatcher *dispatch.Dispatcher
-	limits     *limit.Shared // rates of organisations
-	exchange   *peer.Exchange
-	jobs       *batch.Service
-	draining   atomic.Bool
-	shutdown   *drain.State
-	hedging    *hedge.Hedger
-	ingress    *gracefulServer
-	readiness  *http.Server
-	peers      *http.Server
-	metrics    *http.Server
-	bodies     *intake.Budget
+	self         peer.Member
+	store        *platform.Store
+	relay        *peer.Relay
+	holder       *fleet.Holder
+	suspects     *poison.Table
+	persister    *poison.Persister
+	versions     *origin.Registry // of software at which streams begin
+	originBackup *origin.Backup
+	dispatcher   *dispatch.Dispatcher
+	limits       *limit.Shared // rates of organisations
+	exchange     *peer.Exchange
+	jobs         *batch.Service
+	draining     atomic.Bool
+	shutdown     *drain.State
+	hedging      *hedge.Hedger
+	ingress      *gracefulServer
+	readiness    *http.Server
+	peers        *http.Server
+	metrics      *http.Server
+	bodies       *intake.Budget
 	// connections are the limits of the listeners, by server.
 	connections map[*http.Server]*intake.Connections
 }
@@ -149,7 +149,7 @@
 	origins := origin.NewTracker(registry, g.exchange, g.log)
 	g.exchange.UseOrigins(origins)
 	g.versions = registry
-	g.origins = origin.NewBackup(g.relay, origins, g.self.Name, g.exchange.Rank, g.log)
+	g.originBackup = origin.NewBackup(g.relay, origins, g.self.Name, g.exchange.Rank, g.log)
 	g.persister = &poison.Persister{Table: g.suspects, Rows: g.relay, Rank: g.exchange.Rank, Log: g.log,
 		Prefix: suspectRowPrefix, MinCrashes: crashesToBlock}
 	engines := platform.NewEngineClient()
@@ -288,7 +288,7 @@
 	group.Go(func() error { g.followMembers(background); return nil })
 	group.Go(func() error { g.persister.Run(background); return nil })
 	group.Go(func() error { g.versions.Run(background); return nil })
-	group.Go(func() error { g.origins.Run(background); return nil })
+	group.Go(func() error { g.originBackup.Run(background); return nil })
 	group.Go(func() error { g.expireUpstreams(background); return nil })
 	group.Go(func() error { g.updateRates(background); return nil })
 	group.Go(func() error {
