review: ports below those of outgoing connections, one engine of seven in review/8, the site's cap in review/10

A run of review/10 did not start once (exit 2) while a soak ran beside it: an outgoing connection had taken a port that was free when it was chosen.

--- a/review/_stand2/claims.go
+++ b/review/_stand2/claims.go
@@ -13,6 +13,7 @@
 	claimGateways  = 8
 	claimJobs      = 6 // for each gateway
 	claimItems     = 200
+	claimTokens    = 500   // of an item: all jobs have 4,800,000 of the 5,300,000 tokens that may wait
 	claimBodyBytes = 15000 // of an item: a job of 200 has 4.1 MB of the 4,194,304 bytes allowed
 )
 
@@ -21,7 +22,7 @@
 func claims(w *world) (bool, error) {
 	const host, path = "ficu95.example", "/pule252/"
 	w.putConfig(1, []object{{"name": "notes", "host": host, "path-prefix": path, "kind": "batch", "service": "llm", "max-attempts": 3,
-		"timeout-ms": 15000, "target-latency-ms": 600, "completion-target-ms": 18000, "retention-s": 60, "cap": 0, "priority": 2}})
+		"timeout-ms": 15000, "target-latency-ms": 600, "completion-target-ms": 18000, "retention-s": 60, "cap": 5300000, "priority": 2}})
 	for i := range 4 {
 		e := platformtest.NewEngine(fmt.Sprintf("i-%08x", 0x7f3a91c2+i), "llm", "suva-a")
 		e.Slots, e.Events, e.Interval = 8, slowEvents, 20*time.Millisecond
@@ -53,7 +54,7 @@
 		for i, g := range list {
 			job := fmt.Sprintf("7c41e09b52%02x%04x", i, j)
 			status, _, _, err := send(http.MethodPost, g.front, path+"7c41e0", host, map[string]string{"Attempt-Id": job, "Content-Type": "application/json"},
-				submission(fmt.Sprintf("e5b2%04x%04x", i, j), path+"3/", claimItems, claimBodyBytes, 940), 5*time.Second)
+				submission(fmt.Sprintf("e5b2%04x%04x", i, j), path+"3/", claimItems, claimBodyBytes, claimTokens), 5*time.Second)
 			w.logf("job %s at %s: status %d, %v", job, g.name, status, err)
 			if status == 202 {
 				accepted++
@@ -73,7 +74,7 @@
 		}
 	}
 	peak, kills := 0, 0
-	for end := time.Now().Add(60 * time.Second); time.Now().Before(end) && kills < 3; {
+	for end := time.Now().Add(40 * time.Second); time.Now().Before(end) && kills < 3; {
 		killed := make(chan struct{})
 		go w.enforceMemory(survivor, &peak, killed)
 		select {
--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -73,13 +74,26 @@
 	maxFDs   int
 }
 
+// firstPort and ports are below the ports that the kernel gives to outgoing connections, so
+// that none of these takes an address before the gateway listens there.
+const firstPort, ports = 20000, 12000
+
+// freePort returns an address that is free for TCP and UDP.
 func freePort() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "127.0.0.1:0"
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		packets, err := net.ListenPacket("udp", address)
+		if err != nil {
+			continue
+		}
+		_ = packets.Close()
+		return address
 	}
-	defer l.Close()
-	return l.Addr().String()
 }
 
 // newGateway renders the template of the deploy file for a machine.
--- a/review/_stand2/versions.go
+++ b/review/_stand2/versions.go
@@ -70,7 +70,11 @@
 	return nil
 }
 
-const versionEvents = 40
+const (
+	versionEvents  = 40
+	versionEngines = 7 // one of them is .14; srv_crash takes .15
+	versionStreams = 48
+)
 
 // ServeHTTP implements http.Handler.
 func (e *versionEngine) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
@@ -114,7 +118,7 @@
 	w.putConfig(1, []object{{"name": "checks", "host": host, "path-prefix": path, "kind": "stream", "service": "llm", "max-attempts": 2, "resumable": true,
 		"timeout-ms": 5000, "target-latency-ms": 300, "gap-target-ms": 300, "priority": 0}})
 	var engines []*versionEngine
-	for i := range 4 {
+	for i := range versionEngines {
 		e := newVersionEngine(w, fmt.Sprintf("i-%08x", 0x7f3a91c2+i), "llm", "linz", "v1")
 		e.register()
 		engines = append(engines, e)
@@ -152,14 +156,13 @@
 		upgraded.register()
 	}
 	time.Sleep(time.Second)
-	const streams = 32
 	type answer struct {
 		id, text string
 		status   int
 		err      error
 	}
-	answers := make(chan answer, streams)
-	for i := range streams {
+	answers := make(chan answer, versionStreams)
+	for i := range versionStreams {
 		go func() {
 			id := fmt.Sprintf("9c41d07be2a3%04x", i)
 			status, body, _, err := send(http.MethodPost, gateways[i%2].front, path+"2f", host, map[string]string{"Attempt-Id": id, "Model": "m",
@@ -180,7 +183,7 @@
 	}
 	upgraded.register()
 	mixed := 0
-	for range streams {
+	for range versionStreams {
 		a := <-answers
 		seen := map[string]bool{}
 		var order []string
@@ -196,6 +199,6 @@
 			mixed++
 		}
 	}
-	w.logf("%d of %d streams hold events of two software versions", mixed, streams)
+	w.logf("%d of %d streams hold events of two software versions", mixed, versionStreams)
 	return mixed > 2, nil
 }
