--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -29,7 +29,7 @@
 	exitHeld     = 0
 	exitBroken   = 1
 	exitNotRun   = 2
-	startTimeout = 10 * time.Second
+	startTimeout = 15 * time.Second
 )
 
 // world is what a case needs: the platform's store, the gateways and the record.
@@ -78,10 +78,17 @@
 // that none of these takes an address before the gateway listens there.
 const firstPort, ports = 20000, 12000
 
+// givenPorts are those that freePort has returned, which may not be in use yet.
+var givenPorts = make(map[int]bool)
+
 // freePort returns an address that is free for TCP and UDP.
 func freePort() string {
 	for {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		port := firstPort + rand.IntN(ports)
+		if givenPorts[port] {
+			continue
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", port)
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
@@ -92,6 +99,7 @@
 			continue
 		}
 		_ = packets.Close()
+		givenPorts[port] = true
 		return address
 	}
 }
