--- a/batch/attempt.go
+++ b/batch/attempt.go
@@ -41,7 +41,7 @@
 		case <-ctx.Done():
 		}
 	}()
-	started, eventsBefore := time.Now(), ri.events()
+	started, before := time.Now(), ri.position()
 	outcome, status := s.attemptItem(ctx, r, ri, grant)
 	preempted := isClosed(grant.Preempted())
 	if outcome == dispatch.Broken && ctx.Err() != nil {
@@ -52,17 +52,17 @@
 		metric.Preempted(grant.Upstream.Service)
 	}
 	s.cfg.Log.Info().Str("request", item.ID).Str("job", r.submission.ID).Str("upstream", grant.Upstream.ID).Str("software_version", grant.Upstream.SoftwareVersion).
-		Int("from_event", eventsBefore).Int("events", ri.events()).Bool("preempted", preempted).Str("outcome", status).
+		Int("from_event", before.events).Int("events", ri.events()).Int("output_bytes", ri.outputSize()).Bool("preempted", preempted).Str("outcome", status).
 		Int64("ms", time.Since(started).Milliseconds()).Msg("item attempt")
-	s.handleAttemptResult(r, ri, attemptResult{outcome: outcome, status: status, eventsBefore: eventsBefore, duration: time.Since(started)})
+	s.handleAttemptResult(r, ri, attemptResult{outcome: outcome, status: status, before: before, duration: time.Since(started)})
 }
 
 // attemptResult describes how an attempt ended.
 type attemptResult struct {
-	outcome      dispatch.Outcome
-	status       string
-	eventsBefore int // events received before the attempt
-	duration     time.Duration
+	outcome  dispatch.Outcome
+	status   string
+	before   position // where the attempt began
+	duration time.Duration
 }
 
 func isClosed(c <-chan struct{}) bool {
@@ -135,11 +135,11 @@
 	events := event.NewIdleTimeoutReader(answer.Body, ri.timeout(forward.StreamIdleTimeout))
 	defer events.Stop()
 	events.Account(s.cfg.Memory.Share())
-	before := ri.events()
+	begun := false // an event has arrived
 	for {
 		e, err := events.Next()
 		switch {
-		case errors.Is(err, io.EOF) && answer.EndsWithConnection && ri.events() == before:
+		case errors.Is(err, io.EOF) && answer.EndsWithConnection && !begun:
 			// Broken off before the first event. After two such attempts the item starts
 			// over, since no event may be left after the last one.
 			if ri.brokenInRow > 0 {
@@ -157,13 +157,12 @@
 		case !event.Follows(ri.lastID(), e.ID):
 			return dispatch.Broken, attemptUnusable
 		}
-		if !e.Empty() {
-			grant.Progress()
-		}
-		if e.Data == nil {
+		if e.Empty() {
 			continue
 		}
-		if err := ri.addEvent(e.ID, e.Data, grant.Upstream); err != nil {
+		begun = true
+		grant.Progress()
+		if err := ri.addEvent(&e, grant.Upstream); err != nil {
 			ri.reset(0) // an answer without end holds nothing to resume from
 			return dispatch.Broken, attemptUnusable + " " + err.Error()
 		}
@@ -184,13 +183,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	done, _ := ri.snapshot()
-	s.pace.recordAttempt(result.duration, max(done.Events-result.eventsBefore, 0))
+	s.pace.recordAttempt(result.duration, max(done.Events-result.before.events, 0))
 	if ri.state != itemActive {
 		return // its result was listed by a write that took effect late
 	}
 	switch result.status {
 	case attemptDone:
-		if result.eventsBefore > 0 && done.doubtful(s.cfg.Holder.View()) {
+		if result.before != (position{}) && done.doubtful(s.cfg.Holder.View()) {
 			s.cfg.Log.Info().Str("job", r.submission.ID).Str("request", r.submission.Items[ri.index].ID).
 				Msg("the output may come from two software versions; the item starts over")
 			ri.reset(0)
@@ -212,7 +211,7 @@
 		s.requeue(ri, backoffAfter(ri.failures))
 		return
 	}
-	if result.outcome == dispatch.Broken && done.Events == result.eventsBefore {
+	if result.outcome == dispatch.Broken && done.position() == result.before {
 		ri.brokenInRow++
 		s.requeue(ri, backoffAfter(ri.brokenInRow))
 		return
--- a/batch/doubtful_test.go
+++ b/batch/doubtful_test.go
@@ -31,7 +31,7 @@
 			first := record(1, 100, "v1")
 			h.Apply([]fleet.Record{first}, time.Now())
 			var g itemProgress
-			if err := g.addEvent("1", []byte("text"), &first.Upstream); err != nil {
+			if err := g.addEvent(parseEvent(t, "id: 1\ndata: text\n\n"), &first.Upstream); err != nil {
 				t.Fatal(err)
 			}
 			if g.doubtful(h.View()) {
--- a/batch/progress.go
+++ b/batch/progress.go
@@ -16,6 +16,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/magnoliausher/magnoliausher/event"
 	"github.com/magnoliausher/magnoliausher/fleet"
 	"github.com/magnoliausher/magnoliausher/memory"
 	"github.com/magnoliausher/magnoliausher/pause"
@@ -37,8 +38,8 @@
 // progress is the part of an item's answer received so far. Its fields are
 // encoded under their Go names.
 type progress struct {
-	LastID string // ID of the last event received
-	Events int
+	LastID string // ID of the last event received, which may have no data
+	Events int    // events with data
 	// SoftwareVersion of the upstreams that sent the events; only one of it can resume the
 	// item. Checkpoints of earlier builds have none.
 	SoftwareVersion string
@@ -46,6 +47,18 @@
 	Output          []byte   `json:"-"`          // data of the events, joined by line feeds; stored after the JSON
 }
 
+// position tells how far an answer has come. It is zero before the first event.
+type position struct {
+	events int    // events with data
+	lastID string // of the last event, with or without data
+}
+
+func (p *progress) position() position { return position{p.Events, p.LastID} }
+
+// begun reports whether the progress holds any event, so that only upstreams of its
+// software version can go on with it.
+func (p *progress) begun() bool { return p.position() != position{} }
+
 // source is an incarnation of an upstream, as the list named it when it sent events.
 type source struct {
 	Upstream string // id
@@ -79,12 +92,30 @@
 
 // addEvent appends one event of an upstream. After an error the event is not part of the
 // progress.
-func (g *itemProgress) addEvent(id string, data []byte, u *fleet.Upstream) error {
+func (g *itemProgress) addEvent(e *event.Event, u *fleet.Upstream) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.current.Events > 0 && g.current.SoftwareVersion != u.SoftwareVersion {
+	if g.current.begun() && g.current.SoftwareVersion != u.SoftwareVersion {
 		return errOtherVersion
 	}
+	if data, ok := e.Data(); ok {
+		if err := g.appendData(data); err != nil {
+			return err
+		}
+	}
+	g.current.SoftwareVersion = u.SoftwareVersion
+	if from := (source{u.ID, u.Started}); !slices.Contains(g.current.Sources, from) {
+		g.current.Sources = append(g.current.Sources, from)
+	}
+	if e.ID != "" {
+		g.current.LastID = e.ID
+	}
+	return nil
+}
+
+// appendData appends the data of one event, which may be empty, to the output. The
+// caller holds g.mu.
+func (g *itemProgress) appendData(data []byte) error {
 	size := len(g.current.Output) + 1 + len(data)
 	if size > maxItemOutputBytes {
 		return errOutputTooLong
@@ -97,13 +128,6 @@
 	}
 	g.current.Output = append(g.current.Output, data...)
 	g.current.Events++
-	g.current.SoftwareVersion = u.SoftwareVersion
-	if from := (source{u.ID, u.Started}); !slices.Contains(g.current.Sources, from) {
-		g.current.Sources = append(g.current.Sources, from)
-	}
-	if id != "" {
-		g.current.LastID = id
-	}
 	return nil
 }
 
@@ -122,6 +146,12 @@
 	return g.current.Events
 }
 
+func (g *itemProgress) position() position {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.current.position()
+}
+
 func (g *itemProgress) outputSize() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -145,7 +175,7 @@
 func (g *itemProgress) resumableAt() func(*fleet.Upstream) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.current.Events == 0 {
+	if !g.current.begun() {
 		return nil
 	}
 	version := g.current.SoftwareVersion
@@ -157,7 +187,7 @@
 func (g *itemProgress) advance(p progress, saved int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.current.Events > 0 && g.current.SoftwareVersion != p.SoftwareVersion {
+	if g.current.begun() && g.current.SoftwareVersion != p.SoftwareVersion {
 		return
 	}
 	if p.Events > g.current.Events {
--- a/event/event.go
+++ b/event/event.go
@@ -28,14 +28,20 @@
 
 // Event is one event, including the blank line that terminates it.
 type Event struct {
-	Raw  []byte
-	ID   string // empty if the event has none
-	Data []byte // data lines joined by line feeds; nil if the event has none
+	Raw []byte
+	ID  string // empty if the event has none
+
+	data      []byte // values of the data lines, joined by line feeds
+	dataLines int
 }
 
-// Empty reports whether the event has neither an ID nor data, like a comment that
-// a server sends to keep a connection open. Such an event is no progress.
-func (e *Event) Empty() bool { return e.ID == "" && e.Data == nil }
+// Data returns the values of the event's data lines, joined by line feeds, and whether
+// it has any such line. The data of an event with one empty data line is empty.
+func (e *Event) Data() (data []byte, ok bool) { return e.data, e.dataLines > 0 }
+
+// Empty reports whether the event has neither an ID nor a data line, like a comment
+// that a server sends to keep a connection open. Such an event is no progress.
+func (e *Event) Empty() bool { return e.ID == "" && e.dataLines == 0 }
 
 // Follows reports whether an event with the given ID may come after the one with
 // lastID. IDs of a stream are increasing numbers; an ID that is not a number, or is
@@ -129,7 +135,7 @@
 			}
 			return Event{}, err
 		}
-		line := bytes.TrimRight(e.Raw[start:], "\r\n")
+		line := trimLineEnd(e.Raw[start:])
 		if len(line) == 0 {
 			if blank {
 				continue
@@ -141,6 +147,11 @@
 	}
 }
 
+// trimLineEnd removes one LF or CRLF.
+func trimLineEnd(line []byte) []byte {
+	return bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+}
+
 func (e *Event) parseField(line []byte) {
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimPrefix(value, []byte(" "))
@@ -148,9 +159,10 @@
 	case "id":
 		e.ID = string(value)
 	case "data":
-		if e.Data != nil {
-			e.Data = append(e.Data, '\n')
+		if e.dataLines > 0 {
+			e.data = append(e.data, '\n')
 		}
-		e.Data = append(e.Data, value...)
+		e.data = append(e.data, value...)
+		e.dataLines++
 	}
 }
--- a/event/event_test.go
+++ b/event/event_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
 	"testing/iotest"
 	"testing/synctest"
 	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
 )
 
 // Guards against events that are split, merged or altered, however the network
@@ -22,8 +27,9 @@
 		want := []struct{ id, data string }{{"1", "a\nb"}, {"2", "c"}, {"3", long}}
 		for i, w := range want {
 			e, err := r.Next()
-			if err != nil || e.ID != w.id || string(e.Data) != w.data {
-				t.Fatalf("%s: event %d: id %q, %d bytes of data, %v", name, i, e.ID, len(e.Data), err)
+			data, ok := e.Data()
+			if err != nil || e.ID != w.id || !ok || string(data) != w.data {
+				t.Fatalf("%s: event %d: id %q, %d bytes of data, %v", name, i, e.ID, len(data), err)
 			}
 			raw.Write(e.Raw)
 		}
@@ -37,6 +43,50 @@
 	}
 }
 
+// Guards against line feeds of an event's text that are lost, at its beginning, at its end
+// or where it has no other text, and against a text that is taken for no data.
+func TestDataKeepsLineFeeds(t *testing.T) {
+	properties := gopter.NewProperties(nil)
+	properties.Property("the data is the text that was written", prop.ForAll(func(texts []string, lineEnd string) bool {
+		var stream strings.Builder
+		for i, text := range texts {
+			fmt.Fprintf(&stream, "id: %d%sdata: %s%s%s", i+1, lineEnd, strings.ReplaceAll(text, "\n", lineEnd+"data: "), lineEnd, lineEnd)
+		}
+		r := NewReader(strings.NewReader(stream.String()))
+		for _, text := range texts {
+			e, err := r.Next()
+			if data, ok := e.Data(); err != nil || !ok || string(data) != text || e.Empty() {
+				return false
+			}
+		}
+		_, err := r.Next()
+		return err == io.EOF
+	}, gen.SliceOf(gen.OneConstOf("", "\n", "\n\n", "a", "\na", "a\n", " a:\n\n b")), gen.OneConstOf("\n", "\r\n")))
+	properties.TestingRun(t)
+}
+
+// Guards against a carriage return of the text that is taken for a part of the line's end.
+func TestOneLineEndIsRemoved(t *testing.T) {
+	e, err := NewReader(strings.NewReader("data: a\r\r\n\n")).Next()
+	if data, _ := e.Data(); err != nil || string(data) != "a\r" {
+		t.Errorf("%q, %v", data, err)
+	}
+}
+
+// Guards against an event without a data line that is taken for one with an empty text,
+// or the other way round.
+func TestEmptyDataIsData(t *testing.T) {
+	for _, c := range []struct {
+		text        string
+		data, empty bool
+	}{{"id: 1\n\n", false, false}, {"id: 1\ndata\n\n", true, false}, {"data:\n\n", true, false}, {"data: \n\n", true, false}, {": wait\n\n", false, true}} {
+		e, err := NewReader(strings.NewReader(c.text)).Next()
+		if data, ok := e.Data(); err != nil || ok != c.data || len(data) != 0 || e.Empty() != c.empty {
+			t.Errorf("%q: %q, %v, empty %v, %v", c.text, data, ok, e.Empty(), err)
+		}
+	}
+}
+
 // Guards against a partial event that is returned when the stream fails.
 func TestReaderDropsHalfAnEvent(t *testing.T) {
 	errReset := errors.New("reset")
