--- a/batch/attempt.go
+++ b/batch/attempt.go
@@ -197,15 +197,15 @@
 			return
 		}
 		s.pace.recordItem(done.Events)
-		s.finishItem(r, ri, Result{Output: string(done.Output)}, result.status)
+		s.finishItem(r, ri, Result{Output: string(done.Output)})
 		return
-	case attemptImpossible:
-		s.finishItem(r, ri, Result{Abandoned: true}, result.status)
-		return
-	case attemptFailed:
-		ri.failures++
-		if route := s.itemRoute(r, ri); route != nil && ri.failures >= route.MaxAttempts {
-			s.finishItem(r, ri, Result{Abandoned: true}, result.status)
+	case attemptImpossible, attemptFailed:
+		t, ok := s.termsOf(r)
+		if result.status == attemptFailed {
+			ri.failures++
+		}
+		if ok && (result.status == attemptImpossible || t.exhausted(ri)) {
+			s.abandonItem(t, ri, result.status)
 			return
 		}
 		s.requeue(ri, backoffAfter(ri.failures))
--- a/batch/commit.go
+++ b/batch/commit.go
@@ -28,18 +28,23 @@
 	storePollInterval = 30 * time.Millisecond
 )
 
+// abandonItem records that an item is not to run any more. The terms of its job say so.
+// The caller holds s.mu.
+func (s *Service) abandonItem(t terms, ri *runningItem, reason string) {
+	s.cfg.Log.Info().Str("request", t.job.submission.Items[ri.index].ID).Str("job", t.job.submission.ID).Str("reason", reason).
+		Uint64("configuration", t.configuration.Version).Uint64("job_configuration", t.job.configuration).
+		Int("failures", ri.failures).Msg("item abandoned")
+	s.finishItem(t.job, ri, Result{Abandoned: true})
+}
+
 // finishItem records the result of an item and schedules its commit. The caller
 // holds s.mu.
-func (s *Service) finishItem(r *runningJob, ri *runningItem, result Result, reason string) {
+func (s *Service) finishItem(r *runningJob, ri *runningItem, result Result) {
 	result.Item = r.submission.Items[ri.index].ID
 	ri.state = itemFinished
 	ri.result = result
 	ri.reset(len(result.Output))
 	r.finished = append(r.finished, ri.index)
-	if result.Abandoned {
-		s.cfg.Log.Info().Str("request", result.Item).Str("job", r.submission.ID).Str("reason", reason).
-			Int("failures", ri.failures).Msg("item abandoned")
-	}
 	if !r.committing && !r.dropped {
 		r.committing = true
 		time.AfterFunc(commitDelay, func() { s.commitFinished(r) })
@@ -216,6 +221,7 @@
 	}
 	draft := r.row.Edit(func(next *Job) {
 		next.Listed, next.OpenTokens, next.Failures = position, tokens, nil
+		next.ConfigurationVersion = max(next.ConfigurationVersion, r.configuration)
 		for i := range r.items {
 			if r.items[i].failures > 0 && r.items[i].state < itemFinished {
 				if next.Failures == nil {
--- a/batch/handover.go
+++ b/batch/handover.go
@@ -36,6 +36,9 @@
 	Row        jobrow.Row
 	Submission *Submission
 	Items      []keptItem // items without a result that the row lists
+	// ConfigurationVersion is the newest version under which the sender has run the job; 0
+	// from earlier builds.
+	ConfigurationVersion uint64 `json:",omitempty"`
 }
 
 // keptItem is the state of one item. Its JSON keys are the Go field names. It is valid
@@ -107,6 +110,7 @@
 		return nil, trace.BadParameter("handover of job %q has %d of %d items", job.ID, len(h.Items), job.Total-job.Listed)
 	}
 	r := newRunningJob(h.Row, h.Submission)
+	r.configuration = max(r.configuration, h.ConfigurationVersion)
 	for i := range r.items {
 		r.items[i].state = itemListed
 	}
@@ -147,7 +151,7 @@
 		s.mu.Unlock()
 		return false
 	}
-	data, err := encodeUnescaped(&handover{Row: r.row, Submission: r.submission, Items: r.keepItems()})
+	data, err := encodeUnescaped(&handover{Row: r.row, Submission: r.submission, Items: r.keepItems(), ConfigurationVersion: r.configuration})
 	id, version, left := job.ID, r.row.Version(), job.Total-job.Listed
 	s.mu.Unlock()
 	if err != nil {
--- a/batch/jobrow/jobrow.go
+++ b/batch/jobrow/jobrow.go
@@ -34,12 +34,15 @@
 	OwnerIncarnation uint64 `json:",omitempty"`
 	Created          int64  // Unix time in ms, by the clock of the gateway that accepted the job
 	Total            int
-	Listed           int         // number of stored results, at positions 0 to Listed-1
-	OpenTokens       int64       // tokens of the items without a listed result
-	Organisation     string      `json:",omitempty"` // of the caller that submitted the job; empty for none
-	Ended            bool        `json:",omitempty"` // the client cancelled the job
-	Failures         map[int]int `json:",omitempty"` // failed attempts of unfinished items, by item index
-	Commit           uint64      // random; lets the writer of a version verify that its write took effect
+	Listed           int    // number of stored results, at positions 0 to Listed-1
+	OpenTokens       int64  // tokens of the items without a listed result
+	Organisation     string `json:",omitempty"` // of the caller that submitted the job; empty for none
+	// ConfigurationVersion is the newest version of the configuration under which the job
+	// was accepted or run. It never decreases, and is 0 in rows of earlier builds.
+	ConfigurationVersion uint64      `json:",omitempty"`
+	Ended                bool        `json:",omitempty"` // the client cancelled the job
+	Failures             map[int]int `json:",omitempty"` // failed attempts of unfinished items, by item index
+	Commit               uint64      // random; lets the writer of a version verify that its write took effect
 }
 
 // Closed reports whether no item of the job is to run any more.
@@ -133,6 +136,7 @@
 	next.Failures = maps.Clone(next.Failures)
 	change(&next)
 	next.ID, next.Commit = r.job.ID, rand.Uint64()
+	next.ConfigurationVersion = max(next.ConfigurationVersion, r.job.ConfigurationVersion)
 	return Draft{next: next, base: r.version}
 }
 
--- a/batch/latecommit_test.go
+++ b/batch/latecommit_test.go
@@ -127,7 +127,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, i := range indexes {
-		s.finishItem(r, &r.items[i], Result{Output: fmt.Sprint("output", i)}, attemptDone)
+		s.finishItem(r, &r.items[i], Result{Output: fmt.Sprint("output", i)})
 	}
 }
 
--- a/batch/running.go
+++ b/batch/running.go
@@ -40,16 +40,19 @@
 // runningJob is a job that this process runs. Its fields are guarded by
 // Service.mu, except the submission, which never changes.
 type runningJob struct {
-	row         jobrow.Row // latest known row; the items are listed that it lists
-	submission  *Submission
-	items       []runningItem
-	finished    []int // indexes of finished items that are not listed yet, in order of completion
-	committing  bool
-	dropped     bool
-	commits     *semaphore.Weighted // of one; held during a commit and its reconciliation, acquired before Service.mu
-	ctx         context.Context
-	cancel      context.CancelFunc
-	activeItems sync.WaitGroup
+	row        jobrow.Row // latest known row; the items are listed that it lists
+	submission *Submission
+	// configuration is the version that a configuration needs at least to decide on the job.
+	configuration       uint64
+	awaitsConfiguration bool // the one in force is older
+	items               []runningItem
+	finished            []int // indexes of finished items that are not listed yet, in order of completion
+	committing          bool
+	dropped             bool
+	commits             *semaphore.Weighted // of one; held during a commit and its reconciliation, acquired before Service.mu
+	ctx                 context.Context
+	cancel              context.CancelFunc
+	activeItems         sync.WaitGroup
 }
 
 // startJob loads and runs a job that this process owns, in the background. If
@@ -130,6 +133,7 @@
 	r := &runningJob{row: row, submission: submission, items: make([]runningItem, len(submission.Items)),
 		commits: semaphore.NewWeighted(1)}
 	failures := row.Job().Failures
+	r.configuration = row.Job().ConfigurationVersion
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	for i := range r.items {
 		r.items[i].index = i
--- a/batch/schedule.go
+++ b/batch/schedule.go
@@ -217,9 +217,8 @@
 // progress, by service. It abandons items that are not to run any more. The caller holds
 // s.mu.
 func (s *Service) startableItems(now time.Time) map[string]*serviceItems {
-	configuration := s.cfg.Holder.View().Configuration
-	if s.stopping || configuration == nil {
-		return nil // without a configuration the target services are unknown
+	if s.stopping {
+		return nil
 	}
 	services := make(map[string]*serviceItems)
 	itemsOf := func(service string) *serviceItems {
@@ -230,19 +229,19 @@
 	}
 	for _, r := range s.running {
 		job := r.row.Job()
+		t, decidable := s.termsOf(r)
 		for i := range r.items {
 			ri := &r.items[i]
 			switch {
 			case ri.state == itemActive:
 				itemsOf(ri.service).active[job.Organisation]++
-			case ri.state == itemWaiting && !ri.notBefore.After(now):
-				item := &r.submission.Items[i]
-				route := configuration.Match(r.submission.Host, item.Target)
+			case decidable && ri.state == itemWaiting && !ri.notBefore.After(now):
+				route := t.route(ri)
 				if reason := abandonReason(route, job, now); reason != "" {
-					s.finishItem(r, ri, Result{Abandoned: true}, reason)
+					s.abandonItem(t, ri, reason)
 					continue
 				}
-				items := itemsOf(route.ServiceFor(item.ID))
+				items := itemsOf(route.ServiceFor(r.submission.Items[i].ID))
 				items.waiting = append(items.waiting, candidate{r, ri, job.Organisation, s.itemPriority(route, ri.events(), job.Created, now), dueTime(route, job.Created)})
 			}
 		}
@@ -325,30 +324,3 @@
 func (p *paceEstimate) remaining(eventsDone int) time.Duration {
 	return time.Duration(max(p.itemEvents-float64(eventsDone), 0) * float64(p.eventInterval))
 }
-
-// Reasons for abandoning an item without an attempt.
-const (
-	abandonRouteRemoved = "route_removed"
-	abandonRetention    = "retention"
-)
-
-// clockSkewAllowance is added to the retention, since the clock of the gateway that
-// accepted the job may differ from the local clock by seconds.
-const clockSkewAllowance = 10 * time.Second
-
-// abandonReason returns the reason for abandoning an item of a job, or "" if it is to run.
-// route is that of the item in the active configuration, nil for none.
-func abandonReason(route *fleet.Route, job *Job, now time.Time) string {
-	switch {
-	case route == nil:
-		return abandonRouteRemoved
-	case route.Retention > 0 && jobAge(job, now) > route.Retention+clockSkewAllowance:
-		return abandonRetention
-	}
-	return ""
-}
-
-// itemRoute returns the route of an item in the active configuration, or nil.
-func (s *Service) itemRoute(r *runningJob, ri *runningItem) *fleet.Route {
-	return s.cfg.Holder.View().Configuration.Match(r.submission.Host, r.submission.Items[ri.index].Target)
-}
--- a/batch/submit.go
+++ b/batch/submit.go
@@ -183,7 +183,7 @@
 		return NotAccepted, err // an object without a row is not a job
 	}
 	next := Job{ID: job.ID, Route: route.Name, Created: time.Now().UnixMilli(), Total: len(job.Items), OpenTokens: tokens,
-		Organisation: job.Organisation}
+		Organisation: job.Organisation, ConfigurationVersion: route.ConfigurationVersion}
 	next.SetOwner(s.process())
 	s.submissions.Add(objectKey(job.Organisation, job.ID), job)
 	return s.writeFirstRow(ctx, route, next, state, log)
--- a/fleet/configuration.go
+++ b/fleet/configuration.go
@@ -4,6 +4,7 @@
 package fleet
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -47,6 +48,10 @@
 	TokenQuota          int64         // batch: maximum queued tokens of the route, or of each organisation on it; 0 for no limit
 
 	Public bool // callers need no key
+
+	// ConfigurationVersion is that of the configuration which the route belongs to. It is
+	// set by NewConfiguration.
+	ConfigurationVersion uint64 `json:"-"`
 }
 
 // ServiceFor returns the target service for a request id. The choice is
@@ -106,10 +111,11 @@
 // NewOrganisationConfiguration returns a configuration whose callers belong to organisations;
 // a nil list means that callers need no keys.
 func NewOrganisationConfiguration(version uint64, routes []Route, limits Limits, organisations []Organisation) *Configuration {
-	c := &Configuration{Version: version, Routes: routes, Limits: limits, byHost: make(map[string][]*Route)}
+	c := &Configuration{Version: version, Routes: slices.Clone(routes), Limits: limits, byHost: make(map[string][]*Route)}
 	c.organisations, c.problems = indexOrganisations(organisations)
 	for i := range c.Routes {
 		r := &c.Routes[i]
+		r.ConfigurationVersion = version
 		c.byHost[r.Host] = append(c.byHost[r.Host], r)
 	}
 	for _, list := range c.byHost {
