--- a/batch/job.go
+++ b/batch/job.go
@@ -136,12 +136,6 @@
 	Output    string
 }
 
-// Page is a page of a job's results.
-type Page struct {
-	Total   int
-	Results []Result
-}
-
 // Job is the content of a job's row.
 type Job = jobrow.Job
 
--- a/batch/read.go
+++ b/batch/read.go
@@ -5,19 +5,17 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
 
 	"github.com/magnoliausher/magnoliausher/batch/jobrow"
+	"github.com/magnoliausher/magnoliausher/memory"
 	"github.com/magnoliausher/magnoliausher/storage"
 )
 
 const (
-	// maxPageBytes limits the output in one answer, whose JSON may have up to 1 MB.
-	maxPageBytes = 700 << 10
-	// resultScanRows is the number of rows read from the store for one answer.
-	resultScanRows = 40
 	// maxSubmissionReads is how many submissions are read from the store at once. One of
 	// 4 MiB takes three times as much until it is decoded, which no budget counts.
 	maxSubmissionReads = 2
@@ -75,106 +73,18 @@
 	return e, nil
 }
 
-// Results returns a page of results starting at position after. If there are none
-// yet, it waits for up to wait.
-func (s *Service) Results(ctx context.Context, organisation, id string, after int, wait time.Duration) (Page, error) {
-	deadline := time.Now().Add(wait)
-	for {
-		changed := s.mirror.watch()
-		e, err := s.lookupJobOf(ctx, organisation, id)
-		if err != nil {
-			return Page{}, err
-		}
-		job := e.Job()
-		if after < job.Listed {
-			results, err := s.readResults(ctx, job, after)
-			return Page{Total: job.Total, Results: results}, err
-		}
-		left := time.Until(deadline)
-		if job.Closed() || left <= 0 {
-			return Page{Total: job.Total}, nil
-		}
-		timer := time.NewTimer(left)
-		select {
-		case <-changed:
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-			return Page{}, context.Cause(ctx)
-		}
-		timer.Stop()
-	}
+// ItemBody is the request body of an item. It must be closed.
+type ItemBody struct {
+	Bytes []byte
+	share *memory.Share // of the bytes, which outlive the submission that they come from
 }
 
-// readResults returns listed results from the cache or, if the first one is not
-// cached, from the store.
-func (s *Service) readResults(ctx context.Context, job *Job, from int) ([]Result, error) {
-	id := job.ID
-	var list []Result
-	size := 0
-	for pos := from; pos < job.Listed && size < maxPageBytes; pos++ {
-		r, cached := s.results.Get(resultID{job.Organisation, id, pos})
-		if !cached {
-			break
-		}
-		list = append(list, r)
-		size += len(r.Output)
-	}
-	if len(list) > 0 {
-		return list, nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	rows, err := s.cfg.Table.Scan(ctx, resultKeyPrefix+id+"/", resultKey(id, from-1, 999), resultScanRows)
-	if err != nil {
-		return nil, trace.Wrap(ErrStoreUnavailable, "%v", err)
-	}
-	results, err := s.assembleResults(job, from, rows)
-	if err != nil || len(results) == 0 {
-		return nil, trace.Wrap(ErrStoreUnavailable, "results of job %s from position %d: %v", id, from, err)
-	}
-	return results, nil
-}
+// Close gives the memory back.
+func (b *ItemBody) Close() { b.share.Release() }
 
-func (s *Service) cacheResult(job *Job, position int, r Result) {
-	if len(r.Output) <= cachedResultBytes {
-		s.results.Add(resultID{job.Organisation, job.ID, position}, r)
-	}
-}
-
-// assembleResults joins the parts in rows into consecutive results, the first of
-// which is at position from.
-func (s *Service) assembleResults(job *Job, from int, rows []storage.Row) ([]Result, error) {
-	var list []Result
-	var partial *Result
-	for _, row := range rows {
-		pos, err := resultPosition(row.Key, job.ID)
-		if err != nil {
-			return nil, err
-		}
-		part, more, err := parseResultRow(row.Value)
-		if err != nil {
-			return nil, err
-		}
-		if partial == nil {
-			if pos != from+len(list) {
-				return nil, trace.BadParameter("result at position %d is missing", from+len(list))
-			}
-			partial = &part
-		} else {
-			partial.Output += part.Output
-		}
-		if !more {
-			s.cacheResult(job, pos, *partial)
-			list = append(list, *partial)
-			partial = nil
-		}
-	}
-	return list, nil
-}
-
-// Body returns the request body of an item of a job that has not ended.
-func (s *Service) Body(ctx context.Context, organisation, id, item string) ([]byte, error) {
+// OpenBody returns the request body of an item of a job that has not ended. It returns
+// memory.ErrExhausted if there is no memory for it.
+func (s *Service) OpenBody(ctx context.Context, organisation, id, item string) (*ItemBody, error) {
 	e, err := s.lookupJobOf(ctx, organisation, id)
 	if err != nil {
 		return nil, err
@@ -186,12 +96,15 @@
 	if err != nil {
 		return nil, err
 	}
-	for i := range submission.Items {
-		if submission.Items[i].ID == item {
-			return submission.Items[i].Body, nil
-		}
+	i := slices.IndexFunc(submission.Items, func(i Item) bool { return i.ID == item })
+	if i < 0 {
+		return nil, ErrNotFound
+	}
+	body := &ItemBody{Bytes: submission.Items[i].Body, share: s.cfg.Results.Share()}
+	if err := body.share.Resize(len(body.Bytes)); err != nil {
+		return nil, err
 	}
-	return nil, ErrNotFound
+	return body, nil
 }
 
 // loadSubmission returns the submission of a job from the cache or the store. Concurrent
--- a/batch/service.go
+++ b/batch/service.go
@@ -42,9 +42,11 @@
 	feedIntervalGateways = 64
 	// cachedSubmissions and cachedResults limit the caches; an entry takes about
 	// 150 KB and 16 KB respectively. Longer results than cachedResultBytes are not cached.
-	cachedSubmissions = 24
-	cachedResults     = 512
-	cachedResultBytes = 64 << 10
+	cachedSubmissions     = 24
+	cachedSubmissionsSize = 16 << 20 // bytes
+	cachedResults         = 512
+	cachedResultsSize     = 10 << 20 // bytes
+	cachedResultBytes     = 64 << 10
 	// quotaRetryDelay is the mean delay before a client retries a job that exceeded
 	// its quota. By then, about one more item per slot has finished.
 	quotaRetryDelay = time.Second
@@ -69,6 +71,7 @@
 	// claimed yet, as hashes of their IDs; nil if there are no peers.
 	AnnounceTakenOver func(jobs []uint64)
 	Memory            *memory.Budget // for long outputs; nil for no limit
+	Results           *memory.Budget // for results and item bodies while callers read them; nil for no limit
 	Bodies            *intake.Budget // for the items of jobs in memory; nil for no limit
 	JobRetention      time.Duration  // how long a closed job stays readable after its creation
 	Log               zerolog.Logger
@@ -79,10 +82,11 @@
 type Service struct {
 	cfg         Config
 	mirror      *mirror
-	submissions *lru.Cache[string, *Submission] // by objectKey
-	reads       singleflight.Group              // of submissions, by objectKey
-	readSlots   *semaphore.Weighted             // of maxSubmissionReads
-	results     *lru.Cache[resultID, Result]
+	submissions *memory.Cache[string, *Submission] // by objectKey
+	reads       singleflight.Group                 // of submissions, by objectKey
+	readSlots   *semaphore.Weighted                // of maxSubmissionReads
+	resultReads *semaphore.Weighted                // of maxResultReads
+	results     *memory.Cache[resultID, Result]
 	kept        *lru.Cache[string, []keptItem] // of jobs that were taken over and dropped before they were claimed
 
 	mu       sync.Mutex
@@ -109,11 +113,11 @@
 
 // New returns a Service. Call Run to start it.
 func New(cfg Config) (*Service, error) {
-	submissions, err := lru.New[string, *Submission](cachedSubmissions)
+	submissions, err := memory.NewCache[string](cachedSubmissions, cachedSubmissionsSize, (*Submission).Memory)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	results, err := lru.New[resultID, Result](cachedResults)
+	results, err := memory.NewCache[resultID](cachedResults, cachedResultsSize, func(r Result) int64 { return int64(len(r.Output)) })
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -121,7 +125,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return &Service{cfg: cfg, mirror: newMirror(cfg.Log), submissions: submissions, readSlots: semaphore.NewWeighted(maxSubmissionReads), results: results, kept: kept,
+	return &Service{cfg: cfg, mirror: newMirror(cfg.Log), submissions: submissions, readSlots: semaphore.NewWeighted(maxSubmissionReads), resultReads: semaphore.NewWeighted(maxResultReads), results: results, kept: kept,
 		running: make(map[string]*runningJob), claiming: make(map[string]bool), loading: make(map[string]bool), submitting: make(map[string]*submissionState), withheldSince: make(map[string]time.Time),
 		pace: paceEstimate{eventInterval: initialEventInterval, itemEvents: initialItemEvents}, wake: make(chan struct{}, 1)}, nil
 }
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -45,6 +45,9 @@
 	// upstreams, defaultAnswerMemory the budget in bytes of a process without a limit.
 	// Usual answers need none of it.
 	answerMemoryPercent = 12
+	// resultMemoryPercent is the same for results of batch items, and bodies of items, that
+	// callers read slowly.
+	resultMemoryPercent = 8
 	defaultAnswerMemory = 64 << 20
 	memoryLimitPercent  = 60
 	// loadBalancerDelay is how long the load balancer keeps opening connections after
@@ -154,10 +157,11 @@
 		Prefix: suspectRowPrefix, MinCrashes: crashesToBlock}
 	engines := platform.NewEngineClient()
 	tracker := newCrashTracker(g.suspects, engines.AcceptsConnections, g.exchange.TrialRank, g.log)
-	answers := memory.NewBudget(answerMemory(s.MemoryLimitMB))
+	answers := memory.NewBudget(memoryShare(s.MemoryLimitMB, answerMemoryPercent))
+	results := memory.NewBudget(memoryShare(s.MemoryLimitMB, resultMemoryPercent))
 	g.jobs, err = batch.New(batch.Config{Self: g.self, Table: g.relay, Feed: g.relay, Objects: g.relay.Objects(),
 		Holder: g.holder, Dispatcher: g.dispatcher, Upstreams: engines,
-		Members: g.exchange.Members, HandOver: g.exchange.HandOver, AnnounceTakenOver: g.exchange.SetTakenJobs, Memory: answers, Bodies: g.bodies, JobRetention: s.JobRetention, Log: g.log})
+		Members: g.exchange.Members, HandOver: g.exchange.HandOver, AnnounceTakenOver: g.exchange.SetTakenJobs, Memory: answers, Results: results, Bodies: g.bodies, JobRetention: s.JobRetention, Log: g.log})
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -217,13 +221,12 @@
 	return head, idle
 }
 
-// answerMemory returns the budget in bytes for long answers of upstreams, of a process
-// with a memory limit in MB, 0 for none.
-func answerMemory(limitMB int) int64 {
+// memoryShare returns a budget in bytes of a process with a memory limit in MB, 0 for none.
+func memoryShare(limitMB int, percent int64) int64 {
 	if limitMB == 0 {
 		return defaultAnswerMemory
 	}
-	return int64(limitMB) << 20 * answerMemoryPercent / 100
+	return int64(limitMB) << 20 * percent / 100
 }
 
 func (g *Gateway) assembleServers(ingress http.Handler) {
--- a/memory/memory_test.go
+++ b/memory/memory_test.go
@@ -51,3 +51,38 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a cache whose entries together take more than its limit, and against one
+// that loses its count when an entry is replaced.
+func TestCacheLimitsBytes(t *testing.T) {
+	properties := gopter.NewProperties(nil)
+	properties.Property("the entries used last are kept within the limits", prop.ForAll(func(sizes []int) bool {
+		const maxBytes = 100
+		c, err := memory.NewCache[int](4, maxBytes, func(size int) int64 { return int64(size) })
+		if err != nil {
+			return false
+		}
+		for i, size := range sizes {
+			c.Add(i%6, size)
+			if got, ok := c.Get(i % 6); !ok || got != size {
+				return false
+			}
+			held, bytes := 0, 0
+			for key := range 6 {
+				if size, ok := c.Get(key); ok {
+					held, bytes = held+1, bytes+size
+				}
+			}
+			if held > 4 || bytes > maxBytes && held > 1 {
+				return false
+			}
+		}
+		c.Purge()
+		for i := range 4 {
+			c.Add(i, maxBytes/4)
+		}
+		_, kept := c.Get(0)
+		return kept // nothing counts after a purge
+	}, gen.SliceOf(gen.IntRange(1, 150))))
+	properties.TestingRun(t)
+}
