--- a/batch/commit.go
+++ b/batch/commit.go
@@ -28,8 +28,8 @@
 	storePollInterval = 30 * time.Millisecond
 )
 
-// abandonItem records that an item is not to run any more. The terms of its job say so.
-// The caller holds s.mu.
+// abandonItem finishes an item that is not to run any more by the terms of its job. The
+// caller holds s.mu.
 func (s *Service) abandonItem(t terms, ri *runningItem, reason string) {
 	s.cfg.Log.Info().Str("request", t.job.submission.Items[ri.index].ID).Str("job", t.job.submission.ID).Str("reason", reason).
 		Uint64("configuration", t.configuration.Version).Uint64("job_configuration", t.job.configuration).
--- a/batch/results.go
+++ b/batch/results.go
@@ -30,7 +30,7 @@
 	maxResultReads = 6
 )
 
-// ErrNoMoreResults is returned by ResultReader.Next at the end of a page.
+// ErrNoMoreResults is returned by ResultReader.Read at the end of a page.
 var ErrNoMoreResults = errors.New("no more results in this page")
 
 // ResultReader returns the results of one page, one after the other. What it holds beyond
@@ -80,7 +80,8 @@
 	}
 }
 
-// open reads the first results, if there are any.
+// open reads the first results, if there are any. The store may have listed more than the
+// job's row did when it was read.
 func (r *ResultReader) open(ctx context.Context) error {
 	if r.Next >= r.job.Listed {
 		return nil
@@ -88,11 +89,10 @@
 	if first, cached := r.service.cachedResult(r.job, r.Next); cached {
 		r.ahead = []Result{first}
 	} else {
-		list, err := r.service.readStoredResults(ctx, r.job, r.Next)
-		if err != nil {
+		var err error
+		if r.ahead, err = r.service.readStoredResults(ctx, r.job, r.Next); err != nil {
 			return err
 		}
-		r.ahead = list[:min(len(list), r.job.Listed-r.Next)]
 	}
 	return r.reserve()
 }
--- a/batch/running.go
+++ b/batch/running.go
@@ -42,7 +42,8 @@
 type runningJob struct {
 	row        jobrow.Row // latest known row; the items are listed that it lists
 	submission *Submission
-	// configuration is the version that a configuration needs at least to decide on the job.
+	// configuration is the newest version of the configuration under which the job was
+	// accepted or run. No older one decides on it.
 	configuration       uint64
 	awaitsConfiguration bool // the one in force is older
 	items               []runningItem
--- a/batch/terms.go
+++ b/batch/terms.go
@@ -6,9 +6,9 @@
 	"github.com/magnoliausher/magnoliausher/fleet"
 )
 
-// terms say what may become of the items of a job. They come from a configuration that is
-// at least as new as every one under which the job was accepted or run: results are final,
-// and an older configuration may lack the job's route or have other limits.
+// terms are a configuration as it applies to a job. It is at least as new as every one under
+// which the job was accepted or run: results are final, and an older configuration may lack
+// the job's route or have other limits.
 type terms struct {
 	job           *runningJob
 	configuration *fleet.Configuration
--- a/memory/memory.go
+++ b/memory/memory.go
@@ -1,5 +1,6 @@
-// Package memory bounds the bytes that a process holds of answers in progress. A limit
-// of each answer alone does not: many upstreams may send answers without end at once.
+// Package memory bounds the bytes that a process holds of answers in progress, and of
+// cached values. A limit of each answer alone does not: many upstreams may send answers
+// without end at once, and many callers may read theirs slowly.
 package memory
 
 import (
