batch: a page that has begun cannot fail

Read of a page returned an error that never came; a caller of it would have ended a page as a complete one. It returns whether there is a result.

--- a/batch/export_test.go
+++ b/batch/export_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 )
 
@@ -21,8 +20,8 @@
 	defer r.Close()
 	page := Page{Total: r.Total}
 	for {
-		result, err := r.Read()
-		if errors.Is(err, ErrNoMoreResults) {
+		result, ok := r.Read()
+		if !ok {
 			return page, nil
 		}
 		page.Results = append(page.Results, result)
--- a/batch/results.go
+++ b/batch/results.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"time"
 	"unicode/utf8"
@@ -30,9 +29,6 @@
 	maxResultReads = 6
 )
 
-// ErrNoMoreResults is returned by ResultReader.Read at the end of a page.
-var ErrNoMoreResults = errors.New("no more results in this page")
-
 // ResultReader returns the results of one page, one after the other. What it holds beyond
 // the cache counts in the budget of the service, so a page that is read slowly takes no
 // more memory than it was granted. It must be closed, and not be used concurrently.
@@ -119,17 +115,17 @@
 	return size
 }
 
-// Read returns the next result of the page, or ErrNoMoreResults. The memory of the result
+// Read returns the next result of the page, if there is one. The memory of the result
 // before it is given back. After the results that were read ahead it goes on with cached
-// ones, but reads nothing from the store, so a page that has begun ends soon.
-func (r *ResultReader) Read() (Result, error) {
+// ones, but reads nothing from the store, so a page that has begun ends soon and cannot fail.
+func (r *ResultReader) Read() (Result, bool) {
 	if len(r.ahead) == 0 && r.Next < r.job.Listed {
 		if next, cached := r.service.cachedResult(r.job, r.Next); cached {
 			r.ahead = []Result{next}
 		}
 	}
 	if len(r.ahead) == 0 || r.reserve() != nil {
-		return Result{}, ErrNoMoreResults
+		return Result{}, false
 	}
 	next := r.ahead[0]
 	size := resultFrameBytes + jsonBytes(next.Item) + jsonBytes(next.Output)
@@ -137,13 +133,13 @@
 	case r.begun.IsZero(): // belongs to the page whatever its size
 		r.begun = time.Now()
 	case size > r.left, time.Since(r.begun) > maxPageTime:
-		return Result{}, ErrNoMoreResults
+		return Result{}, false
 	}
 	r.left -= size
 	r.ahead[0] = Result{}
 	r.ahead = r.ahead[1:]
 	r.Next++
-	return next, nil
+	return next, true
 }
 
 // Close gives the memory back.
--- a/batch/results_test.go
+++ b/batch/results_test.go
@@ -62,8 +62,8 @@
 			}
 			break
 		}
-		if _, err := r.Read(); err != nil { // holds the first result, and what was read ahead
-			t.Fatal(err)
+		if _, ok := r.Read(); !ok { // holds the first result, and what was read ahead
+			t.Fatal("a page without a result")
 		}
 		if slow = append(slow, r); len(slow) > budget/size+2 {
 			t.Fatalf("%d readers hold %d KB each, the budget is %d KB", len(slow), size>>10, budget>>10)
@@ -77,8 +77,8 @@
 	if err != nil {
 		t.Fatal("an ordinary reader is refused:", err)
 	}
-	if _, err := r.Read(); err != nil {
-		t.Error(err)
+	if _, ok := r.Read(); !ok {
+		t.Error("a page without a result")
 	}
 	r.Close()
 	for _, r := range slow {
@@ -103,8 +103,8 @@
 			}
 			var page []Result
 			for {
-				result, err := r.Read()
-				if err != nil {
+				result, ok := r.Read()
+				if !ok {
 					break
 				}
 				if want := fmt.Sprint("i", next+len(page)); result.Item != want || len(result.Output) != size {
@@ -131,7 +131,7 @@
 		}
 		n := 0
 		for ; ; n++ {
-			if _, err := r.Read(); err != nil {
+			if _, ok := r.Read(); !ok {
 				break
 			}
 			time.Sleep(300 * time.Millisecond)
