--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -42,11 +42,10 @@
 	// and counted.
 	logBufferLines = 4096
 	// answerMemoryPercent is the share of the memory limit for the long answers of
-	// upstreams, defaultAnswerMemory the budget in bytes of a process without a limit.
-	// Usual answers need none of it.
+	// upstreams, and resultMemoryPercent that for long results of batch items and large
+	// bodies of items while callers read them. defaultAnswerMemory is the budget in bytes of
+	// either in a process without a limit. Usual answers and results need none of it.
 	answerMemoryPercent = 12
-	// resultMemoryPercent is the same for results of batch items, and bodies of items, that
-	// callers read slowly.
 	resultMemoryPercent = 8
 	defaultAnswerMemory = 64 << 20
 	memoryLimitPercent  = 60
